--- /dev/null
+++ b/api/client/operator.go
@@ -0,0 +1,83 @@
+// Package client is a small client for operators and callers.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/operator"
+)
+
+// Operator speaks with one daemon's administrative address.
+type Operator struct {
+	// Address is IP:port.
+	Address string
+	// Key is the operator's bearer key.
+	Key string
+}
+
+// Config gets the configuration in force.
+func (o *Operator) Config(ctx context.Context) (operator.Config, error) {
+	out := operator.Config{}
+	return out, o.call(ctx, http.MethodGet, operator.PathConfig, nil, &out)
+}
+
+// Apply replaces the configuration as a whole.
+func (o *Operator) Apply(ctx context.Context, a operator.Apply) (operator.Applied, error) {
+	out := operator.Applied{}
+	return out, o.call(ctx, http.MethodPost, operator.PathConfig, a, &out)
+}
+
+// Status gets what the daemon knows of the system.
+func (o *Operator) Status(ctx context.Context) (operator.Status, error) {
+	out := operator.Status{}
+	return out, o.call(ctx, http.MethodGet, operator.PathStatus, nil, &out)
+}
+
+// State gets the dump of all services.
+func (o *Operator) State(ctx context.Context) (operator.State, error) {
+	out := operator.State{}
+	return out, o.call(ctx, http.MethodGet, operator.PathState, nil, &out)
+}
+
+func (o *Operator) call(ctx context.Context, method, path string, in, out any) error {
+	body := io.Reader(nil)
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+o.Address+path, body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+o.Key)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fault.New(fault.Unavailable, "check that the daemon runs and that the address is its administrative one", "%s does not answer: %v", o.Address, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return decodeFault(resp.StatusCode, data)
+	}
+	return json.Unmarshal(data, out)
+}
+
+func decodeFault(status int, data []byte) error {
+	e, err := fault.Decode(data)
+	if err != nil || e.Kind == "" {
+		return fault.New(fault.Internal, "check that the address is a daemon's administrative one", "the answer has status %d and is not readable", status)
+	}
+	return e
+}
--- /dev/null
+++ b/core/config/check.go
@@ -0,0 +1,163 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Check reports every fault that lies between sections: duplicate names,
+// dangling references, values out of range. The shape of each file is the
+// schema's matter.
+func Check(c *Config) error {
+	k := &checker{}
+	k.tiers(c)
+	k.regions(c)
+	k.workspaces(c)
+	k.models(c)
+	k.services(c)
+	k.operators(c)
+	if len(k.faults) > 0 {
+		return k.faults
+	}
+	return nil
+}
+
+type checker struct {
+	faults Faults
+}
+
+func (k *checker) add(remedy, path, format string, args ...any) {
+	f := Fault{Path: path, Message: fmt.Sprintf(format, args...), Remedy: remedy}
+	k.faults = append(k.faults, f)
+}
+
+func (k *checker) unique(section string, names []string) {
+	seen := map[string]bool{}
+	for i, n := range names {
+		path := fmt.Sprintf("$.%s[%d].name", section, i)
+		if n == "" {
+			k.add("give it a name", path, "the name is empty")
+		}
+		if seen[n] {
+			k.add("rename or remove one of them", path, "%q is declared twice", n)
+		}
+		seen[n] = true
+	}
+}
+
+func names[T any](items []T, name func(T) string) []string {
+	out := make([]string, 0, len(items))
+	for _, it := range items {
+		out = append(out, name(it))
+	}
+	return out
+}
+
+func (k *checker) tiers(c *Config) {
+	k.unique("tiers", names(c.Tiers, func(t Tier) string { return t.Name }))
+	if len(c.Tiers) == 0 {
+		k.add("declare at least one tier", "$.tiers", "no tier is declared")
+	}
+	for i, t := range c.Tiers {
+		if t.GoodputMS <= 0 {
+			k.add("give milliseconds above zero", fmt.Sprintf("$.tiers[%d].goodput_ms", i), "the time is %d", t.GoodputMS)
+		}
+		k.limits(fmt.Sprintf("$.tiers[%d].limits", i), t.Limits)
+	}
+}
+
+func (k *checker) limits(path string, l *Limits) {
+	if l == nil {
+		return
+	}
+	if l.RequestsPerMinute < 0 || l.Concurrency < 0 || l.TokensPerHour < 0 {
+		k.add("give zero for no limit, or a number above it", path, "a limit is negative")
+	}
+}
+
+func (k *checker) regions(c *Config) {
+	k.unique("regions", names(c.Regions, func(r Region) string { return r.Name }))
+	all := []string{}
+	for _, r := range c.Regions {
+		all = append(all, r.DataCentres...)
+	}
+	k.unique("regions[].data_centres", all)
+}
+
+func (k *checker) workspaces(c *Config) {
+	k.unique("workspaces", names(c.Workspaces, func(w Workspace) string { return w.Name }))
+	regions := map[string]bool{}
+	for _, r := range c.Regions {
+		regions[r.Name] = true
+	}
+	owner := map[string]string{}
+	for i, w := range c.Workspaces {
+		path := fmt.Sprintf("$.workspaces[%d]", i)
+		if _, ok := c.TierIndex(w.Tier); !ok {
+			k.add("declare the tier or name another", path+".tier", "tier %q is not declared", w.Tier)
+		}
+		if !regions[w.HomeRegion] {
+			k.add("declare the region or name another", path+".home_region", "region %q is not declared", w.HomeRegion)
+		}
+		if w.Weight < 0 {
+			k.add("give a weight of 1 or more, or leave it out", path+".weight", "the weight is %d", w.Weight)
+		}
+		k.limits(path+".limits", w.Limits)
+		k.keys(path+".keys", w.Name, w.Keys, owner)
+	}
+}
+
+// keys checks the form of hashed keys and that no two owners share one.
+func (k *checker) keys(path, name string, keys []string, owner map[string]string) {
+	for i, key := range keys {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		if !validKeyHash(key) {
+			k.add(`write "sha256:" and the 64 hex digits of the key's SHA-256`, at, "the key's hash is malformed")
+		}
+		if other, ok := owner[key]; ok {
+			k.add("give each its own key", at, "the key belongs to %q too", other)
+		}
+		owner[key] = name
+	}
+}
+
+func validKeyHash(key string) bool {
+	hex, ok := strings.CutPrefix(key, "sha256:")
+	return ok && len(hex) == 64 && strings.Trim(hex, "0123456789abcdef") == ""
+}
+
+func (k *checker) models(c *Config) {
+	k.unique("models", names(c.Models, func(m Model) string { return m.Name }))
+	for i, m := range c.Models {
+		if m.MaxTokens < 0 || m.BlockTokens < 0 {
+			k.add("give tokens above zero, or leave it out", fmt.Sprintf("$.models[%d]", i), "a token count is negative")
+		}
+		if _, clash := c.Service(m.Name); clash {
+			k.add("rename one of them", fmt.Sprintf("$.models[%d].name", i), "%q is a service too", m.Name)
+		}
+	}
+}
+
+func (k *checker) services(c *Config) {
+	k.unique("services", names(c.Services, func(s Service) string { return s.Name }))
+	for i, s := range c.Services {
+		path := fmt.Sprintf("$.services[%d]", i)
+		k.unique(fmt.Sprintf("services[%d].operations", i), names(s.Operations, func(o Operation) string { return o.Name }))
+		if len(s.Operations) == 0 {
+			k.add("declare its operations", path+".operations", "service %q has no operation", s.Name)
+		}
+		for j, o := range s.Operations {
+			if !strings.HasPrefix(o.Path, "/") {
+				k.add(`start the path with "/"`, fmt.Sprintf("%s.operations[%d].path", path, j), "the path is %q", o.Path)
+			}
+		}
+	}
+}
+
+func (k *checker) operators(c *Config) {
+	k.unique("operators", names(c.Operators, func(o Operator) string { return o.Name }))
+	owner := map[string]string{}
+	for i, o := range c.Operators {
+		k.keys(fmt.Sprintf("$.operators[%d].keys", i), o.Name, o.Keys, owner)
+	}
+}
--- /dev/null
+++ b/core/state/state.go
@@ -0,0 +1,479 @@
+// Package state is the replicated state machine: the accepted configuration,
+// leases, and claims on request keys.
+//
+// It is driven only by committed commands, in the log's order, and is
+// deterministic: it reads no clock, time comes inside commands. Invariants:
+// the configuration's version only grows, by one an apply; a lease's epoch only
+// grows; a claim that is dispatched never becomes undispatched before it is
+// trimmed.
+package state
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/verbenastep/verbenastep/core/config"
+)
+
+// Command is one log entry: exactly one field is set.
+type Command struct {
+	Apply   *Apply   `json:"apply,omitempty"`
+	Acquire *Acquire `json:"acquire,omitempty"`
+	Expire  *Expire  `json:"expire,omitempty"`
+	Claim   *Claim   `json:"claim,omitempty"`
+	Finish  *Finish  `json:"finish,omitempty"`
+	Trim    *Trim    `json:"trim,omitempty"`
+	Suspect *Suspect `json:"suspect,omitempty"`
+}
+
+// Result answers one command.
+type Result struct {
+	// Status says how the command ended.
+	Status Status `json:"status"`
+	// Version and Digest are the accepted configuration's after an Apply.
+	Version uint64 `json:"version,omitempty"`
+	Digest  string `json:"digest,omitempty"`
+	// Winner is who applied the version that a conflicting Apply lost to.
+	Winner string `json:"winner,omitempty"`
+	// Lease is the lease after an Acquire or Expire.
+	Lease *Lease `json:"lease,omitempty"`
+	// Claim is the claim that stands after a Claim or Finish.
+	Claim *Claim `json:"claim,omitempty"`
+}
+
+// Status is a command's outcome.
+type Status string
+
+// Statuses.
+const (
+	// OK says that the command took effect, or had done so before.
+	OK Status = "ok"
+	// Conflict says that another command won; the result shows it.
+	Conflict Status = "conflict"
+	// Exists says that the key is claimed already with the same content.
+	Exists Status = "exists"
+	// Held says that another holder has the lease.
+	Held Status = "held"
+	// Invalid says that the command is malformed; nothing changed.
+	Invalid Status = "invalid"
+	// NotFound says that the command names something the state lacks.
+	NotFound Status = "not_found"
+)
+
+// Apply replaces the configuration as a whole by compare-and-set.
+type Apply struct {
+	// Base is the version the operator started from.
+	Base uint64 `json:"base"`
+	// Files is the whole new content.
+	Files    config.Files `json:"files"`
+	Operator string       `json:"operator"`
+}
+
+// Lease gives one holder a role until it is expired.
+type Lease struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder"`
+	// Epoch fences orders of earlier holders; zero means never held.
+	Epoch uint64 `json:"epoch"`
+}
+
+// Acquire takes a lease that nobody holds. For the present holder it changes
+// nothing and answers the same epoch.
+type Acquire struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder"`
+}
+
+// Expire ends a lease that its holder has not renewed, or gives up. It has no
+// effect where the epoch is not the present one.
+type Expire struct {
+	Name  string `json:"name"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// Claim records, before the first byte goes out, that a request is dispatched.
+type Claim struct {
+	Workspace string `json:"workspace"`
+	Key       string `json:"key"`
+	// Digest is the hash of the request's content.
+	Digest string `json:"digest"`
+	// Entry is the daemon that dispatches.
+	Entry    string `json:"entry"`
+	Pool     string `json:"pool"`
+	Upstream string `json:"upstream"`
+	// Address is the upstream's, for resuming the stream.
+	Address string `json:"address"`
+	Stream  string `json:"stream"`
+	// AtMS is the proposer's wall time in Unix milliseconds, for retention.
+	AtMS int64 `json:"at_ms"`
+	// Done, Status, ContentType, Body, Length and Unknown are set by Finish.
+	Done        bool   `json:"done,omitempty"`
+	Status      int    `json:"status,omitempty"`
+	ContentType string `json:"content_type,omitempty"`
+	// Body is the whole answer where it is short enough to be kept in the log.
+	Body   []byte `json:"body,omitempty"`
+	Length int64  `json:"length,omitempty"`
+	// Unknown says that nobody can tell whether the request ran to its end.
+	Unknown bool `json:"unknown,omitempty"`
+}
+
+// Finish records how a claimed request ended. The first Finish stands, but an
+// answer replaces an unknown outcome.
+type Finish struct {
+	Workspace   string `json:"workspace"`
+	Key         string `json:"key"`
+	Stream      string `json:"stream"`
+	Status      int    `json:"status,omitempty"`
+	ContentType string `json:"content_type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	Length      int64  `json:"length,omitempty"`
+	Unknown     bool   `json:"unknown,omitempty"`
+}
+
+// Trim drops claims made before a time, oldest first.
+type Trim struct {
+	BeforeMS int64 `json:"before_ms"`
+}
+
+// Suspect records that a request was in flight on an upstream that died.
+type Suspect struct {
+	Pool string `json:"pool"`
+	// Fingerprint identifies the request's content.
+	Fingerprint uint64 `json:"fingerprint"`
+	// Crashes is how many upstreams died so far; zero clears the suspicion.
+	Crashes int   `json:"crashes"`
+	AtMS    int64 `json:"at_ms"`
+}
+
+// suspectKey identifies a suspect.
+type suspectKey struct {
+	pool        string
+	fingerprint uint64
+}
+
+// claimKey identifies a claim: keys of two workspaces never meet.
+type claimKey struct {
+	workspace string
+	key       string
+}
+
+// version is one accepted configuration.
+type version struct {
+	number   uint64
+	base     uint64
+	operator string
+	files    config.Files
+	digest   string
+}
+
+// keptVersions is how many versions are kept for deltas and resent applies.
+const keptVersions = 128
+
+// Machine is the state. It is not safe for concurrent use.
+type Machine struct {
+	versions []version
+	leases   map[string]Lease
+	claims   map[claimKey]*Claim
+	// order lists claims by commit, for trimming.
+	order    []claimKey
+	suspects map[suspectKey]Suspect
+}
+
+// New returns the empty state at configuration version zero.
+func New() *Machine {
+	return &Machine{
+		versions: []version{{files: config.Files{}, digest: config.Files{}.Digest()}},
+		leases:   map[string]Lease{},
+		claims:   map[claimKey]*Claim{},
+		suspects: map[suspectKey]Suspect{},
+	}
+}
+
+// Apply executes one committed command.
+func (m *Machine) Apply(c Command) Result {
+	switch {
+	case c.Apply != nil:
+		return m.applyConfig(c.Apply)
+	case c.Acquire != nil:
+		return m.acquire(c.Acquire)
+	case c.Expire != nil:
+		return m.expire(c.Expire)
+	case c.Claim != nil:
+		return m.claim(c.Claim)
+	case c.Finish != nil:
+		return m.finish(c.Finish)
+	case c.Trim != nil:
+		return m.trim(c.Trim)
+	case c.Suspect != nil:
+		return m.suspect(c.Suspect)
+	}
+	return Result{Status: Invalid}
+}
+
+func (m *Machine) current() version {
+	return m.versions[len(m.versions)-1]
+}
+
+// Config returns the accepted version, its digest and its files, which the
+// caller must not change.
+func (m *Machine) Config() (number uint64, digest string, files config.Files) {
+	v := m.current()
+	return v.number, v.digest, v.files
+}
+
+// applyConfig accepts a change only on top of the current version. A resent
+// change finds the version that it made and gets the same answer.
+func (m *Machine) applyConfig(a *Apply) Result {
+	digest := a.Files.Digest()
+	for _, v := range m.versions {
+		if v.number > 0 && v.base == a.Base && v.digest == digest && v.operator == a.Operator {
+			return Result{Status: OK, Version: v.number, Digest: v.digest}
+		}
+	}
+	cur := m.current()
+	if cur.number != a.Base {
+		return Result{Status: Conflict, Version: cur.number, Digest: cur.digest, Winner: cur.operator}
+	}
+	next := version{number: cur.number + 1, base: a.Base, operator: a.Operator, files: a.Files, digest: digest}
+	m.versions = append(m.versions, next)
+	if len(m.versions) > keptVersions {
+		m.versions = append([]version{}, m.versions[1:]...)
+	}
+	return Result{Status: OK, Version: next.number, Digest: next.digest}
+}
+
+// DeltaSince returns the delta from a version that a daemon has in force to
+// the current one, or a snapshot where that version is not kept or differs.
+// It returns false where the daemon is up to date.
+func (m *Machine) DeltaSince(number uint64, digest string) (config.Delta, bool) {
+	cur := m.current()
+	if number == cur.number && digest == cur.digest {
+		return config.Delta{}, false
+	}
+	for _, v := range m.versions {
+		if v.number == number && v.digest == digest {
+			d := config.Diff(v.files, cur.files)
+			d.From = v.number
+			d.Version = cur.number
+			return d, true
+		}
+	}
+	return config.Delta{Version: cur.number, Digest: cur.digest, Set: cur.files}, true
+}
+
+func (m *Machine) acquire(a *Acquire) Result {
+	if a.Name == "" || a.Holder == "" {
+		return Result{Status: Invalid}
+	}
+	l := m.leases[a.Name]
+	if l.Holder != "" && l.Holder != a.Holder {
+		return Result{Status: Held, Lease: &l}
+	}
+	if l.Holder == "" {
+		l = Lease{Name: a.Name, Holder: a.Holder, Epoch: l.Epoch + 1}
+		m.leases[a.Name] = l
+	}
+	return Result{Status: OK, Lease: &l}
+}
+
+func (m *Machine) expire(e *Expire) Result {
+	l, ok := m.leases[e.Name]
+	if !ok {
+		return Result{Status: NotFound}
+	}
+	if l.Epoch != e.Epoch {
+		return Result{Status: Conflict, Lease: &l}
+	}
+	l.Holder = ""
+	m.leases[e.Name] = l
+	return Result{Status: OK, Lease: &l}
+}
+
+// Lease returns a lease; its holder is empty where nobody has it.
+func (m *Machine) Lease(name string) Lease {
+	l := m.leases[name]
+	l.Name = name
+	return l
+}
+
+// Leases returns a copy of all leases.
+func (m *Machine) Leases() map[string]Lease {
+	out := make(map[string]Lease, len(m.leases))
+	for n, l := range m.leases {
+		out[n] = l
+	}
+	return out
+}
+
+// claim is the compare-and-set on a request's key.
+func (m *Machine) claim(c *Claim) Result {
+	if c.Workspace == "" || c.Key == "" || c.Stream == "" {
+		return Result{Status: Invalid}
+	}
+	k := claimKey{workspace: c.Workspace, key: c.Key}
+	if old, ok := m.claims[k]; ok {
+		return Result{Status: old.compare(c), Claim: old.clone()}
+	}
+	made := c.clone()
+	m.claims[k] = made
+	m.order = append(m.order, k)
+	return Result{Status: OK, Claim: made.clone()}
+}
+
+// compare tells a retried proposal, a resend and a conflict apart.
+func (c *Claim) compare(other *Claim) Status {
+	if c.Stream == other.Stream {
+		return OK
+	}
+	if c.Digest == other.Digest {
+		return Exists
+	}
+	return Conflict
+}
+
+func (c *Claim) clone() *Claim {
+	out := *c
+	out.Body = bytes.Clone(c.Body)
+	return &out
+}
+
+func (m *Machine) finish(f *Finish) Result {
+	c, ok := m.claims[claimKey{workspace: f.Workspace, key: f.Key}]
+	if !ok || c.Stream != f.Stream {
+		return Result{Status: NotFound}
+	}
+	if c.Done && !c.Unknown {
+		return Result{Status: OK, Claim: c.clone()}
+	}
+	c.Done = true
+	c.Status = f.Status
+	c.ContentType = f.ContentType
+	c.Body = bytes.Clone(f.Body)
+	c.Length = f.Length
+	c.Unknown = f.Unknown
+	return Result{Status: OK, Claim: c.clone()}
+}
+
+// Claim finds the claim on a workspace's key.
+func (m *Machine) Claim(workspace, key string) (Claim, bool) {
+	c, ok := m.claims[claimKey{workspace: workspace, key: key}]
+	if !ok {
+		return Claim{}, false
+	}
+	return *c.clone(), true
+}
+
+func (m *Machine) trim(t *Trim) Result {
+	n := 0
+	for n < len(m.order) && m.claims[m.order[n]].AtMS < t.BeforeMS {
+		delete(m.claims, m.order[n])
+		n++
+	}
+	m.order = append([]claimKey{}, m.order[n:]...)
+	for k, s := range m.suspects {
+		if s.AtMS < t.BeforeMS {
+			delete(m.suspects, k)
+		}
+	}
+	return Result{Status: OK}
+}
+
+func (m *Machine) suspect(s *Suspect) Result {
+	k := suspectKey{pool: s.Pool, fingerprint: s.Fingerprint}
+	if s.Crashes <= 0 {
+		delete(m.suspects, k)
+		return Result{Status: OK}
+	}
+	m.suspects[k] = *s
+	return Result{Status: OK}
+}
+
+// Suspects lists the suspects in no order.
+func (m *Machine) Suspects() []Suspect {
+	out := make([]Suspect, 0, len(m.suspects))
+	for _, s := range m.suspects {
+		out = append(out, s)
+	}
+	return out
+}
+
+// Claims returns how many claims are held.
+func (m *Machine) Claims() int {
+	return len(m.claims)
+}
+
+// savedVersion and savedState are the snapshot's form.
+type savedVersion struct {
+	Number   uint64       `json:"number"`
+	Base     uint64       `json:"base"`
+	Operator string       `json:"operator"`
+	Files    config.Files `json:"files"`
+}
+
+type savedState struct {
+	Versions []savedVersion `json:"versions"`
+	Leases   []Lease        `json:"leases"`
+	Claims   []*Claim       `json:"claims"`
+	Suspects []Suspect      `json:"suspects"`
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s := savedState{}
+	for _, v := range m.versions {
+		s.Versions = append(s.Versions, savedVersion{Number: v.number, Base: v.base, Operator: v.operator, Files: v.files})
+	}
+	for _, l := range m.leases {
+		s.Leases = append(s.Leases, l)
+	}
+	for _, k := range m.order {
+		s.Claims = append(s.Claims, m.claims[k])
+	}
+	s.Suspects = m.Suspects()
+	return json.Marshal(s)
+}
+
+// SnapshotError says that a snapshot can't be decoded.
+type SnapshotError struct {
+	Cause error
+}
+
+// Error names the remedy.
+func (e *SnapshotError) Error() string {
+	return fmt.Sprintf("snapshot is not readable: %v; restore it from another replica or a backup", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *SnapshotError) Unwrap() error {
+	return e.Cause
+}
+
+// Restore replaces the state by a snapshot's; on an error nothing changes.
+func (m *Machine) Restore(data []byte) error {
+	s := savedState{}
+	if err := json.Unmarshal(data, &s); err != nil {
+		return &SnapshotError{Cause: err}
+	}
+	if len(s.Versions) == 0 {
+		return &SnapshotError{Cause: fmt.Errorf("it holds no configuration version")}
+	}
+	fresh := New()
+	fresh.versions = nil
+	for _, v := range s.Versions {
+		fresh.versions = append(fresh.versions, version{number: v.Number, base: v.Base, operator: v.Operator, files: v.Files, digest: v.Files.Digest()})
+	}
+	for _, l := range s.Leases {
+		fresh.leases[l.Name] = l
+	}
+	for _, c := range s.Claims {
+		k := claimKey{workspace: c.Workspace, key: c.Key}
+		fresh.claims[k] = c
+		fresh.order = append(fresh.order, k)
+	}
+	for _, x := range s.Suspects {
+		fresh.suspects[suspectKey{pool: x.Pool, fingerprint: x.Fingerprint}] = x
+	}
+	*m = *fresh
+	return nil
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,217 @@
+// Package admin serves the administrative address: metrics, health, state
+// dumps, and what operators ask and apply.
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/operator"
+	"github.com/verbenastep/verbenastep/core/config"
+	"github.com/verbenastep/verbenastep/core/state"
+	"github.com/verbenastep/verbenastep/internal/kernel"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+)
+
+// filesView is the view with the files it holds.
+type filesView interface {
+	port.View
+	Files() config.Files
+}
+
+// Service is the "admin.http" service.
+type Service struct {
+	set     *settings.Settings
+	log     *zap.Logger
+	metrics port.Metrics
+	kernel  *kernel.Kernel
+	view    filesView
+	logs    port.Log
+	members port.Members
+	server  *http.Server
+}
+
+// New returns the service.
+func New(set *settings.Settings, log *zap.Logger) *Service {
+	return &Service{set: set, log: log.Named("admin")}
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return port.NameAdmin }
+
+// Needs returns what operators ask about.
+func (s *Service) Needs() []string {
+	return []string{port.NameView, port.NameLog, port.NameMembers, port.NameMetrics}
+}
+
+// Start listens on the administrative address.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	err := error(nil)
+	s.kernel = k
+	if s.view, err = kernel.Find[filesView](k, port.NameView); err != nil {
+		return err
+	}
+	if s.logs, err = kernel.Find[port.Log](k, port.NameLog); err != nil {
+		return err
+	}
+	if s.members, err = kernel.Find[port.Members](k, port.NameMembers); err != nil {
+		return err
+	}
+	if s.metrics, err = kernel.Find[port.Metrics](k, port.NameMetrics); err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", s.set.Addresses.Admin)
+	if err != nil {
+		return err
+	}
+	s.server = &http.Server{Handler: s.routes()}
+	go func() { _ = s.server.Serve(ln) }()
+	return nil
+}
+
+func (s *Service) routes() http.Handler {
+	e := echo.New()
+	e.HTTPErrorHandler = failed
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(s.metrics.Gatherer(), promhttp.HandlerOpts{})))
+	e.GET("/healthz", s.healthz)
+	e.GET("/readyz", s.readyz)
+	e.GET(operator.PathState, s.dump, s.authenticated)
+	e.GET(operator.PathConfig, s.getConfig, s.authenticated)
+	e.POST(operator.PathConfig, s.apply, s.authenticated)
+	e.GET(operator.PathStatus, s.status, s.authenticated)
+	return e
+}
+
+func failed(err error, c echo.Context) {
+	e := fault.From(err)
+	if he, ok := err.(*echo.HTTPError); ok {
+		e = fault.New(fault.NotFound, "see docs/OPERATORS.md", "%v", he.Message)
+	}
+	_ = c.JSON(e.HTTPStatus(), e)
+}
+
+// operatorName is the context key under which the operator's name stands.
+const operatorName = "operator"
+
+func (s *Service) authenticated(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		name, ok := s.identify(c.Request().Header.Get("Authorization"))
+		if !ok {
+			return fault.New(fault.Unauthenticated, "give a key that settings or configuration list for operators", "the operator's key is missing or unknown")
+		}
+		c.Set(operatorName, name)
+		return next(c)
+	}
+}
+
+func (s *Service) identify(header string) (string, bool) {
+	sum := sha256.Sum256([]byte(strings.TrimPrefix(header, "Bearer ")))
+	hash := "sha256:" + hex.EncodeToString(sum[:])
+	for _, o := range s.view.Snapshot().Config.Operators {
+		if slices.Contains(o.Keys, hash) {
+			return o.Name, true
+		}
+	}
+	return "settings", slices.Contains(s.set.OperatorKeys, hash)
+}
+
+func (s *Service) healthz(c echo.Context) error {
+	failing := s.failing()
+	if len(failing) > 0 {
+		return c.JSON(http.StatusServiceUnavailable, failing)
+	}
+	return c.String(http.StatusOK, "ok\n")
+}
+
+// readyz says whether callers may be sent here: a configuration is in force.
+func (s *Service) readyz(c echo.Context) error {
+	if s.view.Snapshot().Version == 0 || len(s.failing()) > 0 {
+		return c.String(http.StatusServiceUnavailable, "no configuration is in force, or a service is failing\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (s *Service) failing() map[string]string {
+	out := map[string]string{}
+	for name, err := range s.kernel.Health() {
+		out[name] = err.Error()
+	}
+	return out
+}
+
+func (s *Service) dump(c echo.Context) error {
+	return c.JSONPretty(http.StatusOK, s.kernel.Dump(), "  ")
+}
+
+func (s *Service) getConfig(c echo.Context) error {
+	snap := s.view.Snapshot()
+	return c.JSON(http.StatusOK, operator.Config{Version: snap.Version, Digest: snap.Digest, Files: operator.Files(s.view.Files())})
+}
+
+func (s *Service) apply(c echo.Context) error {
+	a := operator.Apply{}
+	if err := json.NewDecoder(c.Request().Body).Decode(&a); err != nil {
+		return fault.New(fault.Malformed, "send an apply as docs/OPERATORS.md shows", "the body is not readable: %v", err)
+	}
+	files, err := config.Files(a.Files).Compact()
+	if err != nil {
+		return fault.New(fault.Malformed, "mend the files", "%v", err)
+	}
+	merged, err := config.Merge(files)
+	if err != nil {
+		return fault.New(fault.Malformed, "mend the files", "%v", err)
+	}
+	if err := config.Check(merged); err != nil {
+		return fault.New(fault.Malformed, "mend the files", "%v", err)
+	}
+	name, _ := c.Get(operatorName).(string)
+	result, err := s.logs.Propose(c.Request().Context(), port.GroupMain, state.Command{Apply: &state.Apply{Base: a.Base, Files: files, Operator: name}})
+	if err != nil {
+		return err
+	}
+	if result.Status != state.OK {
+		return fault.New(fault.Conflict, "get the current version, merge your change and apply again", "version %d of %s won", result.Version, result.Winner)
+	}
+	s.log.Info("configuration accepted", zap.Uint64("version", result.Version), zap.String("operator", name))
+	return c.JSON(http.StatusOK, operator.Applied{Version: result.Version, Digest: result.Digest})
+}
+
+func (s *Service) status(c echo.Context) error {
+	snap := s.view.Snapshot()
+	out := operator.Status{Daemon: s.set.Name, Version: snap.Version, Digest: snap.Digest, Failing: s.failing()}
+	newest := snap.Version
+	members := s.members.Live()
+	for _, m := range members {
+		newest = max(newest, m.Version)
+	}
+	for _, m := range members {
+		out.Members = append(out.Members, operator.MemberStatus{
+			Name: m.Name, Region: m.Region, DataCentre: m.DataCentre, Callers: m.Callers,
+			Version: m.Version, Lags: m.Version < newest, Replica: m.Replica,
+		})
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+// Stop closes the listener.
+func (s *Service) Stop(ctx context.Context) error {
+	return s.server.Shutdown(ctx)
+}
+
+// Health returns nil while the server listens.
+func (s *Service) Health() error { return nil }
+
+// Dump has nothing of its own.
+func (s *Service) Dump() any { return struct{}{} }
--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,66 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/verbenastep/verbenastep/api/upstream"
+	"github.com/verbenastep/verbenastep/internal/standin"
+)
+
+func standinCommand() *Command {
+	a := upstream.Announcement{}
+	daemons, kind, key := "", "", ""
+	speed := standin.Speed{}
+	return &Command{
+		Name: "standin", Summary: "run a stand-in upstream", Example: "verbenastep standin -pool logbook-model -daemons 127.0.0.1:7301",
+		Flags: func(f *flag.FlagSet) {
+			f.StringVar(&a.Name, "name", "standin-1", "the upstream's `NAME`")
+			f.StringVar(&kind, "kind", "runner", "runner or service")
+			f.StringVar(&a.Pool, "pool", "", "the model's or service's `NAME`")
+			f.StringVar(&a.Address, "listen", "127.0.0.1:0", "`ADDRESS` to serve on")
+			f.StringVar(&a.Region, "region", "", "region")
+			f.StringVar(&a.DataCentre, "data-centre", "", "data centre")
+			f.IntVar(&a.Slots, "slots", 8, "requests at once")
+			f.StringVar(&daemons, "daemons", "127.0.0.1:7301", "upstreams' `ADDRESSES` of daemons, comma-separated")
+			f.StringVar(&key, "key", "", "the upstream's key")
+			f.Float64Var(&speed.PrefillPerSecond, "prefill", 4000, "prompt tokens a second")
+			f.Float64Var(&speed.DecodePerSecond, "decode", 50, "output tokens a second for one stream")
+		},
+		Run: func(ctx context.Context, std IO, _ []string) error {
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			a.Kind = upstream.Kind(kind)
+			a.Incarnation = uint64(time.Now().UnixNano())
+			up, self := newStandin(a, speed)
+			if err := up.Listen(); err != nil {
+				return err
+			}
+			defer up.Close()
+			fmt.Fprintf(std.Err, "standin %s serves %s on %s\n", a.Name, a.Pool, self().Address)
+			ann := &standin.Announcer{Daemons: strings.Split(daemons, ","), Key: key, State: self}
+			ann.Run(ctx)
+			return nil
+		},
+	}
+}
+
+// listener is what both kinds of stand-in offer.
+type listener interface {
+	Listen() error
+	Close()
+}
+
+func newStandin(a upstream.Announcement, speed standin.Speed) (listener, func() upstream.Announcement) {
+	if a.Kind == upstream.Plain {
+		s := standin.NewService(a, 20*time.Millisecond)
+		return s, func() upstream.Announcement { return s.Self }
+	}
+	r := standin.NewRunner(a, speed)
+	return r, func() upstream.Announcement { return r.Self }
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,81 @@
+// Package daemon assembles one daemon's services from its settings.
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/internal/admin"
+	"github.com/verbenastep/verbenastep/internal/dispatch"
+	"github.com/verbenastep/verbenastep/internal/entry"
+	"github.com/verbenastep/verbenastep/internal/eventlog"
+	"github.com/verbenastep/verbenastep/internal/kernel"
+	"github.com/verbenastep/verbenastep/internal/link"
+	"github.com/verbenastep/verbenastep/internal/logclient"
+	"github.com/verbenastep/verbenastep/internal/member"
+	"github.com/verbenastep/verbenastep/internal/metrics"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/registry"
+	"github.com/verbenastep/verbenastep/internal/replica"
+	"github.com/verbenastep/verbenastep/internal/schedclient"
+	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/internal/view"
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	kernel *kernel.Kernel
+	link   *link.Service
+	log    *zap.Logger
+}
+
+// New assembles the services without starting any.
+func New(set *settings.Settings, log *zap.Logger) (*Daemon, error) {
+	log = log.With(zap.String("daemon", set.Name))
+	self := port.Holder{Name: set.Name, Incarnation: uint64(time.Now().UnixNano()), Address: set.Addresses.Peers}
+	d := &Daemon{kernel: kernel.New(), link: link.New(set, log), log: log}
+	services := []kernel.Service{
+		d.link,
+		logclient.New(set, log),
+		view.New(set, log),
+		member.New(set, log, self),
+		registry.New(set, log),
+		dispatch.New(set, log, self),
+		schedclient.New(set, log, self),
+		entry.New(set, log, self),
+		admin.New(set, log),
+		metrics.New(),
+		eventlog.New(self),
+	}
+	if set.HasRole(settings.Replica) {
+		services = append(services, replica.New(set, log))
+	}
+	for _, s := range services {
+		if err := d.kernel.Register(s); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// Start starts the services, then begins to answer other daemons.
+func (d *Daemon) Start(ctx context.Context) error {
+	if err := d.kernel.Start(ctx); err != nil {
+		return err
+	}
+	d.link.Serve()
+	d.log.Info("daemon started")
+	return nil
+}
+
+// Stop drains and stops all services; the context bounds the wait.
+func (d *Daemon) Stop(ctx context.Context) error {
+	err := d.kernel.Stop(ctx)
+	d.log.Info("daemon stopped")
+	return err
+}
+
+// Kernel gives access to the services, for tests and dumps.
+func (d *Daemon) Kernel() *kernel.Kernel { return d.kernel }
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,200 @@
+// Package engine is the daemons' client to upstreams: it starts, resumes and
+// cancels streams on runners and makes calls on plain services.
+//
+// A Conn carries one request. It is made before the request is claimed, so
+// that an upstream that can't be reached is known before anything is sent.
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/verbenastep/verbenastep/api/upstream"
+)
+
+const (
+	// dialTimeout bounds making a connection.
+	dialTimeout = time.Second
+	// maxFrame is the longest line of a stream, in bytes.
+	maxFrame = 1 << 20
+)
+
+// Conn is a connection to an upstream for one request.
+type Conn struct {
+	address string
+	raw     net.Conn
+	client  *http.Client
+}
+
+// Dial connects to an upstream.
+func Dial(ctx context.Context, address string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	d := net.Dialer{}
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{address: address, raw: raw}
+	used := atomic.Bool{}
+	c.client = &http.Client{
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+			DialContext: func(context.Context, string, string) (net.Conn, error) {
+				if used.Swap(true) {
+					return nil, fmt.Errorf("connection to %s is used up", address)
+				}
+				return raw, nil
+			},
+		},
+	}
+	return c, nil
+}
+
+// Close ends the connection.
+func (c *Conn) Close() {
+	_ = c.raw.Close()
+}
+
+// StatusError is an upstream's refusal before a stream began.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error gives status and body.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("upstream answered %d: %s", e.Status, e.Body)
+}
+
+// Stream yields the frames of one answer.
+type Stream struct {
+	conn  *Conn
+	body  io.ReadCloser
+	lines *bufio.Scanner
+}
+
+// Start begins a stream.
+func (c *Conn) Start(ctx context.Context, s upstream.Start) (*Stream, error) {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+upstream.PathStreams, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return c.open(req)
+}
+
+// Resume reads a stream from an offset, in bytes.
+func (c *Conn) Resume(ctx context.Context, stream string, offset int64) (*Stream, error) {
+	url := "http://" + c.address + upstream.PathStreams + "/" + stream + "?offset=" + strconv.FormatInt(offset, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	return c.open(req)
+}
+
+func (c *Conn) open(req *http.Request) (*Stream, error) {
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxFrame))
+		return nil, &StatusError{Status: resp.StatusCode, Body: string(text)}
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxFrame)
+	return &Stream{conn: c, body: resp.Body, lines: lines}, nil
+}
+
+// Next returns the next frame. It fails with os.ErrDeadlineExceeded where the
+// stream carries nothing for the given time, and with io.ErrUnexpectedEOF where
+// it ends without a last frame.
+func (s *Stream) Next(silence time.Duration) (upstream.Frame, error) {
+	_ = s.conn.raw.SetReadDeadline(time.Now().Add(silence))
+	if !s.lines.Scan() {
+		if err := s.lines.Err(); err != nil {
+			return upstream.Frame{}, err
+		}
+		return upstream.Frame{}, io.ErrUnexpectedEOF
+	}
+	f := upstream.Frame{}
+	err := json.Unmarshal(s.lines.Bytes(), &f)
+	return f, err
+}
+
+// Close ends the stream's connection.
+func (s *Stream) Close() {
+	_ = s.body.Close()
+	s.conn.Close()
+}
+
+// Cancel tells a runner that nobody waits for a stream.
+func (c *Conn) Cancel(ctx context.Context, stream string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+c.address+upstream.PathStreams+"/"+stream, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// Call is one call on a plain service.
+type Call struct {
+	Stream string
+	Method string
+	// Path is below the service's root, with the query.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// Reply is a service's whole answer.
+type Reply struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Do makes the call and reads the whole reply, of limit bytes at most.
+func (c *Conn) Do(ctx context.Context, call Call, limit int64) (Reply, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return Reply{}, err
+	}
+	req.GetBody = nil
+	req.Header = call.Header.Clone()
+	req.Header.Set(upstream.HeaderRequest, call.Stream)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return Reply{}, err
+	}
+	if int64(len(body)) > limit {
+		return Reply{}, fmt.Errorf("the reply is over %d bytes", limit)
+	}
+	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/core/config"
+	"github.com/verbenastep/verbenastep/internal/port"
+)
+
+const (
+	// headerKey carries the caller's own key.
+	headerKey = "Idempotency-Key"
+	// headerRequest carries the request's key back, the caller's or one issued.
+	headerRequest = "Verbenastep-Request"
+	// maxKey is the longest key, in bytes.
+	maxKey = 200
+	// issuedPrefix marks keys that an entry issued.
+	issuedPrefix = "vb-"
+	// bytesPerToken estimates prompt tokens.
+	bytesPerToken = 4
+	// defaultBlockTokens is the prefix block where the model declares none.
+	defaultBlockTokens = 64
+	// maxBlocks bounds how many leading blocks are hashed.
+	maxBlocks = 64
+)
+
+// request is a caller's request after it was checked.
+type request struct {
+	workspace config.Workspace
+	key       string
+	// callerKey says that the key is the caller's own.
+	callerKey bool
+	digest    string
+	pool      string
+	operation config.Operation
+	plain     bool
+	deadline  time.Time
+	body      []byte
+	header    http.Header
+	method    string
+	path      string
+	prompt    string
+	maxTokens int
+	options   map[string]any
+}
+
+// identify finds the workspace of the bearer key.
+func (s *Service) identify(c echo.Context) (config.Workspace, error) {
+	key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+	if ok && key != "" {
+		sum := sha256.Sum256([]byte(key))
+		hash := "sha256:" + hex.EncodeToString(sum[:])
+		for _, w := range s.view.Snapshot().Config.Workspaces {
+			if slices.Contains(w.Keys, hash) {
+				return w, nil
+			}
+		}
+	}
+	return config.Workspace{}, fault.New(fault.Unauthenticated, `send "Authorization: Bearer" with a key of the workspace`, "the bearer key is missing or unknown")
+}
+
+// prepare authenticates the caller and reads the body.
+func (s *Service) prepare(c echo.Context) (*request, error) {
+	w, err := s.identify(c)
+	if err != nil {
+		return nil, err
+	}
+	r := &request{workspace: w, method: c.Request().Method, header: c.Request().Header, key: c.Request().Header.Get(headerKey)}
+	r.callerKey = r.key != ""
+	if len(r.key) > maxKey || strings.HasPrefix(r.key, issuedPrefix) {
+		return nil, fault.New(fault.Malformed, `give a key of at most 200 bytes that does not begin with "vb-"`, "the idempotency key is not acceptable")
+	}
+	if !r.callerKey {
+		r.key = issuedPrefix + randomID()
+	}
+	r.deadline = time.Now().Add(time.Duration(s.view.Snapshot().Config.Times().RequestMS) * time.Millisecond)
+	if r.body, err = s.readBody(c); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func (s *Service) readBody(c echo.Context) ([]byte, error) {
+	ctl := http.NewResponseController(c.Response())
+	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.set.Limits.BodyBytes))
+	_ = ctl.SetReadDeadline(time.Time{})
+	large := (*http.MaxBytesError)(nil)
+	if errors.As(err, &large) {
+		return nil, fault.New(fault.TooLarge, "send a smaller body", "the body is over %d bytes", s.set.Limits.BodyBytes)
+	}
+	if err != nil {
+		return nil, fault.New(fault.Malformed, "send the whole body without long pauses", "the body could not be read: %v", err)
+	}
+	return body, nil
+}
+
+func randomID() string {
+	return strings.ToLower(rand.Text())
+}
+
+// digestOf hashes what makes two requests the same.
+func digestOf(parts ...[]byte) string {
+	h := sha256.New()
+	for _, p := range parts {
+		n := binary.LittleEndian.AppendUint64(nil, uint64(len(p)))
+		h.Write(n)
+		h.Write(p)
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// blocksOf hashes the prompt's leading blocks, each hash over all before.
+func blocksOf(prompt string, blockTokens int64) []uint64 {
+	if blockTokens == 0 {
+		blockTokens = defaultBlockTokens
+	}
+	size := int(blockTokens) * bytesPerToken
+	out := []uint64{}
+	h := sha256.New()
+	for len(prompt) >= size && len(out) < maxBlocks {
+		h.Write([]byte(prompt[:size]))
+		out = append(out, binary.LittleEndian.Uint64(h.Sum(nil)))
+		prompt = prompt[size:]
+	}
+	return out
+}
+
+// schedulable is what the scheduler sees of the request.
+func (r *request) schedulable(c *config.Config) port.Request {
+	out := port.Request{
+		Pool: r.pool, Workspace: r.workspace.Name, Operation: r.operation.Name,
+		PromptTokens: len(r.prompt)/bytesPerToken + 1, MaxTokens: r.maxTokens, Deadline: r.deadline,
+	}
+	raw, _ := hex.DecodeString(r.digest)
+	out.Fingerprint = binary.LittleEndian.Uint64(raw)
+	if m, ok := c.Model(r.pool); ok {
+		out.Blocks = blocksOf(r.prompt, m.BlockTokens)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,48 @@
+// Package metrics holds the daemon's metrics registry.
+package metrics
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/verbenastep/verbenastep/internal/kernel"
+	"github.com/verbenastep/verbenastep/internal/port"
+)
+
+// Service is the "metrics" service.
+type Service struct {
+	registry *prometheus.Registry
+}
+
+// New returns the service with the runtime's own metrics.
+func New() *Service {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return &Service{registry: r}
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return port.NameMetrics }
+
+// Needs returns nothing.
+func (s *Service) Needs() []string { return nil }
+
+// Start does nothing.
+func (s *Service) Start(context.Context, *kernel.Kernel) error { return nil }
+
+// Registerer takes metrics.
+func (s *Service) Registerer() prometheus.Registerer { return s.registry }
+
+// Gatherer gives metrics.
+func (s *Service) Gatherer() prometheus.Gatherer { return s.registry }
+
+// Stop does nothing.
+func (s *Service) Stop(context.Context) error { return nil }
+
+// Health returns nil.
+func (s *Service) Health() error { return nil }
+
+// Dump has nothing of its own: the metrics are served apart.
+func (s *Service) Dump() any { return struct{}{} }
--- /dev/null
+++ b/internal/port/port.go
@@ -0,0 +1,178 @@
+// Package port defines the names of a daemon's services and the interfaces
+// under which they find each other. It holds no implementation.
+package port
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"storj.io/drpc"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/config"
+	"github.com/verbenastep/verbenastep/core/promise"
+	"github.com/verbenastep/verbenastep/core/sched"
+	"github.com/verbenastep/verbenastep/core/state"
+)
+
+// Names of services.
+const (
+	// NameLink is the drpc server and connection pool; see Link.
+	NameLink = "link.drpc"
+	// NameReplica stores the replicated log, on replicas only.
+	NameReplica = "log.replica"
+	// NameLog is the log's client on every daemon; see Log.
+	NameLog = "log.client"
+	// NameView is the daemon's copy of configuration and leases; see View.
+	NameView = "config.view"
+	// NameDispatcher runs the pools whose lease this daemon holds.
+	NameDispatcher = "sched.dispatcher"
+	// NameScheduler is the entry's side of scheduling; see Scheduler.
+	NameScheduler = "sched.client"
+	// NameUpstreams receives announcements; see Upstreams.
+	NameUpstreams = "upstream.registry"
+	// NameAnswers keeps running and finished answers; see Answers.
+	NameAnswers = "entry.answers"
+	// NameEntry is the callers' HTTP server.
+	NameEntry = "entry.http"
+	// NameAdmin is the administrative HTTP server.
+	NameAdmin = "admin.http"
+	// NameMembers knows the live daemons; see Members.
+	NameMembers = "member.list"
+	// NameEvents records events for the promise checker; see Events.
+	NameEvents = "event.log"
+	// NameMetrics collects metrics; see Metrics.
+	NameMetrics = "metrics"
+	// NameDirectory answers which entries to use; see Directory.
+	NameDirectory = "directory"
+)
+
+// GroupMain is the log group for configuration, leases and claims.
+const GroupMain = "main"
+
+// Link joins daemons by drpc.
+type Link interface {
+	// Conn returns a pooled connection to a daemon's peers' address. Each
+	// stream or call occupies a connection of its own meanwhile.
+	Conn(address string) drpc.Conn
+	// Mux registers drpc services before the server starts.
+	Mux() drpc.Mux
+}
+
+// Log commits commands to the replicated state.
+type Log interface {
+	// Propose returns after the command is committed and applied. An error of
+	// kind unknown says that it may still commit.
+	Propose(ctx context.Context, group string, c state.Command) (state.Result, error)
+	// Lookup reads a claim after all that was committed before the call.
+	Lookup(ctx context.Context, group, workspace, key string) (state.Claim, bool, error)
+}
+
+// Snapshot is the configuration in force on this daemon.
+type Snapshot struct {
+	Version uint64
+	Digest  string
+	Config  *config.Config
+}
+
+// View is the daemon's copy of the shared state.
+type View interface {
+	// Snapshot returns the configuration in force; it is never nil and never
+	// of a lower version than one returned before.
+	Snapshot() Snapshot
+	// Lease returns a lease as last heard; its holder is empty where none.
+	Lease(name string) state.Lease
+	// Suspects returns the crash count of each suspect fingerprint of a pool.
+	Suspects(pool string) map[uint64]int
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// Request is what the scheduler needs to know of a request.
+type Request struct {
+	// Pool is the model's or service's name.
+	Pool         string
+	Workspace    string
+	Operation    string
+	PromptTokens int
+	MaxTokens    int
+	Blocks       []uint64
+	Fingerprint  uint64
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+}
+
+// Ticket is a granted slot. Release must be called exactly once.
+type Ticket interface {
+	Upstream() string
+	Address() string
+	// Why is the decision's explanation, a sched.Explanation as JSON.
+	Why() json.RawMessage
+	Release(r sched.Release)
+}
+
+// Scheduler grants upstreams to requests.
+type Scheduler interface {
+	// Acquire waits for a grant. Its error is a *fault.Error of a request that
+	// did not run.
+	Acquire(ctx context.Context, r Request) (Ticket, error)
+}
+
+// Upstreams hands announcements to whoever dispatches their pool.
+type Upstreams interface {
+	// Subscribe calls fn for each announcement of a pool in a region, those
+	// that still hold first, until cancel is called.
+	Subscribe(pool, region string, fn func(*rpc.UpstreamState)) (cancel func())
+}
+
+// DispatchLease names the lease of a pool's dispatcher in a region.
+func DispatchLease(pool, region string) string {
+	return "dispatch/" + pool + "/" + region
+}
+
+// Member is a live daemon.
+type Member struct {
+	Name       string
+	Region     string
+	DataCentre string
+	Peers      string
+	Callers    string
+	Version    uint64
+	Load       float64
+	Replica    bool
+}
+
+// Members knows the live daemons, this one included.
+type Members interface {
+	Live() []Member
+	// Find returns a live daemon by name.
+	Find(name string) (Member, bool)
+}
+
+// Directory says which entries callers may use.
+type Directory interface {
+	// Answer returns callers' addresses, the best first, for a caller near a
+	// data centre (empty where unknown), and how long they may be kept.
+	Answer(dataCentre string) (addresses []string, life time.Duration)
+}
+
+// Events takes the events of a run, for the promise checker and operators.
+type Events interface {
+	// Record stamps an event with daemon and time and keeps it; it must not
+	// block.
+	Record(e promise.Event)
+}
+
+// Metrics registers and gathers metrics.
+type Metrics interface {
+	Registerer() prometheus.Registerer
+	Gatherer() prometheus.Gatherer
+}
+
+// Explainer tells operators what became of a request.
+type Explainer interface {
+	// Explain finds a request by its key, as this daemon saw it.
+	Explain(key string) (json.RawMessage, bool)
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,201 @@
+// Package registry receives the announcements of upstreams and hands them to
+// the dispatchers of their pools.
+package registry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/api/upstream"
+	"github.com/verbenastep/verbenastep/internal/kernel"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+)
+
+const (
+	// leaseMS is how long an announcement holds, in milliseconds.
+	leaseMS = 2000
+	// renewMS is how often upstreams announce, in milliseconds.
+	renewMS = 500
+	// maxAnnouncement is the largest announcement, in bytes.
+	maxAnnouncement = 1 << 20
+	// readTimeout bounds reading one announcement.
+	readTimeout = 5 * time.Second
+)
+
+// topic is where announcements of one pool and region go.
+type topic struct {
+	pool   string
+	region string
+}
+
+// held is an announcement until its lease ends.
+type held struct {
+	state   *rpc.UpstreamState
+	topic   topic
+	expires time.Time
+}
+
+// Service is the "upstream.registry" service.
+type Service struct {
+	set    *settings.Settings
+	log    *zap.Logger
+	server *http.Server
+
+	mu          sync.Mutex
+	held        map[string]held
+	subscribers map[topic]map[int]func(*rpc.UpstreamState)
+	nextID      int
+}
+
+// New returns the service.
+func New(set *settings.Settings, log *zap.Logger) *Service {
+	return &Service{
+		set: set, log: log.Named("upstream"), held: map[string]held{},
+		subscribers: map[topic]map[int]func(*rpc.UpstreamState){},
+	}
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return port.NameUpstreams }
+
+// Needs returns nothing.
+func (s *Service) Needs() []string { return nil }
+
+// Start listens for announcements.
+func (s *Service) Start(context.Context, *kernel.Kernel) error {
+	ln, err := net.Listen("tcp", s.set.Addresses.Upstreams)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+upstream.PathAnnounce, s.announce)
+	s.server = &http.Server{Handler: mux, ReadTimeout: readTimeout}
+	go func() { _ = s.server.Serve(ln) }()
+	return nil
+}
+
+func (s *Service) announce(w http.ResponseWriter, r *http.Request) {
+	if !s.authentic(r) {
+		refuse(w, fault.New(fault.Unauthenticated, "send a key whose hash the daemon's settings list", "the upstream's key is wrong"))
+		return
+	}
+	a := upstream.Announcement{}
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&a); err != nil {
+		refuse(w, fault.New(fault.Malformed, "see docs/UPSTREAMS.md", "the announcement is not readable: %v", err))
+		return
+	}
+	if a.Name == "" || a.Pool == "" || a.Address == "" || a.Slots < 1 {
+		refuse(w, fault.New(fault.Malformed, "give name, pool, address and slots", "the announcement is incomplete"))
+		return
+	}
+	s.accept(a)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(upstream.Renewal{LeaseMS: leaseMS, RenewMS: renewMS})
+}
+
+func refuse(w http.ResponseWriter, e *fault.Error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(e.HTTPStatus())
+	_, _ = w.Write(e.Encode())
+}
+
+func (s *Service) authentic(r *http.Request) bool {
+	if len(s.set.UpstreamKeys) == 0 {
+		return true
+	}
+	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(key))
+	return slices.Contains(s.set.UpstreamKeys, "sha256:"+hex.EncodeToString(sum[:]))
+}
+
+func (s *Service) accept(a upstream.Announcement) {
+	state := &rpc.UpstreamState{
+		Name: a.Name, Address: a.Address, Region: a.Region, DataCentre: a.DataCentre,
+		Incarnation: a.Incarnation, Slots: uint32(a.Slots), Leaving: a.Leaving, LeaseMs: leaseMS,
+		Running: uint32(a.Running), ReportAgeMs: uint32(a.AgeMS), Version: a.Version,
+	}
+	for _, e := range a.Events {
+		state.CacheEvents = append(state.CacheEvents, &rpc.CacheEvent{Sequence: e.Sequence, Evicted: e.Evicted, Blocks: e.Blocks})
+	}
+	t := topic{pool: a.Pool, region: a.Region}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[a.Name] = held{state: state, topic: t, expires: time.Now().Add(leaseMS * time.Millisecond)}
+	for _, fn := range s.subscribers[t] {
+		fn(state)
+	}
+}
+
+// Subscribe passes on a pool's announcements; fn must not block.
+func (s *Service) Subscribe(pool, region string, fn func(*rpc.UpstreamState)) func() {
+	t := topic{pool: pool, region: region}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := s.nextID
+	s.nextID++
+	if s.subscribers[t] == nil {
+		s.subscribers[t] = map[int]func(*rpc.UpstreamState){}
+	}
+	s.subscribers[t][id] = fn
+	for name, h := range s.held {
+		if h.expires.Before(time.Now()) {
+			delete(s.held, name)
+			continue
+		}
+		if h.topic == t {
+			fn(h.state)
+		}
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.subscribers[t], id)
+	}
+}
+
+// Topics returns the pools and regions with live announcements here.
+func (s *Service) Topics() [][2]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := [][2]string{}
+	for _, h := range s.held {
+		pair := [2]string{h.topic.pool, h.topic.region}
+		if !slices.Contains(out, pair) {
+			out = append(out, pair)
+		}
+	}
+	return out
+}
+
+// Stop closes the listener.
+func (s *Service) Stop(ctx context.Context) error {
+	return s.server.Shutdown(ctx)
+}
+
+// Health returns nil.
+func (s *Service) Health() error { return nil }
+
+// Dump lists the upstreams that announce themselves here.
+func (s *Service) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []string{}
+	for name := range s.held {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/schedclient/session.go
@@ -0,0 +1,267 @@
+package schedclient
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/sched"
+	"github.com/verbenastep/verbenastep/internal/port"
+)
+
+const (
+	// heartbeat is the longest pause between two batches.
+	heartbeat = 300 * time.Millisecond
+	// silence ends a session that carries nothing.
+	silence = 1200 * time.Millisecond
+	// retryPause is the wait before a session is opened again.
+	retryPause = 50 * time.Millisecond
+)
+
+// waiter is a request on its way to a grant and through it.
+type waiter struct {
+	id      uint64
+	request port.Request
+	// settled is closed once grant or failure is set.
+	settled chan struct{}
+	grant   *rpc.Grant
+	failure *fault.Error
+}
+
+// session speaks with the dispatcher of one place, wherever it is now.
+type session struct {
+	service *Service
+	place   place
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	epoch   uint64
+	waiting map[uint64]*waiter
+	running map[uint64]*waiter
+	pending rpc.EntryBatch
+}
+
+func newSession(s *Service, p place) *session {
+	return &session{
+		service: s, place: p, wake: make(chan struct{}, 1),
+		waiting: map[uint64]*waiter{}, running: map[uint64]*waiter{},
+	}
+}
+
+func (s *session) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) offer(w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[w.id] = w
+	s.pending.Offers = append(s.pending.Offers, encodeOffer(w))
+	s.nudge()
+}
+
+func encodeOffer(w *waiter) *rpc.Offer {
+	r := w.request
+	o := &rpc.Offer{
+		Id: w.id, Workspace: r.Workspace, Operation: r.Operation,
+		PromptTokens: uint32(r.PromptTokens), MaxTokens: uint32(r.MaxTokens),
+		Blocks: r.Blocks, Fingerprint: r.Fingerprint,
+		WaitMs: uint32(max(0, time.Until(r.Deadline).Milliseconds())),
+	}
+	if w.grant != nil {
+		o.Running = w.grant.Upstream
+	}
+	return o
+}
+
+// withdraw gives up waiting; it returns false where the request is settled.
+func (s *session) withdraw(w *waiter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.waiting[w.id]; !ok {
+		return false
+	}
+	delete(s.waiting, w.id)
+	s.pending.Cancels = append(s.pending.Cancels, w.id)
+	s.nudge()
+	return true
+}
+
+func (s *session) release(w *waiter, r sched.Release) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, w.id)
+	s.pending.Releases = append(s.pending.Releases, &rpc.Release{
+		Id: w.id, Outcome: uint32(r.Outcome), PrefillMs: uint32(r.Prefill.Milliseconds()), DecodeMs: uint32(r.Decode.Milliseconds()),
+		OutputTokens: uint32(r.OutputTokens), CachedTokens: uint32(r.CachedTokens),
+	})
+	s.nudge()
+}
+
+func (s *session) announce(u *rpc.UpstreamState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending.Upstreams = append(s.pending.Upstreams, u)
+	s.nudge()
+}
+
+// run follows the pool's lease from daemon to daemon.
+func (s *session) run() {
+	ctx := s.service.ctx
+	cancel := s.service.upstreams.Subscribe(s.place.pool, s.place.region, s.announce)
+	defer cancel()
+	for ctx.Err() == nil {
+		changed := s.service.view.Changed()
+		lease := s.service.view.Lease(port.DispatchLease(s.place.pool, s.place.region))
+		holder, ok := port.ParseHolder(lease.Holder)
+		if ok {
+			err := s.speak(ctx, holder.Address, lease.Epoch)
+			s.service.log.Debug("dispatcher session ended", zap.String("pool", s.place.pool), zap.String("region", s.place.region), zap.Error(err))
+		}
+		select {
+		case <-changed:
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+var errSilent = errors.New("the dispatcher fell silent")
+
+// speak holds one session with one dispatcher.
+func (s *session) speak(ctx context.Context, address string, epoch uint64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := rpc.NewDRPCDispatchClient(s.service.link.Conn(address)).Session(ctx)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	if err := stream.Send(s.hello(epoch)); err != nil {
+		return err
+	}
+	in := make(chan *rpc.GrantBatch)
+	failed := make(chan error, 1)
+	go receive(ctx, stream, in, failed)
+	quiet := time.NewTimer(silence)
+	defer quiet.Stop()
+	for {
+		select {
+		case <-s.wake:
+			err = stream.Send(s.drain(epoch))
+		case <-time.After(heartbeat):
+			err = stream.Send(s.drain(epoch))
+		case b := <-in:
+			quiet.Reset(silence)
+			s.take(epoch, b)
+		case err = <-failed:
+		case <-quiet.C:
+			err = errSilent
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func receive(ctx context.Context, stream rpc.DRPCDispatch_SessionClient, in chan<- *rpc.GrantBatch, failed chan<- error) {
+	for {
+		b, err := stream.Recv()
+		if err != nil {
+			failed <- err
+			return
+		}
+		select {
+		case in <- b:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// hello offers again all that waits or runs. What was pending is part of it.
+func (s *session) hello(epoch uint64) *rpc.EntryBatch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch = epoch
+	b := s.frame(epoch)
+	b.Synced = true
+	b.Upstreams = s.pending.Upstreams
+	s.pending = rpc.EntryBatch{}
+	for _, w := range s.running {
+		b.Offers = append(b.Offers, encodeOffer(w))
+	}
+	for _, w := range s.waiting {
+		b.Offers = append(b.Offers, encodeOffer(w))
+	}
+	return b
+}
+
+func (s *session) frame(epoch uint64) *rpc.EntryBatch {
+	return &rpc.EntryBatch{Entry: s.service.self.String(), Pool: s.place.pool, Epoch: epoch}
+}
+
+func (s *session) drain(epoch uint64) *rpc.EntryBatch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.frame(epoch)
+	b.Offers = s.pending.Offers
+	b.Releases = s.pending.Releases
+	b.Cancels = s.pending.Cancels
+	b.Upstreams = s.pending.Upstreams
+	s.pending = rpc.EntryBatch{}
+	return b
+}
+
+// take settles what the dispatcher decided. Decisions of an earlier epoch, and
+// on requests that no longer wait, have no effect; the latter's slots are
+// given back.
+func (s *session) take(epoch uint64, b *rpc.GrantBatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b.Epoch != epoch {
+		return
+	}
+	for _, g := range b.Grants {
+		w, ok := s.waiting[g.Id]
+		if !ok {
+			s.pending.Releases = append(s.pending.Releases, &rpc.Release{Id: g.Id, Outcome: uint32(sched.NotSent)})
+			s.nudge()
+			continue
+		}
+		delete(s.waiting, g.Id)
+		w.grant = g
+		s.running[g.Id] = w
+		close(w.settled)
+	}
+	for _, r := range b.Refusals {
+		w, ok := s.waiting[r.Id]
+		if !ok {
+			continue
+		}
+		delete(s.waiting, r.Id)
+		w.failure = refusal(r)
+		close(w.settled)
+	}
+}
+
+func refusal(r *rpc.Refusal) *fault.Error {
+	e := fault.New(fault.Kind(r.Code), "send the request again after the stated time", "%s", r.Why)
+	return e.After(time.Duration(r.RetryAfterMs) * time.Millisecond)
+}
+
+func (s *session) dump() sessionDump {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return sessionDump{Pool: s.place.pool, Region: s.place.region, Epoch: s.epoch, Waiting: len(s.waiting), Running: len(s.running)}
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,68 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/verbenastep/verbenastep/api/upstream"
+)
+
+// Service emulates a plain service: it echoes each call after a pause.
+type Service struct {
+	// Self is what it announces.
+	Self  upstream.Announcement
+	Pause time.Duration
+
+	mu         sync.Mutex
+	executions map[string]int
+	server     *http.Server
+}
+
+// NewService returns a service that does not listen yet.
+func NewService(self upstream.Announcement, pause time.Duration) *Service {
+	return &Service{Self: self, Pause: pause, executions: map[string]int{}}
+}
+
+// Listen serves on the announced address; a port of zero is replaced by the
+// one that was given.
+func (s *Service) Listen() error {
+	ln, err := net.Listen("tcp", s.Self.Address)
+	if err != nil {
+		return err
+	}
+	s.Self.Address = ln.Addr().String()
+	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
+	go func() { _ = s.server.Serve(ln) }()
+	return nil
+}
+
+// Close ends the service as a crash would.
+func (s *Service) Close() { _ = s.server.Close() }
+
+// Executions returns how often each request was executed.
+func (s *Service) Executions() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for k, n := range s.executions {
+		out[k] = n
+	}
+	return out
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.executions[r.Header.Get(upstream.HeaderRequest)]++
+	s.mu.Unlock()
+	time.Sleep(s.Pause)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"service":%q,"method":%q,"path":%q,"bytes":%d}`+"\n", s.Self.Pool, r.Method, r.URL.Path, len(body))
+}
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,224 @@
+// Package view keeps a daemon's copy of the accepted configuration and of the
+// leases, fed by a watch on a replica.
+//
+// Invariant: the version in force never falls.
+package view
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/config"
+	"github.com/verbenastep/verbenastep/core/state"
+	"github.com/verbenastep/verbenastep/internal/kernel"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+)
+
+// retryPause is the wait before the next replica is tried.
+const retryPause = 200 * time.Millisecond
+
+// Service is the "config.view" service.
+type Service struct {
+	set    *settings.Settings
+	log    *zap.Logger
+	link   port.Link
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu      sync.Mutex
+	files   config.Files
+	current port.Snapshot
+	leases  map[string]state.Lease
+	// suspects are the whole list as last heard.
+	suspects []state.Suspect
+	changed  chan struct{}
+}
+
+// New returns the service.
+func New(set *settings.Settings, log *zap.Logger) *Service {
+	return &Service{
+		set: set, log: log.Named("view"), files: config.Files{},
+		current: port.Snapshot{Digest: config.Files{}.Digest(), Config: &config.Config{}},
+		leases:  map[string]state.Lease{}, changed: make(chan struct{}),
+	}
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return port.NameView }
+
+// Needs returns the link.
+func (s *Service) Needs() []string { return []string{port.NameLink} }
+
+// Start begins watching.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	link, err := kernel.Find[port.Link](k, port.NameLink)
+	if err != nil {
+		return err
+	}
+	s.link = link
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.done.Go(func() { s.run(ctx) })
+	return nil
+}
+
+func (s *Service) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		peer := s.set.Replicas[0]
+		err := s.watch(ctx, peer.Address)
+		s.log.Debug("watch ended", zap.String("replica", peer.Name), zap.Error(err))
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (s *Service) watch(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	snap := s.Snapshot()
+	stream, err := rpc.NewDRPCLogClient(s.link.Conn(address)).Watch(ctx, &rpc.WatchRequest{Daemon: s.set.Name, Version: snap.Version, Digest: snap.Digest})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		update, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := s.take(update); err != nil {
+			return err
+		}
+	}
+}
+
+// take applies one update; on an error the watch begins anew, which yields a
+// snapshot.
+func (s *Service) take(u *rpc.WatchUpdate) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(u.Config) > 0 {
+		if err := s.takeConfig(u.Config); err != nil {
+			return err
+		}
+	}
+	for _, data := range u.Leases {
+		l := state.Lease{}
+		if err := json.Unmarshal(data, &l); err != nil {
+			return err
+		}
+		if l.Epoch >= s.leases[l.Name].Epoch {
+			s.leases[l.Name] = l
+		}
+	}
+	s.suspects = nil
+	for _, data := range u.Suspects {
+		x := state.Suspect{}
+		if err := json.Unmarshal(data, &x); err != nil {
+			return err
+		}
+		s.suspects = append(s.suspects, x)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+func (s *Service) takeConfig(data []byte) error {
+	d := config.Delta{}
+	if err := json.Unmarshal(data, &d); err != nil {
+		return err
+	}
+	if d.Version < s.current.Version {
+		s.log.Warn("older configuration ignored", zap.Uint64("offered", d.Version), zap.Uint64("in_force", s.current.Version))
+		return nil
+	}
+	files, err := d.Apply(s.files)
+	if err != nil {
+		return err
+	}
+	merged, err := config.Merge(files)
+	if err != nil {
+		return err
+	}
+	s.files = files
+	s.current = port.Snapshot{Version: d.Version, Digest: d.Digest, Config: merged}
+	s.log.Info("configuration in force", zap.Uint64("version", d.Version))
+	return nil
+}
+
+// Snapshot returns the configuration in force.
+func (s *Service) Snapshot() port.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// Files returns the files in force.
+func (s *Service) Files() config.Files {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.files
+}
+
+// Lease returns a lease as last heard.
+func (s *Service) Lease(name string) state.Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[name]
+	l.Name = name
+	return l
+}
+
+// Suspects returns the crash count of each suspect fingerprint of a pool.
+func (s *Service) Suspects(pool string) map[uint64]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[uint64]int{}
+	for _, x := range s.suspects {
+		if x.Pool == pool {
+			out[x.Fingerprint] = x.Crashes
+		}
+	}
+	return out
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *Service) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Stop ends the watch.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.done.Wait()
+	return nil
+}
+
+// Health returns nil: an old configuration is better than none.
+func (s *Service) Health() error { return nil }
+
+// Dump shows the version in force and the leases.
+func (s *Service) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leases := make([]state.Lease, 0, len(s.leases))
+	for _, l := range s.leases {
+		leases = append(leases, l)
+	}
+	return struct {
+		Version uint64        `json:"version"`
+		Digest  string        `json:"digest"`
+		Leases  []state.Lease `json:"leases"`
+	}{s.current.Version, s.current.Digest, leases}
+}
