Add status, change and backup of the log to the drpc interface

Cause: replicas need to find out whether a group has begun, to join and leave it, and operators need a backup. Forwarding between replicas is ruled out: the client follows the leader's address itself.

--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -52,6 +53,12 @@
 // GroupMain is the log group for configuration, leases and claims.
 const GroupMain = "main"
 
+// LeaseTTL is how long a holder may act on a lease, by its own monotonic clock,
+// from the moment it sent the Acquire that succeeded. The log gives the lease
+// to nobody else before a third more has passed, which covers the clocks'
+// drift.
+const LeaseTTL = 1500 * time.Millisecond
+
 // Link joins daemons by drpc.
 type Link interface {
 	// Conn returns a pooled connection to a daemon's peers' address. Each
@@ -70,6 +77,50 @@
 	Lookup(ctx context.Context, group, workspace, key string) (state.Claim, bool, error)
 }
 
+// ReplicaStatus is one replica's own position in a group.
+type ReplicaStatus struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Group   string `json:"group"`
+	ID      uint64 `json:"id"`
+	// Role is "leader", "follower", "candidate", or "new" before the replica
+	// has joined.
+	Role      string `json:"role"`
+	Term      uint64 `json:"term"`
+	Leader    string `json:"leader,omitempty"`
+	Last      uint64 `json:"last"`
+	Committed uint64 `json:"committed"`
+	Applied   uint64 `json:"applied"`
+	// Version is the accepted configuration's as far as applied here.
+	Version uint64 `json:"version"`
+	// Members is the group as this replica knows it.
+	Members []ReplicaMember `json:"members,omitempty"`
+	// Error says why the replica does not answer or stands still.
+	Error string `json:"error,omitempty"`
+}
+
+// ReplicaMember is a member of a group as another replica knows it.
+type ReplicaMember struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	ID      uint64 `json:"id"`
+	Learner bool   `json:"learner,omitempty"`
+	// Lag is how many entries it lacks, as far as the leader knows; only the
+	// leader fills it.
+	Lag uint64 `json:"lag,omitempty"`
+}
+
+// Replicas shows and changes the replicas of a group.
+type Replicas interface {
+	// Status asks each replica; one that does not answer has only name,
+	// address and error.
+	Status(ctx context.Context, group string) []ReplicaStatus
+	// Remove takes the replica of a name out of the group.
+	Remove(ctx context.Context, group, name string) error
+	// Backup writes a snapshot of all that was committed before the call.
+	Backup(ctx context.Context, group string, w io.Writer) error
+}
+
 // Snapshot is the configuration in force on this daemon.
 type Snapshot struct {
 	Version uint64
