Bound the configuration's history and the claims' memory

Cause: 128 whole copies of the files were kept, a resent change was known only as long as its files, and recorded answers had no bound in bytes.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -10,8 +10,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
-	"fmt"
 
 	"github.com/verbenastep/verbenastep/core/config"
 )
@@ -34,12 +32,16 @@
 	// Version and Digest are the accepted configuration's after an Apply.
 	Version uint64 `json:"version,omitempty"`
 	Digest  string `json:"digest,omitempty"`
-	// Winner is who applied the version that a conflicting Apply lost to.
+	// Winner is who applied the version that a conflicting Apply lost to: the
+	// first on the same base where that is still known.
 	Winner string `json:"winner,omitempty"`
 	// Lease is the lease after an Acquire or Expire.
 	Lease *Lease `json:"lease,omitempty"`
 	// Claim is the claim that stands after a Claim or Finish.
 	Claim *Claim `json:"claim,omitempty"`
+	// Differences lists, after a conflicting Apply, where its files and the
+	// accepted ones differ.
+	Differences []config.Difference `json:"differences,omitempty"`
 }
 
 // Status is a command's outcome.
@@ -59,6 +61,8 @@
 	Invalid Status = "invalid"
 	// NotFound says that the command names something the state lacks.
 	NotFound Status = "not_found"
+	// Full says that the claims' bound in bytes is reached; nothing changed.
+	Full Status = "full"
 )
 
 // Apply replaces the configuration as a whole by compare-and-set.
@@ -131,9 +135,12 @@
 	Unknown     bool   `json:"unknown,omitempty"`
 }
 
-// Trim drops claims made before a time, oldest first.
+// Trim drops claims made before a time, oldest first, and the recorded answers
+// of further ones, oldest first, until the rest fits.
 type Trim struct {
 	BeforeMS int64 `json:"before_ms"`
+	// AnswerBytes bounds the recorded answers; zero means no bound.
+	AnswerBytes int64 `json:"answer_bytes,omitempty"`
 }
 
 // Suspect records that a request was in flight on an upstream that died.
@@ -158,26 +165,24 @@
 	key       string
 }
 
-// version is one accepted configuration.
-type version struct {
-	number   uint64
-	base     uint64
-	operator string
-	files    config.Files
-	digest   string
-}
-
-// keptVersions is how many versions are kept for deltas and resent applies.
-const keptVersions = 128
+// MaxClaimBytes bounds what claims take, without the recorded answers.
+const MaxClaimBytes = 256 << 20
 
 // Machine is the state. It is not safe for concurrent use.
 type Machine struct {
 	versions []version
-	leases   map[string]Lease
-	claims   map[claimKey]*Claim
+	// applied lists accepted changes, oldest first, for resent ones.
+	applied []accepted
+	leases  map[string]Lease
+	// claims are never changed in place, so that a frozen state may share them.
+	claims map[claimKey]*Claim
 	// order lists claims by commit, for trimming.
-	order    []claimKey
-	suspects map[suspectKey]Suspect
+	order []claimKey
+	// claimBytes and answerBytes are the claims' sizes without and of their
+	// recorded answers.
+	claimBytes  int64
+	answerBytes int64
+	suspects    map[suspectKey]Suspect
 }
 
 // New returns the empty state at configuration version zero.
@@ -222,46 +227,6 @@
 	return v.number, v.digest, v.files
 }
 
-// applyConfig accepts a change only on top of the current version. A resent
-// change finds the version that it made and gets the same answer.
-func (m *Machine) applyConfig(a *Apply) Result {
-	digest := a.Files.Digest()
-	for _, v := range m.versions {
-		if v.number > 0 && v.base == a.Base && v.digest == digest && v.operator == a.Operator {
-			return Result{Status: OK, Version: v.number, Digest: v.digest}
-		}
-	}
-	cur := m.current()
-	if cur.number != a.Base {
-		return Result{Status: Conflict, Version: cur.number, Digest: cur.digest, Winner: cur.operator}
-	}
-	next := version{number: cur.number + 1, base: a.Base, operator: a.Operator, files: a.Files, digest: digest}
-	m.versions = append(m.versions, next)
-	if len(m.versions) > keptVersions {
-		m.versions = append([]version{}, m.versions[1:]...)
-	}
-	return Result{Status: OK, Version: next.number, Digest: next.digest}
-}
-
-// DeltaSince returns the delta from a version that a daemon has in force to
-// the current one, or a snapshot where that version is not kept or differs.
-// It returns false where the daemon is up to date.
-func (m *Machine) DeltaSince(number uint64, digest string) (config.Delta, bool) {
-	cur := m.current()
-	if number == cur.number && digest == cur.digest {
-		return config.Delta{}, false
-	}
-	for _, v := range m.versions {
-		if v.number == number && v.digest == digest {
-			d := config.Diff(v.files, cur.files)
-			d.From = v.number
-			d.Version = cur.number
-			return d, true
-		}
-	}
-	return config.Delta{Version: cur.number, Digest: cur.digest, Set: cur.files}, true
-}
-
 func (m *Machine) acquire(a *Acquire) Result {
 	if a.Name == "" || a.Holder == "" {
 		return Result{Status: Invalid}
@@ -315,9 +280,14 @@
 	if old, ok := m.claims[k]; ok {
 		return Result{Status: old.compare(c), Claim: old.clone()}
 	}
+	if m.claimBytes+c.size() > MaxClaimBytes {
+		return Result{Status: Full}
+	}
 	made := c.clone()
 	m.claims[k] = made
 	m.order = append(m.order, k)
+	m.claimBytes += made.size()
+	m.answerBytes += int64(len(made.Body))
 	return Result{Status: OK, Claim: made.clone()}
 }
 
@@ -332,6 +302,15 @@
 	return Conflict
 }
 
+// claimOverhead is what a claim takes besides its strings, in bytes.
+const claimOverhead = 256
+
+// size is what the claim takes in memory without its recorded answer.
+func (c *Claim) size() int64 {
+	n := len(c.Workspace) + len(c.Key) + len(c.Digest) + len(c.Entry) + len(c.Pool) + len(c.Upstream) + len(c.Address) + len(c.Stream)
+	return claimOverhead + int64(n)
+}
+
 func (c *Claim) clone() *Claim {
 	out := *c
 	out.Body = bytes.Clone(c.Body)
@@ -339,13 +318,17 @@
 }
 
 func (m *Machine) finish(f *Finish) Result {
-	c, ok := m.claims[claimKey{workspace: f.Workspace, key: f.Key}]
+	k := claimKey{workspace: f.Workspace, key: f.Key}
+	c, ok := m.claims[k]
 	if !ok || c.Stream != f.Stream {
 		return Result{Status: NotFound}
 	}
 	if c.Done && !c.Unknown {
 		return Result{Status: OK, Claim: c.clone()}
 	}
+	c = c.clone()
+	m.claims[k] = c
+	m.answerBytes += int64(len(f.Body)) - int64(len(c.Body))
 	c.Done = true
 	c.Status = f.Status
 	c.ContentType = f.ContentType
@@ -367,10 +350,14 @@
 func (m *Machine) trim(t *Trim) Result {
 	n := 0
 	for n < len(m.order) && m.claims[m.order[n]].AtMS < t.BeforeMS {
+		old := m.claims[m.order[n]]
+		m.claimBytes -= old.size()
+		m.answerBytes -= int64(len(old.Body))
 		delete(m.claims, m.order[n])
 		n++
 	}
 	m.order = append([]claimKey{}, m.order[n:]...)
+	m.trimAnswers(t.AnswerBytes)
 	for k, s := range m.suspects {
 		if s.AtMS < t.BeforeMS {
 			delete(m.suspects, k)
@@ -379,6 +366,36 @@
 	return Result{Status: OK}
 }
 
+// trimAnswers drops recorded answers, oldest first. Their claims stay, so that
+// the keys still can't run again.
+func (m *Machine) trimAnswers(bound int64) {
+	for _, k := range m.order {
+		if bound == 0 || m.answerBytes <= bound {
+			return
+		}
+		old := m.claims[k]
+		if old.Body == nil {
+			continue
+		}
+		m.answerBytes -= int64(len(old.Body))
+		kept := *old
+		kept.Body = nil
+		m.claims[k] = &kept
+	}
+}
+
+// Oldest returns when the oldest claim was made, in Unix milliseconds, and
+// false where there is none.
+func (m *Machine) Oldest() (int64, bool) {
+	if len(m.order) == 0 {
+		return 0, false
+	}
+	return m.claims[m.order[0]].AtMS, true
+}
+
+// AnswerBytes returns the size of the recorded answers.
+func (m *Machine) AnswerBytes() int64 { return m.answerBytes }
+
 func (m *Machine) suspect(s *Suspect) Result {
 	k := suspectKey{pool: s.Pool, fingerprint: s.Fingerprint}
 	if s.Crashes <= 0 {
@@ -402,78 +419,3 @@
 func (m *Machine) Claims() int {
 	return len(m.claims)
 }
-
-// savedVersion and savedState are the snapshot's form.
-type savedVersion struct {
-	Number   uint64       `json:"number"`
-	Base     uint64       `json:"base"`
-	Operator string       `json:"operator"`
-	Files    config.Files `json:"files"`
-}
-
-type savedState struct {
-	Versions []savedVersion `json:"versions"`
-	Leases   []Lease        `json:"leases"`
-	Claims   []*Claim       `json:"claims"`
-	Suspects []Suspect      `json:"suspects"`
-}
-
-// Snapshot encodes the whole state.
-func (m *Machine) Snapshot() ([]byte, error) {
-	s := savedState{}
-	for _, v := range m.versions {
-		s.Versions = append(s.Versions, savedVersion{Number: v.number, Base: v.base, Operator: v.operator, Files: v.files})
-	}
-	for _, l := range m.leases {
-		s.Leases = append(s.Leases, l)
-	}
-	for _, k := range m.order {
-		s.Claims = append(s.Claims, m.claims[k])
-	}
-	s.Suspects = m.Suspects()
-	return json.Marshal(s)
-}
-
-// SnapshotError says that a snapshot can't be decoded.
-type SnapshotError struct {
-	Cause error
-}
-
-// Error names the remedy.
-func (e *SnapshotError) Error() string {
-	return fmt.Sprintf("snapshot is not readable: %v; restore it from another replica or a backup", e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *SnapshotError) Unwrap() error {
-	return e.Cause
-}
-
-// Restore replaces the state by a snapshot's; on an error nothing changes.
-func (m *Machine) Restore(data []byte) error {
-	s := savedState{}
-	if err := json.Unmarshal(data, &s); err != nil {
-		return &SnapshotError{Cause: err}
-	}
-	if len(s.Versions) == 0 {
-		return &SnapshotError{Cause: fmt.Errorf("it holds no configuration version")}
-	}
-	fresh := New()
-	fresh.versions = nil
-	for _, v := range s.Versions {
-		fresh.versions = append(fresh.versions, version{number: v.Number, base: v.Base, operator: v.Operator, files: v.Files, digest: v.Files.Digest()})
-	}
-	for _, l := range s.Leases {
-		fresh.leases[l.Name] = l
-	}
-	for _, c := range s.Claims {
-		k := claimKey{workspace: c.Workspace, key: c.Key}
-		fresh.claims[k] = c
-		fresh.order = append(fresh.order, k)
-	}
-	for _, x := range s.Suspects {
-		fresh.suspects[suspectKey{pool: x.Pool, fingerprint: x.Fingerprint}] = x
-	}
-	*m = *fresh
-	return nil
-}
