Replicate the log among three replicas, end to end

Cause: the log had one replica and one sync an entry. Change: core/consensus (pure), internal/wal (the disk), internal/replica (the shell), a client that finds the leader, a view that watches any replica.

--- a/internal/logclient/logclient.go
+++ b/internal/logclient/logclient.go
@@ -1,10 +1,12 @@
 // Package logclient is every daemon's way to the replicated log: it finds the
-// leader among the replicas and retries what provably did not commit.
+// leader among the replicas and retries what provably did not commit, or what
+// has the same effect when it commits twice.
 package logclient
 
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,19 +19,33 @@
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
-// callTimeout bounds one attempt.
-const callTimeout = 2 * time.Second
+const (
+	// callTimeout bounds one attempt.
+	callTimeout = 1500 * time.Millisecond
+	// totalTimeout bounds all attempts of one call; it outlasts an election.
+	totalTimeout = 5 * time.Second
+	// firstPause and longestPause bound the wait between attempts, which
+	// doubles.
+	firstPause   = 10 * time.Millisecond
+	longestPause = 200 * time.Millisecond
+)
 
 // Service is the "log.client" service.
 type Service struct {
 	set  *settings.Settings
 	log  *zap.Logger
 	link port.Link
+
+	mu sync.Mutex
+	// leaders holds the address that last answered as leader, by group.
+	leaders map[string]string
+	// next is the replica to try where no leader is known.
+	next int
 }
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
-	return &Service{set: set, log: log.Named("log")}
+	return &Service{set: set, log: log.Named("log"), leaders: map[string]string{}}
 }
 
 // Name returns the service's name.
@@ -45,8 +61,78 @@
 	return err
 }
 
-func (s *Service) leader() rpc.DRPCLogClient {
-	return rpc.NewDRPCLogClient(s.link.Conn(s.set.Replicas[0].Address))
+// leader returns where the leader is believed to be.
+func (s *Service) leader(group string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if address := s.leaders[group]; address != "" {
+		return address
+	}
+	address := s.set.Replicas[s.next%len(s.set.Replicas)].Address
+	s.next++
+	return address
+}
+
+// note keeps what an attempt taught; an empty leader means none is known.
+func (s *Service) note(group, leader string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaders[group] = leader
+}
+
+// answer is what an attempt came to.
+type answer struct {
+	// refused says that the replica is not the leader; leader may name it.
+	refused bool
+	leader  string
+}
+
+// attempt makes one call to one replica.
+type attempt func(ctx context.Context, c rpc.DRPCLogClient) (answer, error)
+
+// toLeader makes attempts until one succeeds. Those that fail without an
+// answer are repeated only where again says so. It returns whether an attempt
+// may have taken effect.
+func (s *Service) toLeader(ctx context.Context, group string, again bool, try attempt) (unknown bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, totalTimeout)
+	defer cancel()
+	pause := firstPause
+	for {
+		address := s.leader(group)
+		a, failed := s.once(ctx, address, try)
+		if failed == nil && !a.refused {
+			s.note(group, address)
+			return false, nil
+		}
+		s.note(group, a.leader)
+		if failed != nil {
+			unknown, err = true, failed
+		}
+		if failed != nil && !again {
+			return unknown, err
+		}
+		if a.leader != "" && a.leader != address {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return unknown, ctx.Err()
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+func (s *Service) once(ctx context.Context, address string, try attempt) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return try(ctx, rpc.NewDRPCLogClient(s.link.Conn(address)))
+}
+
+// idempotent tells whether a command that commits twice has the effect and
+// answer of one.
+func idempotent(c state.Command) bool {
+	return c.Suspect == nil
 }
 
 // Propose commits a command through the leader.
@@ -55,24 +141,34 @@
 	if err != nil {
 		return state.Result{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reply, err := s.leader().Propose(ctx, &rpc.ProposeRequest{Group: group, Command: data})
-	if err != nil {
-		return state.Result{}, fault.New(fault.Unavailable, "retry when the log has a leader", "the log did not answer: %v", err).WithRan(fault.MayHaveRun)
-	}
 	result := state.Result{}
-	err = json.Unmarshal(reply.Result, &result)
-	return result, err
+	unknown, err := s.toLeader(ctx, group, idempotent(c), func(ctx context.Context, log rpc.DRPCLogClient) (answer, error) {
+		reply, err := log.Propose(ctx, &rpc.ProposeRequest{Group: group, Command: data})
+		if err != nil || reply.Refused {
+			return answer{refused: reply.GetRefused(), leader: reply.GetLeader()}, err
+		}
+		return answer{}, json.Unmarshal(reply.Result, &result)
+	})
+	if err == nil {
+		return result, nil
+	}
+	if unknown {
+		return result, fault.New(fault.Unknown, "look up what became of it, or send it again", "the log did not answer: %v", err).WithRan(fault.MayHaveRun)
+	}
+	return result, fault.New(fault.Unavailable, "retry when the log has a leader; see verbenastep replicas", "the log has no leader: %v", err)
 }
 
-// Lookup reads a claim from the leader.
+// Lookup reads a claim after all that was committed before the call, from any
+// replica.
 func (s *Service) Lookup(ctx context.Context, group, workspace, key string) (state.Claim, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reply, err := s.leader().Lookup(ctx, &rpc.LookupRequest{Group: group, Workspace: workspace, Key: key})
+	reply := (*rpc.LookupReply)(nil)
+	_, err := s.toLeader(ctx, group, true, func(ctx context.Context, log rpc.DRPCLogClient) (answer, error) {
+		r, err := log.Lookup(ctx, &rpc.LookupRequest{Group: group, Workspace: workspace, Key: key})
+		reply = r
+		return answer{refused: r.GetRefused(), leader: r.GetLeader()}, err
+	})
 	if err != nil {
-		return state.Claim{}, false, fault.New(fault.Unavailable, "retry when the log has a leader", "the log did not answer: %v", err)
+		return state.Claim{}, false, fault.New(fault.Unavailable, "retry when the log has a leader; see verbenastep replicas", "the log did not answer: %v", err)
 	}
 	if !reply.Found {
 		return state.Claim{}, false, nil
@@ -88,5 +184,16 @@
 // Health returns nil.
 func (s *Service) Health() error { return nil }
 
-// Dump names the replicas.
-func (s *Service) Dump() any { return s.set.Replicas }
+// Dump shows the replicas and the leaders as last heard of.
+func (s *Service) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leaders := map[string]string{}
+	for group, address := range s.leaders {
+		leaders[group] = address
+	}
+	return struct {
+		Replicas []settings.Peer   `json:"replicas"`
+		Leaders  map[string]string `json:"leaders"`
+	}{s.set.Replicas, leaders}
+}
--- /dev/null
+++ b/internal/replica/calls.go
@@ -0,0 +1,121 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/consensus"
+	"github.com/verbenastep/verbenastep/core/state"
+	"github.com/verbenastep/verbenastep/internal/wal"
+)
+
+// Propose commits a command. Its error means that the command may still
+// commit.
+func (s *Service) Propose(ctx context.Context, req *rpc.ProposeRequest) (*rpc.ProposeReply, error) {
+	g, err := s.group(req.Group)
+	if err != nil {
+		return nil, err
+	}
+	c := state.Command{}
+	if err := json.Unmarshal(req.Command, &c); err != nil {
+		return nil, fault.New(fault.Malformed, "send a command as documented", "%v", err)
+	}
+	out := g.propose(ctx, c, req.Command)
+	if out.err != nil || out.refused {
+		return &rpc.ProposeReply{Refused: out.refused, Leader: out.leader}, out.err
+	}
+	data, err := json.Marshal(out.result)
+	return &rpc.ProposeReply{Result: data, Index: out.index}, err
+}
+
+// Lookup reads a claim.
+func (s *Service) Lookup(ctx context.Context, req *rpc.LookupRequest) (*rpc.LookupReply, error) {
+	g, err := s.group(req.Group)
+	if err != nil {
+		return nil, err
+	}
+	if err := g.read(ctx); err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	c, ok := g.machine.Claim(req.Workspace, req.Key)
+	g.mu.Unlock()
+	if !ok {
+		return &rpc.LookupReply{}, nil
+	}
+	data, err := json.Marshal(c)
+	return &rpc.LookupReply{Found: true, Claim: data}, err
+}
+
+// Status tells this replica's position.
+func (s *Service) Status(_ context.Context, req *rpc.ReplicaStatusRequest) (*rpc.ReplicaStatusReply, error) {
+	g, err := s.group(req.Group)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(g.report())
+	return &rpc.ReplicaStatusReply{Status: data}, err
+}
+
+// Change adds or removes a replica.
+func (s *Service) Change(ctx context.Context, req *rpc.ChangeRequest) (*rpc.ChangeReply, error) {
+	g, err := s.group(req.Group)
+	if err != nil {
+		return nil, err
+	}
+	replies := make(chan *rpc.ChangeReply, 1)
+	err = g.do(ctx, func(e *engine) {
+		done, err := e.change(consensus.Member{ID: consensus.ID(req.Id), Name: req.Name, Address: req.Address})
+		reply := &rpc.ChangeReply{Done: done}
+		notLeader := (*consensus.NotLeaderError)(nil)
+		if errors.As(err, &notLeader) {
+			reply.Refused = true
+			reply.Leader = e.leaderAddress()
+		}
+		if err != nil {
+			reply.Why = err.Error()
+		}
+		replies <- reply
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case reply := <-replies:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Backup streams a snapshot.
+func (s *Service) Backup(req *rpc.BackupRequest, stream rpc.DRPCLog_BackupStream) error {
+	g, err := s.group(req.Group)
+	if err != nil {
+		return err
+	}
+	if err := g.read(stream.Context()); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	frozen := g.machine.Freeze()
+	meta := consensus.Meta{Index: g.applied, Term: g.status.Term}
+	g.mu.Unlock()
+	data, err := frozen.Encode()
+	if err != nil {
+		return err
+	}
+	meta.Size = uint64(len(data))
+	b := wal.EncodeSnapshot(consensus.Snapshot{Meta: meta, Data: data})
+	for len(b) > 0 {
+		n := min(len(b), chunkBytes)
+		if err := stream.Send(&rpc.BackupChunk{Data: b[:n], End: n == len(b)}); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/replica/group.go
@@ -0,0 +1,261 @@
+package replica
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/core/consensus"
+	"github.com/verbenastep/verbenastep/core/state"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/internal/wal"
+)
+
+const (
+	// queuedJobs bounds calls that wait for the group's loop.
+	queuedJobs = 4096
+	// reopenPause is the wait before a failed log is read anew.
+	reopenPause = time.Second
+	// handOverTime bounds a leadership transfer at shutdown.
+	handOverTime = 1500 * time.Millisecond
+)
+
+var (
+	errStopped = errors.New("the replica is stopping; ask another replica")
+	errReset   = errors.New("the replica's log was read anew meanwhile; look up what became of the command")
+)
+
+// job runs in the group's loop.
+type job func(e *engine)
+
+// sender carries messages to other replicas; it must not block.
+type sender interface {
+	send(group, address string, m consensus.Message)
+	learn(id consensus.ID, address string)
+	address(id consensus.ID) string
+}
+
+// group is one replicated log. Its engine is made anew after a disk failure;
+// the state machine is what the last engine applied.
+type group struct {
+	name   string
+	set    *settings.Settings
+	log    *zap.Logger
+	disk   wal.Disk
+	sender sender
+	events port.Events
+	meters *groupMeters
+	jobs   chan job
+	stop   chan struct{}
+	once   sync.Once
+	done   sync.WaitGroup
+
+	mu      sync.Mutex
+	machine *state.Machine
+	// applied is the log index that the machine has reached.
+	applied uint64
+	// changed is closed at the next change that watchers may want.
+	changed chan struct{}
+	// leaseAt and suspectAt are the indexes of the last changes.
+	leaseAt   map[string]uint64
+	suspectAt uint64
+	status    consensus.Status
+	failure   error
+}
+
+func newGroup(name string, set *settings.Settings, disk wal.Disk, out sender, log *zap.Logger) *group {
+	return &group{
+		name: name, set: set, disk: disk, sender: out, log: log.With(zap.String("group", name)),
+		jobs: make(chan job, queuedJobs), stop: make(chan struct{}),
+		machine: state.New(), changed: make(chan struct{}), leaseAt: map[string]uint64{},
+	}
+}
+
+// newID returns a random ID for a fresh data folder.
+func newID() consensus.ID {
+	b := [8]byte{}
+	_, _ = rand.Read(b[:])
+	return consensus.ID(binary.LittleEndian.Uint64(b[:]) | 1)
+}
+
+// start opens the log; what is wrong with the data folder shows at once.
+func (g *group) start() error {
+	e, err := openEngine(g)
+	if err != nil {
+		return err
+	}
+	g.done.Go(func() { g.run(e) })
+	return nil
+}
+
+// run keeps an engine going until the group is closed.
+func (g *group) run(e *engine) {
+	for {
+		err := e.loop()
+		e.close()
+		if err == nil {
+			return
+		}
+		g.fail(err)
+		e = g.reopen(errors.Is(err, errRestart))
+		if e == nil {
+			return
+		}
+		g.fail(nil)
+	}
+}
+
+// reopen reads the log anew, again and again until that works.
+func (g *group) reopen(now bool) *engine {
+	for {
+		pause := reopenPause
+		if now {
+			pause = 0
+		}
+		now = false
+		select {
+		case <-g.stop:
+			return nil
+		case <-time.After(pause):
+		}
+		e, err := openEngine(g)
+		if err == nil {
+			return e
+		}
+		g.fail(err)
+	}
+}
+
+func (g *group) fail(err error) {
+	g.mu.Lock()
+	g.failure = err
+	g.mu.Unlock()
+	if err != nil && !errors.Is(err, errRestart) {
+		g.log.Error("log stands still", zap.Error(err))
+	}
+}
+
+func (g *group) health() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.failure
+}
+
+// do runs a job in the loop.
+func (g *group) do(ctx context.Context, j job) error {
+	select {
+	case g.jobs <- j:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.stop:
+		return errStopped
+	}
+}
+
+// outcome is how a proposal ended.
+type outcome struct {
+	result state.Result
+	index  uint64
+	// refused says that the command was not and will not be committed by this
+	// call; leader is where to go instead.
+	refused bool
+	leader  string
+	err     error
+}
+
+// propose commits a command and waits until it is applied here.
+func (g *group) propose(ctx context.Context, c state.Command, data []byte) outcome {
+	p := &proposal{command: c, data: data, began: time.Now(), done: make(chan outcome, 1)}
+	if err := g.do(ctx, func(e *engine) { e.take(p) }); err != nil {
+		return outcome{refused: true}
+	}
+	select {
+	case out := <-p.done:
+		return out
+	case <-ctx.Done():
+		return outcome{err: ctx.Err()}
+	case <-g.stop:
+		return outcome{err: errStopped}
+	}
+}
+
+// readRetry is how long a read waits before it is asked for again, since reads
+// are lost when leadership changes.
+const readRetry = 300 * time.Millisecond
+
+// read waits until the machine here has all that was committed before the call.
+func (g *group) read(ctx context.Context) error {
+	for {
+		done := make(chan struct{})
+		if err := g.do(ctx, func(e *engine) { e.read(done) }); err != nil {
+			return err
+		}
+		select {
+		case <-done:
+			return nil
+		case <-time.After(readRetry):
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-g.stop:
+			return errStopped
+		}
+	}
+}
+
+// handOver passes leadership on before a shutdown.
+func (g *group) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	_ = g.do(ctx, func(e *engine) { e.transfer() })
+	for ctx.Err() == nil {
+		g.mu.Lock()
+		leads := g.status.Role == consensus.Leader && len(g.status.Members) > 1
+		g.mu.Unlock()
+		if !leads {
+			return
+		}
+		time.Sleep(tick)
+	}
+}
+
+func (g *group) close() error {
+	g.once.Do(func() { close(g.stop) })
+	g.done.Wait()
+	return nil
+}
+
+// report gives the position for operators.
+func (g *group) report() port.ReplicaStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.status
+	version, _, _ := g.machine.Config()
+	out := port.ReplicaStatus{
+		Name: g.set.Name, Address: g.set.Addresses.Peers, Group: g.name, ID: uint64(s.ID), Role: s.Role.String(),
+		Term: s.Term, Last: s.Last, Committed: s.Commit, Applied: g.applied, Version: version,
+	}
+	if len(s.Members) == 0 {
+		out.Role = "new"
+	}
+	lag := map[consensus.ID]uint64{}
+	for _, p := range s.Peers {
+		lag[p.Member.ID] = s.Last - min(p.Match, s.Last)
+	}
+	for _, m := range s.Members {
+		out.Members = append(out.Members, port.ReplicaMember{Name: m.Name, Address: m.Address, ID: uint64(m.ID), Learner: m.Learner, Lag: lag[m.ID]})
+		if m.ID == s.Leader {
+			out.Leader = m.Name
+		}
+	}
+	if g.failure != nil {
+		out.Error = g.failure.Error()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/replica/meters.go
@@ -0,0 +1,73 @@
+package replica
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/verbenastep/verbenastep/core/consensus"
+)
+
+const (
+	namespace = "verbenastep"
+	subsystem = "log"
+)
+
+// meters are the metrics of all groups.
+type meters struct {
+	commits *prometheus.CounterVec
+	sync    *prometheus.HistogramVec
+	term    *prometheus.GaugeVec
+	leader  *prometheus.GaugeVec
+	lag     *prometheus.GaugeVec
+	version *prometheus.GaugeVec
+}
+
+func newMeters(r prometheus.Registerer) *meters {
+	gauge := func(name, help string, labels ...string) *prometheus.GaugeVec {
+		return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help}, labels)
+	}
+	m := &meters{
+		commits: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "commits_total", Help: "Entries committed and applied."}, []string{"group"}),
+		sync: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "sync_seconds", Help: "Time of one write and sync.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
+		}, []string{"group"}),
+		term:    gauge("term", "Present term.", "group"),
+		leader:  gauge("leader", "1 on the leader.", "group"),
+		lag:     gauge("replica_lag_entries", "Entries a replica lacks, on the leader.", "group", "replica"),
+		version: gauge("config_version", "Accepted configuration version as applied here.", "group"),
+	}
+	r.MustRegister(m.commits, m.sync, m.term, m.leader, m.lag, m.version)
+	return m
+}
+
+// groupMeters are one group's.
+type groupMeters struct {
+	name    string
+	commits prometheus.Counter
+	sync    prometheus.Observer
+	term    prometheus.Gauge
+	leader  prometheus.Gauge
+	version prometheus.Gauge
+	lag     *prometheus.GaugeVec
+}
+
+func (m *meters) group(name string) *groupMeters {
+	return &groupMeters{
+		name: name, commits: m.commits.WithLabelValues(name), sync: m.sync.WithLabelValues(name),
+		term: m.term.WithLabelValues(name), leader: m.leader.WithLabelValues(name),
+		version: m.version.WithLabelValues(name), lag: m.lag,
+	}
+}
+
+// note takes the present position.
+func (m *groupMeters) note(s consensus.Status, version uint64) {
+	m.term.Set(float64(s.Term))
+	m.version.Set(float64(version))
+	m.leader.Set(0)
+	if s.Role == consensus.Leader {
+		m.leader.Set(1)
+	}
+	for _, p := range s.Peers {
+		m.lag.WithLabelValues(m.name, p.Member.Name).Set(float64(s.Last - min(p.Match, s.Last)))
+	}
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -8,26 +8,25 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/config"
+	"github.com/verbenastep/verbenastep/core/promise"
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
-// retryPause is the wait before the next replica is tried.
-const retryPause = 200 * time.Millisecond
-
 // Service is the "config.view" service.
 type Service struct {
 	set    *settings.Settings
 	log    *zap.Logger
 	link   port.Link
+	kernel *kernel.Kernel
+	events port.Events
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
@@ -38,6 +37,9 @@
 	// suspects are the whole list as last heard.
 	suspects []state.Suspect
 	changed  chan struct{}
+	// source is the replica that is watched, index the log position reached.
+	source string
+	index  uint64
 }
 
 // New returns the service.
@@ -52,8 +54,8 @@
 // Name returns the service's name.
 func (s *Service) Name() string { return port.NameView }
 
-// Needs returns the link.
-func (s *Service) Needs() []string { return []string{port.NameLink} }
+// Needs returns the link and who takes events.
+func (s *Service) Needs() []string { return []string{port.NameLink, port.NameEvents} }
 
 // Start begins watching.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
@@ -62,44 +64,16 @@
 		return err
 	}
 	s.link = link
+	s.kernel = k
+	if s.events, err = kernel.Find[port.Events](k, port.NameEvents); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.done.Go(func() { s.run(ctx) })
 	return nil
 }
 
-func (s *Service) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		peer := s.set.Replicas[0]
-		err := s.watch(ctx, peer.Address)
-		s.log.Debug("watch ended", zap.String("replica", peer.Name), zap.Error(err))
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryPause):
-		}
-	}
-}
-
-func (s *Service) watch(ctx context.Context, address string) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	snap := s.Snapshot()
-	stream, err := rpc.NewDRPCLogClient(s.link.Conn(address)).Watch(ctx, &rpc.WatchRequest{Daemon: s.set.Name, Version: snap.Version, Digest: snap.Digest})
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	for {
-		update, err := stream.Recv()
-		if err != nil {
-			return err
-		}
-		if err := s.take(update); err != nil {
-			return err
-		}
-	}
-}
-
 // take applies one update; on an error the watch begins anew, which yields a
 // snapshot.
 func (s *Service) take(u *rpc.WatchUpdate) error {
@@ -119,19 +93,32 @@
 			s.leases[l.Name] = l
 		}
 	}
-	s.suspects = nil
-	for _, data := range u.Suspects {
-		x := state.Suspect{}
-		if err := json.Unmarshal(data, &x); err != nil {
+	if u.SuspectsFull {
+		if err := s.takeSuspects(u.Suspects); err != nil {
 			return err
 		}
-		s.suspects = append(s.suspects, x)
+	}
+	if len(u.Config) == 0 && len(u.Leases) == 0 && !u.SuspectsFull {
+		return nil
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return nil
 }
 
+func (s *Service) takeSuspects(list [][]byte) error {
+	suspects := []state.Suspect{}
+	for _, data := range list {
+		x := state.Suspect{}
+		if err := json.Unmarshal(data, &x); err != nil {
+			return err
+		}
+		suspects = append(suspects, x)
+	}
+	s.suspects = suspects
+	return nil
+}
+
 func (s *Service) takeConfig(data []byte) error {
 	d := config.Delta{}
 	if err := json.Unmarshal(data, &d); err != nil {
@@ -152,6 +139,9 @@
 	s.files = files
 	s.current = port.Snapshot{Version: d.Version, Digest: d.Digest, Config: merged}
 	s.log.Info("configuration in force", zap.Uint64("version", d.Version))
+	if s.events != nil {
+		s.events.Record(promise.Event{Kind: promise.InForce, Version: d.Version, Digest: d.Digest})
+	}
 	return nil
 }
 
@@ -219,6 +209,8 @@
 	return struct {
 		Version uint64        `json:"version"`
 		Digest  string        `json:"digest"`
+		Replica string        `json:"replica"`
+		Index   uint64        `json:"index"`
 		Leases  []state.Lease `json:"leases"`
-	}{s.current.Version, s.current.Digest, leases}
+	}{s.current.Version, s.current.Digest, s.source, s.index, leases}
 }
--- /dev/null
+++ b/internal/view/watch.go
@@ -0,0 +1,95 @@
+package view
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/internal/kernel"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+)
+
+const (
+	// retryPause is the wait before the next replica is tried.
+	retryPause = 200 * time.Millisecond
+	// silence is how long a watch may carry nothing, not even a keepalive,
+	// before it is dropped. It outlasts the read that a watch begins with.
+	silence = 3 * time.Second
+)
+
+var errSilent = errors.New("the watch carried nothing for too long; another replica is tried")
+
+// run watches one replica after the other, the near ones first.
+func (s *Service) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, p := range s.order() {
+			err := s.watch(ctx, p)
+			s.log.Debug("watch ended", zap.String("replica", p.Name), zap.Error(err))
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(retryPause):
+			}
+		}
+	}
+}
+
+// order lists the replicas: this daemon, its data centre, its region, others.
+func (s *Service) order() []settings.Peer {
+	members, _ := kernel.Find[port.Members](s.kernel, port.NameMembers)
+	distance := func(p settings.Peer) int {
+		if p.Name == s.set.Name {
+			return 0
+		}
+		if members == nil {
+			return 3
+		}
+		m, ok := members.Find(p.Name)
+		switch {
+		case ok && m.DataCentre == s.set.DataCentre:
+			return 1
+		case ok && m.Region == s.set.Region:
+			return 2
+		}
+		return 3
+	}
+	out := append([]settings.Peer{}, s.set.Replicas...)
+	sort.SliceStable(out, func(i, j int) bool { return distance(out[i]) < distance(out[j]) })
+	return out
+}
+
+func (s *Service) watch(ctx context.Context, p settings.Peer) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	snap := s.Snapshot()
+	req := &rpc.WatchRequest{Daemon: s.set.Name, Group: port.GroupMain, Version: snap.Version, Digest: snap.Digest}
+	stream, err := rpc.NewDRPCLogClient(s.link.Conn(p.Address)).Watch(ctx, req)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		update, err := stream.Recv()
+		if err != nil {
+			return errors.Join(err, context.Cause(ctx))
+		}
+		watchdog.Reset(silence)
+		s.note(p.Name, update.Index)
+		if err := s.take(update); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Service) note(source string, index uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.source, s.index = source, index
+}
--- /dev/null
+++ b/internal/wal/snapshot.go
@@ -0,0 +1,76 @@
+package wal
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/verbenastep/verbenastep/core/consensus"
+)
+
+// A snapshot file is two frames: the encoded consensus.Meta and the data.
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%016d%s", index, snapshotSuffix) }
+
+// EncodeSnapshot gives the form on disk, which is a backup's form too.
+func EncodeSnapshot(s consensus.Snapshot) []byte {
+	return appendFrame(appendFrame(nil, 0, consensus.EncodeMeta(s.Meta)), 1, s.Data)
+}
+
+// DecodeSnapshot reads the form on disk; the path is for messages.
+func DecodeSnapshot(path string, b []byte) (consensus.Snapshot, error) {
+	head, ok := readFrame(b, 0)
+	if !ok {
+		return consensus.Snapshot{}, &CorruptError{File: path, Reason: "the snapshot's head is damaged"}
+	}
+	body, ok := readFrame(b, head.end)
+	if !ok || body.end != len(b) {
+		return consensus.Snapshot{}, &CorruptError{File: path, Offset: int64(head.end), Reason: "the snapshot's data is damaged"}
+	}
+	meta, err := consensus.DecodeMeta(head.payload)
+	if err != nil || meta.Size != uint64(len(body.payload)) {
+		return consensus.Snapshot{}, &CorruptError{File: path, Reason: "the snapshot's head is not readable"}
+	}
+	return consensus.Snapshot{Meta: meta, Data: bytes.Clone(body.payload)}, nil
+}
+
+// WriteSnapshot puts a snapshot into a folder.
+func WriteSnapshot(disk Disk, s consensus.Snapshot) error {
+	return replaceFile(disk, snapshotName(s.Meta.Index), EncodeSnapshot(s))
+}
+
+func (l *Log) loadSnapshot(names []string) (consensus.Meta, []byte, error) {
+	newest := ""
+	for _, n := range names {
+		if strings.HasSuffix(n, newSuffix) {
+			_ = l.disk.Remove(n)
+		}
+		if strings.HasSuffix(n, snapshotSuffix) {
+			newest = n
+		}
+	}
+	if newest == "" {
+		return consensus.Meta{}, nil, nil
+	}
+	b, err := l.disk.Read(newest)
+	if err != nil {
+		return consensus.Meta{}, nil, err
+	}
+	s, err := DecodeSnapshot(l.disk.Path(newest), b)
+	if err != nil {
+		return consensus.Meta{}, nil, err
+	}
+	l.snapshot = s.Meta
+	for _, n := range names {
+		if strings.HasSuffix(n, snapshotSuffix) && n != newest {
+			_ = l.disk.Remove(n)
+		}
+	}
+	return s.Meta, s.Data, nil
+}
+
+// ReadSnapshot reads a part of a snapshot's data, for a chunk.
+func (l *Log) ReadSnapshot(meta consensus.Meta, offset, length uint64) ([]byte, error) {
+	head := 2*frameHeader + len(consensus.EncodeMeta(meta))
+	return l.disk.ReadAt(snapshotName(meta.Index), int64(head)+int64(offset), int(length))
+}
