--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -93,6 +93,16 @@
 	}
 }
 
+// eachPeer visits the other members in their order, so that a node does the
+// same in each run.
+func (n *Node) eachPeer(f func(ID, *peer)) {
+	for _, m := range n.conf.members() {
+		if p := n.lead.peers[m.ID]; p != nil {
+			f(m.ID, p)
+		}
+	}
+}
+
 func (n *Node) tickLeader() {
 	heard := n.conf.quorumValue(func(id ID) uint64 {
 		if p := n.lead.peers[id]; p != nil {
@@ -116,9 +126,9 @@
 	n.lead.sequence++
 	n.lead.beatAt = n.now
 	n.lead.rounds = append(n.lead.rounds, heartbeatRound{sequence: n.lead.sequence, at: n.now})
-	for id, p := range n.lead.peers {
+	n.eachPeer(func(id ID, p *peer) {
 		n.send(Message{Kind: Heartbeat, To: id, Commit: min(n.log.commit, p.match), Sequence: n.lead.sequence})
-	}
+	})
 	n.settleRounds()
 }
 
@@ -248,9 +258,7 @@
 			n.leaderRead(r)
 		}
 	}
-	for id, p := range n.lead.peers {
-		n.sendCommit(id, p)
-	}
+	n.eachPeer(n.sendCommit)
 }
 
 // Transfer hands leadership to a voter once it has the whole log. Proposals
--- a/core/consensus/replicate.go
+++ b/core/consensus/replicate.go
@@ -1,9 +1,7 @@
 package consensus
 
 func (n *Node) broadcastAppend() {
-	for id, p := range n.lead.peers {
-		n.sendAppends(id, p)
-	}
+	n.eachPeer(n.sendAppends)
 }
 
 // sendAppends sends what the replica lacks, as far as the window allows.
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -1,8 +1,6 @@
 package replica
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/core/consensus"
@@ -47,7 +45,7 @@
 			continue
 		}
 		result := e.machine.Apply(c)
-		e.lessor.applied(c, result)
+		e.lessor.applied(c, result, e.g.now())
 		wake = e.noteChange(c, entry.Index) || wake
 		if p != nil {
 			answers = append(answers, answer{proposal: p, outcome: outcome{result: result, index: entry.Index}})
@@ -115,6 +113,6 @@
 	if !changed {
 		return
 	}
-	e.lessor.reset(time.Now())
+	e.lessor.reset(e.g.now())
 	e.g.log.Info("role changed", zap.Stringer("role", s.Role), zap.Uint64("term", s.Term))
 }
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,6 +26,7 @@
 	inflight         = 64
 	uncommittedBytes = 32 << 20
 	chunkBytes       = 256 << 10
+	segmentBytes     = 8 << 20
 
 	// batchJobs bounds the jobs between two writes.
 	batchJobs = 2048
@@ -39,7 +39,6 @@
 type proposal struct {
 	command state.Command
 	data    []byte
-	began   time.Time
 	term    uint64
 	done    chan outcome
 }
@@ -75,10 +74,11 @@
 }
 
 func openEngine(g *group) (*engine, error) {
-	l, saved, data, err := wal.Open(g.disk, g.name, g.set.Name, newID())
+	l, saved, data, err := wal.Open(g.disk, g.name, g.set.Name, g.newID())
 	if err != nil {
 		return nil, err
 	}
+	l.SegmentBytes = g.limits.segmentBytes
 	machine := state.New()
 	if data != nil {
 		err = machine.Restore(data)
@@ -87,18 +87,18 @@
 		_ = l.Close()
 		return nil, err
 	}
-	e := &engine{g: g, log: l, began: time.Now(), machine: machine, waiting: map[uint64]*proposal{}, asked: map[uint64]chan struct{}{}}
+	e := &engine{g: g, log: l, began: g.now(), machine: machine, waiting: map[uint64]*proposal{}, asked: map[uint64]chan struct{}{}}
 	e.snapshot.done = make(chan snapshotDone, 1)
-	e.node = consensus.New(options(l.Identity().ID), saved, 0)
+	e.node = consensus.New(g.options(l.Identity().ID), saved, 0)
 	e.publish(saved.Meta.Index)
 	return e, nil
 }
 
-func options(id consensus.ID) consensus.Options {
+func (g *group) options(id consensus.ID) consensus.Options {
 	return consensus.Options{
-		ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, LeaseTicks: leaseTicks,
-		ResendTicks: resendTicks, AppendBytes: appendBytes, Inflight: inflight,
-		UncommittedBytes: uncommittedBytes, ChunkBytes: chunkBytes, Random: rand.Uint64N,
+		ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, LeaseTicks: g.limits.leaseTicks,
+		ResendTicks: resendTicks, AppendBytes: g.limits.appendBytes, Inflight: inflight,
+		UncommittedBytes: uncommittedBytes, ChunkBytes: g.limits.chunkBytes, Random: g.random,
 	}
 }
 
@@ -123,7 +123,7 @@
 }
 
 func (e *engine) advance() {
-	e.node.Advance(uint64(time.Since(e.began) / tick))
+	e.node.Advance(uint64(e.g.now().Sub(e.began) / tick))
 }
 
 // loop serves until the group stops or the disk fails. All that came in while
@@ -294,7 +294,7 @@
 // Acquire renews its lease while no other leader can exist.
 func (e *engine) take(p *proposal) {
 	a := p.command.Acquire
-	if a != nil && e.node.Leased() && e.lessor.renew(e.machine, a) {
+	if a != nil && e.node.Leased() && e.lessor.renew(e.machine, a, e.g.now()) {
 		p.done <- outcome{result: e.machine.Apply(p.command), index: e.g.applied}
 		return
 	}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
+	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
@@ -51,6 +52,12 @@
 	sender sender
 	events port.Events
 	meters *groupMeters
+	// now, random, newID and spawn are the outside world, for tests to replace.
+	now    func() time.Time
+	random func(n uint64) uint64
+	newID  func() consensus.ID
+	spawn  func(func())
+	limits limits
 	jobs   chan job
 	stop   chan struct{}
 	once   sync.Once
@@ -69,9 +76,29 @@
 	failure   error
 }
 
+// limits are the sizes and times that tests make small.
+type limits struct {
+	segmentBytes    int
+	snapshotEntries uint64
+	snapshotBytes   int
+	tailEntries     uint64
+	chunkBytes      uint64
+	appendBytes     int
+	leaseTicks      uint64
+	expireAfter     time.Duration
+}
+
+func defaultLimits() limits {
+	return limits{
+		segmentBytes: segmentBytes, snapshotEntries: snapshotEntries, snapshotBytes: snapshotBytes, tailEntries: tailEntries,
+		chunkBytes: chunkBytes, appendBytes: appendBytes, leaseTicks: leaseTicks, expireAfter: expireAfter,
+	}
+}
+
 func newGroup(name string, set *settings.Settings, disk wal.Disk, out sender, log *zap.Logger) *group {
 	return &group{
 		name: name, set: set, disk: disk, sender: out, log: log.With(zap.String("group", name)),
+		now: time.Now, random: mathrand.Uint64N, newID: newID, spawn: func(f func()) { go f() }, limits: defaultLimits(),
 		jobs: make(chan job, queuedJobs), stop: make(chan struct{}),
 		machine: state.New(), changed: make(chan struct{}), leaseAt: map[string]uint64{},
 	}
@@ -172,7 +199,7 @@
 
 // propose commits a command and waits until it is applied here.
 func (g *group) propose(ctx context.Context, c state.Command, data []byte) outcome {
-	p := &proposal{command: c, data: data, began: time.Now(), done: make(chan outcome, 1)}
+	p := &proposal{command: c, data: data, done: make(chan outcome, 1)}
 	if err := g.do(ctx, func(e *engine) { e.take(p) }); err != nil {
 		return outcome{refused: true}
 	}
--- a/internal/replica/keeper.go
+++ b/internal/replica/keeper.go
@@ -35,8 +35,8 @@
 	if e.role != consensus.Leader {
 		return
 	}
-	now := time.Now()
-	for _, l := range e.lessor.lapsed(e.machine, now) {
+	now := e.g.now()
+	for _, l := range e.lessor.lapsed(e.machine, now, e.g.limits.expireAfter) {
 		e.g.log.Info("lease ran out", zap.String("lease", l.Name), zap.String("holder", l.Holder))
 		e.order(state.Command{Expire: &state.Expire{Name: l.Name, Epoch: l.Epoch}})
 	}
@@ -52,7 +52,7 @@
 func (e *engine) order(c state.Command) {
 	data, err := json.Marshal(c)
 	if err == nil {
-		e.take(&proposal{command: c, data: data, began: time.Now(), done: make(chan outcome, 1)})
+		e.take(&proposal{command: c, data: data, done: make(chan outcome, 1)})
 	}
 }
 
--- a/internal/replica/lessor.go
+++ b/internal/replica/lessor.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/verbenastep/verbenastep/core/state"
@@ -27,11 +29,11 @@
 
 // renew extends the lease of its present holder; it returns false where the
 // log must decide.
-func (l *lessor) renew(m *state.Machine, a *state.Acquire) bool {
+func (l *lessor) renew(m *state.Machine, a *state.Acquire, now time.Time) bool {
 	if l.expiring[a.Name] > 0 || a.Holder == "" || m.Lease(a.Name).Holder != a.Holder {
 		return false
 	}
-	l.renewed[a.Name] = time.Now()
+	l.renewed[a.Name] = now
 	return true
 }
 
@@ -47,24 +49,25 @@
 	}
 }
 
-func (l *lessor) applied(c state.Command, r state.Result) {
+func (l *lessor) applied(c state.Command, r state.Result, now time.Time) {
 	l.ended(c)
 	if c.Acquire != nil && r.Status == state.OK && l.renewed != nil {
-		l.renewed[c.Acquire.Name] = time.Now()
+		l.renewed[c.Acquire.Name] = now
 	}
 }
 
 // lapsed lists the leases to end.
-func (l *lessor) lapsed(m *state.Machine, now time.Time) []state.Lease {
+func (l *lessor) lapsed(m *state.Machine, now time.Time, after time.Duration) []state.Lease {
 	out := []state.Lease{}
 	for name, lease := range m.Leases() {
 		last := l.since
 		if at := l.renewed[name]; at.After(last) {
 			last = at
 		}
-		if lease.Holder != "" && l.expiring[name] == 0 && now.Sub(last) > expireAfter {
+		if lease.Holder != "" && l.expiring[name] == 0 && now.Sub(last) > after {
 			out = append(out, lease)
 		}
 	}
+	slices.SortFunc(out, func(a, b state.Lease) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -35,7 +35,7 @@
 // maybeSnapshot begins a snapshot where the log has grown long.
 func (e *engine) maybeSnapshot() {
 	base := e.node.Status().Base.Index
-	long := e.g.applied-base > snapshotEntries || e.log.Bytes()-e.snapshot.bytes > snapshotBytes
+	long := e.g.applied-base > e.g.limits.snapshotEntries || e.log.Bytes()-e.snapshot.bytes > e.g.limits.snapshotBytes
 	if e.snapshot.busy || e.g.applied <= base || !long {
 		return
 	}
@@ -43,7 +43,7 @@
 	meta := consensus.Meta{Index: e.g.applied, Term: term, Members: e.node.MembersAt(e.g.applied)}
 	frozen := e.machine.Freeze()
 	e.snapshot.busy = true
-	go func() { e.snapshot.done <- writeSnapshot(wal.Disk(e.g.disk), meta, frozen) }()
+	e.g.spawn(func() { e.snapshot.done <- writeSnapshot(e.g.disk, meta, frozen) })
 }
 
 func writeSnapshot(disk wal.Disk, meta consensus.Meta, frozen state.Frozen) snapshotDone {
@@ -66,8 +66,9 @@
 	if done.meta.Index <= e.node.Status().Base.Index {
 		return
 	}
-	e.node.Compact(done.meta, tailEntries)
-	e.log.UseSnapshot(done.meta, done.meta.Index-min(tailEntries, done.meta.Index))
+	tail := min(e.g.limits.tailEntries, done.meta.Index)
+	e.node.Compact(done.meta, tail)
+	e.log.UseSnapshot(done.meta, done.meta.Index-tail)
 	e.snapshot.bytes = e.log.Bytes()
 	e.g.log.Info("snapshot written", zap.Uint64("index", done.meta.Index), zap.Uint64("bytes", done.meta.Size))
 }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// SegmentBytes is the size at which a new segment begins.
-	SegmentBytes = 8 << 20
+	// defaultSegmentBytes is the size at which a new segment begins.
+	defaultSegmentBytes = 8 << 20
 
 	identityName   = "identity"
 	segmentSuffix  = ".log"
@@ -54,6 +54,10 @@
 
 // Log is one group's log on disk. It is not safe for concurrent use.
 type Log struct {
+	// SegmentBytes is the size at which a new segment begins; it may be changed
+	// after Open.
+	SegmentBytes int
+
 	disk     Disk
 	unlock   func() error
 	identity Identity
@@ -72,7 +76,7 @@
 	if err != nil {
 		return nil, consensus.Saved{}, nil, err
 	}
-	l := &Log{disk: disk, unlock: unlock}
+	l := &Log{SegmentBytes: defaultSegmentBytes, disk: disk, unlock: unlock}
 	saved, data, err := l.load(group, daemon, fresh)
 	if err != nil {
 		_ = unlock()
@@ -206,7 +210,7 @@
 }
 
 func (l *Log) save(hard *consensus.Hard, entries []consensus.Entry) error {
-	if l.tail().size >= SegmentBytes {
+	if l.tail().size >= l.SegmentBytes {
 		if err := l.rotate(); err != nil {
 			return err
 		}
