--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -309,6 +309,17 @@
 	return s
 }
 
+// Position returns the role, the term and the leader, zero where none is known.
+func (n *Node) Position() (role Role, term uint64, leader ID) {
+	return n.role, n.hard.Term, n.leader
+}
+
+// Members returns the members, which the caller must not change.
+func (n *Node) Members() []Member { return n.conf.members() }
+
+// Base returns the index of the newest snapshot.
+func (n *Node) Base() uint64 { return n.log.base.Index }
+
 // Term returns the term of an entry that is in the log.
 func (n *Node) Term(index uint64) (uint64, bool) { return n.log.term(index) }
 
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -100,19 +100,24 @@
 	}
 }
 
-// noteRole follows changes of term and role, and publishes the status.
+// noteRole follows changes of role, term and leader.
 func (e *engine) noteRole() {
+	role, term, leader := e.node.Position()
+	if role == e.role && term == e.term && leader == e.leader {
+		return
+	}
+	e.role, e.term, e.leader = role, term, leader
+	e.lessor.reset(e.g.now())
+	e.showStatus()
+	e.g.log.Info("role changed", zap.Stringer("role", role), zap.Uint64("term", term))
+}
+
+// showStatus publishes the position for operators and metrics.
+func (e *engine) showStatus() {
 	s := e.node.Status()
-	changed := s.Role != e.role || s.Term != e.term
-	e.role, e.term = s.Role, s.Term
+	version, _, _ := e.machine.Config()
 	e.g.mu.Lock()
 	e.g.status = s
-	version, _, _ := e.machine.Config()
 	e.g.mu.Unlock()
 	e.g.meters.note(s, version)
-	if !changed {
-		return
-	}
-	e.lessor.reset(e.g.now())
-	e.g.log.Info("role changed", zap.Stringer("role", s.Role), zap.Uint64("term", s.Term))
 }
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -70,6 +70,7 @@
 	snapshot snapshotter
 	role     consensus.Role
 	term     uint64
+	leader   consensus.ID
 	restart  error
 }
 
@@ -263,7 +264,7 @@
 		return
 	}
 	addresses := map[consensus.ID]string{}
-	for _, m := range e.node.Status().Members {
+	for _, m := range e.node.Members() {
 		addresses[m.ID] = m.Address
 	}
 	for _, m := range messages {
@@ -298,7 +299,7 @@
 		p.done <- outcome{result: e.machine.Apply(p.command), index: e.g.applied}
 		return
 	}
-	if e.node.Status().Role != consensus.Leader {
+	if role, _, _ := e.node.Position(); role != consensus.Leader {
 		p.done <- outcome{refused: true, leader: e.leaderAddress()}
 		return
 	}
@@ -307,9 +308,9 @@
 }
 
 func (e *engine) leaderAddress() string {
-	s := e.node.Status()
-	for _, m := range s.Members {
-		if m.ID == s.Leader && m.ID != s.ID {
+	_, _, leader := e.node.Position()
+	for _, m := range e.node.Members() {
+		if m.ID == leader && m.ID != e.log.Identity().ID {
 			return m.Address
 		}
 	}
--- a/internal/replica/fakedisk_test.go
+++ b/internal/replica/fakedisk_test.go
@@ -63,6 +63,9 @@
 	for _, name := range slices.Sorted(maps.Keys(d.durable)) {
 		n := d.durable[name]
 		kept := n.written[:d.random.IntN(len(n.written)+1)]
+		if d.lies {
+			kept = nil
+		}
 		if len(kept) > 0 && d.random.IntN(2) == 0 {
 			kept = append([]byte{}, kept...)
 			kept[d.random.IntN(len(kept))] ^= 0x55
--- a/internal/replica/keeper.go
+++ b/internal/replica/keeper.go
@@ -32,6 +32,7 @@
 // housekeep runs at each tick.
 func (e *engine) housekeep() {
 	e.maybeSnapshot()
+	e.showStatus()
 	if e.role != consensus.Leader {
 		return
 	}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -34,7 +34,7 @@
 
 // maybeSnapshot begins a snapshot where the log has grown long.
 func (e *engine) maybeSnapshot() {
-	base := e.node.Status().Base.Index
+	base := e.node.Base()
 	long := e.g.applied-base > e.g.limits.snapshotEntries || e.log.Bytes()-e.snapshot.bytes > e.g.limits.snapshotBytes
 	if e.snapshot.busy || e.g.applied <= base || !long {
 		return
@@ -63,7 +63,7 @@
 		e.g.log.Warn("snapshot could not be written", zap.Error(done.err))
 		return
 	}
-	if done.meta.Index <= e.node.Status().Base.Index {
+	if done.meta.Index <= e.node.Base() {
 		return
 	}
 	tail := min(e.g.limits.tailEntries, done.meta.Index)
