--- a/internal/logclient/logclient.go
+++ b/internal/logclient/logclient.go
@@ -40,12 +40,13 @@
 	// leaders holds the address that last answered as leader, by group.
 	leaders map[string]string
 	// next is the replica to try where no leader is known.
-	next int
+	next   int
+	queues map[string]*queue
 }
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
-	return &Service{set: set, log: log.Named("log"), leaders: map[string]string{}}
+	return &Service{set: set, log: log.Named("log"), leaders: map[string]string{}, queues: map[string]*queue{}}
 }
 
 // Name returns the service's name.
@@ -129,35 +130,6 @@
 	return try(ctx, rpc.NewDRPCLogClient(s.link.Conn(address)))
 }
 
-// idempotent tells whether a command that commits twice has the effect and
-// answer of one.
-func idempotent(c state.Command) bool {
-	return c.Suspect == nil
-}
-
-// Propose commits a command through the leader.
-func (s *Service) Propose(ctx context.Context, group string, c state.Command) (state.Result, error) {
-	data, err := json.Marshal(c)
-	if err != nil {
-		return state.Result{}, err
-	}
-	result := state.Result{}
-	unknown, err := s.toLeader(ctx, group, idempotent(c), func(ctx context.Context, log rpc.DRPCLogClient) (answer, error) {
-		reply, err := log.Propose(ctx, &rpc.ProposeRequest{Group: group, Command: data})
-		if err != nil || reply.Refused {
-			return answer{refused: reply.GetRefused(), leader: reply.GetLeader()}, err
-		}
-		return answer{}, json.Unmarshal(reply.Result, &result)
-	})
-	if err == nil {
-		return result, nil
-	}
-	if unknown {
-		return result, fault.New(fault.Unknown, "look up what became of it, or send it again", "the log did not answer: %v", err).WithRan(fault.MayHaveRun)
-	}
-	return result, fault.New(fault.Unavailable, "retry when the log has a leader; see verbenastep replicas", "the log has no leader: %v", err)
-}
-
 // Lookup reads a claim after all that was committed before the call, from any
 // replica.
 func (s *Service) Lookup(ctx context.Context, group, workspace, key string) (state.Claim, bool, error) {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -29,9 +29,10 @@
 func (e *engine) applyLocked(entries []consensus.Entry) []answer {
 	answers := []answer{}
 	wake := false
+	decoded := DecodeAll(entries, e.proposed)
 	e.g.mu.Lock()
 	defer e.g.mu.Unlock()
-	for _, entry := range entries {
+	for i, entry := range entries {
 		p := e.waiting[entry.Index]
 		delete(e.waiting, entry.Index)
 		if p != nil && p.term != entry.Term {
@@ -40,10 +41,10 @@
 			p = nil
 		}
 		e.g.applied = entry.Index
-		c, ok := command(entry, p)
-		if !ok {
+		if !decoded[i].Is {
 			continue
 		}
+		c := decoded[i].Command
 		result := e.machine.Apply(c)
 		e.lessor.applied(c, result, e.g.now())
 		wake = e.noteChange(c, entry.Index) || wake
@@ -57,12 +58,13 @@
 	return answers
 }
 
-// command saves decoding what was proposed here.
-func command(entry consensus.Entry, p *proposal) (state.Command, bool) {
-	if p != nil {
-		return p.command, true
+// proposed returns the command of an entry that was proposed here.
+func (e *engine) proposed(entry consensus.Entry) (state.Command, bool) {
+	p := e.waiting[entry.Index]
+	if p == nil || p.term != entry.Term {
+		return state.Command{}, false
 	}
-	return decode(entry)
+	return p.command, true
 }
 
 // noteChange tells whether watchers may want to know of a command.
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -8,27 +8,37 @@
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/consensus"
-	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/wal"
 )
 
-// Propose commits a command. Its error means that the command may still
-// commit.
+// Propose commits commands, in the order given where all are accepted.
 func (s *Service) Propose(ctx context.Context, req *rpc.ProposeRequest) (*rpc.ProposeReply, error) {
 	g, err := s.group(req.Group)
 	if err != nil {
 		return nil, err
 	}
-	c := state.Command{}
-	if err := json.Unmarshal(req.Command, &c); err != nil {
-		return nil, fault.New(fault.Malformed, "send a command as documented", "%v", err)
+	batch := make([]*proposal, 0, len(req.Commands))
+	for _, data := range req.Commands {
+		p := &proposal{data: data, done: make(chan outcome, 1)}
+		if err := json.Unmarshal(data, &p.command); err != nil {
+			return nil, fault.New(fault.Malformed, "send commands as documented", "%v", err)
+		}
+		batch = append(batch, p)
 	}
-	out := g.propose(ctx, c, req.Command)
-	if out.err != nil || out.refused {
-		return &rpc.ProposeReply{Refused: out.refused, Leader: out.leader}, out.err
+	reply := &rpc.ProposeReply{}
+	for _, out := range g.propose(ctx, batch) {
+		done := &rpc.Proposed{Index: out.index, Refused: out.refused, Unknown: out.err != nil}
+		if out.leader != "" {
+			reply.Leader = out.leader
+		}
+		if !out.refused && out.err == nil {
+			if done.Result, err = json.Marshal(out.result); err != nil {
+				return nil, err
+			}
+		}
+		reply.Results = append(reply.Results, done)
 	}
-	data, err := json.Marshal(out.result)
-	return &rpc.ProposeReply{Result: data, Index: out.index}, err
+	return reply, nil
 }
 
 // Lookup reads a claim.
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -138,7 +137,9 @@
 			return nil
 		case j := <-e.g.jobs:
 			e.runJob(j)
-			e.drain()
+			if !e.g.limits.syncEach {
+				e.drain()
+			}
 		case done := <-e.snapshot.done:
 			e.useSnapshot(done)
 		case <-ticker.C:
@@ -338,17 +339,6 @@
 	e.reads = kept
 }
 
-func decode(entry consensus.Entry) (state.Command, bool) {
-	c := state.Command{}
-	if entry.Kind != consensus.EntryCommand {
-		return c, false
-	}
-	if json.Unmarshal(entry.Data, &c) != nil {
-		c = state.Command{}
-	}
-	return c, true
-}
-
 // close ends what still waits: nobody can tell here whether it will commit.
 func (e *engine) close() {
 	if e.snapshot.busy {
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -85,7 +85,9 @@
 	chunkBytes      uint64
 	appendBytes     int
 	leaseTicks      uint64
-	expireAfter     time.Duration
+	// syncEach makes each entry wait for a write and sync of its own.
+	syncEach    bool
+	expireAfter time.Duration
 }
 
 func defaultLimits() limits {
@@ -197,20 +199,44 @@
 	err     error
 }
 
-// propose commits a command and waits until it is applied here.
-func (g *group) propose(ctx context.Context, c state.Command, data []byte) outcome {
-	p := &proposal{command: c, data: data, done: make(chan outcome, 1)}
-	if err := g.do(ctx, func(e *engine) { e.take(p) }); err != nil {
-		return outcome{refused: true}
+// propose commits commands and waits until they are applied here.
+func (g *group) propose(ctx context.Context, batch []*proposal) []outcome {
+	out := make([]outcome, len(batch))
+	err := error(nil)
+	if !g.limits.syncEach {
+		err = g.do(ctx, func(e *engine) {
+			for _, p := range batch {
+				e.take(p)
+			}
+		})
 	}
-	select {
-	case out := <-p.done:
-		return out
-	case <-ctx.Done():
-		return outcome{err: ctx.Err()}
-	case <-g.stop:
-		return outcome{err: errStopped}
+	if g.limits.syncEach {
+		err = g.each(ctx, batch)
+	}
+	for i, p := range batch {
+		if err != nil {
+			out[i] = outcome{refused: true}
+			continue
+		}
+		select {
+		case out[i] = <-p.done:
+		case <-ctx.Done():
+			out[i] = outcome{err: ctx.Err()}
+		case <-g.stop:
+			out[i] = outcome{err: errStopped}
+		}
+	}
+	return out
+}
+
+// each gives the loop one command at a time.
+func (g *group) each(ctx context.Context, batch []*proposal) error {
+	for _, p := range batch {
+		if err := g.do(ctx, func(e *engine) { e.take(p) }); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 // readRetry is how long a read waits before it is asked for again, since reads
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -30,6 +30,9 @@
 	router *router
 	groups map[string]*group
 	cancel context.CancelFunc
+	// SyncEach makes each entry wait for a write and sync of its own, to
+	// measure what batching gains. It must be set before Start.
+	SyncEach bool
 }
 
 // New returns the service.
@@ -79,6 +82,10 @@
 	}
 	g := newGroup(name, s.set, folder, s.router, s.log)
 	g.events = events
+	if s.SyncEach {
+		g.limits.syncEach = true
+		g.limits.appendBytes = 1
+	}
 	g.meters = meters.group(name)
 	if err := g.start(); err != nil {
 		return err
--- a/internal/replica/router.go
+++ b/internal/replica/router.go
@@ -171,6 +171,27 @@
 
 func (r *router) wait() { r.done.Wait() }
 
+// step gives messages to the loop.
+func (g *group) step(ctx context.Context, messages []consensus.Message) error {
+	for len(messages) > 0 {
+		n := len(messages)
+		if g.limits.syncEach {
+			n = 1
+		}
+		part := messages[:n]
+		messages = messages[n:]
+		err := g.do(ctx, func(e *engine) {
+			for _, m := range part {
+				e.node.Step(m)
+			}
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Step takes another replica's messages.
 func (s *Service) Step(stream rpc.DRPCLog_StepStream) error {
 	signed := time.Time{}
@@ -192,12 +213,7 @@
 			s.router.learn(m.From, batch.FromAddress)
 			messages = append(messages, m)
 		}
-		err = g.do(stream.Context(), func(e *engine) {
-			for _, m := range messages {
-				e.node.Step(m)
-			}
-		})
-		if err != nil {
+		if err := g.step(stream.Context(), messages); err != nil {
 			return err
 		}
 		if time.Since(signed) > signEvery {
