--- a/core/promise/event.go
+++ b/core/promise/event.go
@@ -21,7 +21,7 @@
 	Dispatch Kind = "dispatch"
 	// Execute: an upstream began to execute a request.
 	Execute Kind = "execute"
-	// Release: a granted slot is free again.
+	// Release: a granted slot is free again, or a queued offer was withdrawn.
 	Release Kind = "release"
 	// Shed: a dispatcher refused a request for overload.
 	Shed Kind = "shed"
@@ -39,6 +39,16 @@
 	Drain Kind = "drain"
 	// Stopped: a daemon's graceful shutdown ended.
 	Stopped Kind = "stopped"
+	// Started: a daemon serves.
+	Started Kind = "started"
+	// Crashed: a daemon died without a graceful shutdown; whoever made it die
+	// records this in the daemon's name.
+	Crashed Kind = "crashed"
+	// Cut: a daemon lost touch with the quorum, Healed: it has it again.
+	Cut    Kind = "cut"
+	Healed Kind = "healed"
+	// Join: an upstream announced itself, at first or again after a Leave.
+	Join Kind = "join"
 )
 
 // Event is one thing that happened. Fields that a kind doesn't need are zero.
@@ -71,7 +81,8 @@
 	Whole bool   `json:"whole,omitempty"`
 	Sent  string `json:"sent,omitempty"`
 	Got   string `json:"got,omitempty"`
-	// Version and Digest are a configuration's.
+	// Version is a configuration's; Digest is a configuration's content, or on
+	// Accept and Refuse the request's.
 	Version uint64 `json:"version,omitempty"`
 	Digest  string `json:"digest,omitempty"`
 	// Epoch is a lease's.
