Let a claim that ran nothing give way to a next attempt

Cause: an entry that refuses a keyed request as not run can't promise that another entry with the same request won't run it. Change: claims carry an attempt number and may be marked as not run; the same content may then claim the next attempt, an earlier attempt is refused. Ruled out: a refusal without a mark, which two entries can contradict.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -116,6 +116,11 @@
 	Length int64  `json:"length,omitempty"`
 	// Unknown says that nobody can tell whether the request ran to its end.
 	Unknown bool `json:"unknown,omitempty"`
+	// Attempt numbers the claims on one key, from 1; zero counts as 1. A claim
+	// that ended as NotRun gives way to the next attempt of the same content.
+	Attempt uint64 `json:"attempt,omitempty"`
+	// NotRun says that the attempt sent nothing and never will.
+	NotRun bool `json:"not_run,omitempty"`
 }
 
 // Finish records how a claimed request ended. The first Finish stands, but an
@@ -129,6 +134,7 @@
 	Body        []byte `json:"body,omitempty"`
 	Length      int64  `json:"length,omitempty"`
 	Unknown     bool   `json:"unknown,omitempty"`
+	NotRun      bool   `json:"not_run,omitempty"`
 }
 
 // Trim drops claims made before a time, oldest first.
@@ -312,6 +318,10 @@
 		return Result{Status: Invalid}
 	}
 	k := claimKey{workspace: c.Workspace, key: c.Key}
+	if old, ok := m.claims[k]; ok && old.yields(c) {
+		m.claims[k] = c.clone()
+		return Result{Status: OK, Claim: c.clone()}
+	}
 	if old, ok := m.claims[k]; ok {
 		return Result{Status: old.compare(c), Claim: old.clone()}
 	}
@@ -332,6 +342,11 @@
 	return Conflict
 }
 
+// yields tells whether the next attempt may replace the claim.
+func (c *Claim) yields(next *Claim) bool {
+	return c.NotRun && c.Digest == next.Digest && next.Attempt == max(c.Attempt, 1)+1
+}
+
 func (c *Claim) clone() *Claim {
 	out := *c
 	out.Body = bytes.Clone(c.Body)
@@ -352,6 +367,7 @@
 	c.Body = bytes.Clone(f.Body)
 	c.Length = f.Length
 	c.Unknown = f.Unknown
+	c.NotRun = f.NotRun
 	return Result{Status: OK, Claim: c.clone()}
 }
 
