--- /dev/null
+++ b/core/claims/claims_test.go
@@ -0,0 +1,203 @@
+package claims
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/verbenastep/verbenastep/core/state"
+)
+
+// allEvents is every kind, so that each fault meets each step.
+var allEvents = []EventKind{
+	Begin, Found, NotFound, GrantGiven, Refused, Connected, Unreachable, ClaimMade, ClaimExists, ClaimConflict,
+	ClaimLost, Started, Replied, NothingSent, Rejected, SendBroken, FrameRead, Broken, Fetched, FetchFailed,
+	FetchBroken, FetchUnheld, Canceled, Expired, Failed,
+}
+
+// tally watches the invariants over one request's effects.
+type tally struct {
+	sent, granted, released, ended int
+	claimed, whole, reached        bool
+	failure                        Failure
+}
+
+func (c *tally) event(e Event) {
+	switch e.Kind {
+	case GrantGiven:
+		c.granted++
+	case ClaimMade:
+		c.claimed = true
+	case Started, Replied, SendBroken:
+		c.reached = true
+	}
+}
+
+func (c *tally) effects(t require.TestingT, keyed bool, out []Effect) (awaited int) {
+	for _, e := range out {
+		if e.Awaited() {
+			awaited++
+		}
+		switch e.Kind {
+		case Send:
+			c.sent++
+			require.True(t, !keyed || c.claimed, "a keyed request is sent only after its claim")
+		case Release:
+			c.released++
+		case End, Recorded:
+			c.ended++
+			c.whole = true
+		case Fail:
+			c.ended++
+			c.failure = e.Failure
+		}
+	}
+	return awaited
+}
+
+func drawEvent(t *rapid.T, m *Machine) Event {
+	kind := rapid.SampledFrom(allEvents).Draw(t, "event")
+	f := Frame{
+		Stream: rapid.SampledFrom([]string{"own", "other", "crossed"}).Draw(t, "stream"),
+		Offset: m.length + rapid.SampledFrom([]int64{0, 0, 0, 1, -1}).Draw(t, "shift"),
+		Length: rapid.Int64Range(0, 3).Draw(t, "length"),
+		End:    rapid.Bool().Draw(t, "end"),
+	}
+	c := state.Claim{
+		Digest: rapid.SampledFrom([]string{"d", "d", "e"}).Draw(t, "digest"), Stream: "other",
+		Entry: rapid.SampledFrom([]string{"self", "peer"}).Draw(t, "entry"),
+		Done:  rapid.Bool().Draw(t, "done"), Length: rapid.Int64Range(0, 1).Draw(t, "held"),
+		NotRun: rapid.Bool().Draw(t, "notrun"), Unknown: rapid.Bool().Draw(t, "unknown"),
+	}
+	return Event{Kind: kind, Upstream: "u", Address: "a", Claim: c, Frame: f, Length: m.length}
+}
+
+// TestEveryFaultAtEveryStep walks the machine with any event at any step.
+func TestEveryFaultAtEveryStep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Request{Workspace: "w", Key: "k", Digest: "d", Stream: "own", Entry: "self", Keyed: rapid.Bool().Draw(t, "keyed"), Plain: rapid.Bool().Draw(t, "plain")}
+		m := NewMachine(r)
+		seen := tally{}
+		require.Equal(t, 1, seen.effects(t, r.Keyed, m.Step(Event{Kind: Begin})))
+		for range 60 {
+			if m.State() == Ended {
+				break
+			}
+			e := drawEvent(t, m)
+			before := m.State()
+			out := m.Step(e)
+			if len(out) == 0 {
+				require.Equal(t, before, m.State(), "an event that does not fit changes nothing")
+				continue
+			}
+			seen.event(e)
+			awaited := seen.effects(t, r.Keyed, out)
+			require.Equal(t, m.State() != Ended, awaited == 1, "one effect is awaited until the end: %s then %v", e.Kind, out)
+		}
+		require.LessOrEqual(t, seen.sent, 1)
+		require.LessOrEqual(t, seen.released, seen.granted)
+		if m.State() != Ended {
+			return
+		}
+		require.Equal(t, 1, seen.ended)
+		require.Equal(t, seen.granted, seen.released)
+		if seen.failure.Ran == NotRun {
+			require.False(t, seen.reached, "not run after the upstream was reached")
+		}
+	})
+}
+
+// walk feeds events and returns the last step's effects.
+func walk(m *Machine, events ...Event) []Effect {
+	out := m.Step(Event{Kind: Begin})
+	for _, e := range events {
+		out = m.Step(e)
+	}
+	return out
+}
+
+func kinds(effects []Effect) []EffectKind {
+	out := []EffectKind{}
+	for _, e := range effects {
+		out = append(out, e.Kind)
+	}
+	return out
+}
+
+func keyed(plain bool) *Machine {
+	return NewMachine(Request{Workspace: "w", Key: "k", Digest: "d", Stream: "own", Entry: "self", Keyed: true, Plain: plain})
+}
+
+var (
+	grant     = Event{Kind: GrantGiven, Upstream: "u", Address: "a"}
+	connected = Event{Kind: Connected}
+)
+
+func TestPaths(t *testing.T) {
+	missing := Event{Kind: NotFound}
+	peers := state.Claim{Digest: "d", Stream: "other", Entry: "peer", Address: "b"}
+	cases := []struct {
+		name   string
+		plain  bool
+		events []Event
+		want   []EffectKind
+		code   Code
+		ran    Ran
+	}{
+		{"whole stream", false, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: Started}, {Kind: FrameRead, Frame: Frame{Stream: "own", Length: 2, End: true}}}, []EffectKind{Deliver, Release, End, Finish}, "", ""},
+		{"end at a wrong offset", false, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: Started}, {Kind: FrameRead, Frame: Frame{Stream: "own", Offset: 5, End: true}}}, []EffectKind{Retire, Resume}, "", ""},
+		{"crossed frame", false, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: Started}, {Kind: FrameRead, Frame: Frame{Stream: "x", Length: 2}}}, []EffectKind{Retire, Resume}, "", ""},
+		{"lost claim is proposed again", false, []Event{missing, grant, connected, {Kind: ClaimLost}}, []EffectKind{Propose}, "", ""},
+		{"lost claim until the deadline", false, []Event{missing, grant, connected, {Kind: ClaimLost}, {Kind: Expired}}, []EffectKind{Release, Settle, Fail}, NoLog, MayHaveRun},
+		{"nothing sent after the claim", true, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: NothingSent}}, []EffectKind{Release, Finish, Fail}, NotSent, NotRun},
+		{"plain service breaks", true, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: SendBroken}}, []EffectKind{Release, Finish, Fail}, OutcomeUnknown, MayHaveRun},
+		{"owner is asked", true, []Event{{Kind: Found, Claim: peers}}, []EffectKind{Dispatched, Fetch}, "", ""},
+		{"owner gone, plain", true, []Event{{Kind: Found, Claim: peers}, {Kind: FetchUnheld}}, []EffectKind{Finish, Fail}, OutcomeUnknown, MayHaveRun},
+		{"owner gone, engine", false, []Event{{Kind: Found, Claim: peers}, {Kind: FetchUnheld, Length: 7}}, []EffectKind{Resume}, "", ""},
+		{"refusal marks the key", false, []Event{missing, {Kind: Refused}}, []EffectKind{Propose}, "", ""},
+		{"refusal while another runs it", false, []Event{missing, {Kind: Refused}, {Kind: ClaimExists, Claim: peers}}, []EffectKind{Dispatched, Fetch}, "", ""},
+		{"refusal that could not be marked", false, []Event{missing, {Kind: Refused}, {Kind: ClaimLost}}, []EffectKind{Fail}, Refusal, MayHaveRun},
+		{"lookup fails", false, []Event{{Kind: Failed}}, []EffectKind{Fail}, NoLog, MayHaveRun},
+		{"another content", false, []Event{{Kind: Found, Claim: state.Claim{Digest: "e"}}}, []EffectKind{Fail}, KeyConflict, NotRun},
+		{"refused before, sent again", false, []Event{{Kind: Found, Claim: state.Claim{Digest: "d", NotRun: true, Done: true}}}, []EffectKind{Acquire}, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			out := walk(keyed(c.plain), c.events...)
+			require.Equal(t, c.want, kinds(out))
+			last := out[len(out)-1]
+			require.Equal(t, c.code, last.Failure.Code)
+			require.Equal(t, c.ran, last.Failure.Ran)
+		})
+	}
+}
+
+// TestRefusedKeyNeverRunsElsewhere joins two machines over the real state: what
+// one entry refuses as not run, the other can't dispatch.
+func TestRefusedKeyNeverRunsElsewhere(t *testing.T) {
+	log := state.New()
+	a, b := keyed(false), keyed(false)
+	a.request.Stream = "a"
+	walk(a, Event{Kind: NotFound}, grant)
+	mark := walk(b, Event{Kind: NotFound}, Event{Kind: Refused})[0].Claim
+	require.Equal(t, state.OK, log.Apply(state.Command{Claim: &mark}).Status)
+	claim := a.Step(connected)[0].Claim
+	result := log.Apply(state.Command{Claim: &claim})
+	require.Equal(t, state.Exists, result.Status)
+	require.Equal(t, []EffectKind{Release, Fail}, kinds(a.Step(Event{Kind: ClaimExists, Claim: *result.Claim})))
+
+	c := keyed(false)
+	c.request.Stream = "c"
+	again := walk(c, Event{Kind: Found, Claim: *result.Claim}, grant, connected)[0].Claim
+	require.Equal(t, state.OK, log.Apply(state.Command{Claim: &again}).Status)
+}
+
+func TestResumeIsBounded(t *testing.T) {
+	m := keyed(false)
+	walk(m, Event{Kind: NotFound}, grant, connected, Event{Kind: ClaimMade}, Event{Kind: Started})
+	for range ResumeTries {
+		require.Equal(t, []EffectKind{Retire, Resume}, kinds(m.Step(Event{Kind: Broken})))
+	}
+	require.Equal(t, []EffectKind{Retire, Release, Finish, Fail}, kinds(m.Step(Event{Kind: Unreachable})))
+}
