--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -92,7 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, u := range reply.Updates {
-		m := port.Member{Name: u.Name, Region: u.Region, DataCentre: u.DataCentre, Peers: u.PeerAddress, Callers: u.CallerAddress, Version: u.ConfigVersion, Replica: u.Replica}
+		m := port.Member{Name: u.Name, Region: u.Region, DataCentre: u.DataCentre, Peers: u.PeerAddress, Callers: u.CallerAddress, Version: u.ConfigVersion, Replica: u.Replica, Upstreams: u.UpstreamAddress}
 		s.seen[u.Name] = seen{member: m, at: time.Now()}
 	}
 }
@@ -102,7 +102,7 @@
 	m := s.selfMember()
 	return &rpc.ProbeReply{Alive: true, Incarnation: s.self.Incarnation, Updates: []*rpc.MemberState{{
 		Name: m.Name, Region: m.Region, DataCentre: m.DataCentre, PeerAddress: m.Peers, CallerAddress: m.Callers,
-		Incarnation: s.self.Incarnation, ConfigVersion: m.Version, Replica: m.Replica,
+		Incarnation: s.self.Incarnation, ConfigVersion: m.Version, Replica: m.Replica, UpstreamAddress: m.Upstreams,
 	}}}, nil
 }
 
@@ -110,6 +110,7 @@
 	return port.Member{
 		Name: s.set.Name, Region: s.set.Region, DataCentre: s.set.DataCentre, Peers: s.set.Addresses.Peers,
 		Callers: s.set.Addresses.Callers, Version: s.view.Snapshot().Version, Replica: s.set.HasRole(settings.Replica),
+		Upstreams: s.set.Addresses.Upstreams,
 	}
 }
 
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -139,9 +139,11 @@
 	DataCentre string
 	Peers      string
 	Callers    string
-	Version    uint64
-	Load       float64
-	Replica    bool
+	// Upstreams is where upstreams announce themselves.
+	Upstreams string
+	Version   uint64
+	Load      float64
+	Replica   bool
 }
 
 // Members knows the live daemons, this one included.
