Decide membership in a pure state machine

Cause: the thin service probes every seed, so its cost grows with the fleet. Ruled out: random probes alone, whose worst case until a death is noticed grows with the fleet; sending the full list to a joiner at once. Change: each period one probe on the ring of names and one at random, three indirect probes, suspicion, incarnations, at most 6 states a message, a joiner reads the list in pages. Two daemons of one name report a conflict and don't outbid each other. Before: after 100 daemons started at once one of them lacked one other after the bound, as a seed can't page what it doesn't know yet. After: three more walks over the list in the first 15 s; all 100 know all.

--- /dev/null
+++ b/core/member/machine_test.go
@@ -0,0 +1,326 @@
+package member
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the schedules, unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+const step = 100 * time.Millisecond
+
+// late is a request that will fail.
+type late struct {
+	at   time.Duration
+	from string
+	id   uint64
+}
+
+// wire joins machines: a request is answered at once or fails at its timeout.
+type wire struct {
+	now      time.Duration
+	opt      Options
+	machines map[string]*Machine
+	names    []string
+	failing  []late
+	// cut tells whether messages from one address to another are lost.
+	cut      func(from, to string) bool
+	messages int
+	states   int
+}
+
+func newWire() *wire {
+	return &wire{opt: Defaults(), machines: map[string]*Machine{}, cut: func(string, string) bool { return false }}
+}
+
+func (w *wire) start(name string, incarnation uint64, seeds ...string) *Machine {
+	rng := rand.New(rand.NewPCG(incarnation, uint64(len(name)+len(w.names))))
+	m := New(State{Name: name, Incarnation: incarnation, Info: Info{Peers: name}}, seeds, w.opt, rng)
+	if !slices.Contains(w.names, name) {
+		w.names = append(w.names, name)
+	}
+	w.machines[name] = m
+	return m
+}
+
+// fleet starts n machines that know each other.
+func fleet(t testing.TB, n int) *wire {
+	w := newWire()
+	for i := range n {
+		w.start(fmt.Sprintf("d%03d", i), uint64(100+i), "d000")
+	}
+	w.run(w.opt.SpreadBound(n) + 3*w.opt.Rejoin)
+	for _, name := range w.names {
+		require.Len(t, w.live(name), n-1, "%s", name)
+	}
+	return w
+}
+
+func (w *wire) live(at string) []string {
+	out := []string{}
+	for _, s := range w.machines[at].Members() {
+		if s.Status.Live() {
+			out = append(out, s.Name)
+		}
+	}
+	return out
+}
+
+func (w *wire) run(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += step {
+		failing := w.failing
+		w.failing = nil
+		for _, f := range failing {
+			if m := w.machines[f.from]; m == nil {
+				continue
+			} else if f.at > w.now {
+				w.failing = append(w.failing, f)
+			} else {
+				w.send(f.from, m.Failed(w.now, f.id))
+			}
+		}
+		for _, n := range w.names {
+			if m := w.machines[n]; m != nil {
+				w.send(n, m.Tick(w.now))
+			}
+		}
+	}
+}
+
+func (w *wire) send(from string, requests []Request) {
+	for _, r := range requests {
+		reply, ok := w.ask(from, r)
+		if !ok {
+			w.failing = append(w.failing, late{at: w.now + r.Timeout, from: from, id: r.ID})
+			continue
+		}
+		w.send(from, w.machines[from].Acked(w.now, r.ID, reply))
+	}
+}
+
+func (w *wire) ask(from string, r Request) (Reply, bool) {
+	w.messages++
+	w.states += len(r.Updates)
+	m := w.machines[r.To]
+	if m == nil || w.cut(from, r.To) {
+		return Reply{}, false
+	}
+	reply, relay := m.Receive(w.now, r)
+	if relay != nil {
+		answer, ok := w.ask(r.To, *relay)
+		reply.Alive = ok && answer.Alive
+	}
+	w.messages++
+	w.states += len(reply.Updates)
+	return reply, !w.cut(r.To, from)
+}
+
+func TestDeadDaemonIsFoundWithinTheBound(t *testing.T) {
+	for _, n := range []int{2, 9, 100} {
+		w := fleet(t, n)
+		victim := w.names[n/2]
+		w.machines[victim] = nil
+		w.run(w.opt.SpreadBound(n))
+		for _, name := range w.names {
+			if w.machines[name] == nil {
+				continue
+			}
+			s, ok := w.machines[name].Find(victim)
+			require.True(t, ok)
+			require.Equal(t, Dead, s.Status, "%d daemons, at %s", n, name)
+		}
+	}
+}
+
+func TestLiveDaemonsStayLive(t *testing.T) {
+	w := fleet(t, 9)
+	w.run(time.Minute)
+	for _, name := range w.names {
+		require.Len(t, w.live(name), 8)
+		require.EqualValues(t, 0, w.machines[name].Self().Beat)
+	}
+}
+
+func TestOneWayLinkKillsNobody(t *testing.T) {
+	w := fleet(t, 5)
+	w.cut = func(from, to string) bool { return from == "d000" && to == "d001" }
+	w.run(time.Minute)
+	for _, name := range w.names {
+		require.Len(t, w.live(name), 4, "%s", name)
+	}
+}
+
+func TestSuspectRefutes(t *testing.T) {
+	w := fleet(t, 2)
+	w.cut = func(string, string) bool { return true }
+	w.run(w.opt.Period + w.opt.Direct + step)
+	s, _ := w.machines["d000"].Find("d001")
+	require.Equal(t, Suspect, s.Status)
+	w.cut = func(string, string) bool { return false }
+	w.run(w.opt.Suspicion)
+	s, _ = w.machines["d000"].Find("d001")
+	require.Equal(t, Alive, s.Status)
+	require.Greater(t, s.Incarnation, uint64(101))
+}
+
+func TestCutOffDaemonComesBack(t *testing.T) {
+	w := fleet(t, 9)
+	w.cut = func(from, to string) bool { return (from == "d004") != (to == "d004") }
+	w.run(2 * time.Hour)
+	require.Empty(t, w.live("d004"))
+	require.Len(t, w.live("d000"), 7)
+	w.cut = func(string, string) bool { return false }
+	w.run(w.opt.Rejoin + w.opt.SpreadBound(9))
+	for _, name := range w.names {
+		require.Len(t, w.live(name), 8, "%s", name)
+	}
+}
+
+func TestRestartTakesAHigherIncarnation(t *testing.T) {
+	w := fleet(t, 3)
+	w.start("d002", 900, "d000")
+	w.run(w.opt.SpreadBound(3))
+	for _, name := range []string{"d000", "d001"} {
+		s, _ := w.machines[name].Find("d002")
+		require.EqualValues(t, 900, s.Incarnation)
+	}
+	// A clock that was set back gives a lower one.
+	w.start("d002", 50, "d000")
+	w.run(w.opt.SpreadBound(3))
+	s, _ := w.machines["d001"].Find("d002")
+	require.Greater(t, s.Incarnation, uint64(900))
+}
+
+func TestSameNameIsReported(t *testing.T) {
+	w := fleet(t, 3)
+	twin := New(State{Name: "d002", Incarnation: 900, Info: Info{Peers: "x"}}, []string{"d000"}, w.opt, rand.New(rand.NewPCG(1, 1)))
+	w.machines["x"] = twin
+	w.names = append(w.names, "x")
+	w.run(w.opt.SpreadBound(3))
+	require.Condition(t, func() bool { return conflict(twin) || conflict(w.machines["d002"]) })
+	require.Less(t, twin.Self().Incarnation, uint64(910), "the two must not outbid each other")
+}
+
+func conflict(m *Machine) bool {
+	for _, c := range m.Changes() {
+		if c.Conflict {
+			return true
+		}
+	}
+	return false
+}
+
+func TestSeedThatIsDown(t *testing.T) {
+	w := newWire()
+	w.start("a", 1, "gone", "b")
+	w.start("b", 2, "gone")
+	w.run(w.opt.SpreadBound(2) + w.opt.Rejoin)
+	require.Equal(t, []string{"b"}, w.live("a"))
+	require.Equal(t, []string{"a"}, w.live("b"))
+}
+
+func TestLeavingAndLeft(t *testing.T) {
+	w := fleet(t, 9)
+	m := w.machines["d003"]
+	i := m.Self().Info
+	i.Leaving = true
+	m.Update(i)
+	w.run(2 * time.Second)
+	for _, name := range w.names {
+		if s, ok := w.machines[name].Find("d003"); ok {
+			require.True(t, s.Info.Leaving, "%s", name)
+			require.Equal(t, Alive, s.Status)
+		}
+	}
+	m.Leave()
+	w.run(w.opt.Period + step)
+	w.machines["d003"] = nil
+	w.run(2 * time.Second)
+	s, _ := w.machines["d000"].Find("d003")
+	require.Equal(t, Left, s.Status)
+}
+
+func TestJoinTakesPages(t *testing.T) {
+	w := fleet(t, 20)
+	w.opt.Page = 7
+	for _, m := range w.machines {
+		m.opt.Page = 7
+	}
+	w.start("new", 1, "d000")
+	w.run(4 * w.opt.Period)
+	require.Len(t, w.live("new"), 20)
+}
+
+func TestCostIsConstant(t *testing.T) {
+	per := func(n int) (messages, states float64) {
+		w := fleet(t, n)
+		w.run(time.Minute)
+		w.messages, w.states = 0, 0
+		w.run(time.Minute)
+		return float64(w.messages) / float64(n) / 60, float64(w.states) / float64(n) / 60
+	}
+	m9, s9 := per(9)
+	m100, s100 := per(100)
+	require.InEpsilon(t, m9, m100, 0.15)
+	require.InEpsilon(t, s9, s100, 0.25)
+	o := Defaults()
+	bound := 4 * float64(time.Second/o.Period)
+	require.LessOrEqual(t, m100, bound)
+	require.LessOrEqual(t, s100, bound*float64(o.Updates))
+}
+
+// Whatever links break for a while, afterwards each live daemon knows exactly
+// the live ones.
+func TestAnyFaultHeals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 7).Draw(t, "daemons")
+		w := newWire()
+		for i := range n {
+			w.start(fmt.Sprintf("d%d", i), uint64(i+1), "d0", "d1")
+		}
+		w.run(w.opt.SpreadBound(n))
+		for range rapid.IntRange(1, 4).Draw(t, "faults") {
+			victim := rapid.SampledFrom(w.names).Draw(t, "victim")
+			other := rapid.SampledFrom(w.names).Draw(t, "other")
+			switch rapid.SampledFrom([]string{"cut", "one way", "restart", "die"}).Draw(t, "fault") {
+			case "cut":
+				w.cut = func(from, to string) bool { return (from == victim) != (to == victim) }
+			case "one way":
+				w.cut = func(from, to string) bool { return from == victim && to == other }
+			case "restart":
+				w.start(victim, uint64(w.now), "d0", "d1")
+			case "die":
+				if victim != "d0" {
+					w.machines[victim] = nil
+				}
+			}
+			w.run(time.Duration(rapid.IntRange(1, 100).Draw(t, "steps")) * step)
+		}
+		w.cut = func(string, string) bool { return false }
+		w.run(time.Duration(n)*w.opt.Rejoin + w.opt.SpreadBound(n))
+		want := []string{}
+		for _, name := range w.names {
+			if w.machines[name] != nil {
+				want = append(want, name)
+			}
+		}
+		for _, name := range want {
+			require.ElementsMatch(t, want, append(w.live(name), name), "at %s", name)
+		}
+	})
+}
