Carry beats, leaving and joins between daemons

Cause: the membership machine orders a daemon's news within one incarnation, announces a drain, and lets a joiner read the list in pages.

--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -142,8 +142,11 @@
 	// Upstreams is where upstreams announce themselves.
 	Upstreams string
 	Version   uint64
-	Load      float64
-	Replica   bool
+	// Load is the part of its capacity that the daemon uses, 1 for all.
+	Load    float64
+	Replica bool
+	// Leaving says that the daemon drains: it serves, but takes no new callers.
+	Leaving bool
 }
 
 // Members knows the live daemons, this one included.
@@ -153,6 +156,18 @@
 	Find(name string) (Member, bool)
 }
 
+// Loader is a service that knows how much of the daemon's capacity is used.
+type Loader interface {
+	// Load is 1 where all of it is.
+	Load() float64
+}
+
+// Leaver announces a graceful shutdown to the other daemons.
+type Leaver interface {
+	// Announce tells the others that this daemon takes no new callers.
+	Announce()
+}
+
 // Directory says which entries callers may use.
 type Directory interface {
 	// Answer returns callers' addresses, the best first, for a caller near a
