Answer the directory by place and load, and drain before stopping

Cause: callers got all live daemons in order of name, and a stopping daemon closed its listener while callers still held its address. Ruled out: power of two choices on load reports, which come late; a draw by spare capacity needs no fresh ones. Change: the membership service carries core/member over drpc; port.Directory orders live entries by data centre, region and spare capacity; the kernel drains services before it stops any; a daemon leaves the directory first and serves for the answers' lifetime and the time the news takes. After: go test ./internal/kernel ./internal/directory ./internal/member.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,11 +3,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/verbenastep/verbenastep/core/promise"
 	"github.com/verbenastep/verbenastep/internal/admin"
+	"github.com/verbenastep/verbenastep/internal/directory"
 	"github.com/verbenastep/verbenastep/internal/dispatch"
 	"github.com/verbenastep/verbenastep/internal/entry"
 	"github.com/verbenastep/verbenastep/internal/eventlog"
@@ -28,6 +31,7 @@
 type Daemon struct {
 	kernel *kernel.Kernel
 	link   *link.Service
+	events *eventlog.Service
 	log    *zap.Logger
 }
 
@@ -35,19 +39,20 @@
 func New(set *settings.Settings, log *zap.Logger) (*Daemon, error) {
 	log = log.With(zap.String("daemon", set.Name))
 	self := port.Holder{Name: set.Name, Incarnation: uint64(time.Now().UnixNano()), Address: set.Addresses.Peers}
-	d := &Daemon{kernel: kernel.New(), link: link.New(set, log), log: log}
+	d := &Daemon{kernel: kernel.New(), link: link.New(set, log), events: eventlog.New(self), log: log}
 	services := []kernel.Service{
 		d.link,
 		logclient.New(set, log),
 		view.New(set, log),
 		member.New(set, log, self),
+		directory.New(set, log),
 		registry.New(set, log),
 		dispatch.New(set, log, self),
 		schedclient.New(set, log, self),
 		entry.New(set, log, self),
 		admin.New(set, log),
 		metrics.New(),
-		eventlog.New(self),
+		d.events,
 	}
 	if set.HasRole(settings.Replica) {
 		services = append(services, replica.New(set, log))
@@ -66,16 +71,32 @@
 		return err
 	}
 	d.link.Serve()
+	d.events.Record(promise.Event{Kind: promise.Started})
 	d.log.Info("daemon started")
 	return nil
 }
 
-// Stop drains and stops all services; the context bounds the wait.
+// Stop drains, then stops all services. The context bounds the wait; once it
+// ends, requests in flight are cut.
 func (d *Daemon) Stop(ctx context.Context) error {
-	err := d.kernel.Stop(ctx)
+	d.events.Record(promise.Event{Kind: promise.Drain})
+	drained := d.kernel.Drain(ctx)
+	stopped := d.kernel.Stop(ctx)
+	d.events.Record(promise.Event{Kind: promise.Stopped})
 	d.log.Info("daemon stopped")
-	return err
+	return errors.Join(drained, stopped)
 }
 
+// Kill stops all services without draining, as a crash would, for tests.
+func (d *Daemon) Kill() {
+	d.events.Record(promise.Event{Kind: promise.Crashed})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = d.kernel.Stop(ctx)
+}
+
+// Observe passes the daemon's events on; fn must not block.
+func (d *Daemon) Observe(fn func(promise.Event)) { d.events.Observe(fn) }
+
 // Kernel gives access to the services, for tests and dumps.
 func (d *Daemon) Kernel() *kernel.Kernel { return d.kernel }
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,80 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+)
+
+func fleet() []port.Member {
+	return []port.Member{
+		{Callers: "far", DataCentre: "c", Region: "s", Load: 0},
+		{Callers: "near", DataCentre: "b", Region: "r", Load: 0},
+		{Callers: "busy", DataCentre: "a", Region: "r", Load: 0.9},
+		{Callers: "idle", DataCentre: "a", Region: "r", Load: 0.1},
+		{Callers: "leaving", DataCentre: "a", Region: "r", Leaving: true},
+	}
+}
+
+func TestNearestFirstWithoutThoseThatDrain(t *testing.T) {
+	got := choose(fleet(), "a", rand.New(rand.NewPCG(1, 1)).Float64)
+	require.ElementsMatch(t, []string{"busy", "idle"}, got[:2])
+	require.Equal(t, []string{"near", "far"}, got[2:])
+}
+
+func TestCallersSpreadBySpareCapacity(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	first := map[string]int{}
+	for range 10_000 {
+		first[choose(fleet(), "a", rng.Float64)[0]]++
+	}
+	require.InDelta(t, 9000, first["idle"], 300)
+	require.InDelta(t, 1000, first["busy"], 300)
+}
+
+func TestAnswerIsBounded(t *testing.T) {
+	live := []port.Member{}
+	for range 700 {
+		live = append(live, port.Member{Callers: "x", DataCentre: "a"})
+	}
+	require.Len(t, choose(live, "a", rand.New(rand.NewPCG(1, 1)).Float64), maxAddresses)
+}
+
+// fakeMembers marks itself as leaving once announced.
+type fakeMembers struct {
+	leaving bool
+}
+
+func (f *fakeMembers) Announce() { f.leaving = true }
+
+func (f *fakeMembers) Live() []port.Member {
+	return []port.Member{{Callers: "self", DataCentre: "a", Leaving: f.leaving}, {Callers: "other", DataCentre: "b"}}
+}
+
+func (f *fakeMembers) Find(string) (port.Member, bool) { return port.Member{}, false }
+
+func TestDrainWaitsOutTheAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(&settings.Settings{DataCentre: "a"}, zap.NewNop())
+		s.members = &fakeMembers{}
+		addresses, lifetime := s.Answer("")
+		require.Equal(t, []string{"self", "other"}, addresses)
+		began := time.Now()
+		require.NoError(t, s.Drain(t.Context()))
+		require.Greater(t, time.Since(began), lifetime)
+		addresses, _ = s.Answer("")
+		require.Equal(t, []string{"other"}, addresses)
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.ErrorIs(t, s.Drain(ctx), context.DeadlineExceeded)
+	})
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -31,6 +31,14 @@
 	Dump() any
 }
 
+// Drainer is a service that ends its part of the work in an orderly way before
+// any service stops.
+type Drainer interface {
+	// Drain returns once the service may stop, or the context ends. All services
+	// run meanwhile.
+	Drain(ctx context.Context) error
+}
+
 // Kernel holds the services of one daemon.
 type Kernel struct {
 	mu       sync.Mutex
@@ -54,6 +62,7 @@
 	WrongType   Kind = "wrong service type"
 	StartFailed Kind = "service failed to start"
 	StopFailed  Kind = "service failed to stop"
+	DrainFailed Kind = "service failed to drain"
 )
 
 // Error is a failure to assemble, start or stop services.
@@ -193,6 +202,23 @@
 	return nil
 }
 
+// Drain drains the services that can, one after the other in the order in which
+// they will stop, and returns the first error; it tries all of them.
+func (k *Kernel) Drain(ctx context.Context) error {
+	started := k.running()
+	first := error(nil)
+	for i := len(started) - 1; i >= 0; i-- {
+		d, ok := started[i].(Drainer)
+		if !ok {
+			continue
+		}
+		if err := d.Drain(ctx); err != nil && first == nil {
+			first = &Error{Kind: DrainFailed, Service: started[i].Name(), Detail: "drain returned an error", Remedy: "see the log; work in flight may have been cut", Cause: err}
+		}
+	}
+	return first
+}
+
 // Stop stops the started services in reverse order and returns the first
 // error; it stops all of them whatever happens.
 func (k *Kernel) Stop(ctx context.Context) error {
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -85,3 +85,29 @@
 	require.ErrorAs(t, err, &typed)
 	require.Equal(t, WrongType, typed.Kind)
 }
+
+// drainer is a fake that also drains.
+type drainer struct {
+	fake
+}
+
+func (d *drainer) Drain(context.Context) error {
+	*d.trace = append(*d.trace, "~"+d.name)
+	return d.fail
+}
+
+func TestDrainsInStoppingOrderBeforeAnyStop(t *testing.T) {
+	trace := []string{}
+	k := assemble(t, &trace, &fake{name: "a"})
+	failing := &drainer{fake{name: "b", needs: []string{"a"}, trace: &trace}}
+	last := &drainer{fake{name: "c", needs: []string{"b"}, trace: &trace}}
+	require.NoError(t, k.Register(failing))
+	require.NoError(t, k.Register(last))
+	require.NoError(t, k.Start(t.Context()))
+	failing.fail = errors.New("in use")
+	typed := (*Error)(nil)
+	require.ErrorAs(t, k.Drain(t.Context()), &typed)
+	require.Equal(t, DrainFailed, typed.Kind)
+	require.NoError(t, k.Stop(t.Context()))
+	require.Equal(t, []string{"+a", "+b", "+c", "~c", "~b", "-c", "-b", "-a"}, trace)
+}
--- /dev/null
+++ b/internal/member/codec.go
@@ -0,0 +1,70 @@
+package member
+
+import (
+	"time"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/member"
+	"github.com/verbenastep/verbenastep/internal/port"
+)
+
+// loadUnits are the parts of a daemon's capacity in which load travels.
+const loadUnits = 1000
+
+func encodeRequest(self string, r member.Request) *rpc.ProbeRequest {
+	return &rpc.ProbeRequest{From: self, Target: r.Target, Join: r.Join, After: r.After, Updates: encodeStates(r.Updates)}
+}
+
+func decodeRequest(r *rpc.ProbeRequest) member.Request {
+	return member.Request{Target: r.Target, Join: r.Join, After: r.After, Updates: decodeStates(r.Updates)}
+}
+
+func encodeReply(r member.Reply) *rpc.ProbeReply {
+	return &rpc.ProbeReply{Alive: r.Alive, Next: r.Next, Updates: encodeStates(r.Updates)}
+}
+
+func decodeReply(r *rpc.ProbeReply) member.Reply {
+	return member.Reply{Alive: r.Alive, Next: r.Next, Updates: decodeStates(r.Updates)}
+}
+
+func encodeStates(states []member.State) []*rpc.MemberState {
+	out := make([]*rpc.MemberState, 0, len(states))
+	for _, s := range states {
+		i := s.Info
+		out = append(out, &rpc.MemberState{
+			Name: s.Name, Incarnation: s.Incarnation, Beat: s.Beat, Status: uint32(s.Status),
+			Region: i.Region, DataCentre: i.DataCentre, PeerAddress: i.Peers, CallerAddress: i.Callers, UpstreamAddress: i.Upstreams,
+			ConfigVersion: i.Version, LoadPermille: i.Load, Replica: i.Replica, Leaving: i.Leaving,
+		})
+	}
+	return out
+}
+
+// decodeStates drops states that no daemon of this version sends.
+func decodeStates(states []*rpc.MemberState) []member.State {
+	out := make([]member.State, 0, len(states))
+	for _, s := range states {
+		if s.Name == "" || s.Status > uint32(member.Left) {
+			continue
+		}
+		out = append(out, member.State{
+			Name: s.Name, Incarnation: s.Incarnation, Beat: s.Beat, Status: member.Status(s.Status),
+			Info: member.Info{
+				Region: s.Region, DataCentre: s.DataCentre, Peers: s.PeerAddress, Callers: s.CallerAddress, Upstreams: s.UpstreamAddress,
+				Version: s.ConfigVersion, Load: s.LoadPermille, Replica: s.Replica, Leaving: s.Leaving,
+			},
+		})
+	}
+	return out
+}
+
+// elapsed is the machine's clock, which no step of the wall clock moves.
+func elapsed(began time.Time) time.Duration { return time.Since(began) }
+
+func publish(s member.State) port.Member {
+	i := s.Info
+	return port.Member{
+		Name: s.Name, Region: i.Region, DataCentre: i.DataCentre, Peers: i.Peers, Callers: i.Callers, Upstreams: i.Upstreams,
+		Version: i.Version, Load: float64(i.Load) / loadUnits, Replica: i.Replica, Leaving: i.Leaving,
+	}
+}
