Ask the directory service from the entry

Cause: the entry listed all members by name itself. Change: its one handler asks port.Directory; data_centre in the query says where the caller is.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,8 +29,6 @@
 	idleTimeout = 2 * time.Minute
 	// expireEvery is how often old answers are forgotten.
 	expireEvery = 10 * time.Second
-	// directoryLife is how long a directory answer may be kept.
-	directoryLife = 5 * time.Second
 )
 
 // Service is the "entry.http" service.
@@ -41,7 +39,7 @@
 	view    port.View
 	sched   port.Scheduler
 	logs    port.Log
-	members port.Members
+	entries port.Directory
 	answers *answer.Store
 	server  *http.Server
 	ctx     context.Context
@@ -60,7 +58,7 @@
 
 // Needs returns what a request passes through.
 func (s *Service) Needs() []string {
-	return []string{port.NameView, port.NameScheduler, port.NameLog, port.NameMembers}
+	return []string{port.NameView, port.NameScheduler, port.NameLog, port.NameDirectory}
 }
 
 // Start listens for callers.
@@ -75,7 +73,7 @@
 	if s.logs, err = kernel.Find[port.Log](k, port.NameLog); err != nil {
 		return err
 	}
-	if s.members, err = kernel.Find[port.Members](k, port.NameMembers); err != nil {
+	if s.entries, err = kernel.Find[port.Directory](k, port.NameDirectory); err != nil {
 		return err
 	}
 	ln, err := net.Listen("tcp", s.set.Addresses.Callers)
@@ -157,11 +155,8 @@
 }
 
 func (s *Service) directory(c echo.Context) error {
-	d := Directory{Addresses: []string{}, Seconds: int(directoryLife.Seconds())}
-	for _, m := range s.members.Live() {
-		d.Addresses = append(d.Addresses, m.Callers)
-	}
-	return c.JSON(http.StatusOK, d)
+	addresses, life := s.entries.Answer(c.QueryParam("data_centre"))
+	return c.JSON(http.StatusOK, Directory{Addresses: addresses, Seconds: int(life.Seconds())})
 }
 
 // Stop refuses new requests and waits for those in flight.
