--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -90,6 +90,18 @@
 	m.self.Status = Left
 }
 
+// Farewell returns the last requests of a daemon that left; their replies
+// don't matter.
+func (m *Machine) Farewell() []Request {
+	out := []Request{}
+	for range m.opt.Relays {
+		if n, ok := m.random(); ok {
+			out = append(out, m.direct(n))
+		}
+	}
+	return out
+}
+
 // raise takes an incarnation above one.
 func (m *Machine) raise(above uint64) {
 	m.self.Incarnation = max(m.self.Incarnation, above) + 1
