Add faults, orders and KV moves to stand-ins and the engine client

Cause: no upstream could be made to misbehave, and silent ones were found by nothing where no header came. Change: stand-ins cut, cross, double, delay, truncate, silence and refuse; heartbeats by empty lines; orders with a fence; export and import; cache events from a bounded cache. The engine client bounds the wait for a header, knows whether a byte left, and refuses replies without an explicit end.

--- a/api/upstream/upstream.go
+++ b/api/upstream/upstream.go
@@ -2,6 +2,8 @@
 // over HTTP, documented in docs/UPSTREAMS.md.
 package upstream
 
+import "encoding/json"
+
 // Paths on a daemon's upstreams' address.
 const (
 	// PathAnnounce takes an Announcement and answers with a Renewal.
@@ -15,8 +17,17 @@
 	PathStreams = "/engine/v1/streams"
 	// PathOrders takes an Order by POST.
 	PathOrders = "/engine/v1/orders"
+	// SuffixExport below a stream's path hands out its KV cache by POST, as an
+	// Export; the stream ends there.
+	SuffixExport = "/export"
+	// PathImports takes an Export by POST and goes on with its stream.
+	PathImports = "/engine/v1/imports"
 )
 
+// HeartbeatMS is the longest pause between two lines of a stream, in
+// milliseconds: an engine that has no frame sends an empty line.
+const HeartbeatMS = 500
+
 // HeaderRequest carries the request's stream identifier to plain services.
 const HeaderRequest = "Verbenastep-Request"
 
@@ -85,7 +96,7 @@
 	// Blocks are the hashes of the prompt's leading blocks.
 	Blocks []uint64 `json:"blocks,omitempty"`
 	// Options are the caller's sampling options, passed on as they came.
-	Options map[string]any `json:"options,omitempty"`
+	Options map[string]json.RawMessage `json:"options,omitempty"`
 }
 
 // Frame is one line of a stream.
@@ -106,11 +117,47 @@
 	Error string `json:"error,omitempty"`
 }
 
+// Action is what an order asks for.
+type Action string
+
+// Actions.
+const (
+	// Load loads a model, adapter or version; Unload drops it.
+	Load   Action = "load"
+	Unload Action = "unload"
+	// Role changes what the runner does, for instance prefill or decode only.
+	Role Action = "role"
+)
+
 // Order asks a runner to load or unload something or to change role.
 type Order struct {
 	// Fence is the epoch of who gives the order; a runner that checks it
-	// refuses one below the highest it has seen.
+	// refuses one below the highest it has seen, with status 409.
 	Fence  uint64 `json:"fence"`
-	Action string `json:"action"`
-	Target string `json:"target"`
+	Action Action `json:"action"`
+	// Target is a model, an adapter or a role; Version is a model's.
+	Target  string `json:"target"`
+	Version string `json:"version,omitempty"`
+}
+
+// OrderReply answers an order.
+type OrderReply struct {
+	// Fence is the highest that the runner has seen; zero where it ignores it.
+	Fence uint64 `json:"fence"`
+	// Done says that the order is carried out; otherwise it is under way, and
+	// the same order sent again asks for its progress.
+	Done bool `json:"done"`
+}
+
+// Export is a stream with its KV cache, to be imported by another runner.
+type Export struct {
+	Start Start `json:"start"`
+	// Offset is the position in the answer, in bytes, at which it goes on, and
+	// Tokens how many output tokens lie before it.
+	Offset int64 `json:"offset"`
+	Tokens int   `json:"tokens"`
+	// PromptTokens were processed already.
+	PromptTokens int `json:"prompt_tokens"`
+	// KV is the cache, opaque to daemons.
+	KV []byte `json:"kv"`
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -26,30 +27,49 @@
 	dialTimeout = time.Second
 	// maxFrame is the longest line of a stream, in bytes.
 	maxFrame = 1 << 20
+	// keepAlive is the pause between TCP probes on an idle connection.
+	keepAlive = 5 * time.Second
 )
 
 // Conn is a connection to an upstream for one request.
 type Conn struct {
 	address string
-	raw     net.Conn
+	raw     *countedConn
 	client  *http.Client
 }
 
+// countedConn counts what was written, so that "nothing was sent" is certain.
+type countedConn struct {
+	net.Conn
+	sent atomic.Int64
+}
+
+// Write counts before it writes: a failed write may have sent something.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.sent.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// Sent tells whether any byte may have left for the upstream.
+func (c *Conn) Sent() bool { return c.raw.sent.Load() > 0 }
+
 // Dial connects to an upstream.
 func Dial(ctx context.Context, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := net.Dialer{}
-	raw, err := d.DialContext(ctx, "tcp", address)
+	d := net.Dialer{KeepAlive: keepAlive}
+	dialed, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	raw := &countedConn{Conn: dialed}
 	c := &Conn{address: address, raw: raw}
 	used := atomic.Bool{}
 	c.client = &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
-			DisableKeepAlives: true,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
 			DialContext: func(context.Context, string, string) (net.Conn, error) {
 				if used.Swap(true) {
 					return nil, fmt.Errorf("connection to %s is used up", address)
@@ -84,8 +104,8 @@
 	lines *bufio.Scanner
 }
 
-// Start begins a stream.
-func (c *Conn) Start(ctx context.Context, s upstream.Start) (*Stream, error) {
+// Start begins a stream. It fails where no header comes within the silence.
+func (c *Conn) Start(ctx context.Context, s upstream.Start, silence time.Duration) (*Stream, error) {
 	body, err := json.Marshal(s)
 	if err != nil {
 		return nil, err
@@ -95,20 +115,22 @@
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
-	return c.open(req)
+	return c.open(req, silence)
 }
 
 // Resume reads a stream from an offset, in bytes.
-func (c *Conn) Resume(ctx context.Context, stream string, offset int64) (*Stream, error) {
+func (c *Conn) Resume(ctx context.Context, stream string, offset int64, silence time.Duration) (*Stream, error) {
 	url := "http://" + c.address + upstream.PathStreams + "/" + stream + "?offset=" + strconv.FormatInt(offset, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
-	return c.open(req)
+	return c.open(req, silence)
 }
 
-func (c *Conn) open(req *http.Request) (*Stream, error) {
+func (c *Conn) open(req *http.Request, silence time.Duration) (*Stream, error) {
+	_ = c.raw.SetDeadline(time.Now().Add(silence))
+	defer func() { _ = c.raw.SetWriteDeadline(time.Time{}) }()
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return nil, err
@@ -123,20 +145,25 @@
 	return &Stream{conn: c, body: resp.Body, lines: lines}, nil
 }
 
-// Next returns the next frame. It fails with os.ErrDeadlineExceeded where the
-// stream carries nothing for the given time, and with io.ErrUnexpectedEOF where
-// it ends without a last frame.
+// Next returns the next frame; empty lines between are heartbeats. It fails
+// with os.ErrDeadlineExceeded where the stream carries nothing for the given
+// time, and with io.ErrUnexpectedEOF where it ends without a last frame.
 func (s *Stream) Next(silence time.Duration) (upstream.Frame, error) {
-	_ = s.conn.raw.SetReadDeadline(time.Now().Add(silence))
-	if !s.lines.Scan() {
-		if err := s.lines.Err(); err != nil {
-			return upstream.Frame{}, err
+	for {
+		_ = s.conn.raw.SetReadDeadline(time.Now().Add(silence))
+		if !s.lines.Scan() {
+			if err := s.lines.Err(); err != nil {
+				return upstream.Frame{}, err
+			}
+			return upstream.Frame{}, io.ErrUnexpectedEOF
+		}
+		if len(bytes.TrimSpace(s.lines.Bytes())) == 0 {
+			continue
 		}
-		return upstream.Frame{}, io.ErrUnexpectedEOF
+		f := upstream.Frame{}
+		err := json.Unmarshal(s.lines.Bytes(), &f)
+		return f, err
 	}
-	f := upstream.Frame{}
-	err := json.Unmarshal(s.lines.Bytes(), &f)
-	return f, err
 }
 
 // Close ends the stream's connection.
@@ -175,6 +202,9 @@
 	Body        []byte
 }
 
+// errNoEnd says that a cut reply could not be told from a whole one.
+var errNoEnd = errors.New("the reply has neither a length nor chunks; let the service send either")
+
 // Do makes the call and reads the whole reply, of limit bytes at most.
 func (c *Conn) Do(ctx context.Context, call Call, limit int64) (Reply, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.address+call.Path, bytes.NewReader(call.Body))
@@ -189,6 +219,9 @@
 		return Reply{}, err
 	}
 	defer resp.Body.Close()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return Reply{}, errNoEnd
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return Reply{}, err
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/verbenastep/verbenastep/api/upstream"
@@ -13,6 +14,9 @@
 // announceTimeout bounds one announcement.
 const announceTimeout = time.Second
 
+// announcePause is the wait before the next daemon is tried.
+const announcePause = 100 * time.Millisecond
+
 // Announcer keeps an upstream announced to one of several daemons.
 type Announcer struct {
 	// Daemons are upstreams' addresses of daemons.
@@ -24,15 +28,21 @@
 }
 
 // Run announces until the context ends, moving on to the next daemon whenever
-// one doesn't answer.
+// one doesn't answer. It learns further daemons from each renewal.
 func (a *Announcer) Run(ctx context.Context) {
+	known := slices.Clone(a.Daemons)
 	i := 0
 	for ctx.Err() == nil {
-		renewal, err := a.Announce(ctx, a.Daemons[i%len(a.Daemons)])
+		renewal, err := a.Announce(ctx, known[i%len(known)])
 		pause := time.Duration(renewal.RenewMS) * time.Millisecond
 		if err != nil {
 			i++
-			pause = 100 * time.Millisecond
+			pause = announcePause
+		}
+		for _, d := range renewal.Addresses {
+			if !slices.Contains(known, d) {
+				known = append(known, d)
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -27,6 +27,8 @@
 
 // run is one stream, kept after its end so that it can be resumed.
 type run struct {
+	start   upstream.Start
+	tokens  int
 	frames  []upstream.Frame
 	length  int64
 	ended   bool
@@ -40,11 +42,17 @@
 	Self  upstream.Announcement
 	Speed Speed
 
-	mu     sync.Mutex
-	runs   map[string]*run
-	cached map[uint64]bool
-	// Executions counts how often each stream was started.
+	mu    sync.Mutex
+	runs  map[string]*run
+	cache cache
+	plan  Plan
+	// suffered counts the connections that met the plan's fault.
+	suffered int
+	// executions counts how often each stream was started.
 	executions map[string]int
+	canceled   map[string]bool
+	fence      uint64
+	loaded     map[string]string
 	server     *http.Server
 	slots      chan struct{}
 }
@@ -52,8 +60,9 @@
 // NewRunner returns a runner that does not listen yet.
 func NewRunner(self upstream.Announcement, speed Speed) *Runner {
 	return &Runner{
-		Self: self, Speed: speed, runs: map[string]*run{}, cached: map[uint64]bool{},
-		executions: map[string]int{}, slots: make(chan struct{}, self.Slots),
+		Self: self, Speed: speed, runs: map[string]*run{}, cache: newCache(defaultCacheBlocks),
+		executions: map[string]int{}, canceled: map[string]bool{}, loaded: map[string]string{},
+		slots: make(chan struct{}, self.Slots),
 	}
 }
 
@@ -69,11 +78,25 @@
 	mux.HandleFunc("POST "+upstream.PathStreams, r.start)
 	mux.HandleFunc("GET "+upstream.PathStreams+"/{stream}", r.resume)
 	mux.HandleFunc("DELETE "+upstream.PathStreams+"/{stream}", r.cancel)
+	mux.HandleFunc("POST "+upstream.PathStreams+"/{stream}"+upstream.SuffixExport, r.export)
+	mux.HandleFunc("POST "+upstream.PathImports, r.importStream)
+	mux.HandleFunc("POST "+upstream.PathOrders, r.order)
 	r.server = &http.Server{Handler: mux}
 	go func() { _ = r.server.Serve(ln) }()
 	return nil
 }
 
+// Announcement is what to announce now: Self with the load and the cache
+// events since the last call.
+func (r *Runner) Announcement() upstream.Announcement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.Self
+	a.Running = len(r.slots)
+	a.Events = r.cache.take()
+	return a
+}
+
 // Close ends the runner as a crash would.
 func (r *Runner) Close() {
 	_ = r.server.Close()
@@ -84,6 +107,13 @@
 	}
 }
 
+// Canceled tells whether a stream was canceled.
+func (r *Runner) Canceled(stream string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.canceled[stream]
+}
+
 // Executions returns how often each stream was started.
 func (r *Runner) Executions() map[string]int {
 	r.mu.Lock()
@@ -101,7 +131,17 @@
 		http.Error(w, "malformed start", http.StatusBadRequest)
 		return
 	}
-	x, fresh := r.begin(s)
+	plan := r.currentPlan()
+	if plan.Fault == Refuse {
+		http.Error(w, "no room", http.StatusTooManyRequests)
+		return
+	}
+	if plan.CrashOn != "" && strings.Contains(s.Prompt, plan.CrashOn) {
+		r.note(s.Stream)
+		go r.Close()
+		return
+	}
+	x, fresh := r.begin(s, 0, 0, 0)
 	if !fresh {
 		http.Error(w, "stream exists", http.StatusConflict)
 		return
@@ -109,50 +149,65 @@
 	r.follow(w, req, x, 0)
 }
 
-func (r *Runner) begin(s upstream.Start) (*run, bool) {
+// note counts an execution.
+func (r *Runner) note(stream string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.executions[stream]++
+}
+
+// begin starts a run, or goes on with an imported one at an offset, with some
+// tokens generated and some of the prompt processed.
+func (r *Runner) begin(s upstream.Start, offset int64, tokens, processed int) (*run, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if x, ok := r.runs[s.Stream]; ok {
 		return x, false
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	x := &run{changed: make(chan struct{}), cancel: cancel}
+	x := &run{start: s, length: offset, tokens: tokens, changed: make(chan struct{}), cancel: cancel}
 	r.runs[s.Stream] = x
-	r.executions[s.Stream]++
-	go r.generate(ctx, s, x)
+	if processed == 0 {
+		r.executions[s.Stream]++
+	}
+	go r.generate(ctx, x, processed)
 	return x, true
 }
 
 // generate emulates prefill, then one word a token.
-func (r *Runner) generate(ctx context.Context, s upstream.Start, x *run) {
+func (r *Runner) generate(ctx context.Context, x *run, processed int) {
 	select {
 	case r.slots <- struct{}{}:
 	case <-ctx.Done():
+		r.push(x, upstream.Frame{Stream: x.start.Stream, Error: "canceled"}, 0)
 		return
 	}
 	defer func() { <-r.slots }()
-	prompt := len(s.Prompt)/4 + 1
-	cached := r.cachedTokens(s, prompt)
-	if !wait(ctx, float64(prompt-cached)/r.Speed.PrefillPerSecond) {
-		return
-	}
-	tokens := outputTokens(s)
-	for i := range tokens {
-		if !wait(ctx, 1/r.Speed.DecodePerSecond) {
-			return
+	prompt := len(x.start.Prompt)/4 + 1
+	cached := max(processed, r.cachedTokens(x.start, prompt))
+	done := wait(ctx, float64(max(0, prompt-cached))/r.Speed.PrefillPerSecond)
+	tokens := outputTokens(x.start)
+	first := x.tokens
+	for i := first; i < tokens && done; i++ {
+		if done = wait(ctx, 1/r.Speed.DecodePerSecond); !done {
+			break
 		}
-		f := upstream.Frame{Stream: s.Stream, Text: fmt.Sprintf("w%d ", i), Tokens: 1}
-		if i == 0 {
+		f := upstream.Frame{Stream: x.start.Stream, Text: fmt.Sprintf("w%d ", i), Tokens: 1}
+		if i == first {
 			f.PromptTokens = prompt
 			f.CachedTokens = cached
 		}
-		r.push(x, f)
+		r.push(x, f, 1)
+	}
+	if !done {
+		r.push(x, upstream.Frame{Stream: x.start.Stream, Error: "canceled"}, 0)
+		return
 	}
 	finish := "stop"
-	if tokens == s.MaxTokens {
+	if tokens == x.start.MaxTokens {
 		finish = "length"
 	}
-	r.push(x, upstream.Frame{Stream: s.Stream, End: true, Finish: finish, PromptTokens: prompt, CachedTokens: cached})
+	r.push(x, upstream.Frame{Stream: x.start.Stream, End: true, Finish: finish, PromptTokens: prompt, CachedTokens: cached}, 0)
 }
 
 // outputTokens takes the answer's length from a prompt that ends in "#N", and
@@ -178,29 +233,24 @@
 func (r *Runner) cachedTokens(s upstream.Start, prompt int) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	hit := 0
-	for _, b := range s.Blocks {
-		if !r.cached[b] {
-			break
-		}
-		hit++
-	}
-	for _, b := range s.Blocks {
-		r.cached[b] = true
-	}
+	hit := r.cache.use(s.Blocks)
 	if len(s.Blocks) == 0 {
 		return 0
 	}
 	return min(prompt-1, hit*prompt/len(s.Blocks))
 }
 
-func (r *Runner) push(x *run, f upstream.Frame) {
+func (r *Runner) push(x *run, f upstream.Frame, tokens int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if x.ended {
+		return
+	}
 	f.Offset = x.length
 	x.length += int64(len(f.Text))
+	x.tokens += tokens
 	x.frames = append(x.frames, f)
-	x.ended = f.End
+	x.ended = f.End || f.Error != ""
 	close(x.changed)
 	x.changed = make(chan struct{})
 }
@@ -217,12 +267,12 @@
 	r.follow(w, req, x, offset)
 }
 
-// follow writes the frames from an offset as they come.
+// follow writes the frames from an offset as they come, and empty lines while
+// there are none.
 func (r *Runner) follow(w http.ResponseWriter, req *http.Request, x *run, offset int64) {
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
-	ctl := http.NewResponseController(w)
-	enc := json.NewEncoder(w)
+	out := &line{w: w, ctl: http.NewResponseController(w), trouble: r.trouble(), request: req}
 	next := 0
 	for {
 		r.mu.Lock()
@@ -231,27 +281,43 @@
 		r.mu.Unlock()
 		next += len(frames)
 		for _, f := range frames {
-			if f.Offset >= offset || f.End {
-				if enc.Encode(f) != nil {
-					return
-				}
+			if f.Offset+int64(len(f.Text)) <= offset && !f.End && f.Error == "" {
+				continue
+			}
+			if !out.write(clip(f, offset)) {
+				return
 			}
 		}
-		_ = ctl.Flush()
 		if ended {
 			return
 		}
 		select {
 		case <-changed:
+		case <-time.After(upstream.HeartbeatMS * time.Millisecond):
+			if !out.heartbeat() {
+				return
+			}
 		case <-req.Context().Done():
 			return
 		}
 	}
 }
 
+// clip cuts what lies before an offset off a frame.
+func clip(f upstream.Frame, offset int64) upstream.Frame {
+	if f.Offset < offset && f.Offset+int64(len(f.Text)) >= offset {
+		f.Text = f.Text[offset-f.Offset:]
+		f.Offset = offset
+	}
+	return f
+}
+
 func (r *Runner) cancel(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
 	x, ok := r.runs[req.PathValue("stream")]
+	if ok {
+		r.canceled[req.PathValue("stream")] = true
+	}
 	r.mu.Unlock()
 	if ok {
 		x.cancel()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 
 	mu         sync.Mutex
 	executions map[string]int
+	fault      Fault
 	server     *http.Server
 }
 
@@ -54,6 +56,14 @@
 	return out
 }
 
+// SetFault makes later calls go wrong after they have executed: Silent never
+// answers, Truncated sends half an answer, Cut closes the connection.
+func (s *Service) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -61,8 +71,20 @@
 	}
 	s.mu.Lock()
 	s.executions[r.Header.Get(upstream.HeaderRequest)]++
+	fault := s.fault
 	s.mu.Unlock()
 	time.Sleep(s.Pause)
+	answer := fmt.Sprintf(`{"service":%q,"method":%q,"path":%q,"bytes":%d}`+"\n", s.Self.Pool, r.Method, r.URL.Path, len(body))
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, `{"service":%q,"method":%q,"path":%q,"bytes":%d}`+"\n", s.Self.Pool, r.Method, r.URL.Path, len(body))
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	switch fault {
+	case Silent:
+		<-r.Context().Done()
+		return
+	case Cut:
+		panic(http.ErrAbortHandler)
+	case Truncated:
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = io.WriteString(w, answer)
 }
