Carry out a request's decisions in the entry, and serve answers to others

Cause: an end at a wrong offset was taken for the end; a resend at another entry was told unknown while the owner still ran; a refusal could contradict another entry; silent starts hung; a failure stayed under its key. Change: the entry executes core/claims; entries serve their answers by Answers.Fetch; answers by key and offset at any entry; bounded store and connections; write deadlines; comment lines; events, metrics, explanations. Figures: go test -race -count=2 ./internal/entry passes, 12 s. Conclusion: eight spoiled streams end whole with one execution each.

--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -43,6 +43,8 @@
 	Key       string
 	// Keyed says that the key is the caller's own, so that it is claimed.
 	Keyed bool
+	// Join says that a claim is only followed: nothing is dispatched.
+	Join bool
 	// Plain says that a plain service is called, which can't be resumed.
 	Plain  bool
 	Digest string
@@ -124,8 +126,7 @@
 func (m *Machine) joining(e Event) []Effect {
 	switch e.Kind {
 	case NotFound:
-		m.state = Queued
-		return []Effect{{Kind: Acquire}}
+		return m.enqueue()
 	case Found:
 		return m.join(e.Claim)
 	case Failed, Canceled, Expired:
@@ -142,12 +143,19 @@
 		return m.fail(Failure{Code: KeyConflict, Ran: NotRun})
 	case c.NotRun:
 		m.attempt = max(c.Attempt, 1) + 1
-		m.state = Queued
-		return []Effect{{Kind: Acquire}}
+		return m.enqueue()
 	}
 	return m.follow(c)
 }
 
+func (m *Machine) enqueue() []Effect {
+	if m.request.Join {
+		return m.fail(Failure{Code: NoClaim, Ran: MayHaveRun})
+	}
+	m.state = Queued
+	return []Effect{{Kind: Acquire}}
+}
+
 // follow takes the answer of a dispatch that another machine made.
 func (m *Machine) follow(c state.Claim) []Effect {
 	m.claim = c
--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -76,7 +76,7 @@
 // TestEveryFaultAtEveryStep walks the machine with any event at any step.
 func TestEveryFaultAtEveryStep(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := Request{Workspace: "w", Key: "k", Digest: "d", Stream: "own", Entry: "self", Keyed: rapid.Bool().Draw(t, "keyed"), Plain: rapid.Bool().Draw(t, "plain")}
+		r := Request{Workspace: "w", Key: "k", Digest: "d", Stream: "own", Entry: "self", Keyed: rapid.Bool().Draw(t, "keyed"), Join: rapid.Bool().Draw(t, "join"), Plain: rapid.Bool().Draw(t, "plain")}
 		m := NewMachine(r)
 		seen := tally{}
 		require.Equal(t, 1, seen.effects(t, r.Keyed, m.Step(Event{Kind: Begin})))
--- a/core/claims/event.go
+++ b/core/claims/event.go
@@ -191,6 +191,8 @@
 	OutcomeUnknown Code = "outcome_unknown"
 	// OwnersFailure passes on the failure that the owner's answer ended in.
 	OwnersFailure Code = "owners_failure"
+	// NoClaim says that nothing stands under the key that was to be joined.
+	NoClaim Code = "no_claim"
 	// AnswerLost says that the request ran but its answer is held no more.
 	AnswerLost Code = "answer_lost"
 )
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -7,13 +7,24 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/verbenastep/verbenastep/api/fault"
 )
 
+const (
+	// MaxBytes is the largest answer.
+	MaxBytes = 8 << 20
+	// Window is how far, in bytes, an answer may grow ahead of its slowest
+	// reader before whoever fills it should wait.
+	Window = 1 << 20
+)
+
 // Meta describes an answer as a whole.
 type Meta struct {
 	Workspace string
@@ -24,6 +35,8 @@
 	Stream string
 	// Pool is the model or service.
 	Pool string
+	// Form is the shape in which callers receive the answer.
+	Form string
 }
 
 // Result is what stands at an answer's end.
@@ -33,29 +46,41 @@
 	ContentType  string
 	Finish       string
 	PromptTokens int
+	// CachedTokens of the prompt were not computed.
+	CachedTokens int
 	OutputTokens int
 }
 
 // Answer is one answer.
 type Answer struct {
-	Meta    Meta
 	Created time.Time
 
-	mu       sync.Mutex
-	data     []byte
-	ended    bool
-	endedAt  time.Time
-	result   Result
-	failure  *fault.Error
+	mu      sync.Mutex
+	meta    Meta
+	data    []byte
+	ended   bool
+	endedAt time.Time
+	result  Result
+	failure *fault.Error
+	started bool
+	// changed is closed at each growth, begun at the start, moved whenever a
+	// reader goes on, detached when the last reader goes away before the end.
 	changed  chan struct{}
-	started  bool
+	begun    chan struct{}
+	moved    chan struct{}
 	detached chan struct{}
-	readers  int
+	readers  map[*Reader]struct{}
+	// held counts the bytes of all answers of the store.
+	held      *atomic.Int64
+	delivered atomic.Bool
 }
 
 // New returns an empty answer.
 func New(m Meta) *Answer {
-	return &Answer{Meta: m, Created: time.Now(), changed: make(chan struct{}), detached: make(chan struct{})}
+	return &Answer{
+		meta: m, Created: time.Now(), changed: make(chan struct{}), begun: make(chan struct{}), moved: make(chan struct{}),
+		detached: make(chan struct{}), readers: map[*Reader]struct{}{}, held: &atomic.Int64{},
+	}
 }
 
 // OffsetError says that a piece does not continue the answer.
@@ -68,16 +93,25 @@
 	return fmt.Sprintf("a piece at offset %d does not continue %d bytes; resume at the latter", e.Got, e.Have)
 }
 
+// Meta describes the answer.
+func (a *Answer) Meta() Meta {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.meta
+}
+
 // Append adds a piece that starts at an offset. A piece that repeats bytes
-// already held, or leaves a gap, is refused.
+// already held, leaves a gap or exceeds MaxBytes is refused.
 func (a *Answer) Append(offset int64, piece []byte) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if offset != int64(len(a.data)) || a.ended {
-		return &OffsetError{Have: int64(len(a.data)), Got: offset}
+	have := int64(len(a.data))
+	if offset != have || a.ended || have+int64(len(piece)) > MaxBytes {
+		return &OffsetError{Have: have, Got: offset}
 	}
 	a.data = append(a.data, piece...)
-	a.started = true
+	a.held.Add(int64(len(piece)))
+	a.start()
 	a.signal()
 	return nil
 }
@@ -86,11 +120,22 @@
 func (a *Answer) Begin(stream string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.Meta.Stream = stream
-	a.started = true
+	a.meta.Stream = stream
+	a.start()
 	a.signal()
 }
 
+func (a *Answer) start() {
+	if !a.started {
+		a.started = true
+		close(a.begun)
+	}
+}
+
+// Begun returns a channel that is closed once the answer has a stream, bytes
+// or an end.
+func (a *Answer) Begun() <-chan struct{} { return a.begun }
+
 // End completes the answer.
 func (a *Answer) End(r Result) {
 	a.mu.Lock()
@@ -116,7 +161,7 @@
 func (a *Answer) finish() {
 	a.ended = true
 	a.endedAt = time.Now()
-	a.started = true
+	a.start()
 	a.signal()
 }
 
@@ -125,39 +170,6 @@
 	a.changed = make(chan struct{})
 }
 
-// Piece is what one Read returns.
-type Piece struct {
-	Data []byte
-	// Ended says that nothing follows Data.
-	Ended   bool
-	Result  Result
-	Failure *fault.Error
-}
-
-// Read waits for bytes beyond an offset, or for the end. It returns at once
-// where started is wanted and the answer has begun.
-func (a *Answer) Read(ctx context.Context, offset int64) (Piece, error) {
-	for {
-		a.mu.Lock()
-		if offset > int64(len(a.data)) {
-			have := int64(len(a.data))
-			a.mu.Unlock()
-			return Piece{}, &OffsetError{Have: have, Got: offset}
-		}
-		p := Piece{Data: a.data[offset:len(a.data):len(a.data)], Ended: a.ended, Result: a.result, Failure: a.failure}
-		changed := a.changed
-		a.mu.Unlock()
-		if len(p.Data) > 0 || p.Ended {
-			return p, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return Piece{}, ctx.Err()
-		}
-	}
-}
-
 // Length returns how many bytes are held.
 func (a *Answer) Length() int64 {
 	a.mu.Lock()
@@ -165,30 +177,31 @@
 	return int64(len(a.data))
 }
 
-// expired tells whether the answer may be forgotten.
-func (a *Answer) expired(before time.Time) bool {
+// Whole tells whether the answer has its explicit end.
+func (a *Answer) Whole() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.ended && a.endedAt.Before(before)
+	return a.ended && a.failure == nil
 }
 
-// Attach counts a reader; the returned function ends its reading.
-func (a *Answer) Attach() func() {
+// Delivered marks that a caller received the whole answer.
+func (a *Answer) Delivered() { a.delivered.Store(true) }
+
+// WasDelivered tells whether a caller received the whole answer.
+func (a *Answer) WasDelivered() bool { return a.delivered.Load() }
+
+// Result returns what stands at the end; it is zero before.
+func (a *Answer) Result() Result {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.readers++
-	once := sync.Once{}
-	return func() { once.Do(a.detach) }
+	return a.result
 }
 
-func (a *Answer) detach() {
+// endTime tells when the answer ended.
+func (a *Answer) endTime() (time.Time, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.readers--
-	if a.readers == 0 && !a.ended {
-		close(a.detached)
-		a.detached = make(chan struct{})
-	}
+	return a.endedAt, a.ended
 }
 
 // Detached returns a channel that is closed when the last reader goes away
@@ -199,67 +212,50 @@
 	return a.detached
 }
 
-// id tells answers of different workspaces apart.
-type id struct {
-	workspace string
-	key       string
-}
-
-// Store holds answers by workspace and key.
-type Store struct {
-	mu      sync.Mutex
-	answers map[id]*Answer
-}
-
-// NewStore returns an empty store.
-func NewStore() *Store {
-	return &Store{answers: map[id]*Answer{}}
-}
-
-// Put adds an answer, or returns the one that the key has already.
-func (s *Store) Put(a *Answer) (*Answer, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	k := id{a.Meta.Workspace, a.Meta.Key}
-	if old, ok := s.answers[k]; ok {
-		return old, false
+// WaitRoom waits until the slowest reader is less than Window behind, or there
+// is no reader, or the context ends.
+func (a *Answer) WaitRoom(ctx context.Context) {
+	for {
+		a.mu.Lock()
+		behind := a.lag() >= Window
+		moved := a.moved
+		a.mu.Unlock()
+		if !behind {
+			return
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return
+		}
 	}
-	s.answers[k] = a
-	return a, true
-}
-
-// Get finds an answer.
-func (s *Store) Get(workspace, key string) (*Answer, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	a, ok := s.answers[id{workspace, key}]
-	return a, ok
 }
 
-// Remove forgets an answer, so that a resend of its key starts afresh.
-func (s *Store) Remove(a *Answer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	k := id{a.Meta.Workspace, a.Meta.Key}
-	if s.answers[k] == a {
-		delete(s.answers, k)
+func (a *Answer) lag() int64 {
+	worst := int64(0)
+	for r := range a.readers {
+		worst = max(worst, int64(len(a.data))-r.offset)
 	}
+	return worst
 }
 
-// Expire forgets answers that ended before a time.
-func (s *Store) Expire(before time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for k, a := range s.answers {
-		if a.expired(before) {
-			delete(s.answers, k)
-		}
+// Describe fills in pool and form where they are not known yet.
+func (a *Answer) Describe(pool, form string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.meta.Pool == "" {
+		a.meta.Pool = pool
+	}
+	if a.meta.Form == "" {
+		a.meta.Form = form
 	}
 }
 
-// Len counts the answers.
-func (s *Store) Len() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.answers)
+// Sum returns the SHA-256 hash of the bytes held, in hex.
+func (a *Answer) Sum() string {
+	a.mu.Lock()
+	data := a.data
+	a.mu.Unlock()
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/internal/answer"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
@@ -42,17 +44,26 @@
 	sched   port.Scheduler
 	logs    port.Log
 	members port.Members
-	answers *answer.Store
-	server  *http.Server
-	ctx     context.Context
-	cancel  context.CancelFunc
+	link    port.Link
+	// directories may be nil: then all live daemons are named.
+	directories port.Directory
+	answers     *answer.Store
+	observer    *observer
+	conns       *connections
+	server      *http.Server
+	ln          net.Listener
+	ctx         context.Context
+	cancel      context.CancelFunc
 	// running counts requests from acceptance to the answer's end.
 	running sync.WaitGroup
 }
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger, self port.Holder) *Service {
-	return &Service{set: set, log: log.Named("entry"), self: self, answers: answer.NewStore()}
+	return &Service{
+		set: set, log: log.Named("entry"), self: self, answers: answer.NewStore(),
+		conns: newConnections(set.Limits.Connections),
+	}
 }
 
 // Name returns the service's name.
@@ -60,58 +71,103 @@
 
 // Needs returns what a request passes through.
 func (s *Service) Needs() []string {
-	return []string{port.NameView, port.NameScheduler, port.NameLog, port.NameMembers}
+	return []string{
+		port.NameView, port.NameScheduler, port.NameLog, port.NameMembers, port.NameLink, port.NameEvents, port.NameMetrics,
+	}
 }
 
 // Start listens for callers.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
-	err := error(nil)
-	if s.view, err = kernel.Find[port.View](k, port.NameView); err != nil {
+	if err := s.resolve(k); err != nil {
 		return err
 	}
-	if s.sched, err = kernel.Find[port.Scheduler](k, port.NameScheduler); err != nil {
-		return err
-	}
-	if s.logs, err = kernel.Find[port.Log](k, port.NameLog); err != nil {
-		return err
-	}
-	if s.members, err = kernel.Find[port.Members](k, port.NameMembers); err != nil {
+	if err := rpc.DRPCRegisterAnswers(s.link.Mux(), &answersServer{answers: s.answers}); err != nil {
 		return err
 	}
 	ln, err := net.Listen("tcp", s.set.Addresses.Callers)
 	if err != nil {
 		return err
 	}
+	s.ln = ln
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.server = &http.Server{
 		Handler:           s.routes(),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.set.Limits.HeaderBytes,
+		ConnState:         s.conns.changed,
 	}
 	go func() { _ = s.server.Serve(ln) }()
 	go s.expire()
 	return nil
 }
 
+// Address returns where callers are served; it is known once it is started.
+func (s *Service) Address() string { return s.ln.Addr().String() }
+
+// resolve finds the services that requests pass through.
+func (s *Service) resolve(k *kernel.Kernel) error {
+	events, err := kernel.Find[port.Events](k, port.NameEvents)
+	if err != nil {
+		return err
+	}
+	m, err := kernel.Find[port.Metrics](k, port.NameMetrics)
+	if err != nil {
+		return err
+	}
+	if s.view, err = kernel.Find[port.View](k, port.NameView); err != nil {
+		return err
+	}
+	if s.sched, err = kernel.Find[port.Scheduler](k, port.NameScheduler); err != nil {
+		return err
+	}
+	if s.logs, err = kernel.Find[port.Log](k, port.NameLog); err != nil {
+		return err
+	}
+	if s.members, err = kernel.Find[port.Members](k, port.NameMembers); err != nil {
+		return err
+	}
+	if s.link, err = kernel.Find[port.Link](k, port.NameLink); err != nil {
+		return err
+	}
+	if d, err := kernel.Find[port.Directory](k, port.NameDirectory); err == nil {
+		s.directories = d
+	}
+	s.observer = newObserver(events, m, s)
+	s.answers.Dropped = s.observer.dropped
+	return nil
+}
+
 func (s *Service) routes() http.Handler {
 	e := echo.New()
 	e.HTTPErrorHandler = s.failed
+	e.Use(freshDeadline)
 	e.POST("/v1/chat/completions", s.chat)
 	e.POST("/v1/completions", s.complete)
 	e.GET("/v1/models", s.models)
 	e.GET("/v1/answers/:key", s.pickUp)
+	e.GET("/v1/answers/:key/why", s.explain)
 	e.GET("/v1/directory", s.directory)
 	e.Any("/services/:service/*", s.call)
 	return e
 }
 
+// freshDeadline lifts the deadlines that an earlier request on the connection
+// left behind.
+func freshDeadline(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		_ = http.NewResponseController(c.Response()).SetWriteDeadline(time.Time{})
+		return next(c)
+	}
+}
+
 // failed writes any error in the published form.
 func (s *Service) failed(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
 	}
 	e := asFault(err)
+	_ = http.NewResponseController(c.Response()).SetWriteDeadline(time.Now().Add(writeTimeout))
 	if e.RetryAfterMS > 0 {
 		seconds := (e.RetryAfterMS + 999) / 1000
 		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
@@ -158,12 +214,28 @@
 
 func (s *Service) directory(c echo.Context) error {
 	d := Directory{Addresses: []string{}, Seconds: int(directoryLife.Seconds())}
+	if s.directories != nil {
+		addresses, life := s.directories.Answer(c.QueryParam("data_centre"))
+		d.Addresses = append(d.Addresses, addresses...)
+		d.Seconds = int(life.Seconds())
+		return c.JSON(http.StatusOK, d)
+	}
 	for _, m := range s.members.Live() {
 		d.Addresses = append(d.Addresses, m.Callers)
 	}
 	return c.JSON(http.StatusOK, d)
 }
 
+// Explain finds a request by its key, for operators.
+func (s *Service) Explain(key string) (json.RawMessage, bool) {
+	e, ok := s.observer.find("", key)
+	if !ok {
+		return nil, false
+	}
+	data, err := json.Marshal(e)
+	return data, err == nil
+}
+
 // Stop refuses new requests and waits for those in flight.
 func (s *Service) Stop(ctx context.Context) error {
 	err := s.server.Shutdown(ctx)
@@ -187,6 +259,8 @@
 // Dump counts the answers held.
 func (s *Service) Dump() any {
 	return struct {
-		Answers int `json:"answers"`
-	}{s.answers.Len()}
+		Answers     int   `json:"answers"`
+		Bytes       int64 `json:"answer_bytes"`
+		Connections int   `json:"connections"`
+	}{s.answers.Len(), s.answers.Bytes(), s.conns.count()}
 }
--- /dev/null
+++ b/internal/entry/failure.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/core/claims"
+)
+
+const (
+	// logRetryAfter is when to come back while the log does not answer.
+	logRetryAfter = 2 * time.Second
+	// upstreamRetryAfter is when to come back after an upstream broke off.
+	upstreamRetryAfter = time.Second
+)
+
+func keyConflict(key string) *fault.Error {
+	e := fault.New(fault.Conflict, "use a new key for another request", "the key was used with another content")
+	e.Key = key
+	return e
+}
+
+func outcomeUnknown() *fault.Error {
+	e := fault.New(fault.Unknown, "check with the service whether it took effect; the key will not run again", "nobody can tell how the request ended")
+	return e.WithRan(fault.MayHaveRun)
+}
+
+// failure words what the machine decided.
+func (x *execution) failure(f claims.Failure) *fault.Error {
+	e := x.wording(f)
+	if f.Ran != "" {
+		e = e.WithRan(fault.Ran(f.Ran))
+	}
+	return e
+}
+
+func (x *execution) wording(f claims.Failure) *fault.Error {
+	switch f.Code {
+	case claims.Refusal:
+		if x.refusal != nil {
+			return x.refusal
+		}
+		return fault.New(fault.Unavailable, "send the request again with the same key", "another entry refused the request").After(upstreamRetryAfter)
+	case claims.NoLog:
+		return fault.New(fault.Unavailable, "send the request again with the same key", "the key's claim could not be read or committed").After(logRetryAfter)
+	case claims.KeyConflict:
+		return keyConflict(x.request.key)
+	case claims.CallerGone:
+		return fault.New(fault.Canceled, "send the request again", "the request was canceled")
+	case claims.TooLate:
+		return fault.New(fault.Deadline, "allow more time, or send less", "the answer did not end before the deadline")
+	case claims.NotSent:
+		return fault.New(fault.Unavailable, "send the request again", "the upstream closed the connection before the request was sent").After(upstreamRetryAfter)
+	case claims.UpstreamRefused:
+		if x.rejection != nil && x.rejection.Status != http.StatusTooManyRequests {
+			return fault.New(fault.Malformed, "mend the request as the message says", "the upstream refused the request: %s", x.rejection.Body)
+		}
+		return fault.New(fault.Unavailable, "send the request again", "the upstream refused to start the request").After(upstreamRetryAfter)
+	case claims.UpstreamFailed:
+		return fault.New(fault.Unknown, "send the request again with a new key", "the upstream failed: %s", f.Detail)
+	case claims.NoClaim:
+		return noAnswer(x.request.key)
+	case claims.OwnersFailure:
+		return x.ownersFailure
+	case claims.AnswerLost:
+		return fault.New(fault.Unknown, "ask the service for the result; the key will not run again", "the request ran, but its answer is held no more")
+	}
+	return outcomeUnknown()
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -5,10 +5,12 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -34,6 +36,11 @@
 	defaultBlockTokens = 64
 	// maxBlocks bounds how many leading blocks are hashed.
 	maxBlocks = 64
+	// headerTimeoutMS is how long the caller waits for the whole answer, in
+	// milliseconds.
+	headerTimeoutMS = "Verbenastep-Timeout-Ms"
+	// keySeparator separates an issued key's parts.
+	keySeparator = "."
 )
 
 // request is a caller's request after it was checked.
@@ -53,9 +60,23 @@
 	path      string
 	prompt    string
 	maxTokens int
-	options   map[string]any
+	options   map[string]json.RawMessage
+	// form is the shape in which the answer is written.
+	form string
+	// join says that a claim is followed and nothing is dispatched.
+	join bool
+	// stream names the request's only dispatch.
+	stream string
+	// tier is the position in the declared order, tierName its name.
+	tier     int
+	tierName string
+	goodput  time.Duration
+	accepted time.Time
 }
 
+// once says that the request must not execute twice.
+func (r *request) once() bool { return r.plain && !r.operation.Idempotent }
+
 // identify finds the workspace of the bearer key.
 func (s *Service) identify(c echo.Context) (config.Workspace, error) {
 	key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
@@ -77,21 +98,54 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &request{workspace: w, method: c.Request().Method, header: c.Request().Header, key: c.Request().Header.Get(headerKey)}
+	r := &request{workspace: w, method: c.Request().Method, header: c.Request().Header, key: c.Request().Header.Get(headerKey), accepted: time.Now()}
 	r.callerKey = r.key != ""
 	if len(r.key) > maxKey || strings.HasPrefix(r.key, issuedPrefix) {
 		return nil, fault.New(fault.Malformed, `give a key of at most 200 bytes that does not begin with "vb-"`, "the idempotency key is not acceptable")
 	}
 	if !r.callerKey {
-		r.key = issuedPrefix + randomID()
+		r.key = issuedPrefix + s.self.Name + keySeparator + randomID()
+	}
+	r.stream = w.Name + "-" + randomID()
+	if err := s.setTimes(c, r); err != nil {
+		return nil, err
 	}
-	r.deadline = time.Now().Add(time.Duration(s.view.Snapshot().Config.Times().RequestMS) * time.Millisecond)
 	if r.body, err = s.readBody(c); err != nil {
 		return nil, err
 	}
 	return r, nil
 }
 
+// setTimes fills in deadline, tier and goodput time.
+func (s *Service) setTimes(c echo.Context, r *request) error {
+	cfg := s.view.Snapshot().Config
+	ms := cfg.Times().RequestMS
+	if text := c.Request().Header.Get(headerTimeoutMS); text != "" {
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || n < 1 {
+			return fault.New(fault.Malformed, "give whole milliseconds above zero", "%s is %q", headerTimeoutMS, text)
+		}
+		ms = min(ms, n)
+	}
+	r.deadline = r.accepted.Add(time.Duration(ms) * time.Millisecond)
+	r.tierName = r.workspace.Tier
+	if i, ok := cfg.TierIndex(r.workspace.Tier); ok {
+		r.tier = i
+		r.goodput = time.Duration(cfg.Tiers[i].GoodputMS) * time.Millisecond
+	}
+	return nil
+}
+
+// entryOfKey returns the daemon that issued a key.
+func entryOfKey(key string) (string, bool) {
+	rest, ok := strings.CutPrefix(key, issuedPrefix)
+	i := strings.LastIndex(rest, keySeparator)
+	if !ok || i < 0 {
+		return "", false
+	}
+	return rest[:i], true
+}
+
 func (s *Service) readBody(c echo.Context) ([]byte, error) {
 	ctl := http.NewResponseController(c.Response())
 	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -2,12 +2,10 @@
 
 import (
 	"net/http"
-	"strconv"
 
 	"github.com/labstack/echo/v4"
 
 	"github.com/verbenastep/verbenastep/api/fault"
-	"github.com/verbenastep/verbenastep/internal/answer"
 )
 
 // passedHeaders are the caller's headers that a plain service receives.
@@ -39,14 +37,13 @@
 		r.path += "?" + q
 	}
 	r.header = passed(r.header)
+	r.form = plainForm
 	r.digest = digestOf([]byte(svc.Name), []byte(r.method), []byte(r.path), r.body)
 	a, err := s.submit(r)
 	if err != nil {
 		return err
 	}
-	defer a.Attach()()
-	c.Response().Header().Set(headerRequest, r.key)
-	return writeReply(c, a)
+	return s.answerCaller(c, r, a, false, 0)
 }
 
 func passed(from http.Header) http.Header {
@@ -58,44 +55,3 @@
 	}
 	return out
 }
-
-func writeReply(c echo.Context, a *answer.Answer) error {
-	text, p, err := readAll(c, a)
-	if err != nil {
-		return err
-	}
-	return c.Blob(p.Result.Status, p.Result.ContentType, []byte(text))
-}
-
-// pickUp gives the rest of an answer from an offset, in bytes.
-func (s *Service) pickUp(c echo.Context) error {
-	w, err := s.identify(c)
-	if err != nil {
-		return err
-	}
-	offset, err := offsetOf(c)
-	if err != nil {
-		return err
-	}
-	a, ok := s.answers.Get(w.Name, c.Param("key"))
-	if !ok {
-		return fault.New(fault.NotFound, "check the key, or send the request again", "no answer is known under the key")
-	}
-	defer a.Attach()()
-	return writeStream(c, a, chatForm, offset)
-}
-
-func offsetOf(c echo.Context) (int64, error) {
-	text := c.QueryParam("offset")
-	if text == "" {
-		text = c.Request().Header.Get("Last-Event-ID")
-	}
-	if text == "" {
-		return 0, nil
-	}
-	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || n < 0 {
-		return 0, fault.New(fault.Malformed, "give the offset as bytes, zero or more", "the offset is %q", text)
-	}
-	return n, nil
-}
--- /dev/null
+++ b/internal/entry/stream_test.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/upstream"
+	"github.com/verbenastep/verbenastep/core/promise"
+	"github.com/verbenastep/verbenastep/core/sched"
+	"github.com/verbenastep/verbenastep/internal/standin"
+)
+
+// runner starts a stand-in engine for the cluster's model.
+func (c *cluster) runner(t *testing.T, decode float64) *standin.Runner {
+	t.Helper()
+	r := standin.NewRunner(upstream.Announcement{Name: "up-1", Pool: "logbook-model", Address: "127.0.0.1:0", Slots: 8}, standin.Speed{PrefillPerSecond: 1e6, DecodePerSecond: decode})
+	require.NoError(t, r.Listen())
+	t.Cleanup(r.Close)
+	c.pools["logbook-model"] = r.Self.Address
+	return r
+}
+
+// service starts a stand-in plain service.
+func (c *cluster) service(t *testing.T, pause time.Duration) *standin.Service {
+	t.Helper()
+	s := standin.NewService(upstream.Announcement{Name: "up-1", Pool: "register-api", Address: "127.0.0.1:0"}, pause)
+	require.NoError(t, s.Listen())
+	t.Cleanup(s.Close)
+	c.pools["register-api"] = s.Self.Address
+	return s
+}
+
+func total(executions map[string]int) int {
+	n := 0
+	for _, v := range executions {
+		n += v
+	}
+	return n
+}
+
+const wholeAnswer = "w0 w1 w2 w3 w4 w5 w6 w7 "
+
+// TestSpoiledStreams: whatever one connection does, the caller gets the whole
+// answer and the engine runs the request once.
+func TestSpoiledStreams(t *testing.T) {
+	faults := []standin.Fault{"", standin.Silent, standin.Cut, standin.Truncated, standin.Crossed, standin.Doubled, standin.Late, standin.Early}
+	for _, f := range faults {
+		t.Run("fault "+string(f), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster()
+			r := c.runner(t, 500)
+			r.SetPlan(standin.Plan{Fault: f, AfterFrames: 3, Connections: 2})
+			e := c.entry(t, "entry-1")
+			got := e.do(t, "POST", "/v1/chat/completions", chatBody("draft #8", true), "Idempotency-Key", "k1")
+			require.Equal(t, http.StatusOK, got.status, got.body)
+			answer, whole := text(got.body)
+			require.True(t, whole)
+			require.Equal(t, wholeAnswer, answer)
+			require.Equal(t, 1, total(r.Executions()))
+			require.Equal(t, []sched.Outcome{sched.Done}, c.outcomes())
+			require.Equal(t, 1, c.count(promise.Dispatch))
+		})
+	}
+}
+
+// TestEngineGone: the caller is told that the outcome is unknown; the stream
+// has no end that looks whole, and the key never runs again.
+func TestEngineGone(t *testing.T) {
+	c := newCluster()
+	r := c.runner(t, 50)
+	e := c.entry(t, "entry-1")
+	go func() {
+		for total(r.Executions()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond)
+		r.Close()
+	}()
+	got := e.do(t, "POST", "/v1/chat/completions", chatBody("draft #400", true), "Idempotency-Key", "k1")
+	begun, whole := text(got.body)
+	require.NotEmpty(t, begun)
+	require.False(t, whole)
+	require.Contains(t, got.body, string(fault.Unknown))
+	back := c.runner(t, 500)
+	again := e.do(t, "POST", "/v1/chat/completions", chatBody("draft #400", false), "Idempotency-Key", "k1")
+	require.Equal(t, fault.MayHaveRun, faultOf(t, again.body).Ran)
+	require.Zero(t, total(back.Executions()))
+	require.Equal(t, []sched.Outcome{sched.Broken}, c.outcomes())
+}
+
+func TestCrashingPromptIsUnknown(t *testing.T) {
+	c := newCluster()
+	r := c.runner(t, 500)
+	r.SetPlan(standin.Plan{CrashOn: "poison"})
+	e := c.entry(t, "entry-1")
+	got := e.do(t, "POST", "/v1/chat/completions", chatBody("poison", false))
+	f := faultOf(t, got.body)
+	require.Equal(t, fault.Unknown, f.Kind)
+	require.Equal(t, fault.MayHaveRun, f.Ran)
+}
+
+func TestEngineRefusalDidNotRun(t *testing.T) {
+	c := newCluster()
+	r := c.runner(t, 500)
+	r.SetPlan(standin.Plan{Fault: standin.Refuse})
+	e := c.entry(t, "entry-1")
+	got := e.do(t, "POST", "/v1/chat/completions", chatBody("draft #8", false), "Idempotency-Key", "k1")
+	f := faultOf(t, got.body)
+	require.Equal(t, fault.NotRun, f.Ran)
+	require.Equal(t, "1", got.header.Get("Retry-After"))
+	r.SetPlan(standin.Plan{})
+	again := e.do(t, "POST", "/v1/chat/completions", chatBody("draft #8", false), "Idempotency-Key", "k1")
+	require.Equal(t, http.StatusOK, again.status, again.body)
+	require.Equal(t, 1, total(r.Executions()))
+}
+
+// TestCallerGone: an unkeyed request frees its slot and cancels its stream.
+func TestCallerGone(t *testing.T) {
+	c := newCluster()
+	r := c.runner(t, 20)
+	e := c.entry(t, "entry-1")
+	client := http.Client{Timeout: 200 * time.Millisecond}
+	req, err := http.NewRequest("POST", e.url+"/v1/chat/completions", strings.NewReader(chatBody("draft #4000", true)))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer secret")
+	resp, err := client.Do(req)
+	require.NoError(t, err)
+	_, _ = resp.Body.Read(make([]byte, 1))
+	require.NoError(t, resp.Body.Close())
+	require.Eventually(t, func() bool { return len(c.outcomes()) == 1 }, 5*time.Second, 10*time.Millisecond)
+	require.Equal(t, []sched.Outcome{sched.Canceled}, c.outcomes())
+	stream := ""
+	for s := range r.Executions() {
+		stream = s
+	}
+	require.Eventually(t, func() bool { return r.Canceled(stream) }, 5*time.Second, 10*time.Millisecond)
+}
+
+// TestPickUp: an answer is read at another entry, by caller's and issued keys,
+// from any offset, byte for byte; a foreign workspace finds nothing.
+func TestPickUp(t *testing.T) {
+	c := newCluster()
+	r := c.runner(t, 100)
+	one, two := c.entry(t, "entry-1"), c.entry(t, "entry-2")
+	for _, key := range []string{"", "mine"} {
+		first := one.do(t, "POST", "/v1/chat/completions", chatBody("draft "+key+" #8", true), "Idempotency-Key", key)
+		issued := first.header.Get("Verbenastep-Request")
+		for _, e := range []*entryRig{one, two} {
+			rest := e.do(t, "GET", "/v1/answers/"+issued+"?offset=6", "")
+			answer, whole := text(rest.body)
+			require.True(t, whole, rest.body)
+			require.Equal(t, wholeAnswer[6:], answer)
+			require.Equal(t, http.StatusNotFound, e.do(t, "GET", "/v1/answers/"+issued, "", "Authorization", "Bearer foreign").status)
+		}
+		all := two.do(t, "GET", "/v1/answers/"+issued, "", "Accept", "application/json")
+		require.Contains(t, all.body, wholeAnswer)
+		require.Equal(t, http.StatusBadRequest, two.do(t, "GET", "/v1/answers/"+issued+"?offset=999", "").status)
+	}
+	require.Equal(t, 2, total(r.Executions()))
+}
+
+// TestOwnerGone: after the entry that dispatched is gone, another one resumes
+// the engine's stream.
+func TestOwnerGone(t *testing.T) {
+	c := newCluster()
+	r := c.runner(t, 100)
+	one, two := c.entry(t, "entry-1"), c.entry(t, "entry-2")
+	one.do(t, "POST", "/v1/chat/completions", chatBody("draft #8", true), "Idempotency-Key", "k1")
+	one.crash()
+	again := two.do(t, "POST", "/v1/chat/completions", chatBody("draft #8", true), "Idempotency-Key", "k1")
+	answer, whole := text(again.body)
+	require.True(t, whole, again.body)
+	require.Equal(t, wholeAnswer, answer)
+	require.Equal(t, 1, total(r.Executions()))
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -160,6 +160,9 @@
 	return g.next.HandleRPC(stream, rpc)
 }
 
+// Address returns where the link listens; it is known once it is started.
+func (s *Service) Address() string { return s.ln.Addr().String() }
+
 // Mux registers drpc services.
 func (s *Service) Mux() drpc.Mux { return s.mux }
 
