--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -41,17 +41,23 @@
 // countedConn counts what was written, so that "nothing was sent" is certain.
 type countedConn struct {
 	net.Conn
-	sent atomic.Int64
+	sent  atomic.Bool
+	first func()
 }
 
 // Write counts before it writes: a failed write may have sent something.
 func (c *countedConn) Write(p []byte) (int, error) {
-	c.sent.Add(int64(len(p)))
+	if !c.sent.Swap(true) && c.first != nil {
+		c.first()
+	}
 	return c.Conn.Write(p)
 }
 
+// OnSend sets what is called before the first byte leaves.
+func (c *Conn) OnSend(fn func()) { c.raw.first = fn }
+
 // Sent tells whether any byte may have left for the upstream.
-func (c *Conn) Sent() bool { return c.raw.sent.Load() > 0 }
+func (c *Conn) Sent() bool { return c.raw.sent.Load() }
 
 // Dial connects to an upstream.
 func Dial(ctx context.Context, address string) (*Conn, error) {
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -21,7 +21,7 @@
 	switch e.Kind {
 	case claims.Dispatched:
 		x.answer.Begin(e.Stream)
-		x.service.observer.dispatched(x.request, e.Stream, x.ticket)
+		x.service.observer.followed(x.request, e.Stream)
 	case claims.Deliver:
 		x.deliver()
 	case claims.Retire:
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -64,13 +64,13 @@
 func (s *Service) submit(r *request) (*answer.Answer, error) {
 	fresh := answer.New(answer.Meta{Workspace: r.workspace.Name, Key: r.key, Digest: r.digest, Pool: r.pool, Form: r.form})
 	a, isNew := s.answers.Put(fresh)
+	if !isNew && a.Meta().Digest != r.digest {
+		return nil, keyConflict(r.key)
+	}
+	s.observer.accepted(r)
 	if !isNew {
-		if a.Meta().Digest != r.digest {
-			return nil, keyConflict(r.key)
-		}
 		return a, nil
 	}
-	s.observer.accepted(r)
 	s.running.Go(func() { s.run(r, a) })
 	return a, nil
 }
@@ -233,6 +233,7 @@
 
 func (x *execution) send(e claims.Effect) claims.Event {
 	x.seen.began = time.Now()
+	x.conn.OnSend(func() { x.service.observer.dispatched(x.request, e.Stream, x.ticket) })
 	if x.request.plain {
 		return x.call(e)
 	}
@@ -256,16 +257,16 @@
 	switch {
 	case !sent:
 		return claims.Event{Kind: claims.NothingSent}
-	case errors.As(err, &refused) && promisesNotStarted(refused.Status):
+	case errors.As(err, &refused) && notStarted(refused.Status):
 		x.rejection = refused
 		return claims.Event{Kind: claims.Rejected}
 	}
 	return x.interrupted(claims.SendBroken)
 }
 
-// promisesNotStarted holds for statuses by which a runner says that it did not
-// start a stream and won't; see docs/UPSTREAMS.md.
-func promisesNotStarted(status int) bool {
+// notStarted holds for statuses by which a runner says that it did not start a
+// stream and won't; see docs/UPSTREAMS.md.
+func notStarted(status int) bool {
 	clientError := status >= http.StatusBadRequest && status < http.StatusInternalServerError
 	return clientError && status != http.StatusConflict && status != http.StatusRequestTimeout
 }
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -56,7 +56,7 @@
 		if x.rejection != nil && x.rejection.Status != http.StatusTooManyRequests {
 			return fault.New(fault.Malformed, "mend the request as the message says", "the upstream refused the request: %s", x.rejection.Body)
 		}
-		return fault.New(fault.Unavailable, "send the request again", "the upstream refused to start the request").After(upstreamRetryAfter)
+		return fault.New(fault.Unavailable, "send the request again with a new key", "the upstream refused to start the request").After(upstreamRetryAfter)
 	case claims.UpstreamFailed:
 		return fault.New(fault.Unknown, "send the request again with a new key", "the upstream failed: %s", f.Detail)
 	case claims.NoClaim:
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -101,7 +101,7 @@
 }
 
 func (o *observer) event(kind promise.Kind, r *request) promise.Event {
-	return promise.Event{Kind: kind, Workspace: r.workspace.Name, Key: r.key, Pool: r.pool, Tier: r.tier, Once: r.once()}
+	return promise.Event{Kind: kind, Workspace: r.workspace.Name, Key: r.key, Pool: r.pool, Tier: r.tier, Once: r.once(), Digest: r.digest}
 }
 
 func (o *observer) accepted(r *request) {
@@ -112,9 +112,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	id := explained{r.workspace.Name, r.key}
-	if _, again := o.known[id]; !again {
-		o.order = append(o.order, id)
+	if _, again := o.known[id]; again {
+		return
 	}
+	o.order = append(o.order, id)
 	o.known[id] = &Explanation{Key: r.key, Workspace: r.workspace.Name, Pool: r.pool, Tier: r.tierName, Accepted: r.accepted}
 	if len(o.order) > keptExplanations {
 		delete(o.known, o.order[0])
@@ -139,11 +140,13 @@
 	})
 }
 
-func (o *observer) dispatched(r *request, stream string, t port.Ticket) {
+// followed notes which stream the request's answer comes from.
+func (o *observer) followed(r *request, stream string) {
 	o.note(r, func(e *Explanation) { e.Stream = stream })
-	if stream != r.stream || t == nil {
-		return
-	}
+}
+
+// dispatched records that the first byte goes out.
+func (o *observer) dispatched(r *request, stream string, t port.Ticket) {
 	e := o.event(promise.Dispatch, r)
 	e.Stream = stream
 	e.Upstream = t.Upstream()
@@ -190,11 +193,9 @@
 		}
 	case errors.As(err, &failure):
 		outcome = string(failure.Kind)
-		e := o.event(promise.Refuse, r)
-		e.Stream = a.Meta().Stream
-		e.Code = string(failure.Kind)
-		e.Ran = string(failure.Ran)
-		o.events.Record(e)
+		o.refused(r, a, outcome, string(failure.Ran))
+	default:
+		o.refused(r, a, outcome, string(fault.MayHaveRun))
 	}
 	o.requests.WithLabelValues(r.tierName, r.pool, outcome).Inc()
 	o.note(r, func(e *Explanation) {
@@ -206,6 +207,16 @@
 	})
 }
 
+// refused records an end without an answer; a caller who went away was told
+// nothing.
+func (o *observer) refused(r *request, a *answer.Answer, code, ran string) {
+	e := o.event(promise.Refuse, r)
+	e.Stream = a.Meta().Stream
+	e.Code = code
+	e.Ran = ran
+	o.events.Record(e)
+}
+
 func (o *observer) answered(e promise.Event, a *answer.Answer, got string) {
 	e.Stream = a.Meta().Stream
 	e.Whole = true
@@ -214,7 +225,7 @@
 	o.events.Record(e)
 }
 
-// pickedUp records a pick-up that ended whole.
+// pickedUp records a pick-up from the beginning that ended whole.
 func (o *observer) pickedUp(a *answer.Answer, offset int64, err error, got string) {
 	if err != nil {
 		return
@@ -224,7 +235,10 @@
 		return
 	}
 	m := a.Meta()
-	o.answered(promise.Event{Kind: promise.Answer, Workspace: m.Workspace, Key: m.Key, Pool: m.Pool}, a, got)
+	e := promise.Event{Kind: promise.Accept, Workspace: m.Workspace, Key: m.Key, Pool: m.Pool, Digest: m.Digest}
+	o.events.Record(e)
+	e.Kind = promise.Answer
+	o.answered(e, a, got)
 }
 
 // find returns a copy of an explanation; an empty workspace matches any.
