--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -33,6 +33,10 @@
 	maxAnnouncement = 1 << 20
 	// readTimeout bounds reading one announcement.
 	readTimeout = 5 * time.Second
+	// idleTimeout closes upstreams' connections that carry no announcement.
+	idleTimeout = 30 * time.Second
+	// maxAddresses is how many daemons a renewal names.
+	maxAddresses = 16
 )
 
 // topic is where announcements of one pool and region go.
@@ -53,6 +57,9 @@
 	set    *settings.Settings
 	log    *zap.Logger
 	server *http.Server
+	ln     net.Listener
+	// members are the daemons that upstreams may announce themselves to.
+	members port.Members
 
 	mu          sync.Mutex
 	held        map[string]held
@@ -71,18 +78,24 @@
 // Name returns the service's name.
 func (s *Service) Name() string { return port.NameUpstreams }
 
-// Needs returns nothing.
-func (s *Service) Needs() []string { return nil }
+// Needs returns the members, whom upstreams are told of.
+func (s *Service) Needs() []string { return []string{port.NameMembers} }
 
 // Start listens for announcements.
-func (s *Service) Start(context.Context, *kernel.Kernel) error {
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	members, err := kernel.Find[port.Members](k, port.NameMembers)
+	if err != nil {
+		return err
+	}
 	ln, err := net.Listen("tcp", s.set.Addresses.Upstreams)
 	if err != nil {
 		return err
 	}
+	s.members = members
+	s.ln = ln
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+upstream.PathAnnounce, s.announce)
-	s.server = &http.Server{Handler: mux, ReadTimeout: readTimeout}
+	s.server = &http.Server{Handler: mux, ReadTimeout: readTimeout, WriteTimeout: readTimeout, IdleTimeout: idleTimeout}
 	go func() { _ = s.server.Serve(ln) }()
 	return nil
 }
@@ -101,9 +114,12 @@
 		refuse(w, fault.New(fault.Malformed, "give name, pool, address and slots", "the announcement is incomplete"))
 		return
 	}
-	s.accept(a)
+	if !s.accept(a) {
+		refuse(w, fault.New(fault.Conflict, "give each upstream its own name, and a higher incarnation at each start", "a later incarnation of %q is announced", a.Name))
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(upstream.Renewal{LeaseMS: leaseMS, RenewMS: renewMS})
+	_ = json.NewEncoder(w).Encode(upstream.Renewal{LeaseMS: leaseMS, RenewMS: renewMS, Addresses: s.addresses()})
 }
 
 func refuse(w http.ResponseWriter, e *fault.Error) {
@@ -121,7 +137,21 @@
 	return slices.Contains(s.set.UpstreamKeys, "sha256:"+hex.EncodeToString(sum[:]))
 }
 
-func (s *Service) accept(a upstream.Announcement) {
+// addresses lists where else upstreams may announce themselves, this daemon
+// first.
+func (s *Service) addresses() []string {
+	out := []string{s.set.Addresses.Upstreams}
+	for _, m := range s.members.Live() {
+		if m.Upstreams != "" && !slices.Contains(out, m.Upstreams) && len(out) < maxAddresses {
+			out = append(out, m.Upstreams)
+		}
+	}
+	return out
+}
+
+// accept keeps an announcement and passes it on. It returns false where a later
+// incarnation of the same upstream is held.
+func (s *Service) accept(a upstream.Announcement) bool {
 	state := &rpc.UpstreamState{
 		Name: a.Name, Address: a.Address, Region: a.Region, DataCentre: a.DataCentre,
 		Incarnation: a.Incarnation, Slots: uint32(a.Slots), Leaving: a.Leaving, LeaseMs: leaseMS,
@@ -133,12 +163,30 @@
 	t := topic{pool: a.Pool, region: a.Region}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.prune()
+	if s.held[a.Name].state.GetIncarnation() > a.Incarnation {
+		return false
+	}
 	s.held[a.Name] = held{state: state, topic: t, expires: time.Now().Add(leaseMS * time.Millisecond)}
 	for _, fn := range s.subscribers[t] {
 		fn(state)
 	}
+	return true
 }
 
+// prune forgets announcements whose lease has ended.
+func (s *Service) prune() {
+	now := time.Now()
+	for name, h := range s.held {
+		if h.expires.Before(now) {
+			delete(s.held, name)
+		}
+	}
+}
+
+// Address returns where announcements are taken; it is known once started.
+func (s *Service) Address() string { return s.ln.Addr().String() }
+
 // Subscribe passes on a pool's announcements; fn must not block.
 func (s *Service) Subscribe(pool, region string, fn func(*rpc.UpstreamState)) func() {
 	t := topic{pool: pool, region: region}
@@ -150,11 +198,8 @@
 		s.subscribers[t] = map[int]func(*rpc.UpstreamState){}
 	}
 	s.subscribers[t][id] = fn
-	for name, h := range s.held {
-		if h.expires.Before(time.Now()) {
-			delete(s.held, name)
-			continue
-		}
+	s.prune()
+	for _, h := range s.held {
 		if h.topic == t {
 			fn(h.state)
 		}
@@ -170,6 +215,7 @@
 func (s *Service) Topics() [][2]string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.prune()
 	out := [][2]string{}
 	for _, h := range s.held {
 		pair := [2]string{h.topic.pool, h.topic.region}
