--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -1,287 +1,290 @@
 package sched
 
 import (
-	"sort"
+	"container/heap"
 	"time"
+
+	"github.com/verbenastep/verbenastep/core/quarantine"
 )
 
-// Params steer a dispatcher.
-type Params struct {
-	// Region is the dispatcher's own.
-	Region string
-	// QueueLimit is the most requests that wait at once.
-	QueueLimit int
-}
+// Dispatcher holds one pool's queue and upstreams.
+type Dispatcher struct {
+	params   Params
+	requests map[ID]*request
+	// tiers are by rank; absent ones are nil.
+	tiers  []*tier
+	queued int
+	doomed doomHeap
+	// orphans are running requests whose entry is gone.
+	orphans orphanHeap
 
-// request is one offer and its state.
-type request struct {
-	offer    Offer
-	arrived  time.Duration
-	upstream string
-}
+	upstreams map[string]*upstream
+	byID      []*upstream
+	open      [classes]openHeap
+	leases    leaseHeap
+	holding   holderIndex
+	demoted   []*upstream
+	nextTrial int
+	nextSweep time.Duration
+	scratch   []float64
+
+	pool      speed
+	lengths   lengths
+	meanCost  float64
+	lastShort time.Duration
+	seenShort bool
+	drain     drain
 
-// upstream is an announced upstream and what runs on it.
-type upstream struct {
-	Upstream
-	expires  time.Duration
-	inFlight map[ID]*request
+	tracker  *quarantine.Tracker
+	suspects []quarantine.Change
+	// setAside are suspects that found no upstream of their own in a round.
+	setAside []*request
+	recent   recent
 }
 
-// Dispatcher holds one pool's queue and upstreams.
-type Dispatcher struct {
-	params    Params
-	queue     []*request
-	requests  map[ID]*request
-	upstreams map[string]*upstream
+// Configure replaces the parameters.
+func (d *Dispatcher) Configure(p Params) {
+	if p.BlockTokens == 0 {
+		p.BlockTokens = defaultBlockTokens
+	}
+	d.params = p
 }
 
 // New returns an empty dispatcher.
 func New(p Params) *Dispatcher {
-	return &Dispatcher{params: p, requests: map[ID]*request{}, upstreams: map[string]*upstream{}}
-}
-
-// Offer queues a request, or takes up one that already runs.
-func (d *Dispatcher) Offer(now time.Duration, o Offer) error {
-	if o.PromptTokens < 0 || o.MaxTokens < 0 {
-		return &OfferError{ID: o.ID, Message: "a token count is negative", Remedy: "send counts of zero or more"}
-	}
-	if o.Weight < 1 || o.Tier < 0 {
-		return &OfferError{ID: o.ID, Message: "the weight or tier is out of range", Remedy: "take both from the configuration in force"}
-	}
-	if _, ok := d.requests[o.ID]; ok {
-		return nil
-	}
-	r := &request{offer: o, arrived: now}
-	d.requests[o.ID] = r
-	if o.Running == "" {
-		d.queue = append(d.queue, r)
-		return nil
+	d := &Dispatcher{
+		requests: map[ID]*request{}, upstreams: map[string]*upstream{},
+		holding: holderIndex{sets: map[uint64]holderSet{}}, pool: newSpeed(),
+		lengths: lengths{stats: map[lengthKey]lengthStat{}}, tracker: quarantine.New(),
 	}
-	r.upstream = o.Running
-	if u, ok := d.upstreams[o.Running]; ok {
-		u.inFlight[o.ID] = r
+	for c := range d.open {
+		d.open[c].class = class(c)
 	}
-	return nil
+	d.Configure(p)
+	return d
 }
 
-// Cancel forgets a request that waits. A granted one ends by Release.
-func (d *Dispatcher) Cancel(id ID) {
-	r, ok := d.requests[id]
-	if !ok || r.upstream != "" {
-		return
+func (d *Dispatcher) tier(rank int) *tier {
+	for len(d.tiers) <= rank {
+		d.tiers = append(d.tiers, nil)
 	}
-	delete(d.requests, id)
-	d.dequeue(r)
-}
-
-func (d *Dispatcher) dequeue(r *request) {
-	for i, q := range d.queue {
-		if q == r {
-			d.queue = append(d.queue[:i], d.queue[i+1:]...)
-			return
-		}
+	if d.tiers[rank] == nil {
+		d.tiers[rank] = newTier(rank)
 	}
+	return d.tiers[rank]
 }
 
-// Release frees the slot of a granted request.
-func (d *Dispatcher) Release(_ time.Duration, rel Release) error {
-	r, ok := d.requests[rel.ID]
-	if !ok || r.upstream == "" {
-		return &OfferError{ID: rel.ID, Message: "it holds no grant", Remedy: "release each grant once"}
+// Offer queues a request, or takes up one that already runs. A refusal is the
+// final answer to a request that a limit or a quarantine forbids; an error says
+// that the offer is malformed and changed nothing.
+func (d *Dispatcher) Offer(now time.Duration, o Offer) (*Refusal, error) {
+	if err := checkOffer(o); err != nil {
+		return nil, err
 	}
-	delete(d.requests, rel.ID)
-	if u, ok := d.upstreams[r.upstream]; ok {
-		delete(u.inFlight, rel.ID)
+	if _, ok := d.requests[o.ID]; ok {
+		return nil, nil
 	}
-	return nil
+	if refusal := d.admit(now, o); refusal != nil {
+		return refusal, nil
+	}
+	t := d.tier(o.Tier)
+	r := &request{offer: o, arrived: now, workspace: t.workspace(o.Workspace, o.Weight), laneIndex: notQueued, doomIndex: notQueued}
+	d.predictWork(now, r)
+	d.requests[o.ID] = r
+	if o.Running != "" {
+		d.adopt(now, r)
+		return nil, nil
+	}
+	t.notePatience(now, o)
+	t.enqueue(r)
+	heap.Push(&d.doomed, r)
+	d.queued++
+	return nil, nil
 }
 
-// Announce adds or renews an upstream.
-func (d *Dispatcher) Announce(now time.Duration, a Upstream) error {
-	if a.Name == "" || a.Slots < 1 || a.Lease <= 0 {
-		return &OfferError{Message: "the announcement of " + a.Name + " lacks a name, slots or lease", Remedy: "announce all three"}
+// admit counts a request against its workspace's limits and looks for its
+// quarantine.
+func (d *Dispatcher) admit(now time.Duration, o Offer) *Refusal {
+	verdict, left := d.tracker.Verdict(now, o.Fingerprint)
+	if verdict == quarantine.Quarantined && o.Running == "" {
+		return d.refuse(now, o, Quarantined, left, "the content was in flight at two crashes of upstreams")
 	}
-	u, ok := d.upstreams[a.Name]
-	if ok && a.Incarnation < u.Incarnation {
-		return &OfferError{Message: "the announcement of " + a.Name + " is of an earlier start", Remedy: "raise the incarnation at each start"}
+	usage := &d.tier(o.Tier).workspace(o.Workspace, o.Weight).usage
+	if o.Running != "" || o.Admitted || o.Spilled != "" || o.Final {
+		usage.Resume()
+		return nil
 	}
+	denial, ok := usage.Admit(now, o.Limits)
 	if !ok {
-		u = &upstream{inFlight: map[ID]*request{}}
-		d.upstreams[a.Name] = u
-		d.adopt(a.Name, u)
+		return d.refuse(now, o, Limited, denial.RetryAfter, "the workspace is at its limit "+denial.Limit)
 	}
-	u.Upstream = a
-	u.expires = now + a.Lease
 	return nil
 }
 
-// adopt gives a new upstream the running requests that name it.
-func (d *Dispatcher) adopt(name string, u *upstream) {
-	for id, r := range d.requests {
-		if r.upstream == name {
-			u.inFlight[id] = r
-		}
+// adopt counts a running request that an earlier dispatcher granted.
+func (d *Dispatcher) adopt(now time.Duration, r *request) {
+	r.upstream = r.offer.Running
+	r.granted = now
+	r.workspace.tier.running++
+	if u, ok := d.upstreams[r.upstream]; ok {
+		d.place(now, r, u, parts{})
 	}
 }
 
-// Leave ends new work on an upstream at once.
-func (d *Dispatcher) Leave(name string, incarnation uint64) {
-	u, ok := d.upstreams[name]
-	if ok && incarnation >= u.Incarnation {
-		u.expires = 0
+// place counts a request on its upstream.
+func (d *Dispatcher) place(now time.Duration, r *request, u *upstream, p parts) {
+	r.upstream = u.Name
+	r.incarnation = u.Incarnation
+	r.cached = p.cached
+	r.clearStart = u.prefillUntil <= now
+	u.inFlight[r.offer.ID] = r
+	r.beside = len(u.inFlight)
+	u.uncached += r.uncached()
+	if r.class == long {
+		u.longs++
+	}
+	verdict, _ := d.tracker.Verdict(now, r.offer.Fingerprint)
+	r.suspect = verdict != quarantine.Clear
+	if r.suspect {
+		u.suspects++
 	}
+	u.load.own(now, len(u.inFlight))
+	d.refresh(now, u)
 }
 
-// LoseEntry forgets all requests of an entry that is gone.
-func (d *Dispatcher) LoseEntry(entry string) {
-	for id, r := range d.requests {
-		if id.Entry != entry {
-			continue
-		}
-		delete(d.requests, id)
-		if u, ok := d.upstreams[r.upstream]; ok {
-			delete(u.inFlight, id)
-		}
-		d.dequeue(r)
+// unplace takes a request off its upstream.
+func (d *Dispatcher) unplace(now time.Duration, r *request) *upstream {
+	u, ok := d.upstreams[r.upstream]
+	if !ok || u.inFlight[r.offer.ID] != r {
+		return nil
+	}
+	u.load.own(now, len(u.inFlight))
+	delete(u.inFlight, r.offer.ID)
+	u.uncached -= r.uncached()
+	if r.class == long {
+		u.longs--
 	}
+	if r.suspect {
+		u.suspects--
+	}
+	d.refresh(now, u)
+	return u
 }
 
-// Decide grants what fits and refuses what must be.
-func (d *Dispatcher) Decide(now time.Duration) Decisions {
-	out := Decisions{}
-	sort.SliceStable(d.queue, func(i, j int) bool {
-		return d.queue[i].offer.Tier < d.queue[j].offer.Tier
-	})
-	waiting := []*request{}
-	none := d.Live(now) == 0
-	for _, r := range d.queue {
-		if none {
-			delete(d.requests, r.offer.ID)
-			out.Refusals = append(out.Refusals, Refusal{ID: r.offer.ID, Code: NoUpstream, RetryAfter: time.Second, Why: "no upstream serves the pool here"})
-			continue
-		}
-		if r.offer.Deadline <= now {
-			delete(d.requests, r.offer.ID)
-			out.Refusals = append(out.Refusals, Refusal{ID: r.offer.ID, Code: TooLate, RetryAfter: time.Second, Why: "the deadline passed in the queue"})
-			continue
-		}
-		u := d.choose(now)
-		if u == nil {
-			waiting = append(waiting, r)
-			continue
-		}
-		out.Grants = append(out.Grants, d.grant(now, r, u))
-	}
-	d.queue = waiting
-	d.shed(&out)
-	return out
+// Cancel forgets a request that waits. A granted one ends by Release.
+func (d *Dispatcher) Cancel(id ID) {
+	r, ok := d.requests[id]
+	if !ok || r.upstream != "" {
+		return
+	}
+	d.forgetQueued(r)
 }
 
-func (d *Dispatcher) grant(now time.Duration, r *request, u *upstream) Grant {
-	r.upstream = u.Name
-	u.inFlight[r.offer.ID] = r
-	why := Explanation{ID: r.offer.ID, State: "granted", Waited: (now - r.arrived).String(), Chosen: u.Name, Reason: "least in flight"}
-	return Grant{ID: r.offer.ID, Upstream: u.Name, Address: u.Address, Incarnation: u.Incarnation, Why: why}
+// forgetQueued removes a queued request.
+func (d *Dispatcher) forgetQueued(r *request) {
+	r.workspace.tier.dequeue(r)
+	heap.Remove(&d.doomed, r.doomIndex)
+	d.queued--
+	r.workspace.usage.Leave()
+	delete(d.requests, r.offer.ID)
 }
 
-// choose returns the live upstream with the smallest share of its slots in
-// use, or nil.
-func (d *Dispatcher) choose(now time.Duration) *upstream {
-	var best *upstream
-	for _, u := range d.upstreams {
-		if u.expires <= now || len(u.inFlight) >= u.Slots {
-			continue
-		}
-		if best == nil || less(u, best) {
-			best = u
-		}
-	}
-	return best
+// Ended tells what a released request cost.
+type Ended struct {
+	Workspace string
+	Tier      int
+	Upstream  string
+	// Lost is the uncached prompt tokens computed for an answer that did not
+	// arrive whole.
+	Lost int
+	// Repeated is the prompt tokens computed though another upstream with room
+	// should still have held them.
+	Repeated int
 }
 
-func less(a, b *upstream) bool {
-	left := len(a.inFlight) * b.Slots
-	right := len(b.inFlight) * a.Slots
-	if left != right {
-		return left < right
+// Release frees the slot of a granted request and learns from it.
+func (d *Dispatcher) Release(now time.Duration, rel Release) (Ended, error) {
+	if err := checkRelease(rel); err != nil {
+		return Ended{}, err
 	}
-	return a.Name < b.Name
-}
-
-// shed refuses the last of the lowest tiers where the queue is over its limit.
-func (d *Dispatcher) shed(out *Decisions) {
-	for d.params.QueueLimit > 0 && len(d.queue) > d.params.QueueLimit {
-		last := d.queue[len(d.queue)-1]
-		d.queue = d.queue[:len(d.queue)-1]
-		delete(d.requests, last.offer.ID)
-		out.Refusals = append(out.Refusals, Refusal{ID: last.offer.ID, Code: Overload, RetryAfter: time.Second, Why: "the queue is full"})
+	r, ok := d.requests[rel.ID]
+	if !ok || r.upstream == "" {
+		return Ended{}, &OfferError{ID: rel.ID, Message: "it holds no grant", Remedy: "release each grant once"}
 	}
+	d.end(now, r, rel)
+	return r.ended(rel), nil
 }
 
-// Wake returns when Decide has something to do by itself: the earliest
-// deadline or lease end.
-func (d *Dispatcher) Wake() (time.Duration, bool) {
-	at := time.Duration(0)
-	found := false
-	consider := func(t time.Duration) {
-		if !found || t < at {
-			at = t
-			found = true
-		}
-	}
-	for _, r := range d.queue {
-		consider(r.offer.Deadline)
-	}
-	return at, found
-}
-
-// Live counts the upstreams that take new work.
-func (d *Dispatcher) Live(now time.Duration) int {
-	n := 0
-	for _, u := range d.upstreams {
-		if u.expires > now {
-			n++
-		}
-	}
-	return n
-}
-
-// Explain tells the state of a request that waits or runs.
-func (d *Dispatcher) Explain(now time.Duration, id ID) (Explanation, bool) {
-	r, ok := d.requests[id]
-	if !ok {
-		return Explanation{}, false
+func (r *request) ended(rel Release) Ended {
+	e := Ended{Workspace: r.offer.Workspace, Tier: r.offer.Tier, Upstream: r.upstream}
+	computed := max(0, r.offer.PromptTokens-rel.CachedTokens)
+	if rel.Outcome == Canceled || rel.Outcome == Broken {
+		e.Lost = computed
 	}
-	e := Explanation{ID: id, State: "queued", Waited: (now - r.arrived).String(), Reason: "no upstream has a free slot"}
-	if r.upstream != "" {
-		e.State = "granted"
-		e.Chosen = r.upstream
+	if rel.Outcome == Done {
+		e.Repeated = min(computed, max(0, r.bestCached-rel.CachedTokens))
 	}
-	return e, true
+	return e
 }
 
-// UpstreamDump is one upstream's state, for operators.
-type UpstreamDump struct {
-	Name     string `json:"name"`
-	Address  string `json:"address"`
-	Slots    int    `json:"slots"`
-	InFlight int    `json:"in_flight"`
-	Live     bool   `json:"live"`
+// end frees a granted request's slot.
+func (d *Dispatcher) end(now time.Duration, r *request, rel Release) {
+	delete(d.requests, r.offer.ID)
+	r.workspace.tier.running--
+	r.workspace.usage.Leave()
+	u := d.unplace(now, r)
+	d.settle(now, r, rel)
+	if u == nil {
+		return
+	}
+	if rel.Outcome == Broken {
+		d.noteBroken(u, r)
+		return
+	}
+	if rel.Outcome == Done {
+		d.learn(now, u, r, rel)
+	}
 }
 
-// Dump is a dispatcher's state, for operators.
-type Dump struct {
-	Queued    int            `json:"queued"`
-	Running   int            `json:"running"`
-	Upstreams []UpstreamDump `json:"upstreams"`
+// settle corrects what was charged at the grant to the work that was done.
+func (d *Dispatcher) settle(now time.Duration, r *request, rel Release) {
+	actual := float64(max(0, r.offer.PromptTokens-rel.CachedTokens)) + outputCost*float64(rel.OutputTokens)
+	if rel.Outcome == NotSent {
+		actual = 0
+	}
+	r.workspace.tier.charge(r.workspace, actual-r.charged)
+	tokens := int64(max(0, r.offer.PromptTokens-rel.CachedTokens) + rel.OutputTokens)
+	if rel.Outcome != NotSent {
+		r.workspace.usage.Spend(now, tokens)
+	}
 }
 
-// Dump returns the state.
-func (d *Dispatcher) Dump(now time.Duration) Dump {
-	out := Dump{Queued: len(d.queue), Running: len(d.requests) - len(d.queue)}
-	for _, u := range d.upstreams {
-		out.Upstreams = append(out.Upstreams, UpstreamDump{Name: u.Name, Address: u.Address, Slots: u.Slots, InFlight: len(u.inFlight), Live: u.expires > now})
-	}
-	sort.Slice(out.Upstreams, func(i, j int) bool { return out.Upstreams[i].Name < out.Upstreams[j].Name })
-	return out
+// learn takes in what a whole answer showed.
+func (d *Dispatcher) learn(now time.Duration, u *upstream, r *request, rel Release) {
+	if change, ok := d.tracker.Completed(r.offer.Fingerprint); ok {
+		d.suspects = append(d.suspects, change)
+	}
+	if r.offer.Running != "" {
+		return
+	}
+	if d.params.Plain {
+		learn(&u.speed.call, &u.speed.callSeen, rel.Decode.Seconds(), speedGain)
+		learn(&d.pool.call, &d.pool.callSeen, rel.Decode.Seconds(), poolGain)
+		d.refresh(now, u)
+		return
+	}
+	d.lengths.learn(r.offer, rel.OutputTokens)
+	o := observation{
+		uncached: float64(r.offer.PromptTokens - rel.CachedTokens), prefill: rel.Prefill, clean: r.clearStart,
+		tokens: rel.OutputTokens, decode: rel.Decode, beside: (r.beside + len(u.inFlight) + 1) / 2,
+	}
+	known := blend(&u.speed, &d.pool)
+	single := u.speed.observe(o, speedGain)
+	d.pool.observe(o, poolGain)
+	if single > 0 {
+		u.slots.adapt(single/known.token, u.Slots)
+	}
+	u.straggler.answers++
+	u.cache.confirm(float64(r.cached), float64(rel.CachedTokens))
+	d.refresh(now, u)
 }
--- /dev/null
+++ b/core/sched/grant_bench_test.go
@@ -0,0 +1,74 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// loaded returns a dispatcher with upstreams that each have one slot left and
+// a queue that keeps its length.
+func loaded(b *testing.B, upstreams, queue int) *Dispatcher {
+	d := New(Params{})
+	for i := range upstreams {
+		if err := d.Announce(0, Upstream{Name: fmt.Sprintf("u%04d", i), Slots: 8, Lease: 1000 * time.Hour}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for i := range queue + upstreams*8 {
+		d.offerNumber(b, i)
+	}
+	d.Decide(0)
+	return d
+}
+
+func (d *Dispatcher) offerNumber(b *testing.B, i int) {
+	o := Offer{ID: ID{Entry: "e", Number: uint64(i)}, Workspace: fmt.Sprintf("w%02d", i%50), Tier: i % 3, Weight: 1, PromptTokens: 200 + i%2000, MaxTokens: 50 + i%700, Deadline: 1000 * time.Hour}
+	for n := range 8 {
+		o.Blocks = append(o.Blocks, uint64(i%97)<<32|uint64(n))
+	}
+	if _, err := d.Offer(0, o); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkGrant measures one grant, its share of the round included. Offers
+// and releases between the rounds are not timed.
+func BenchmarkGrant(b *testing.B) {
+	for _, upstreams := range []int{10, 100, 300, 1000} {
+		for _, queue := range []int{100, 1000, 10000} {
+			b.Run(fmt.Sprintf("upstreams=%d/queued=%d", upstreams, queue), func(b *testing.B) {
+				d := loaded(b, upstreams, queue)
+				next := 1 << 24
+				round := 0
+				b.ReportAllocs()
+				b.ResetTimer()
+				for done := 0; done < b.N; {
+					b.StopTimer()
+					round++
+					free(b, d, round)
+					for d.queued < queue {
+						next++
+						d.offerNumber(b, next)
+					}
+					b.StartTimer()
+					got := len(d.Decide(0).Grants)
+					if got == 0 {
+						b.Fatal("nothing was granted")
+					}
+					done += got
+				}
+			})
+		}
+	}
+}
+
+// free ends all requests of one upstream after the other.
+func free(b *testing.B, d *Dispatcher, round int) {
+	u := d.byID[round%len(d.byID)]
+	for id := range u.inFlight {
+		if _, err := d.Release(0, Release{ID: id, Outcome: Canceled}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -9,8 +9,10 @@
 package sched
 
 import (
-	"fmt"
 	"time"
+
+	"github.com/verbenastep/verbenastep/core/limits"
+	"github.com/verbenastep/verbenastep/core/quarantine"
 )
 
 // ID names a request: the entry that offered it and the entry's own number.
@@ -41,6 +43,16 @@
 	// Running names the upstream of a request that an earlier dispatcher
 	// granted; such an offer takes its slot and is never granted again.
 	Running string
+	// Limits are the workspace's, as this dispatcher enforces them.
+	Limits limits.Limits
+	// Admitted says that an earlier session offered the request already, so
+	// that the workspace's limits do not refuse it now.
+	Admitted bool
+	// Spilled names the region that passed the offer on; empty for the first.
+	Spilled string
+	// Final says that the other regions refused the request; it is not passed
+	// on again.
+	Final bool
 }
 
 // Upstream is what an upstream announced of itself.
@@ -58,6 +70,8 @@
 	Version string
 	// Load is the upstream's own report, which may be stale.
 	Load Load
+	// Events are the cache events since the last announcement.
+	Events []CacheEvent
 }
 
 // Load is an upstream's report of its own state, Age old when it was sent.
@@ -105,6 +119,9 @@
 // Grant sends a request to an upstream.
 type Grant struct {
 	ID          ID
+	Workspace   string
+	Tier        int
+	Waited      time.Duration
 	Upstream    string
 	Address     string
 	Incarnation uint64
@@ -118,6 +135,9 @@
 const (
 	// Overload says that lower tiers were shed before and capacity is short.
 	Overload Code = "overloaded"
+	// Spill says that this region would shed the request: the entry is to ask
+	// the other regions before it is offered here again as final.
+	Spill Code = "spill"
 	// TooLate says that the answer can no longer arrive before the deadline.
 	TooLate Code = "deadline_unreachable"
 	// NoUpstream says that no upstream serves the pool.
@@ -130,52 +150,21 @@
 
 // Refusal is the final answer to a request that did not run.
 type Refusal struct {
-	ID   ID
-	Code Code
+	ID        ID
+	Code      Code
+	Workspace string
+	Tier      int
 	// RetryAfter is when the caller may come back.
 	RetryAfter time.Duration
 	Why        string
 }
 
-// Explanation tells why a request went where it did.
-type Explanation struct {
-	ID       ID          `json:"id"`
-	State    string      `json:"state"`
-	Waited   string      `json:"waited"`
-	Chosen   string      `json:"chosen,omitempty"`
-	Reason   string      `json:"reason"`
-	Examined []Candidate `json:"candidates,omitempty"`
-}
-
-// Candidate is one upstream that was weighed, with the parts of its score in
-// milliseconds.
-type Candidate struct {
-	Upstream   string  `json:"upstream"`
-	InFlight   int     `json:"in_flight"`
-	Slots      int     `json:"slots"`
-	QueueMS    float64 `json:"queue_ms"`
-	PrefillMS  float64 `json:"prefill_ms"`
-	DecodeMS   float64 `json:"decode_ms"`
-	LinkMS     float64 `json:"link_ms"`
-	ScoreMS    float64 `json:"score_ms"`
-	CachedPart float64 `json:"cached_part"`
-	Excluded   string  `json:"excluded,omitempty"`
-}
-
-// OfferError says that an offer or release is malformed; nothing changed.
-type OfferError struct {
-	ID      ID
-	Message string
-	Remedy  string
-}
-
-// Error names the remedy.
-func (e *OfferError) Error() string {
-	return fmt.Sprintf("request %s/%d: %s; %s", e.ID.Entry, e.ID.Number, e.Message, e.Remedy)
-}
-
 // Decisions are what Decide settled, in order.
 type Decisions struct {
 	Grants   []Grant
 	Refusals []Refusal
+	// Suspects are crash counts to share with the other dispatchers.
+	Suspects []quarantine.Change
+	// Lost names the upstreams whose lease ended.
+	Lost []string
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -21,27 +20,22 @@
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
-const (
-	// leaseTTL is shorter than the replicas' by a margin for clock drift and
-	// the time a renewal takes.
-	leaseTTL = 1500 * time.Millisecond
-	// renewEvery is the pause between renewals.
-	renewEvery = 400 * time.Millisecond
-	// settleTime is how long a new dispatcher waits for entries to offer again
-	// what runs, and for upstreams to announce themselves.
-	settleTime = 1200 * time.Millisecond
-)
-
 // Service is the "sched.dispatcher" service.
 type Service struct {
 	rpc.DRPCDispatchUnimplementedServer
-	set    *settings.Settings
-	log    *zap.Logger
-	view   port.View
-	logs   port.Log
-	self   port.Holder
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	set     *settings.Settings
+	log     *zap.Logger
+	view    port.View
+	logs    port.Log
+	members port.Members
+	events  port.Events
+	metrics *metrics
+	self    port.Holder
+	// crashes are counts on their way to the replicated log.
+	crashes chan state.Suspect
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -49,7 +43,7 @@
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger, self port.Holder) *Service {
-	return &Service{set: set, log: log.Named("dispatch"), self: self, pools: map[string]*pool{}}
+	return &Service{set: set, log: log.Named("dispatch"), self: self, pools: map[string]*pool{}, crashes: make(chan state.Suspect, crashesWaiting)}
 }
 
 // Name returns the service's name.
@@ -57,7 +51,7 @@
 
 // Needs returns what leases and messages come through.
 func (s *Service) Needs() []string {
-	return []string{port.NameLink, port.NameView, port.NameLog}
+	return []string{port.NameLink, port.NameView, port.NameLog, port.NameMembers, port.NameEvents, port.NameMetrics}
 }
 
 // Start registers with the link and begins to seek leases.
@@ -72,9 +66,22 @@
 	if s.logs, err = kernel.Find[port.Log](k, port.NameLog); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.done.Go(func() { s.seek(ctx) })
+	if s.members, err = kernel.Find[port.Members](k, port.NameMembers); err != nil {
+		return err
+	}
+	if s.events, err = kernel.Find[port.Events](k, port.NameEvents); err != nil {
+		return err
+	}
+	collect, err := kernel.Find[port.Metrics](k, port.NameMetrics)
+	if err != nil {
+		return err
+	}
+	if s.metrics, err = newMetrics(collect.Registerer()); err != nil {
+		return err
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.done.Go(func() { s.seek(s.ctx) })
+	s.done.Go(s.shareCrashes)
 	return rpc.DRPCRegisterDispatch(link.Mux(), s)
 }
 
@@ -115,75 +122,6 @@
 	return out
 }
 
-// keep acquires and renews one pool's lease and runs its dispatcher meanwhile.
-func (s *Service) keep(ctx context.Context, name string) {
-	lease := port.DispatchLease(name, s.set.Region)
-	for ctx.Err() == nil {
-		held := s.view.Lease(lease)
-		free := held.Holder == "" || held.Holder == s.self.String()
-		if free {
-			s.renew(ctx, name, lease)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(renewEvery):
-		}
-	}
-	s.giveUp(name, lease)
-}
-
-func (s *Service) renew(ctx context.Context, name, lease string) {
-	sent := time.Now()
-	result, err := s.logs.Propose(ctx, port.GroupMain, state.Command{Acquire: &state.Acquire{Name: lease, Holder: s.self.String()}})
-	if err != nil || result.Lease == nil {
-		return
-	}
-	if result.Status != state.OK {
-		s.drop(name)
-		return
-	}
-	s.mu.Lock()
-	p := s.pools[name]
-	if p != nil && p.epoch != result.Lease.Epoch {
-		p.close()
-		p = nil
-	}
-	if p == nil {
-		p = newPool(name, s.set.Region, result.Lease.Epoch, s.view, s.log)
-		s.pools[name] = p
-		s.done.Go(p.run)
-		s.log.Info("dispatcher started", zap.String("pool", name), zap.Uint64("epoch", p.epoch))
-	}
-	s.mu.Unlock()
-	p.extend(sent.Add(leaseTTL))
-}
-
-func (s *Service) drop(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if p := s.pools[name]; p != nil {
-		p.close()
-		delete(s.pools, name)
-	}
-}
-
-// giveUp ends the lease so that a successor need not wait for it to run out.
-func (s *Service) giveUp(name, lease string) {
-	s.mu.Lock()
-	p := s.pools[name]
-	s.mu.Unlock()
-	if p == nil {
-		return
-	}
-	s.drop(name)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_, err := s.logs.Propose(ctx, port.GroupMain, state.Command{Expire: &state.Expire{Name: lease, Epoch: p.epoch}})
-	if err != nil {
-		s.log.Warn("lease could not be given up", zap.String("lease", lease), zap.Error(err))
-	}
-}
-
 // Session serves one entry.
 func (s *Service) Session(stream rpc.DRPCDispatch_SessionStream) error {
 	first, err := stream.Recv()
@@ -193,7 +131,7 @@
 	s.mu.Lock()
 	p := s.pools[first.Pool]
 	s.mu.Unlock()
-	if p == nil || p.epoch != first.Epoch {
+	if p == nil || p.epoch != first.Epoch || !p.holds() {
 		return fault.New(fault.Unavailable, "look up the lease again", "this daemon does not dispatch pool %q at epoch %d", first.Pool, first.Epoch)
 	}
 	return p.serve(stream, first)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -2,34 +2,45 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/promise"
+	"github.com/verbenastep/verbenastep/core/quarantine"
 	"github.com/verbenastep/verbenastep/core/sched"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
 const (
-	// heartbeat is the longest pause between two batches on a session.
-	heartbeat = 300 * time.Millisecond
-	// sessionSilence ends a session that carries nothing.
-	sessionSilence = 1200 * time.Millisecond
 	// idleWake is the longest pause between two decisions.
 	idleWake = 100 * time.Millisecond
-	// outboxSize is how many batches may wait for a slow entry.
-	outboxSize = 256
+	// settleTime is the longest that a new dispatcher waits for the live
+	// daemons to offer again what runs, before it grants.
+	settleTime = 1200 * time.Millisecond
+	// settleStep is how often it looks whether all have.
+	settleStep = 20 * time.Millisecond
 )
 
+// place is what a pool needs of its daemon.
+type place struct {
+	region  string
+	view    port.View
+	members port.Members
+	events  port.Events
+	metrics *metrics
+	log     *zap.Logger
+	// share passes crash counts on to the replicated log; it must not block.
+	share func(pool string, changes []quarantine.Change)
+}
+
 // pool runs one dispatcher.
 type pool struct {
+	place
 	name  string
 	epoch uint64
-	view  port.View
-	log   *zap.Logger
 	began time.Time
 	wake  chan struct{}
 	ctx   context.Context
@@ -38,34 +49,39 @@
 	mu       sync.Mutex
 	core     *sched.Dispatcher
 	until    time.Time
+	settled  bool
 	sessions map[string]*session
+	version  uint64
 }
 
-// session is one entry's stream.
-type session struct {
-	out chan *rpc.GrantBatch
-	end context.CancelFunc
-}
-
-func newPool(name, region string, epoch uint64, view port.View, log *zap.Logger) *pool {
+func newPool(name string, epoch uint64, at place) *pool {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &pool{
-		name: name, epoch: epoch, view: view, log: log, began: time.Now(),
-		wake: make(chan struct{}, 1), ctx: ctx, close: cancel,
-		core: sched.New(sched.Params{Region: region}), sessions: map[string]*session{},
+	p := &pool{
+		place: at, name: name, epoch: epoch, began: time.Now(), wake: make(chan struct{}, 1),
+		ctx: ctx, close: cancel, core: sched.New(sched.Params{}), sessions: map[string]*session{},
 	}
+	p.configure()
+	return p
 }
 
 func (p *pool) now() time.Duration {
 	return time.Since(p.began)
 }
 
+// extend moves the end of the lease, on this daemon's monotonic clock.
 func (p *pool) extend(until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.until = until
 }
 
+// holds says whether the lease has not run out.
+func (p *pool) holds() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.until)
+}
+
 func (p *pool) nudge() {
 	select {
 	case p.wake <- struct{}{}:
@@ -73,221 +89,155 @@
 	}
 }
 
-// run decides whenever something came in, and now and then by itself.
+// run decides whenever something came in, and now and then by itself, until
+// the lease runs out.
 func (p *pool) run() {
-	select {
-	case <-time.After(settleTime):
-	case <-p.ctx.Done():
-	}
+	defer p.close()
+	p.settle()
 	timer := time.NewTimer(idleWake)
 	defer timer.Stop()
-	for p.ctx.Err() == nil {
+	for p.ctx.Err() == nil && p.holds() {
+		changed := p.view.Changed()
+		p.configure()
 		p.decide()
 		timer.Reset(idleWake)
 		select {
 		case <-p.wake:
+		case <-changed:
 		case <-timer.C:
 		case <-p.ctx.Done():
 		}
 	}
 }
 
-func (p *pool) decide() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if time.Now().After(p.until) {
-		return
-	}
-	now := p.now()
-	decided := p.core.Decide(now)
-	batches := map[string]*rpc.GrantBatch{}
-	batch := func(entry string) *rpc.GrantBatch {
-		if batches[entry] == nil {
-			batches[entry] = &rpc.GrantBatch{Epoch: p.epoch, Upstreams: uint32(p.core.Live(now))}
+// settle waits until every live daemon has offered again what it runs, or for
+// the longest time.
+func (p *pool) settle() {
+	end := time.Now().Add(settleTime)
+	for time.Now().Before(end) && p.ctx.Err() == nil && !p.heardAll() {
+		select {
+		case <-time.After(settleStep):
+		case <-p.ctx.Done():
 		}
-		return batches[entry]
-	}
-	for _, g := range decided.Grants {
-		b := batch(g.ID.Entry)
-		b.Grants = append(b.Grants, encodeGrant(g))
-	}
-	for _, r := range decided.Refusals {
-		b := batch(r.ID.Entry)
-		b.Refusals = append(b.Refusals, &rpc.Refusal{Id: r.ID.Number, Code: string(r.Code), RetryAfterMs: uint32(r.RetryAfter.Milliseconds()), Why: r.Why})
-	}
-	for entry, b := range batches {
-		p.send(entry, b)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settled = true
 }
 
-func encodeGrant(g sched.Grant) *rpc.Grant {
-	why, err := json.Marshal(g.Why)
-	if err != nil {
-		why = nil
-	}
-	return &rpc.Grant{Id: g.ID.Number, Upstream: g.Upstream, Address: g.Address, Incarnation: g.Incarnation, Why: why}
-}
+// settleLeast is the shortest time to settle: daemons learn of each other and
+// of upstreams meanwhile.
+const settleLeast = 300 * time.Millisecond
 
-// send queues a batch for an entry. A session that can't keep up is ended; the
-// entry then offers again what it still waits for.
-func (p *pool) send(entry string, b *rpc.GrantBatch) {
-	s, ok := p.sessions[entry]
-	if !ok {
-		return
+func (p *pool) heardAll() bool {
+	if p.now() < settleLeast {
+		return false
 	}
-	select {
-	case s.out <- b:
-	default:
-		s.end()
-	}
-}
-
-// serve runs one entry's session until it ends or falls silent.
-func (p *pool) serve(stream rpc.DRPCDispatch_SessionStream, first *rpc.EntryBatch) error {
-	ctx, cancel := context.WithCancel(p.ctx)
-	defer cancel()
-	s := &session{out: make(chan *rpc.GrantBatch, outboxSize), end: cancel}
-	p.join(first, s)
-	defer p.leave(first.Entry, s)
-	in := make(chan *rpc.EntryBatch)
-	go receive(ctx, stream, in, cancel)
-	silence := time.NewTimer(sessionSilence)
-	defer silence.Stop()
-	for {
-		select {
-		case b := <-in:
-			silence.Reset(sessionSilence)
-			p.take(b)
-		case b := <-s.out:
-			if err := stream.Send(b); err != nil {
-				return err
-			}
-		case <-time.After(heartbeat):
-			if err := stream.Send(&rpc.GrantBatch{Epoch: p.epoch}); err != nil {
-				return err
-			}
-		case <-silence.C:
-			return nil
-		case <-ctx.Done():
-			return nil
+	live := p.members.Live()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	heard := map[string]bool{}
+	for entry := range p.sessions {
+		if h, ok := port.ParseHolder(entry); ok {
+			heard[h.Name] = true
 		}
 	}
-}
-
-func receive(ctx context.Context, stream rpc.DRPCDispatch_SessionStream, in chan<- *rpc.EntryBatch, cancel context.CancelFunc) {
-	defer cancel()
-	for {
-		b, err := stream.Recv()
-		if err != nil {
-			return
-		}
-		select {
-		case in <- b:
-		case <-ctx.Done():
-			return
+	for _, m := range live {
+		if !heard[m.Name] {
+			return false
 		}
 	}
+	return true
 }
 
-// join replaces all that is known of an entry by what it offers now.
-func (p *pool) join(first *rpc.EntryBatch, s *session) {
-	p.mu.Lock()
-	if old, ok := p.sessions[first.Entry]; ok {
-		old.end()
-	}
-	p.sessions[first.Entry] = s
-	p.core.LoseEntry(first.Entry)
-	p.mu.Unlock()
-	p.take(first)
-}
-
-// leave forgets an entry whose session ended and did not return: what it ran
-// is offered again when it comes back.
-func (p *pool) leave(entry string, s *session) {
+// configure takes over the configuration in force and the shared suspects.
+func (p *pool) configure() {
+	snap := p.view.Snapshot()
+	suspects := p.view.Suspects(p.name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.sessions[entry] == s {
-		delete(p.sessions, entry)
-		p.core.LoseEntry(entry)
+	if snap.Version != p.version || p.version == 0 {
+		p.version = snap.Version
+		p.core.Configure(params(snap.Config, p.name, p.region))
 	}
+	p.core.SyncSuspects(p.now(), suspects)
 }
 
-func (p *pool) take(b *rpc.EntryBatch) {
+// decide sends out what the core decides, while the lease holds.
+func (p *pool) decide() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.settled || !time.Now().Before(p.until) {
+		return
+	}
 	now := p.now()
-	for _, u := range b.Upstreams {
-		p.takeUpstream(now, u)
+	decided := p.core.Decide(now)
+	batches := batchSet{pool: p, live: uint32(p.core.Live(now)), byEntry: map[string]*rpc.GrantBatch{}}
+	for _, g := range decided.Grants {
+		b := batches.of(g.ID.Entry)
+		b.Grants = append(b.Grants, encodeGrant(g))
+		p.metrics.granted(p.name, g)
+		p.event(promise.Grant, g.ID, g.Tier, g.Workspace, g.Upstream, "")
 	}
-	for _, o := range b.Offers {
-		p.takeOffer(now, b.Entry, o)
+	for _, r := range decided.Refusals {
+		batches.refuse(r)
 	}
-	for _, r := range b.Releases {
-		p.takeRelease(now, b.Entry, r)
+	for _, name := range decided.Lost {
+		p.events.Record(promise.Event{Kind: promise.Leave, Pool: p.name, Region: p.region, Upstream: name, Epoch: p.epoch})
 	}
-	for _, id := range b.Cancels {
-		p.core.Cancel(sched.ID{Entry: b.Entry, Number: id})
+	if len(decided.Suspects) > 0 {
+		p.share(p.name, decided.Suspects)
 	}
-	p.nudge()
+	p.metrics.queued(p.name, p.core.QueuedByTier())
+	batches.send()
 }
 
-func (p *pool) takeUpstream(now time.Duration, u *rpc.UpstreamState) {
-	if u.Leaving {
-		p.core.Leave(u.Name, u.Incarnation)
-		return
-	}
-	err := p.core.Announce(now, sched.Upstream{
-		Name: u.Name, Address: u.Address, Region: u.Region, DataCentre: u.DataCentre,
-		Incarnation: u.Incarnation, Slots: int(u.Slots), Version: u.Version,
-		Lease: time.Duration(u.LeaseMs) * time.Millisecond,
-		Load:  sched.Load{Running: int(u.Running), Age: time.Duration(u.ReportAgeMs) * time.Millisecond},
-	})
-	if err != nil {
-		p.log.Warn("announcement refused", zap.String("pool", p.name), zap.Error(err))
-	}
+// batchSet collects one batch for each entry.
+type batchSet struct {
+	pool    *pool
+	live    uint32
+	byEntry map[string]*rpc.GrantBatch
 }
 
-func (p *pool) takeOffer(now time.Duration, entry string, o *rpc.Offer) {
-	offer := sched.Offer{
-		ID: sched.ID{Entry: entry, Number: o.Id}, Workspace: o.Workspace, Operation: o.Operation,
-		PromptTokens: int(o.PromptTokens), MaxTokens: int(o.MaxTokens), Blocks: o.Blocks,
-		Deadline: now + time.Duration(o.WaitMs)*time.Millisecond, Fingerprint: o.Fingerprint, Running: o.Running,
+func (s *batchSet) of(entry string) *rpc.GrantBatch {
+	b, ok := s.byEntry[entry]
+	if !ok {
+		b = &rpc.GrantBatch{Epoch: s.pool.epoch, Upstreams: s.live}
+		s.byEntry[entry] = b
 	}
-	offer.Tier, offer.Weight = p.standing(o.Workspace)
-	if err := p.core.Offer(now, offer); err != nil {
-		p.log.Warn("offer refused", zap.String("pool", p.name), zap.Error(err))
+	return b
+}
+
+func (s *batchSet) refuse(r sched.Refusal) {
+	b := s.of(r.ID.Entry)
+	b.Refusals = append(b.Refusals, encodeRefusal(r))
+	s.pool.metrics.refused(s.pool.name, r)
+	if r.Code == sched.Overload {
+		s.pool.event(promise.Shed, r.ID, r.Tier, r.Workspace, "", string(r.Code))
 	}
 }
 
-// standing returns a workspace's tier and weight; one that is not declared
-// any more ranks below all tiers.
-func (p *pool) standing(workspace string) (tier, weight int) {
-	c := p.view.Snapshot().Config
-	w, ok := c.Workspace(workspace)
-	if !ok {
-		return len(c.Tiers), 1
+func (s *batchSet) send() {
+	for entry, b := range s.byEntry {
+		s.pool.send(entry, b)
 	}
-	tier, _ = c.TierIndex(w.Tier)
-	return tier, max(1, int(w.Weight))
 }
 
-func (p *pool) takeRelease(now time.Duration, entry string, r *rpc.Release) {
-	err := p.core.Release(now, sched.Release{
-		ID: sched.ID{Entry: entry, Number: r.Id}, Outcome: sched.Outcome(r.Outcome),
-		Prefill: time.Duration(r.PrefillMs) * time.Millisecond, Decode: time.Duration(r.DecodeMs) * time.Millisecond,
-		OutputTokens: int(r.OutputTokens), CachedTokens: int(r.CachedTokens),
+func (p *pool) event(kind promise.Kind, id sched.ID, tier int, workspace, upstream, code string) {
+	p.events.Record(promise.Event{
+		Kind: kind, Offer: offerName(id), Pool: p.name, Region: p.region, Tier: tier,
+		Workspace: workspace, Upstream: upstream, Code: code, Epoch: p.epoch,
 	})
-	if err != nil {
-		p.log.Debug("release ignored", zap.String("pool", p.name), zap.Error(err))
-	}
 }
 
+// dump shows the dispatcher's state.
 func (p *pool) dump() any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return struct {
 		Epoch    uint64     `json:"epoch"`
+		Settled  bool       `json:"settled"`
 		Sessions int        `json:"sessions"`
 		State    sched.Dump `json:"state"`
-	}{p.epoch, len(p.sessions), p.core.Dump(p.now())}
+	}{p.epoch, p.settled, len(p.sessions), p.core.Dump(p.now())}
 }
--- a/internal/schedclient/client.go
+++ b/internal/schedclient/client.go
@@ -7,11 +7,10 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/sched"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
@@ -26,9 +25,12 @@
 	link      port.Link
 	view      port.View
 	upstreams port.Upstreams
-	ctx       context.Context
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+	bytes     *linkBytes
+	// open begins a session with the dispatcher at an address.
+	open   func(ctx context.Context, address string) (stream, error)
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
 
 	mu       sync.Mutex
 	sessions map[place]*session
@@ -51,7 +53,7 @@
 
 // Needs returns what offers and announcements pass through.
 func (s *Service) Needs() []string {
-	return []string{port.NameLink, port.NameView, port.NameUpstreams}
+	return []string{port.NameLink, port.NameView, port.NameUpstreams, port.NameMetrics}
 }
 
 // Start keeps sessions to all declared pools.
@@ -66,9 +68,25 @@
 	if s.upstreams, err = kernel.Find[port.Upstreams](k, port.NameUpstreams); err != nil {
 		return err
 	}
+	collect, err := kernel.Find[port.Metrics](k, port.NameMetrics)
+	if err != nil {
+		return err
+	}
+	if s.bytes, err = newLinkBytes(collect.Registerer()); err != nil {
+		return err
+	}
+	s.open = s.dial
+	s.begin()
+	return nil
+}
+
+func (s *Service) begin() {
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.done.Go(s.maintain)
-	return nil
+}
+
+func (s *Service) dial(ctx context.Context, address string) (stream, error) {
+	return rpc.NewDRPCDispatchClient(s.link.Conn(address)).Session(ctx)
 }
 
 // maintain opens a session to each pool and region that is declared, so that
@@ -104,61 +122,6 @@
 	return made
 }
 
-// regions lists where to offer, the daemon's own first.
-func (s *Service) regions() []string {
-	out := []string{s.set.Region}
-	for _, r := range s.view.Snapshot().Config.Regions {
-		if r.Name != s.set.Region {
-			out = append(out, r.Name)
-		}
-	}
-	return out
-}
-
-// Acquire waits for a grant, in the daemon's own region first. Where a region
-// has no upstream of the pool, the next one is asked.
-func (s *Service) Acquire(ctx context.Context, r port.Request) (port.Ticket, error) {
-	last := error(nil)
-	for _, region := range s.regions() {
-		t, err := s.acquireIn(ctx, place{pool: r.Pool, region: region}, r)
-		if err == nil {
-			return t, nil
-		}
-		last = err
-		if fault.From(err).Kind != fault.NoUpstream {
-			return nil, err
-		}
-	}
-	return nil, last
-}
-
-func (s *Service) acquireIn(ctx context.Context, p place, r port.Request) (port.Ticket, error) {
-	s.mu.Lock()
-	s.nextID++
-	id := s.nextID
-	s.mu.Unlock()
-	w := &waiter{id: id, request: r, settled: make(chan struct{})}
-	sess := s.session(p)
-	sess.offer(w)
-	select {
-	case <-w.settled:
-	case <-ctx.Done():
-		if sess.withdraw(w) {
-			return nil, fault.New(fault.Canceled, "send the request again", "the caller went away while the request waited")
-		}
-		<-w.settled
-	case <-time.After(time.Until(r.Deadline)):
-		if sess.withdraw(w) {
-			return nil, fault.New(fault.Deadline, "send the request again later", "no grant came before the deadline").After(time.Second)
-		}
-		<-w.settled
-	}
-	if w.failure != nil {
-		return nil, w.failure
-	}
-	return &ticket{session: sess, waiter: w}, nil
-}
-
 // ticket is a granted slot.
 type ticket struct {
 	session *session
@@ -177,7 +140,10 @@
 
 // Release frees the slot.
 func (t *ticket) Release(r sched.Release) {
-	t.once.Do(func() { t.session.release(t.waiter, r) })
+	t.once.Do(func() {
+		t.session.answerCrossed(r.OutputTokens)
+		t.session.release(t.waiter, r)
+	})
 }
 
 // Stop ends all sessions.
--- a/internal/schedclient/session.go
+++ b/internal/schedclient/session.go
@@ -1,28 +1,15 @@
 package schedclient
 
 import (
-	"context"
-	"errors"
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/sched"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
-const (
-	// heartbeat is the longest pause between two batches.
-	heartbeat = 300 * time.Millisecond
-	// silence ends a session that carries nothing.
-	silence = 1200 * time.Millisecond
-	// retryPause is the wait before a session is opened again.
-	retryPause = 50 * time.Millisecond
-)
-
 // waiter is a request on its way to a grant and through it.
 type waiter struct {
 	id      uint64
@@ -31,6 +18,12 @@
 	settled chan struct{}
 	grant   *rpc.Grant
 	failure *fault.Error
+	// offered says that a session has carried the offer.
+	offered bool
+	// spilled names the region that passed the request on; final says that the
+	// other regions refused it.
+	spilled string
+	final   bool
 }
 
 // session speaks with the dispatcher of one place, wherever it is now.
@@ -39,8 +32,10 @@
 	place   place
 	wake    chan struct{}
 
-	mu      sync.Mutex
-	epoch   uint64
+	mu    sync.Mutex
+	epoch uint64
+	// down is closed when the present session ends; nil where there is none.
+	down    chan struct{}
 	waiting map[uint64]*waiter
 	running map[uint64]*waiter
 	pending rpc.EntryBatch
@@ -68,14 +63,24 @@
 	s.nudge()
 }
 
+// connected returns a channel that is closed when the present session ends, or
+// nil where there is none.
+func (s *session) connected() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 func encodeOffer(w *waiter) *rpc.Offer {
 	r := w.request
 	o := &rpc.Offer{
 		Id: w.id, Workspace: r.Workspace, Operation: r.Operation,
 		PromptTokens: uint32(r.PromptTokens), MaxTokens: uint32(r.MaxTokens),
 		Blocks: r.Blocks, Fingerprint: r.Fingerprint,
-		WaitMs: uint32(max(0, time.Until(r.Deadline).Milliseconds())),
+		WaitMs:  uint32(max(0, time.Until(r.Deadline).Milliseconds())),
+		Spilled: w.spilled, Final: w.final, Admitted: w.offered,
 	}
+	w.offered = true
 	if w.grant != nil {
 		o.Running = w.grant.Upstream
 	}
@@ -113,82 +118,6 @@
 	s.nudge()
 }
 
-// run follows the pool's lease from daemon to daemon.
-func (s *session) run() {
-	ctx := s.service.ctx
-	cancel := s.service.upstreams.Subscribe(s.place.pool, s.place.region, s.announce)
-	defer cancel()
-	for ctx.Err() == nil {
-		changed := s.service.view.Changed()
-		lease := s.service.view.Lease(port.DispatchLease(s.place.pool, s.place.region))
-		holder, ok := port.ParseHolder(lease.Holder)
-		if ok {
-			err := s.speak(ctx, holder.Address, lease.Epoch)
-			s.service.log.Debug("dispatcher session ended", zap.String("pool", s.place.pool), zap.String("region", s.place.region), zap.Error(err))
-		}
-		select {
-		case <-changed:
-		case <-time.After(retryPause):
-		case <-ctx.Done():
-		}
-	}
-}
-
-var errSilent = errors.New("the dispatcher fell silent")
-
-// speak holds one session with one dispatcher.
-func (s *session) speak(ctx context.Context, address string, epoch uint64) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stream, err := rpc.NewDRPCDispatchClient(s.service.link.Conn(address)).Session(ctx)
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	if err := stream.Send(s.hello(epoch)); err != nil {
-		return err
-	}
-	in := make(chan *rpc.GrantBatch)
-	failed := make(chan error, 1)
-	go receive(ctx, stream, in, failed)
-	quiet := time.NewTimer(silence)
-	defer quiet.Stop()
-	for {
-		select {
-		case <-s.wake:
-			err = stream.Send(s.drain(epoch))
-		case <-time.After(heartbeat):
-			err = stream.Send(s.drain(epoch))
-		case b := <-in:
-			quiet.Reset(silence)
-			s.take(epoch, b)
-		case err = <-failed:
-		case <-quiet.C:
-			err = errSilent
-		case <-ctx.Done():
-			err = ctx.Err()
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-func receive(ctx context.Context, stream rpc.DRPCDispatch_SessionClient, in chan<- *rpc.GrantBatch, failed chan<- error) {
-	for {
-		b, err := stream.Recv()
-		if err != nil {
-			failed <- err
-			return
-		}
-		select {
-		case in <- b:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // hello offers again all that waits or runs. What was pending is part of it.
 func (s *session) hello(epoch uint64) *rpc.EntryBatch {
 	s.mu.Lock()
@@ -197,7 +126,9 @@
 	b := s.frame(epoch)
 	b.Synced = true
 	b.Upstreams = s.pending.Upstreams
+	b.Releases = s.pending.Releases
 	s.pending = rpc.EntryBatch{}
+	s.down = make(chan struct{})
 	for _, w := range s.running {
 		b.Offers = append(b.Offers, encodeOffer(w))
 	}
