Measure the scheduling policy against three baselines

Change: verbenastep bench sched plays fixed arrivals in virtual time over engine models and writes table and targets into docs/MEASUREMENTS.md. Seen: requests are refused for their deadline while the queue is empty, because the only upstream with room has a corrupt prefill estimate; to be mended next.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,7 +42,7 @@
 
 // commands returns all subcommands in the order of the help page.
 func commands() []*Command {
-	return []*Command{applyCommand(), checkCommand(), getCommand(), statusCommand(), dumpCommand(), standinCommand()}
+	return []*Command{applyCommand(), checkCommand(), getCommand(), statusCommand(), dumpCommand(), standinCommand(), benchCommand()}
 }
 
 // Main runs the command line and returns the exit code.
