Wait for an upstream that can meet the deadline, and protect what runs

Cause: a request was refused as too late where the only upstream with room could not make it, though others could a moment later; one long prefill observation could raise an upstream's prefill time without bound; and each grant slowed the requests beside it past their deadlines. Change: observations raise a time at most twofold; the prefill queue is bounded by the prompt tokens in flight; a request is set aside while a faster upstream could make it; a grant may not slow a request of the same or a higher tier past its deadline; a prefill's delay of the batch counts in the choice.

--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -10,6 +10,8 @@
 	maxCandidates = topCandidates + holders
 	// suspectPenalty is added for each request beside a suspect.
 	suspectPenalty = time.Second
+	// prefillDelay is by what part a prefill delays each stream beside it.
+	prefillDelay = 0.33
 )
 
 // parts is an upstream's expected completion time for one request.
@@ -29,7 +31,7 @@
 	p := parts{cached: d.cached(u, r)}
 	uncached := float64(max(0, r.offer.PromptTokens-p.cached))
 	n := len(u.inFlight) + u.load.foreign() + 1
-	p.queue = max(0, u.prefillUntil-now)
+	p.queue = max(0, min(u.prefillUntil-now, seconds(s.prefill*u.uncached)))
 	p.prefill = seconds(s.prefill * uncached)
 	p.decode = seconds(s.perToken(n)*r.output + s.call)
 	if r.offer.Spilled != "" {
@@ -81,10 +83,11 @@
 	return set
 }
 
-// choose returns the upstream with the least expected completion, or nil.
+// choose returns the upstream with the least expected completion, the delay of
+// the requests beside it counted in, or nil.
 func (d *Dispatcher) choose(now time.Duration, r *request) (*upstream, parts, candidateSet) {
 	set := d.candidates(now, r)
-	best, least := (*upstream)(nil), parts{}
+	best, least, lowest := (*upstream)(nil), parts{}, time.Duration(0)
 	for i, u := range set.items[:set.n] {
 		if !d.room(now, u, r.class) {
 			d.refresh(now, u)
@@ -95,11 +98,15 @@
 		}
 		p := d.score(now, u, r)
 		set.scores[i] = p
+		if d.breaks(u, r) {
+			continue
+		}
+		rank := p.total + time.Duration(prefillDelay*float64(len(u.inFlight))*float64(p.prefill))
 		if r.suspect {
-			p.total += suspectPenalty * time.Duration(len(u.inFlight))
+			rank += suspectPenalty * time.Duration(len(u.inFlight))
 		}
-		if best == nil || p.total < least.total || p.total == least.total && u.Name < best.Name {
-			best, least = u, p
+		if best == nil || rank < lowest || rank == lowest && u.Name < best.Name {
+			best, least, lowest = u, p, rank
 		}
 	}
 	if u := d.trial(now, r); u != nil && best != nil && !r.suspect {
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -59,9 +59,10 @@
 		if t == nil {
 			continue
 		}
-		for d.grantOne(now, t, out) {
+		before := len(d.setAside)
+		for len(d.setAside)-before < maxSetAside && d.grantOne(now, t, out) {
 		}
-		if t.queued > 0 {
+		if t.queued > 0 && len(d.setAside) == before {
 			break
 		}
 	}
@@ -71,6 +72,10 @@
 	d.setAside = d.setAside[:0]
 }
 
+// maxSetAside is how many requests of a tier may be passed over in a round
+// since no upstream with room suits them.
+const maxSetAside = 8
+
 // grantOne grants the tier's next request; it returns false where none can be.
 func (d *Dispatcher) grantOne(now time.Duration, t *tier, out *Decisions) bool {
 	allowed := [classes]bool{}
@@ -88,15 +93,14 @@
 		return true
 	}
 	u, p, set := d.choose(now, r)
+	if u != nil && d.waits(now, r, p) {
+		u = nil
+	}
 	if u == nil {
 		t.dequeue(r)
 		d.setAside = append(d.setAside, r)
 		return true
 	}
-	if d.hopeless(now, r, p) {
-		d.drop(now, r, TooLate, "the answer could not arrive before the deadline from any upstream", out)
-		return true
-	}
 	out.Grants = append(out.Grants, d.grant(now, r, u, p, set))
 	return true
 }
@@ -111,11 +115,19 @@
 	return len(h.items) > 0
 }
 
-// hopeless says whether even a short answer would come too late.
-func (d *Dispatcher) hopeless(now time.Duration, r *request, p parts) bool {
+// waits says whether a request had better wait than take an upstream on which
+// it would miss its deadline: where a faster one could still make it, or where
+// not even a short answer would arrive in time.
+func (d *Dispatcher) waits(now time.Duration, r *request, p parts) bool {
+	if now+p.total <= r.offer.Deadline {
+		return false
+	}
+	if now+d.fastest.service(float64(r.offer.PromptTokens), r.output) <= r.offer.Deadline {
+		return true
+	}
 	decode := time.Duration(0)
 	if r.output > 0 {
-		decode = time.Duration(float64(p.decode) * r.least / r.output)
+		decode = time.Duration(float64(p.decode) * (r.least + r.output) / (2 * r.output))
 	}
 	return now+p.queue+p.prefill+p.link+decode > r.offer.Deadline
 }
@@ -130,6 +142,7 @@
 	t.floor = r.workspace.counter
 	r.granted = now
 	r.expected = p.total
+	r.need = d.need(now, r, u, p)
 	for _, x := range set.scores[:set.n] {
 		r.bestCached = max(r.bestCached, x.cached)
 	}
--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -26,7 +26,9 @@
 	demoted   []*upstream
 	nextTrial int
 	nextSweep time.Duration
-	scratch   []float64
+	// fastest holds the least times of any upstream.
+	fastest speed
+	scratch []float64
 
 	pool      speed
 	lengths   lengths
@@ -37,7 +39,7 @@
 
 	tracker  *quarantine.Tracker
 	suspects []quarantine.Change
-	// setAside are suspects that found no upstream of their own in a round.
+	// setAside are requests that no upstream with room suits in this round.
 	setAside []*request
 	recent   recent
 }
@@ -55,7 +57,7 @@
 	d := &Dispatcher{
 		requests: map[ID]*request{}, upstreams: map[string]*upstream{},
 		holding: holderIndex{sets: map[uint64]holderSet{}}, pool: newSpeed(),
-		lengths: lengths{stats: map[lengthKey]lengthStat{}}, tracker: quarantine.New(),
+		lengths: lengths{stats: map[lengthKey]lengthStat{}}, tracker: quarantine.New(), fastest: newSpeed(),
 	}
 	for c := range d.open {
 		d.open[c].class = class(c)
@@ -138,6 +140,7 @@
 	r.cached = p.cached
 	r.clearStart = u.prefillUntil <= now
 	u.inFlight[r.offer.ID] = r
+	u.tighten(r)
 	r.beside = len(u.inFlight)
 	u.uncached += r.uncached()
 	if r.class == long {
@@ -160,6 +163,7 @@
 	}
 	u.load.own(now, len(u.inFlight))
 	delete(u.inFlight, r.offer.ID)
+	u.loosen(r)
 	u.uncached -= r.uncached()
 	if r.class == long {
 		u.longs--
--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -117,7 +117,7 @@
 	service := d.pool.service(float64(r.offer.PromptTokens), r.output)
 	aging := min(agingFactor*service, maxAging)
 	r.key = r.arrived + aging
-	r.doomAt = r.offer.Deadline - d.pool.service(0, r.least)
+	r.doomAt = r.offer.Deadline - d.fastest.service(0, r.least)
 }
 
 // seconds turns a number of seconds into a duration, at most a year.
--- a/core/sched/request.go
+++ b/core/sched/request.go
@@ -41,7 +41,9 @@
 	granted     time.Duration
 	charged     float64
 	expected    time.Duration
-	cached      int
+	// need is the time per output token that it must have, in seconds.
+	need   float64
+	cached int
 	// bestCached is the most that any upstream weighed should have held.
 	bestCached int
 	beside     int
--- a/core/sched/speed.go
+++ b/core/sched/speed.go
@@ -54,6 +54,14 @@
 	return seconds(s.prefill*uncached + s.token*output + s.call)
 }
 
+// maxSlowdown bounds how far one observation may raise a time.
+const maxSlowdown = 2
+
+// learnBounded learns a time that waiting may have lengthened.
+func learnBounded(value, seen *float64, x, gain float64) {
+	learn(value, seen, min(x, maxSlowdown**value), gain)
+}
+
 func learn(value, seen *float64, x, gain float64) {
 	*seen++
 	g := max(gain, 1 / *seen)
@@ -76,7 +84,7 @@
 // stream, or zero where it showed none.
 func (s *speed) observe(o observation, gain float64) float64 {
 	if o.clean && o.uncached >= minUncached && o.prefill > 0 {
-		learn(&s.prefill, &s.prefillSeen, o.prefill.Seconds()/o.uncached, gain)
+		learnBounded(&s.prefill, &s.prefillSeen, o.prefill.Seconds()/o.uncached, gain)
 	}
 	if o.tokens < minTokens || o.decode <= 0 {
 		return 0
--- a/core/sched/straggler.go
+++ b/core/sched/straggler.go
@@ -47,6 +47,7 @@
 		return
 	}
 	d.nextSweep = now + sweepEvery
+	d.findFastest(now)
 	median, ok := d.medianToken(now)
 	if !ok {
 		return
@@ -120,3 +121,18 @@
 	u.straggler.lastTrial = now
 	return u
 }
+
+// findFastest notes the best speeds that live upstreams have shown, or the
+// pool's average.
+func (d *Dispatcher) findFastest(now time.Duration) {
+	best := d.pool
+	for _, u := range d.byID {
+		if u.expires <= now || u.leaving || u.straggler.demoted {
+			continue
+		}
+		s := blend(&u.speed, &d.pool)
+		best.prefill = min(best.prefill, s.prefill)
+		best.token = min(best.token, s.token)
+	}
+	d.fastest = best
+}
--- a/core/sched/upstream.go
+++ b/core/sched/upstream.go
@@ -29,11 +29,13 @@
 	uncached float64
 	// prefillUntil is when the prefill of all granted requests should be over.
 	prefillUntil time.Duration
-	speed        speed
-	slots        slots
-	straggler    straggler
-	cache        *residency
-	load         loadReport
+	// tight is the least need of the requests in flight by tier.
+	tight     []float64
+	speed     speed
+	slots     slots
+	straggler straggler
+	cache     *residency
+	load      loadReport
 	// broken are the fingerprints of requests that failed here lately.
 	broken []uint64
 	// base orders upstreams for a request that nothing is known of, in seconds.
