--- a/internal/capacity/dispatcher.go
+++ b/internal/capacity/dispatcher.go
@@ -62,7 +62,7 @@
 
 func (r *rig) offer() {
 	r.next++
-	_ = r.core.Offer(r.now, sched.Offer{
+	_, _ = r.core.Offer(r.now, sched.Offer{
 		ID:        sched.ID{Entry: "entry-1#1@10.0.0.1:7200", Number: r.next},
 		Workspace: fmt.Sprintf("workspace-%d", r.next%workspacesQueued), Tier: int(r.next % tierCount), Weight: 1,
 		PromptTokens: promptTokens, MaxTokens: maxTokens, Deadline: time.Hour,
@@ -82,7 +82,7 @@
 		}
 		g := running[0]
 		running = running[1:]
-		_ = r.core.Release(r.now, sched.Release{ID: g.ID, Outcome: sched.Done, Prefill: time.Second, Decode: time.Second, OutputTokens: maxTokens})
+		_, _ = r.core.Release(r.now, sched.Release{ID: g.ID, Outcome: sched.Done, Prefill: time.Second, Decode: time.Second, OutputTokens: maxTokens})
 		r.offer()
 		running = append(running, r.core.Decide(r.now).Grants...)
 	})
