--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,6 +33,8 @@
 	In  io.Reader
 	Out io.Writer
 	Err io.Writer
+	// JSON asks for machine-readable output.
+	JSON bool
 }
 
 // Std returns the process's own streams.
@@ -42,7 +44,7 @@
 
 // commands returns all subcommands in the order of the help page.
 func commands() []*Command {
-	return []*Command{applyCommand(), checkCommand(), getCommand(), statusCommand(), dumpCommand(), standinCommand()}
+	return []*Command{applyCommand(), checkCommand(), getCommand(), statusCommand(), dumpCommand(), standinCommand(), demoCommand()}
 }
 
 // Main runs the command line and returns the exit code.
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -39,6 +38,9 @@
 	// Self is what it announces.
 	Self  upstream.Announcement
 	Speed Speed
+	// Observe, where set before Listen, hears of each execution; it must not
+	// block.
+	Observe func(Execution)
 
 	mu     sync.Mutex
 	runs   map[string]*run
@@ -119,6 +121,7 @@
 	x := &run{changed: make(chan struct{}), cancel: cancel}
 	r.runs[s.Stream] = x
 	r.executions[s.Stream]++
+	observe(r.Observe, Execution{Upstream: r.Self.Name, Stream: s.Stream, Text: strings.Join(answerWords(s), ""), Blocks: s.Blocks})
 	go r.generate(ctx, s, x)
 	return x, true
 }
@@ -133,15 +136,16 @@
 	defer func() { <-r.slots }()
 	prompt := len(s.Prompt)/4 + 1
 	cached := r.cachedTokens(s, prompt)
+	observe(r.Observe, Execution{Upstream: r.Self.Name, Stream: s.Stream, Blocks: s.Blocks, Prefill: prompt - cached, Cached: cached})
 	if !wait(ctx, float64(prompt-cached)/r.Speed.PrefillPerSecond) {
 		return
 	}
-	tokens := outputTokens(s)
-	for i := range tokens {
+	words := answerWords(s)
+	for i, w := range words {
 		if !wait(ctx, 1/r.Speed.DecodePerSecond) {
 			return
 		}
-		f := upstream.Frame{Stream: s.Stream, Text: fmt.Sprintf("w%d ", i), Tokens: 1}
+		f := upstream.Frame{Stream: s.Stream, Text: w, Tokens: 1}
 		if i == 0 {
 			f.PromptTokens = prompt
 			f.CachedTokens = cached
@@ -149,7 +153,7 @@
 		r.push(x, f)
 	}
 	finish := "stop"
-	if tokens == s.MaxTokens {
+	if len(words) == s.MaxTokens {
 		finish = "length"
 	}
 	r.push(x, upstream.Frame{Stream: s.Stream, End: true, Finish: finish, PromptTokens: prompt, CachedTokens: cached})
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -16,6 +16,9 @@
 	// Self is what it announces.
 	Self  upstream.Announcement
 	Pause time.Duration
+	// Observe, where set before Listen, hears of each execution; it must not
+	// block.
+	Observe func(Execution)
 
 	mu         sync.Mutex
 	executions map[string]int
@@ -62,7 +65,9 @@
 	s.mu.Lock()
 	s.executions[r.Header.Get(upstream.HeaderRequest)]++
 	s.mu.Unlock()
+	reply := fmt.Sprintf(`{"service":%q,"method":%q,"path":%q,"bytes":%d}`+"\n", s.Self.Pool, r.Method, r.URL.Path, len(body))
+	observe(s.Observe, Execution{Upstream: s.Self.Name, Stream: r.Header.Get(upstream.HeaderRequest), Text: reply})
 	time.Sleep(s.Pause)
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, `{"service":%q,"method":%q,"path":%q,"bytes":%d}`+"\n", s.Self.Pool, r.Method, r.URL.Path, len(body))
+	_, _ = io.WriteString(w, reply)
 }
