--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -217,13 +217,9 @@
 	side.Go(func() { drain = r.drain(ctx, began, report) })
 	calls.run(ctx, load)
 	side.Wait()
-	if drain != nil {
-		return nil, fmt.Errorf("%s did not drain: %w", name(drained), drain)
-	}
-	if err := r.site.stop(); err != nil {
-		return nil, fmt.Errorf("daemons did not stop: %w", err)
-	}
-	r.say("all callers have their answers, all daemons have stopped")
+	report.failed(drain)
+	report.failed(r.site.stop())
+	r.say("no caller waits any more, all daemons have stopped")
 	r.sumUp(calls, report)
 	return report, nil
 }
@@ -272,7 +268,7 @@
 		names = append(names, name(i))
 	}
 	report.Promises = judge(r.rec.all(), promise.Options{Daemons: names})
-	report.Held = report.Lost == 0
+	report.Held = report.Lost == 0 && len(report.Faults) == 0
 	for _, v := range report.Promises {
 		report.Held = report.Held && v.Held()
 	}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -25,7 +25,10 @@
 	Killed   Step      `json:"killed"`
 	Drained  Step      `json:"drained"`
 	Promises []Verdict `json:"promises"`
-	// Held says that every promise held and nothing was lost.
+	// Faults are what kept daemons from stopping gracefully.
+	Faults []string `json:"faults,omitempty"`
+	// Held says that every promise held, nothing was lost and all daemons
+	// stopped gracefully.
 	Held bool `json:"held"`
 }
 
@@ -88,6 +91,12 @@
 // Held tells whether the promise was put to the test and held.
 func (v Verdict) Held() bool { return v.Events > 0 && len(v.Broken) == 0 }
 
+func (r *Report) failed(err error) {
+	if err != nil {
+		r.Faults = append(r.Faults, err.Error())
+	}
+}
+
 // evidence names the events without which a promise was not put to the test.
 var evidence = map[promise.Promise]promise.Kind{
 	promise.DispatchOnce:    promise.Dispatch,
@@ -172,6 +181,9 @@
 	if r.Lost > 0 {
 		fmt.Fprintf(w, "%d requests ended without an answer or a refusal\n", r.Lost)
 	}
+	for _, f := range r.Faults {
+		fmt.Fprintln(w, f)
+	}
 	verdict := "every promise held"
 	if !r.Held {
 		verdict = "NOT every promise held"
