Check settings and configuration by published schemas; fill the command out

Change: internal/schema holds both JSON Schemas; schema faults and faults between sections are reported together, each with file, path and remedy. The daemon's apply runs the same check as the command.

--- a/api/client/caller.go
+++ b/api/client/caller.go
@@ -59,7 +59,7 @@
 
 // Directory asks the entries, one after the other, which addresses to use.
 func (c *Caller) Directory(ctx context.Context) (Directory, error) {
-	last := error(fault.New(fault.Unavailable, "name the callers' address of a daemon", "no entry is named"))
+	last := error(fault.New(Unreachable, "name the callers' address of a daemon", "no entry is named"))
 	for _, address := range append(c.cached(), c.Entries...) {
 		d, err := askDirectory(ctx, address)
 		if err == nil && len(d.Addresses) > 0 {
@@ -94,7 +94,7 @@
 }
 
 func unreachable(address string, err error) *fault.Error {
-	return fault.New(fault.Unavailable, "check that the daemon runs and that the address is its callers' one", "%s does not answer: %v", address, err)
+	return fault.New(Unreachable, "check that the daemon runs and that the address is its callers' one", "%s does not answer: %v", address, err)
 }
 
 func (c *Caller) cached() []string {
@@ -261,7 +261,7 @@
 		return found
 	}
 	if notSent(err) {
-		return fault.New(fault.Unavailable, "check the entries' addresses", "no entry can be reached: %v", err)
+		return fault.New(Unreachable, "check the entries' addresses", "no entry can be reached: %v", err)
 	}
 	e := fault.New(ConnectionLost, "send it again with the same key, where it has one", "the connection broke: %v", err)
 	e.Key = r.Key
--- a/api/client/operator.go
+++ b/api/client/operator.go
@@ -7,11 +7,19 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/operator"
 )
 
+// Unreachable is the kind of the client's own error where nothing answers at
+// an address.
+const Unreachable fault.Kind = "unreachable"
+
+// maxAnswer is the longest answer of a daemon that is read, in bytes.
+const maxAnswer = 256 << 20
+
 // Operator speaks with one daemon's administrative address.
 type Operator struct {
 	// Address is IP:port.
@@ -44,6 +52,12 @@
 	return out, o.call(ctx, http.MethodGet, operator.PathState, nil, &out)
 }
 
+// Explain gets why a request went where it did, as the daemon saw it.
+func (o *Operator) Explain(ctx context.Context, key string) (json.RawMessage, error) {
+	out := json.RawMessage{}
+	return out, o.call(ctx, http.MethodGet, operator.PathExplain+"?key="+url.QueryEscape(key), nil, &out)
+}
+
 func (o *Operator) call(ctx context.Context, method, path string, in, out any) error {
 	body := io.Reader(nil)
 	if in != nil {
@@ -61,10 +75,10 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return fault.New(fault.Unavailable, "check that the daemon runs and that the address is its administrative one", "%s does not answer: %v", o.Address, err)
+		return fault.New(Unreachable, "check that the daemon runs and that the address is its administrative one", "%s does not answer: %v", o.Address, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		return err
 	}
--- a/api/client/stream.go
+++ b/api/client/stream.go
@@ -56,7 +56,16 @@
 // at another entry, by key and offset. The answer is whole if and only if the
 // error is nil; errors of the system are *fault.Error.
 func (c *Caller) Stream(ctx context.Context, r Request, fn func(text string)) (*Stream, error) {
-	s := &streaming{caller: c, request: r, out: &Stream{Key: r.Key}, fn: fn}
+	return c.stream(ctx, &streaming{caller: c, request: r, out: &Stream{Key: r.Key}, fn: fn})
+}
+
+// PickUp gives the rest of an answer from an offset, in bytes, at any entry.
+// The offset counts as received: the stream's text begins there.
+func (c *Caller) PickUp(ctx context.Context, key string, offset int64, fn func(text string)) (*Stream, error) {
+	return c.stream(ctx, &streaming{caller: c, out: &Stream{Key: key}, fn: fn, offset: offset, begun: true})
+}
+
+func (c *Caller) stream(ctx context.Context, s *streaming) (*Stream, error) {
 	tries := 0
 	for {
 		before := len(s.out.Text)
@@ -85,6 +94,8 @@
 	request Request
 	out     *Stream
 	fn      func(string)
+	// offset is where the text begins in the answer, in bytes.
+	offset int64
 	// begun says that an entry has accepted the request.
 	begun bool
 }
@@ -130,7 +141,7 @@
 // where the entry doesn't know it, a caller's own key lets it be sent again.
 func (s *streaming) from(ctx context.Context, address string) error {
 	if s.begun {
-		pick := Request{Method: http.MethodGet, Path: answerPath(s.out.Key, int64(len(s.out.Text)))}
+		pick := Request{Method: http.MethodGet, Path: answerPath(s.out.Key, s.received())}
 		err := s.open(ctx, address, pick)
 		missing := (*fault.Error)(nil)
 		if !errors.As(err, &missing) || missing.Kind != fault.NotFound || s.request.Key == "" {
@@ -209,8 +220,13 @@
 	return nil
 }
 
+// received is how much of the answer is at hand, in bytes.
+func (s *streaming) received() int64 {
+	return s.offset + int64(len(s.out.Text))
+}
+
 func (s *streaming) add(id int64, text string) error {
-	have := int64(len(s.out.Text))
+	have := s.received()
 	start := id - int64(len(text))
 	if id < 0 {
 		start = have
--- a/core/config/check.go
+++ b/core/config/check.go
@@ -1,10 +1,85 @@
 package config
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 )
 
+// CheckFiles merges files as far as they can be read and reports every fault
+// between sections, each with the file and the path in which it stands. Faults
+// of a file's shape are the schema's matter and passed over.
+func CheckFiles(files Files) Faults {
+	whole := &Config{}
+	from := origins{}
+	faults := Faults{}
+	timeouts := ""
+	for _, p := range files.Paths() {
+		part := Config{}
+		// A value of the wrong type leaves its field empty and the rest whole.
+		_ = json.Unmarshal(files[p], &part)
+		if part.Timeouts != nil && timeouts != "" {
+			faults = append(faults, Fault{File: p, Path: "$.timeouts", Message: fmt.Sprintf("timeouts are declared in %s too", timeouts), Remedy: "keep them in one file"})
+		}
+		if part.Timeouts != nil {
+			timeouts = p
+		}
+		from.add(p, &part)
+		whole.add(&part)
+	}
+	found := Faults{}
+	if errors.As(Check(whole), &found) {
+		for _, f := range found {
+			faults = append(faults, from.locate(f))
+		}
+	}
+	return faults
+}
+
+// origin is where an element of a merged section came from.
+type origin struct {
+	file  string
+	index int
+}
+
+// origins holds the elements' origins by section.
+type origins map[string][]origin
+
+func (o origins) add(file string, part *Config) {
+	sizes := []struct {
+		section string
+		size    int
+	}{
+		{"tiers", len(part.Tiers)},
+		{"workspaces", len(part.Workspaces)},
+		{"regions", len(part.Regions)},
+		{"models", len(part.Models)},
+		{"services", len(part.Services)},
+		{"operators", len(part.Operators)},
+	}
+	for _, s := range sizes {
+		for i := range s.size {
+			o[s.section] = append(o[s.section], origin{file: file, index: i})
+		}
+	}
+}
+
+// locate turns a path in the merged whole into a file and the path in it.
+func (o origins) locate(f Fault) Fault {
+	section, rest, ok := strings.Cut(strings.TrimPrefix(f.Path, "$."), "[")
+	number, rest, closed := strings.Cut(rest, "]")
+	i, err := strconv.Atoi(number)
+	if !ok || !closed || err != nil || i >= len(o[section]) {
+		return f
+	}
+	at := o[section][i]
+	f.File = at.file
+	f.Path = fmt.Sprintf("$.%s[%d]%s", section, at.index, rest)
+	return f
+}
+
 // Check reports every fault that lies between sections: duplicate names,
 // dangling references, values out of range. The shape of each file is the
 // schema's matter.
@@ -77,11 +152,16 @@
 
 func (k *checker) regions(c *Config) {
 	k.unique("regions", names(c.Regions, func(r Region) string { return r.Name }))
-	all := []string{}
-	for _, r := range c.Regions {
-		all = append(all, r.DataCentres...)
+	owner := map[string]string{}
+	for i, r := range c.Regions {
+		for j, dc := range r.DataCentres {
+			path := fmt.Sprintf("$.regions[%d].data_centres[%d]", i, j)
+			if other, ok := owner[dc]; ok {
+				k.add("rename or remove one of them", path, "%q is declared in region %q too", dc, other)
+			}
+			owner[dc] = r.Name
+		}
 	}
-	k.unique("regions[].data_centres", all)
 }
 
 func (k *checker) workspaces(c *Config) {
--- a/core/config/files.go
+++ b/core/config/files.go
@@ -65,6 +65,9 @@
 
 // Error gives the fault on one line.
 func (f Fault) Error() string {
+	if f.File == "" {
+		return fmt.Sprintf("%s: %s; %s", f.Path, f.Message, f.Remedy)
+	}
 	return fmt.Sprintf("%s: %s: %s; %s", f.File, f.Path, f.Message, f.Remedy)
 }
 
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -22,6 +22,7 @@
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/schema"
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
@@ -169,11 +170,7 @@
 	if err != nil {
 		return fault.New(fault.Malformed, "mend the files", "%v", err)
 	}
-	merged, err := config.Merge(files)
-	if err != nil {
-		return fault.New(fault.Malformed, "mend the files", "%v", err)
-	}
-	if err := config.Check(merged); err != nil {
+	if err := schema.CheckFiles(files); err != nil {
 		return fault.New(fault.Malformed, "mend the files", "%v", err)
 	}
 	name, _ := c.Get(operatorName).(string)
--- /dev/null
+++ b/internal/cli/caller.go
@@ -0,0 +1,239 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/verbenastep/verbenastep/api/client"
+)
+
+// entries is the entries that a caller's command speaks with.
+type entries struct {
+	addresses string
+}
+
+func (e *entries) flags(f *flag.FlagSet) {
+	f.StringVar(&e.addresses, "entry", "127.0.0.1:7101", "callers' `ADDRESSES` of daemons to ask for the directory, comma-separated")
+}
+
+func whereCommand() *Command {
+	e := &entries{}
+	return &Command{
+		Name: "where", Summary: "show which entries callers may use, and for how long", Example: "verbenastep where -entry 127.0.0.1:7101",
+		Flags: e.flags,
+		Run: func(ctx context.Context, std IO, _ []string) error {
+			c := client.Caller{Entries: split(e.addresses)}
+			d, err := c.Directory(ctx)
+			if err != nil {
+				return err
+			}
+			if std.JSON {
+				return printJSON(std.Out, d)
+			}
+			for _, a := range d.Addresses {
+				fmt.Fprintln(std.Out, a)
+			}
+			fmt.Fprintf(std.Err, "good for %s\n", plural(d.Seconds, "second"))
+			return nil
+		},
+	}
+}
+
+// sending is one run of the send command.
+type sending struct {
+	entries   entries
+	key       string
+	id        string
+	model     string
+	service   string
+	method    string
+	path      string
+	data      string
+	form      string
+	maxTokens int
+	stream    bool
+	resume    string
+	offset    int64
+}
+
+func sendCommand() *Command {
+	s := &sending{}
+	return &Command{
+		Name: "send", Summary: "send a request as a caller: a model's completion or a service's call", Args: "[PROMPT]",
+		Example: `verbenastep send -model logbook-model -stream "Who owned chassis 1234 in 1961?"`,
+		Flags:   s.flags,
+		Run:     s.run,
+	}
+}
+
+func (s *sending) flags(f *flag.FlagSet) {
+	s.entries.flags(f)
+	f.StringVar(&s.key, "workspace", "", "the workspace's `KEY`; better given in "+workspaceVariable)
+	f.StringVar(&s.id, "id", "", "the request's own `KEY`, sent as Idempotency-Key; a resend with it never runs twice")
+	f.StringVar(&s.model, "model", "", "`NAME` of the model to ask")
+	f.StringVar(&s.form, "form", "chat", "chat or text")
+	f.IntVar(&s.maxTokens, "max-tokens", 0, "most tokens of the answer; 0 leaves it to the system")
+	f.BoolVar(&s.stream, "stream", false, "show the answer as it comes; a lost connection is taken up at another entry")
+	f.StringVar(&s.service, "service", "", "`NAME` of the plain service to call")
+	f.StringVar(&s.method, "method", http.MethodGet, "the call's method")
+	f.StringVar(&s.path, "path", "/", "the call's path below the service, with the query")
+	f.StringVar(&s.data, "data", "", "the call's body; \"-\" reads it from standard input")
+	f.StringVar(&s.resume, "resume", "", "pick up the answer of the request with this `KEY`")
+	f.Int64Var(&s.offset, "offset", 0, "where to pick it up, in bytes")
+}
+
+// sent is the command's result.
+type sent struct {
+	Key     string `json:"key"`
+	Entry   string `json:"entry"`
+	Status  int    `json:"status,omitempty"`
+	Text    string `json:"text"`
+	Finish  string `json:"finish,omitempty"`
+	Resumed int    `json:"resumed,omitempty"`
+}
+
+func (s *sending) run(ctx context.Context, std IO, args []string) error {
+	chosen := 0
+	for _, v := range []string{s.model, s.service, s.resume} {
+		if v != "" {
+			chosen++
+		}
+	}
+	if chosen != 1 {
+		return &usageError{problem: "give one of -model, -service and -resume"}
+	}
+	c := &client.Caller{Entries: split(s.entries.addresses), Key: orVariable(s.key, workspaceVariable)}
+	switch {
+	case s.resume != "":
+		return s.streamed(std, func(fn func(string)) (*client.Stream, error) { return c.PickUp(ctx, s.resume, s.offset, fn) })
+	case s.service != "":
+		return s.call(ctx, std, c)
+	}
+	r, err := s.completion(args)
+	if err != nil {
+		return err
+	}
+	if s.stream {
+		return s.streamed(std, func(fn func(string)) (*client.Stream, error) { return c.Stream(ctx, r, fn) })
+	}
+	return s.whole(ctx, std, c, r)
+}
+
+// completionBody is the body of both completion calls.
+type completionBody struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt,omitempty"`
+	Messages  []chatMessage `json:"messages,omitempty"`
+	MaxTokens int           `json:"max_tokens,omitempty"`
+	Stream    bool          `json:"stream,omitempty"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (s *sending) completion(args []string) (client.Request, error) {
+	prompt := strings.Join(args, " ")
+	if prompt == "" {
+		return client.Request{}, &usageError{problem: "give a prompt"}
+	}
+	body := completionBody{Model: s.model, MaxTokens: s.maxTokens, Stream: s.stream}
+	r := client.Request{Method: http.MethodPost, Key: s.id}
+	switch s.form {
+	case "chat":
+		r.Path = "/v1/chat/completions"
+		body.Messages = []chatMessage{{Role: "user", Content: prompt}}
+	case "text":
+		r.Path = "/v1/completions"
+		body.Prompt = prompt
+	default:
+		return r, &usageError{problem: fmt.Sprintf("-form is %q; write chat or text", s.form)}
+	}
+	err := error(nil)
+	r.Body, err = json.Marshal(body)
+	return r, err
+}
+
+// streamed shows one stream as it comes.
+func (s *sending) streamed(std IO, open func(fn func(string)) (*client.Stream, error)) error {
+	show := func(text string) {
+		if !std.JSON {
+			_, _ = io.WriteString(std.Out, text)
+		}
+	}
+	st, err := open(show)
+	if err != nil {
+		if st != nil && len(st.Text) > 0 {
+			fmt.Fprintf(std.Err, "\nthe answer broke off after %d bytes; pick it up with -resume %s -offset %d\n", len(st.Text), st.Key, s.offset+int64(len(st.Text)))
+		}
+		return err
+	}
+	if std.JSON {
+		return printJSON(std.Out, sent{Key: st.Key, Entry: st.Entry, Status: http.StatusOK, Text: st.Text, Finish: st.Finish, Resumed: st.Resumed})
+	}
+	fmt.Fprintln(std.Out)
+	fmt.Fprintf(std.Err, "request %s, ended by %s at %s\n", st.Key, st.Finish, st.Entry)
+	return nil
+}
+
+func (s *sending) whole(ctx context.Context, std IO, c *client.Caller, r client.Request) error {
+	reply, err := c.Do(ctx, r)
+	if err != nil {
+		return err
+	}
+	answer := struct {
+		Choices []struct {
+			Text         string      `json:"text"`
+			Message      chatMessage `json:"message"`
+			FinishReason string      `json:"finish_reason"`
+		} `json:"choices"`
+	}{}
+	if err := json.Unmarshal(reply.Body, &answer); err != nil {
+		return err
+	}
+	out := sent{Key: reply.Key, Entry: reply.Entry, Status: reply.Status}
+	for _, choice := range answer.Choices {
+		out.Text += choice.Text + choice.Message.Content
+		out.Finish = choice.FinishReason
+	}
+	return printSent(std, out)
+}
+
+func (s *sending) call(ctx context.Context, std IO, c *client.Caller) error {
+	body := []byte(s.data)
+	if s.data == "-" {
+		read, err := io.ReadAll(std.In)
+		if err != nil {
+			return err
+		}
+		body = read
+	}
+	r := client.Request{Method: s.method, Path: "/services/" + s.service + "/" + strings.TrimPrefix(s.path, "/"), Body: body, Key: s.id}
+	reply, err := c.Do(ctx, r)
+	if err != nil {
+		return err
+	}
+	out := sent{Key: reply.Key, Entry: reply.Entry, Status: reply.Status, Text: string(reply.Body)}
+	if err := printSent(std, out); err != nil {
+		return err
+	}
+	if reply.Status >= http.StatusBadRequest {
+		return fmt.Errorf("the service answered with status %d", reply.Status)
+	}
+	return nil
+}
+
+func printSent(std IO, out sent) error {
+	if std.JSON {
+		return printJSON(std.Out, out)
+	}
+	fmt.Fprintln(std.Out, strings.TrimSuffix(out.Text, "\n"))
+	fmt.Fprintf(std.Err, "request %s, answered by %s\n", out.Key, out.Entry)
+	return nil
+}
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -3,133 +3,150 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"flag"
 	"fmt"
 	"io"
-	"os"
-	"path/filepath"
-	"strings"
+	"text/tabwriter"
 
 	"github.com/verbenastep/verbenastep/api/client"
+	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/operator"
-	"github.com/verbenastep/verbenastep/core/config"
 )
 
-// keyVariable is the environment variable that holds the operator's key.
-const keyVariable = "VERBENASTEP_OPERATOR_KEY"
-
-// target is the daemon that an operator's command speaks with.
-type target struct {
-	address string
-	key     string
-}
-
-func (t *target) flags(f *flag.FlagSet) {
-	f.StringVar(&t.address, "daemon", "127.0.0.1:7401", "administrative `ADDRESS` of a daemon")
-	f.StringVar(&t.key, "key", os.Getenv(keyVariable), "operator's key; by default from "+keyVariable)
-}
-
-func (t *target) client() *client.Operator {
-	return &client.Operator{Address: t.address, Key: t.key}
-}
-
-var errOneFolder = errors.New("name one folder")
-
-// ReadFolder reads all JSON files below a folder.
-func ReadFolder(folder string) (config.Files, error) {
-	files := config.Files{}
-	err := filepath.WalkDir(folder, func(p string, d os.DirEntry, err error) error {
-		if err != nil || d.IsDir() || filepath.Ext(p) != ".json" {
-			return err
-		}
-		rel, err := filepath.Rel(folder, p)
-		if err != nil {
-			return err
-		}
-		files[filepath.ToSlash(rel)], err = os.ReadFile(p)
-		return err
-	})
-	return files, err
-}
-
-func applyCommand() *Command {
+func getCommand() *Command {
 	t := &target{}
 	return &Command{
-		Name: "apply", Summary: "replace the configuration as a whole", Example: "verbenastep apply examples/karoo",
+		Name: "get", Summary: "show the configuration in force", Args: "[FILE]", Example: "verbenastep get tiers.json",
 		Flags: t.flags,
 		Run: func(ctx context.Context, std IO, args []string) error {
-			if len(args) != 1 {
-				return errOneFolder
-			}
-			files, err := ReadFolder(args[0])
+			c, err := ask(ctx, t, func(ctx context.Context, o *client.Operator) (operator.Config, error) { return o.Config(ctx) })
 			if err != nil {
 				return err
 			}
-			current, err := t.client().Config(ctx)
-			if err != nil {
-				return err
+			if len(args) == 0 {
+				return printJSON(std.Out, c)
 			}
-			applied, err := t.client().Apply(ctx, operator.Apply{Base: current.Version, Files: operator.Files(files)})
-			if err != nil {
-				return err
+			content, ok := c.Files[args[0]]
+			if !ok {
+				return fault.New(fault.NotFound, "verbenastep get lists the files", "version %d has no file %q", c.Version, args[0])
 			}
-			fmt.Fprintf(std.Out, "version %d accepted\n", applied.Version)
-			return nil
+			return printJSON(std.Out, content)
 		},
 	}
 }
 
-func getCommand() *Command {
+func statusCommand() *Command {
 	t := &target{}
 	return &Command{
-		Name: "get", Summary: "show the configuration in force", Example: "verbenastep get",
+		Name: "status", Summary: "show the live daemons and who lags", Example: "verbenastep status -daemon 127.0.0.1:7401,127.0.0.1:7402",
 		Flags: t.flags,
 		Run: func(ctx context.Context, std IO, _ []string) error {
-			c, err := t.client().Config(ctx)
+			st, err := ask(ctx, t, status)
 			if err != nil {
 				return err
 			}
-			return printJSON(std.Out, c)
+			if std.JSON {
+				return printJSON(std.Out, st)
+			}
+			return printStatus(std.Out, st)
 		},
 	}
 }
 
-func statusCommand() *Command {
+func status(ctx context.Context, o *client.Operator) (operator.Status, error) { return o.Status(ctx) }
+
+func printStatus(w io.Writer, st operator.Status) error {
+	fmt.Fprintf(w, "%s has version %d in force\n", st.Daemon, st.Version)
+	for name, problem := range st.Failing {
+		fmt.Fprintf(w, "failing: %s: %s\n", name, problem)
+	}
+	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tab, "daemon\tregion\tdata centre\tcallers\treplica\tversion\tstate")
+	for _, m := range st.Members {
+		state := "up to date"
+		if m.Lags {
+			state = "lags"
+		}
+		fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%t\t%d\t%s\n", m.Name, m.Region, m.DataCentre, m.Callers, m.Replica, m.Version, state)
+	}
+	return tab.Flush()
+}
+
+func dumpCommand() *Command {
 	t := &target{}
 	return &Command{
-		Name: "status", Summary: "show the live daemons and who lags", Example: "verbenastep status",
+		Name: "dump", Summary: "show the state of a daemon's services", Args: "[SERVICE]", Example: "verbenastep dump config.view",
 		Flags: t.flags,
-		Run: func(ctx context.Context, std IO, _ []string) error {
-			st, err := t.client().Status(ctx)
+		Run: func(ctx context.Context, std IO, args []string) error {
+			state, err := ask(ctx, t, func(ctx context.Context, o *client.Operator) (operator.State, error) { return o.State(ctx) })
 			if err != nil {
 				return err
 			}
-			return printJSON(std.Out, st)
+			if len(args) == 0 {
+				return printJSON(std.Out, state)
+			}
+			one, ok := state[args[0]]
+			if !ok {
+				return fault.New(fault.NotFound, "verbenastep dump lists the services", "the daemon has no service %q", args[0])
+			}
+			return printJSON(std.Out, one)
 		},
 	}
 }
 
-func dumpCommand() *Command {
+// explained is what one daemon knows of a request.
+type explained struct {
+	Daemon  string          `json:"daemon"`
+	Request json.RawMessage `json:"request"`
+}
+
+func explainCommand() *Command {
 	t := &target{}
 	return &Command{
-		Name: "dump", Summary: "show the state of all services of a daemon", Example: "verbenastep dump",
+		Name: "explain", Summary: "show why a request went where it did, waited, or was refused", Args: "KEY", Example: "verbenastep explain -daemon 127.0.0.1:7401,127.0.0.1:7402,127.0.0.1:7403 transfer-17",
 		Flags: t.flags,
 		Run: func(ctx context.Context, std IO, args []string) error {
-			state, err := t.client().State(ctx)
+			if len(args) != 1 {
+				return &usageError{problem: "give the request's key"}
+			}
+			found, err := explain(ctx, t, args[0])
 			if err != nil {
 				return err
 			}
-			if len(args) > 0 {
-				return printJSON(std.Out, state[strings.Join(args, " ")])
-			}
-			return printJSON(std.Out, state)
+			return printJSON(std.Out, found)
 		},
 	}
 }
 
+// explain asks all daemons: each knows what it saw itself.
+func explain(ctx context.Context, t *target, key string) ([]explained, error) {
+	found := []explained{}
+	last := error(&usageError{problem: "-daemon names no address"})
+	for i, c := range t.clients() {
+		request, err := c.Explain(ctx, key)
+		if err == nil {
+			found = append(found, explained{Daemon: c.Address, Request: request})
+			continue
+		}
+		if i == 0 || !unreachable(err) {
+			last = err
+		}
+	}
+	if len(found) > 0 {
+		return found, nil
+	}
+	return nil, last
+}
+
 func printJSON(w io.Writer, v any) error {
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
 	return enc.Encode(v)
 }
+
+func plural(n int, one string) string {
+	if n == 1 {
+		return "1 " + one
+	}
+	return fmt.Sprintf("%d %ss", n, one)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,13 +2,13 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net"
 	"os"
+	"slices"
 	"strings"
+
+	"github.com/verbenastep/verbenastep/internal/schema"
 )
 
 // Role is what a daemon does besides serving callers.
@@ -107,15 +107,15 @@
 // Fault is one thing wrong with the settings.
 type Fault struct {
 	// Path is a JSON path such as "$.addresses.callers".
-	Path    string
-	Message string
-	Remedy  string
+	Path    string `json:"path"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
 }
 
 // Error lists every fault of one file.
 type Error struct {
-	File   string
-	Faults []Fault
+	File   string  `json:"file"`
+	Faults []Fault `json:"faults"`
 }
 
 // Error gives a line a fault.
@@ -136,62 +136,31 @@
 	return Parse(file, data)
 }
 
-// Parse checks the content of a file; the name is for messages only.
+// Parse checks the content of a file; the name is for messages only. Its error
+// is an *Error that holds every fault.
 func Parse(file string, data []byte) (*Settings, error) {
 	s := &Settings{}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(s); err != nil {
-		return nil, &Error{File: file, Faults: []Fault{decodeFault(err)}}
+	e := &Error{File: file}
+	paths := []string{}
+	for _, f := range schema.Check(schema.Settings, data) {
+		e.Faults = append(e.Faults, Fault(f))
+		paths = append(paths, f.Path)
+	}
+	// A value of the wrong type leaves its field empty and the rest whole.
+	_ = json.Unmarshal(data, s)
+	for _, f := range s.check() {
+		if !schema.Covers(paths, f.Path) {
+			e.Faults = append(e.Faults, f)
+		}
 	}
-	if faults := s.check(); len(faults) > 0 {
-		return nil, &Error{File: file, Faults: faults}
+	slices.SortStableFunc(e.Faults, func(a, b Fault) int { return strings.Compare(a.Path, b.Path) })
+	if len(e.Faults) > 0 {
+		return nil, e
 	}
 	s.fill()
 	return s, nil
 }
 
-func decodeFault(err error) Fault {
-	typed := (*json.UnmarshalTypeError)(nil)
-	if errors.As(err, &typed) {
-		return Fault{Path: "$." + typed.Field, Message: "the value is a " + typed.Value, Remedy: "write a " + typed.Type.String()}
-	}
-	return Fault{Path: "$", Message: err.Error(), Remedy: "see docs/SETTINGS.md"}
-}
-
-func (s *Settings) check() []Fault {
-	faults := []Fault{}
-	add := func(path, message, remedy string) {
-		faults = append(faults, Fault{Path: path, Message: message, Remedy: remedy})
-	}
-	required := []struct{ path, value string }{
-		{"$.name", s.Name}, {"$.region", s.Region}, {"$.data_centre", s.DataCentre},
-	}
-	for _, r := range required {
-		if r.value == "" {
-			add(r.path, "the value is missing", "give it")
-		}
-	}
-	addresses := []struct{ path, value string }{
-		{"$.addresses.callers", s.Addresses.Callers},
-		{"$.addresses.peers", s.Addresses.Peers},
-		{"$.addresses.upstreams", s.Addresses.Upstreams},
-		{"$.addresses.admin", s.Addresses.Admin},
-	}
-	for _, a := range addresses {
-		if _, _, err := net.SplitHostPort(a.value); err != nil {
-			add(a.path, fmt.Sprintf("%q is not an address", a.value), "write IP:port")
-		}
-	}
-	if len(s.Replicas) == 0 {
-		add("$.replicas", "no replica is named", "name the daemons that keep the durable state")
-	}
-	if s.HasRole(Replica) && s.DataFolder == "" {
-		add("$.data_folder", "a replica needs a data folder", "name a folder on its disk")
-	}
-	return faults
-}
-
 func (s *Settings) fill() {
 	if s.Limits.BodyBytes == 0 {
 		s.Limits.BodyBytes = DefaultBodyBytes
