--- a/api/client/caller.go
+++ b/api/client/caller.go
@@ -67,7 +67,7 @@
 			return d, nil
 		}
 		if err != nil {
-			last = unreachable(address, err)
+			last = unanswered(address, "callers'", err)
 		}
 	}
 	return Directory{}, last
@@ -93,10 +93,6 @@
 	return d, err
 }
 
-func unreachable(address string, err error) *fault.Error {
-	return fault.New(Unreachable, "check that the daemon runs and that the address is its callers' one", "%s does not answer: %v", address, err)
-}
-
 func (c *Caller) cached() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/api/client/operator.go
+++ b/api/client/operator.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/operator"
@@ -58,7 +59,12 @@
 	return out, o.call(ctx, http.MethodGet, operator.PathExplain+"?key="+url.QueryEscape(key), nil, &out)
 }
 
+// callTimeout bounds one exchange with a daemon.
+const callTimeout = 10 * time.Second
+
 func (o *Operator) call(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	body := io.Reader(nil)
 	if in != nil {
 		data, err := json.Marshal(in)
@@ -75,7 +81,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return fault.New(Unreachable, "check that the daemon runs and that the address is its administrative one", "%s does not answer: %v", o.Address, err)
+		return unanswered(o.Address, "administrative", err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
@@ -88,6 +94,16 @@
 	return json.Unmarshal(data, out)
 }
 
+// unanswered says that nothing answers at an address. What was sent may still
+// have had its effect.
+func unanswered(address, which string, err error) *fault.Error {
+	e := fault.New(Unreachable, "check that the daemon runs and that the address is its "+which+" one", "%s does not answer: %v", address, err)
+	if notSent(err) {
+		return e
+	}
+	return e.WithRan(fault.MayHaveRun)
+}
+
 func decodeFault(status int, data []byte) error {
 	e, err := fault.Decode(data)
 	if err != nil || e.Kind == "" {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,10 +7,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -26,6 +28,18 @@
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
+const (
+	// maxApply is the largest configuration that is taken, in bytes.
+	maxApply = 64 << 20
+	// headerTimeout, readTimeout and idleTimeout bound what a client may keep a
+	// connection waiting.
+	headerTimeout = 5 * time.Second
+	readTimeout   = 30 * time.Second
+	idleTimeout   = time.Minute
+	// maxHeader is the largest header, in bytes.
+	maxHeader = 16 << 10
+)
+
 // filesView is the view with the files it holds.
 type filesView interface {
 	port.View
@@ -77,7 +91,10 @@
 	if err != nil {
 		return err
 	}
-	s.server = &http.Server{Handler: s.routes()}
+	s.server = &http.Server{
+		Handler: s.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
 	go func() { _ = s.server.Serve(ln) }()
 	return nil
 }
@@ -92,13 +109,17 @@
 	e.GET(operator.PathConfig, s.getConfig, s.authenticated)
 	e.POST(operator.PathConfig, s.apply, s.authenticated)
 	e.GET(operator.PathStatus, s.status, s.authenticated)
+	e.GET(operator.PathExplain, s.explain, s.authenticated)
 	return e
 }
 
 func failed(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
 	e := fault.From(err)
 	if he, ok := err.(*echo.HTTPError); ok {
-		e = fault.New(fault.NotFound, "see docs/OPERATORS.md", "%v", he.Message)
+		e = fault.New(fault.NotFound, "see docs/OPERATORS.md for the paths and methods", "%v", he.Message)
 	}
 	_ = c.JSON(e.HTTPStatus(), e)
 }
@@ -161,10 +182,24 @@
 	return c.JSON(http.StatusOK, operator.Config{Version: snap.Version, Digest: snap.Digest, Files: operator.Files(s.view.Files())})
 }
 
-func (s *Service) apply(c echo.Context) error {
+// readApply reads a change; what it holds is checked afterwards.
+func readApply(c echo.Context) (operator.Apply, error) {
 	a := operator.Apply{}
-	if err := json.NewDecoder(c.Request().Body).Decode(&a); err != nil {
-		return fault.New(fault.Malformed, "send an apply as docs/OPERATORS.md shows", "the body is not readable: %v", err)
+	err := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxApply)).Decode(&a)
+	large := (*http.MaxBytesError)(nil)
+	if errors.As(err, &large) {
+		return a, fault.New(fault.TooLarge, "send fewer or smaller files", "the configuration is over %d bytes", maxApply)
+	}
+	if err != nil {
+		return a, fault.New(fault.Malformed, "send an apply as docs/OPERATORS.md shows", "the body is not readable: %v", err)
+	}
+	return a, nil
+}
+
+func (s *Service) apply(c echo.Context) error {
+	a, err := readApply(c)
+	if err != nil {
+		return err
 	}
 	files, err := config.Files(a.Files).Compact()
 	if err != nil {
@@ -185,6 +220,23 @@
 	return c.JSON(http.StatusOK, operator.Applied{Version: result.Version, Digest: result.Digest})
 }
 
+// explain asks the entry, which is found at the request: it starts later.
+func (s *Service) explain(c echo.Context) error {
+	key := c.QueryParam("key")
+	if key == "" {
+		return fault.New(fault.Malformed, "give ?key=", "the request's key is missing")
+	}
+	entry, err := kernel.Find[port.Explainer](s.kernel, port.NameEntry)
+	if err != nil {
+		return fault.New(fault.Unavailable, "ask another daemon", "this daemon explains no requests: %v", err)
+	}
+	why, ok := entry.Explain(key)
+	if !ok {
+		return fault.New(fault.NotFound, "ask the daemon that took the request, or check the key", "this daemon has seen no request with the key")
+	}
+	return c.JSONBlob(http.StatusOK, why)
+}
+
 func (s *Service) status(c echo.Context) error {
 	snap := s.view.Snapshot()
 	out := operator.Status{Daemon: s.set.Name, Version: snap.Version, Digest: snap.Digest, Failing: s.failing()}
--- a/internal/demo/recorder.go
+++ b/internal/demo/recorder.go
@@ -31,7 +31,7 @@
 func newRecorder() *recorder {
 	return &recorder{
 		began: time.Now(), streams: map[requestID]string{}, owners: map[string]requestID{},
-		prefill: prefill{tokens: map[string]int{}, held: map[string]map[uint64]bool{}},
+		prefill: prefill{tokens: map[string]int{}, repeated: map[string]int{}, held: map[string]map[uint64]bool{}},
 	}
 }
 
@@ -77,7 +77,7 @@
 }
 
 // wasted returns the prompt tokens processed, those whose answer did not reach
-// its caller whole, and those that another live upstream still held.
+// its caller whole, and of the others those that another live upstream held.
 func (r *recorder) wasted(whole map[requestID]bool) (total, lost, repeated int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -85,18 +85,20 @@
 		total += tokens
 		if !whole[r.owners[stream]] {
 			lost += tokens
+			continue
 		}
+		repeated += r.prefill.repeated[stream]
 	}
-	return total, lost, r.prefill.repeated
+	return total, lost, repeated
 }
 
 // prefill follows which prompt blocks each upstream holds.
 type prefill struct {
 	// tokens counts processed prompt tokens by stream.
 	tokens map[string]int
-	held   map[string]map[uint64]bool
-	// repeated counts tokens that another live upstream held.
-	repeated int
+	// repeated counts those of them that another live upstream held.
+	repeated map[string]int
+	held     map[string]map[uint64]bool
 }
 
 func (p *prefill) add(x standin.Execution) {
@@ -107,7 +109,7 @@
 			best = max(best, leading(held, x.Blocks))
 		}
 		perBlock := (x.Prefill + x.Cached) / len(x.Blocks)
-		p.repeated += min(x.Prefill, max(0, best*perBlock-x.Cached))
+		p.repeated[x.Stream] += min(x.Prefill, max(0, best*perBlock-x.Cached))
 	}
 	mine := p.held[x.Upstream]
 	if mine == nil {
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -49,6 +49,7 @@
 type site struct {
 	settings []*settings.Settings
 	daemons  []*daemon.Daemon
+	rec      *recorder
 
 	mu      sync.Mutex
 	stopped []bool
@@ -119,6 +120,7 @@
 
 // start starts all daemons at once.
 func (s *site) start(ctx context.Context, log *zap.Logger, rec *recorder) error {
+	s.rec = rec
 	errs := make([]error, daemonCount)
 	wait := sync.WaitGroup{}
 	for i, set := range s.settings {
@@ -149,7 +151,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	return s.daemons[i].Stop(ctx)
+	s.rec.record(promise.Event{Kind: promise.Drain, Daemon: name(i)})
+	if err := s.daemons[i].Stop(ctx); err != nil {
+		return fmt.Errorf("%s did not stop gracefully: %w", name(i), err)
+	}
+	s.rec.record(promise.Event{Kind: promise.Stopped, Daemon: name(i)})
+	return nil
 }
 
 // stop drains all daemons that still run, at once.
