--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -17,6 +17,9 @@
 	// Self is what it announces.
 	Self  upstream.Announcement
 	Pause time.Duration
+	// Observe, where set before Listen, hears of each execution; it must not
+	// block.
+	Observe func(Execution)
 
 	mu         sync.Mutex
 	executions map[string]int
@@ -73,8 +76,10 @@
 	s.executions[r.Header.Get(upstream.HeaderRequest)]++
 	fault := s.fault
 	s.mu.Unlock()
+	reply := fmt.Sprintf(`{"service":%q,"method":%q,"path":%q,"bytes":%d}`+"\n", s.Self.Pool, r.Method, r.URL.Path, len(body))
+	observe(s.Observe, Execution{Upstream: s.Self.Name, Stream: r.Header.Get(upstream.HeaderRequest), Text: reply})
 	time.Sleep(s.Pause)
-	answer := fmt.Sprintf(`{"service":%q,"method":%q,"path":%q,"bytes":%d}`+"\n", s.Self.Pool, r.Method, r.URL.Path, len(body))
+	answer := reply
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	switch fault {
