Run local sites from one package

Cause: capacity, the demonstration and the daemon's tests each start daemons on loopback in their own way.

--- a/internal/capacity/entry.go
+++ b/internal/capacity/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/verbenastep/verbenastep/internal/answer"
 	"github.com/verbenastep/verbenastep/internal/entry"
+	"github.com/verbenastep/verbenastep/internal/localsite"
 )
 
 const (
@@ -99,19 +100,19 @@
 const announceBody = `{"name":"runner-9","kind":"runner","pool":"m0","address":"127.0.0.1:1","region":"r0","data_centre":"d0","incarnation":1,"slots":8,"leaving":true}`
 
 func (s *site) get(url string) {
-	s.do(http.MethodGet, url, nil)
+	s.do(http.MethodGet, url, s.key, nil)
 }
 
 func (s *site) post(url, body string) {
-	s.do(http.MethodPost, url, strings.NewReader(body))
+	s.do(http.MethodPost, url, localsite.UpstreamKey, strings.NewReader(body))
 }
 
-func (s *site) do(method, url string, body io.Reader) {
+func (s *site) do(method, url, key string, body io.Reader) {
 	req, err := http.NewRequest(method, url, body)
 	if err != nil {
 		panic(err)
 	}
-	req.Header.Set("Authorization", "Bearer "+s.key)
+	req.Header.Set("Authorization", "Bearer "+key)
 	resp, err := s.callers.Do(req)
 	if err != nil {
 		panic(err)
--- a/internal/capacity/site.go
+++ b/internal/capacity/site.go
@@ -4,11 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -20,14 +17,13 @@
 	"github.com/verbenastep/verbenastep/api/operator"
 	"github.com/verbenastep/verbenastep/api/upstream"
 	"github.com/verbenastep/verbenastep/core/config"
-	"github.com/verbenastep/verbenastep/internal/daemon"
+	"github.com/verbenastep/verbenastep/internal/localsite"
 	"github.com/verbenastep/verbenastep/internal/settings"
 	"github.com/verbenastep/verbenastep/internal/standin"
 )
 
 const (
-	siteModel    = "m0"
-	siteOperator = "capacity-operator"
+	siteModel = "m0"
 	// readyTimeout bounds waiting for the first answer.
 	readyTimeout = 20 * time.Second
 	// siteSlots is how many streams the stand-in runner takes at once.
@@ -38,7 +34,7 @@
 
 // site is one daemon on loopback with one stand-in runner.
 type site struct {
-	daemon  *daemon.Daemon
+	local   *localsite.Site
 	set     *settings.Settings
 	runner  *standin.Runner
 	folder  string
@@ -48,51 +44,12 @@
 	key string
 }
 
-func keyHash(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return "sha256:" + hex.EncodeToString(sum[:])
-}
-
-// freeAddress returns an address on loopback that was free a moment ago.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
-}
-
-func siteSettings(folder string) (*settings.Settings, error) {
-	addresses := [4]string{}
-	for i := range addresses {
-		a, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		addresses[i] = a
-	}
-	s := settings.Settings{
-		Name: "daemon-1", Region: "r0", DataCentre: "d0",
-		Addresses:    settings.Addresses{Callers: addresses[0], Peers: addresses[1], Upstreams: addresses[2], Admin: addresses[3]},
-		Roles:        []settings.Role{settings.Replica},
-		DataFolder:   folder,
-		Replicas:     []settings.Peer{{Name: "daemon-1", Address: addresses[1]}},
-		OperatorKeys: []string{keyHash(siteOperator)},
-	}
-	data, err := json.Marshal(s)
-	if err != nil {
-		return nil, err
-	}
-	return settings.Parse("capacity", data)
-}
-
 // siteFiles declares n workspaces and gives the last one the site's key.
 func siteFiles(n int, key string) config.Files {
 	files := declared(n)
 	last := fmt.Sprintf("sha256:%064x", n*keysEach-1)
 	for p, data := range files {
-		files[p] = json.RawMessage(strings.Replace(string(data), last, keyHash(key), 1))
+		files[p] = json.RawMessage(strings.Replace(string(data), last, localsite.HashedKey(key), 1))
 	}
 	return files
 }
@@ -103,18 +60,16 @@
 	if err != nil {
 		return nil, err
 	}
-	set, err := siteSettings(folder)
-	if err != nil {
-		return nil, err
-	}
-	d, err := daemon.New(set, zap.NewNop())
+	local, err := localsite.New(localsite.Options{
+		Folder: folder, Places: []localsite.Place{{Region: "r0", DataCentre: "d0"}}, Replicas: 1, Log: zap.NewNop(),
+	})
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &site{daemon: d, set: set, folder: folder, cancel: cancel, key: "capacity-caller"}
+	s := &site{local: local, set: local.Settings[0], folder: folder, cancel: cancel, key: "capacity-caller"}
 	s.callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: siteSlots}}
-	if err := d.Start(ctx); err != nil {
+	if err := local.StartAll(ctx); err != nil {
 		cancel()
 		return nil, err
 	}
@@ -126,7 +81,7 @@
 }
 
 func (s *site) declare(ctx context.Context, n int) error {
-	op := client.Operator{Address: s.set.Addresses.Admin, Key: siteOperator}
+	op := client.Operator{Address: s.set.Addresses.Admin, Key: localsite.OperatorKey}
 	files := operator.Files(siteFiles(n, s.key))
 	return retry(func() error {
 		_, err := op.Apply(ctx, operator.Apply{Files: files})
@@ -154,7 +109,7 @@
 	if err := s.runner.Listen(); err != nil {
 		return err
 	}
-	a := standin.Announcer{Daemons: []string{s.set.Addresses.Upstreams}, State: func() upstream.Announcement { return s.runner.Self }}
+	a := standin.Announcer{Daemons: s.local.Upstreams(), Key: localsite.UpstreamKey, State: func() upstream.Announcement { return s.runner.Self }}
 	go a.Run(ctx)
 	return retry(func() error {
 		_, err := s.stream(ctx, 1)
@@ -163,10 +118,8 @@
 }
 
 func (s *site) stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
-	defer cancel()
 	s.cancel()
-	_ = s.daemon.Stop(ctx)
+	s.local.KillAll()
 	if s.runner != nil {
 		s.runner.Close()
 	}
