--- a/internal/e2e/rig_test.go
+++ b/internal/e2e/rig_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,7 +43,8 @@
 	t       *testing.T
 	runners []*standin.Runner
 	plain   *standin.Service
-	stopAnn []context.CancelFunc
+	// ended counts the runners that have crashed or were closed.
+	ended atomic.Int32
 
 	mu      sync.Mutex
 	began   time.Time
@@ -153,10 +155,17 @@
 	}
 }
 
-func (r *rig) announce(state func() upstream.Announcement) {
+// announce keeps an upstream announced until it is gone.
+func (r *rig) announce(gone <-chan struct{}, state func() upstream.Announcement) {
 	ctx, cancel := context.WithCancel(r.t.Context())
 	r.t.Cleanup(cancel)
-	r.stopAnn = append(r.stopAnn, cancel)
+	go func() {
+		select {
+		case <-gone:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	a := &standin.Announcer{Daemons: r.Upstreams(), Key: localsite.UpstreamKey, State: state}
 	go a.Run(ctx)
 }
@@ -165,16 +174,15 @@
 func (r *rig) runner(name string) {
 	x := standin.NewRunner(r.announcement(name, upstream.Runner, model), standin.Speed{PrefillPerSecond: 100_000, DecodePerSecond: decodeRate})
 	x.Observe = r.execution
+	gone := make(chan struct{})
+	x.OnClose = sync.OnceFunc(func() {
+		r.ended.Add(1)
+		close(gone)
+	})
 	require.NoError(r.t, x.Listen())
 	r.t.Cleanup(x.Close)
 	r.runners = append(r.runners, x)
-	r.announce(func() upstream.Announcement { return x.Self })
-}
-
-// killRunner ends a runner as a crash would.
-func (r *rig) killRunner(i int) {
-	r.stopAnn[i]()
-	r.runners[i].Close()
+	r.announce(gone, func() upstream.Announcement { return x.Self })
 }
 
 func (r *rig) startService() {
@@ -182,7 +190,7 @@
 	r.plain.Observe = r.execution
 	require.NoError(r.t, r.plain.Listen())
 	r.t.Cleanup(r.plain.Close)
-	r.announce(func() upstream.Announcement { return r.plain.Self })
+	r.announce(nil, func() upstream.Announcement { return r.plain.Self })
 }
 
 // caller sends to the given entries only, in order.
--- a/internal/e2e/where_test.go
+++ b/internal/e2e/where_test.go
@@ -10,11 +10,7 @@
 
 // leads tells whether a daemon's replica leads the log.
 func leads(r *rig, i int) bool {
-	s, err := kernel.Find[port.Replicas](r.Daemon(i).Kernel(), port.NameReplica)
-	if err != nil {
-		return false
-	}
-	for _, st := range s.Status() {
+	for _, st := range r.replicaStatus(i) {
 		if st.Group == port.GroupMain && st.Role == "leader" {
 			return true
 		}
@@ -31,3 +27,9 @@
 	holder, ok := port.ParseHolder(v.Lease(port.DispatchLease(pool, "gauteng")).Holder)
 	return ok && strings.HasPrefix(holder.Name, localsite.Name(i))
 }
+
+// replicaStatus is a daemon's account of its replicas.
+func (r *rig) replicaStatus(i int) []port.ReplicaStatus {
+	dump, _ := r.Daemon(i).Kernel().Dump()[port.NameReplica].([]port.ReplicaStatus)
+	return dump
+}
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -45,6 +45,7 @@
 			continue
 		}
 		result := e.machine.Apply(c)
+		e.recordAccepted(c, result)
 		e.lessor.applied(c, result, e.g.now())
 		wake = e.noteChange(c, entry.Index) || wake
 		if p != nil {
@@ -83,15 +84,20 @@
 	return false
 }
 
-// record tells of configurations and claims that were proposed here.
+// recordAccepted tells of an accepted configuration, on every replica and
+// before any watcher hears of it: its proposer may be gone by then.
+func (e *engine) recordAccepted(c state.Command, r state.Result) {
+	if c.Apply != nil && r.Status == state.OK {
+		e.g.events.Record(promise.Event{Kind: promise.Accepted, Version: r.Version, Digest: r.Digest})
+	}
+}
+
+// record tells of claims that were proposed here.
 func (e *engine) record(a answer) {
 	c, r := a.proposal.command, a.outcome.result
 	if r.Status != state.OK {
 		return
 	}
-	if c.Apply != nil {
-		e.g.events.Record(promise.Event{Kind: promise.Accepted, Version: r.Version, Digest: r.Digest})
-	}
 	if c.Claim != nil {
 		e.g.events.Record(promise.Event{
 			Kind: promise.Claim, Workspace: c.Claim.Workspace, Key: c.Claim.Key, Stream: c.Claim.Stream,
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -43,6 +43,8 @@
 	// Observe, where set before Listen, hears of each execution; it must not
 	// block.
 	Observe func(Execution)
+	// OnClose, where set before Listen, is called when the runner ends.
+	OnClose func()
 
 	mu    sync.Mutex
 	runs  map[string]*run
@@ -102,6 +104,9 @@
 // Close ends the runner as a crash would.
 func (r *Runner) Close() {
 	_ = r.server.Close()
+	if r.OnClose != nil {
+		r.OnClose()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, x := range r.runs {
