--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,21 +31,18 @@
 	idleTimeout = 2 * time.Minute
 	// expireEvery is how often old answers are forgotten.
 	expireEvery = 10 * time.Second
-	// directoryLife is how long a directory answer may be kept.
-	directoryLife = 5 * time.Second
 )
 
 // Service is the "entry.http" service.
 type Service struct {
-	set     *settings.Settings
-	log     *zap.Logger
-	self    port.Holder
-	view    port.View
-	sched   port.Scheduler
-	logs    port.Log
-	members port.Members
-	link    port.Link
-	// directories may be nil: then all live daemons are named.
+	set         *settings.Settings
+	log         *zap.Logger
+	self        port.Holder
+	view        port.View
+	sched       port.Scheduler
+	logs        port.Log
+	members     port.Members
+	link        port.Link
 	directories port.Directory
 	answers     *answer.Store
 	observer    *observer
@@ -72,7 +69,7 @@
 // Needs returns what a request passes through.
 func (s *Service) Needs() []string {
 	return []string{
-		port.NameView, port.NameScheduler, port.NameLog, port.NameMembers, port.NameLink, port.NameEvents, port.NameMetrics,
+		port.NameView, port.NameScheduler, port.NameLog, port.NameMembers, port.NameDirectory, port.NameLink, port.NameEvents, port.NameMetrics,
 	}
 }
 
@@ -127,11 +124,11 @@
 	if s.members, err = kernel.Find[port.Members](k, port.NameMembers); err != nil {
 		return err
 	}
-	if s.link, err = kernel.Find[port.Link](k, port.NameLink); err != nil {
+	if s.directories, err = kernel.Find[port.Directory](k, port.NameDirectory); err != nil {
 		return err
 	}
-	if d, err := kernel.Find[port.Directory](k, port.NameDirectory); err == nil {
-		s.directories = d
+	if s.link, err = kernel.Find[port.Link](k, port.NameLink); err != nil {
+		return err
 	}
 	s.observer = newObserver(events, m, s)
 	s.answers.Dropped = s.observer.dropped
@@ -213,17 +210,8 @@
 }
 
 func (s *Service) directory(c echo.Context) error {
-	d := Directory{Addresses: []string{}, Seconds: int(directoryLife.Seconds())}
-	if s.directories != nil {
-		addresses, life := s.directories.Answer(c.QueryParam("data_centre"))
-		d.Addresses = append(d.Addresses, addresses...)
-		d.Seconds = int(life.Seconds())
-		return c.JSON(http.StatusOK, d)
-	}
-	for _, m := range s.members.Live() {
-		d.Addresses = append(d.Addresses, m.Callers)
-	}
-	return c.JSON(http.StatusOK, d)
+	addresses, life := s.directories.Answer(c.QueryParam("data_centre"))
+	return c.JSON(http.StatusOK, Directory{Addresses: addresses, Seconds: int(life.Seconds())})
 }
 
 // Explain finds a request by its key, for operators.
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -140,6 +140,14 @@
 	return port.Member{}, false
 }
 
+func (c *cluster) Answer(string) ([]string, time.Duration) {
+	addresses := []string{}
+	for _, m := range c.Live() {
+		addresses = append(addresses, m.Callers)
+	}
+	return addresses, time.Second
+}
+
 func (c *cluster) Record(e promise.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -179,6 +187,7 @@
 	port.Members
 	port.Events
 	port.Metrics
+	port.Directory
 }
 
 func (s shared) Name() string                                { return s.name }
@@ -217,6 +226,7 @@
 		{name: port.NameScheduler, Scheduler: c},
 		{name: port.NameView, View: c},
 		{name: port.NameMembers, Members: c},
+		{name: port.NameDirectory, Directory: c},
 		{name: port.NameEvents, Events: rig},
 		{name: port.NameMetrics, Metrics: metricsOf{prometheus.NewRegistry()}},
 	}
