Bound the memory of bodies by tier, and of answers by readers and bytes

Cause: as many bodies as callers cared to send were held at once; a request whose caller left within its first moments could run on unseen.

--- a/internal/answer/store.go
+++ b/internal/answer/store.go
@@ -35,6 +35,9 @@
 
 // Put adds an answer, or returns the one that the key has already.
 func (s *Store) Put(a *Answer) (*Answer, bool) {
+	if s.held.Load() > s.Limit {
+		s.Expire(time.Time{})
+	}
 	m := a.Meta()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/entry/body.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+)
+
+const (
+	// bodyPart is how much of a body is read, and memory lent, at once.
+	bodyPart = 64 << 10
+	// partTimeout bounds reading one part.
+	partTimeout = 10 * time.Second
+)
+
+// readBody reads the body in parts. Memory is lent for each before it is read,
+// so that a slow sender holds no more than it has sent.
+func (s *Service) readBody(c echo.Context, r *request) error {
+	limit := s.set.Limits.BodyBytes
+	if c.Request().ContentLength > limit {
+		return bodyTooLarge(limit)
+	}
+	ctl := http.NewResponseController(c.Response())
+	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
+	in := http.MaxBytesReader(c.Response(), c.Request().Body, limit)
+	for {
+		size := int64(bodyPart)
+		if known := c.Request().ContentLength; known >= 0 {
+			size = min(size, known-int64(len(r.body)))
+		}
+		if size > 0 {
+			back, err := s.memory.borrow(c.Request().Context(), r.tier, size)
+			if err != nil {
+				return err
+			}
+			r.lent = append(r.lent, back)
+		}
+		_ = ctl.SetReadDeadline(earlier(time.Now().Add(partTimeout), r.deadline))
+		part, err := io.ReadAll(io.LimitReader(in, max(size, 1)))
+		r.body = append(r.body, part...)
+		large := (*http.MaxBytesError)(nil)
+		switch {
+		case errors.As(err, &large):
+			return bodyTooLarge(limit)
+		case err != nil:
+			return fault.New(fault.Malformed, "send the whole body without long pauses", "the body could not be read: %v", err)
+		case int64(len(part)) < max(size, 1):
+			return nil
+		}
+	}
+}
+
+func bodyTooLarge(limit int64) *fault.Error {
+	return fault.New(fault.TooLarge, "send a smaller body", "the body is over %d bytes", limit)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -49,7 +49,7 @@
 		x.service.log.Error("frame was not appended", zap.Error(err))
 		return
 	}
-	x.seen.frame(x.frame, x.service.observer, x.request)
+	x.seen.frame(x.frame, x.request)
 	if x.frame.End {
 		x.result = answer.Result{Status: http.StatusOK, Finish: x.frame.Finish, PromptTokens: x.seen.prompt, CachedTokens: x.seen.cached, OutputTokens: x.seen.tokens}
 	}
@@ -127,7 +127,7 @@
 func (x *execution) fail(f claims.Failure) {
 	e := x.failure(f)
 	e.Key = x.request.key
-	if x.seen.prompt > 0 {
+	if x.seen.prompt > 0 && x.ticket != nil {
 		x.service.observer.wasted(x.request.workspace.Name, x.seen.prompt-x.seen.cached)
 	}
 	if x.request.callerKey || e.Ran == fault.NotRun {
@@ -147,17 +147,17 @@
 	cached int
 	prompt int
 	whole  bool
+	// watch counts tokens of the own dispatch; nil for another's.
+	watch *observer
 }
 
-func (o *observed) frame(f upstream.Frame, watch *observer, r *request) {
+func (o *observed) frame(f upstream.Frame, r *request) {
 	now := time.Now()
-	if f.Tokens > 0 {
-		if o.first.IsZero() {
-			o.first = now
-			watch.firstToken(r, now)
-		} else {
-			watch.interToken(r, now.Sub(o.last)/time.Duration(f.Tokens))
-		}
+	if f.Tokens > 0 && o.watch != nil {
+		o.count(f, r, now)
+	}
+	if f.Tokens > 0 && o.first.IsZero() {
+		o.first = now
 	}
 	o.last = now
 	o.tokens += f.Tokens
@@ -166,6 +166,14 @@
 	o.whole = o.whole || f.End
 }
 
+func (o *observed) count(f upstream.Frame, r *request, now time.Time) {
+	if o.first.IsZero() {
+		o.watch.firstToken(r, now)
+		return
+	}
+	o.watch.interToken(r, now.Sub(o.last)/time.Duration(f.Tokens))
+}
+
 func (o *observed) release(outcome sched.Outcome) sched.Release {
 	r := sched.Release{Outcome: outcome, OutputTokens: o.tokens, CachedTokens: o.cached}
 	if !o.first.IsZero() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,8 +25,6 @@
 const (
 	// headerTimeout bounds reading a request's header.
 	headerTimeout = 5 * time.Second
-	// bodyTimeout bounds reading a request's body.
-	bodyTimeout = 30 * time.Second
 	// idleTimeout closes connections that carry no request.
 	idleTimeout = 2 * time.Minute
 	// expireEvery is how often old answers are forgotten.
@@ -47,6 +45,7 @@
 	answers     *answer.Store
 	observer    *observer
 	conns       *connections
+	memory      *memory
 	server      *http.Server
 	ln          net.Listener
 	ctx         context.Context
@@ -59,7 +58,7 @@
 func New(set *settings.Settings, log *zap.Logger, self port.Holder) *Service {
 	return &Service{
 		set: set, log: log.Named("entry"), self: self, answers: answer.NewStore(),
-		conns: newConnections(set.Limits.Connections),
+		conns: newConnections(set.Limits.Connections), memory: newMemory(DefaultBodyMemory),
 	}
 }
 
@@ -241,6 +240,11 @@
 	return err
 }
 
+// Load is the part of the allowed connections that are open.
+func (s *Service) Load() float64 {
+	return float64(s.conns.count()) / float64(max(1, s.set.Limits.Connections))
+}
+
 // Health returns nil while the server listens.
 func (s *Service) Health() error { return nil }
 
@@ -250,5 +254,6 @@
 		Answers     int   `json:"answers"`
 		Bytes       int64 `json:"answer_bytes"`
 		Connections int   `json:"connections"`
-	}{s.answers.Len(), s.answers.Bytes(), s.conns.count()}
+		Bodies      int64 `json:"body_bytes"`
+	}{s.answers.Len(), s.answers.Bytes(), s.conns.count(), s.memory.lent(DefaultBodyMemory)}
 }
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -71,22 +71,25 @@
 	if !isNew {
 		return a, nil
 	}
-	s.running.Go(func() { s.run(r, a) })
+	detached := a.Detached()
+	r.running = true
+	s.running.Go(func() { s.run(r, a, detached) })
 	return a, nil
 }
 
 // run takes a request from the queue to the end of its answer.
-func (s *Service) run(r *request, a *answer.Answer) {
+func (s *Service) run(r *request, a *answer.Answer, detached <-chan struct{}) {
 	ctx, cancel := context.WithDeadline(s.ctx, r.deadline)
 	defer cancel()
 	if !r.callerKey && !r.once() {
-		go cancelWhenDetached(ctx, a, cancel)
+		go cancelWhenDetached(ctx, detached, cancel)
 	}
 	x := &execution{service: s, request: r, answer: a, ctx: ctx}
 	x.machine = claims.NewMachine(claims.Request{
 		Workspace: r.workspace.Name, Key: r.key, Keyed: r.callerKey, Join: r.join, Plain: r.plain, Digest: r.digest,
 		Pool: r.pool, Stream: r.stream, Entry: s.self.Address,
 	})
+	defer r.giveBack()
 	defer x.retire()
 	x.loop()
 }
@@ -114,9 +117,9 @@
 }
 
 // cancelWhenDetached ends a request that no caller can pick up any more.
-func cancelWhenDetached(ctx context.Context, a *answer.Answer, cancel context.CancelFunc) {
+func cancelWhenDetached(ctx context.Context, detached <-chan struct{}, cancel context.CancelFunc) {
 	select {
-	case <-a.Detached():
+	case <-detached:
 		cancel()
 	case <-ctx.Done():
 	}
@@ -185,6 +188,7 @@
 		return x.interrupted(claims.Refused)
 	}
 	x.ticket = t
+	x.seen.watch = x.service.observer
 	x.service.observer.granted(x.request, t)
 	return claims.Event{Kind: claims.GrantGiven, Upstream: t.Upstream(), Address: t.Address()}
 }
@@ -241,6 +245,8 @@
 	start := upstream.Start{Stream: e.Stream, Model: r.pool, Prompt: r.prompt, MaxTokens: r.maxTokens, Options: r.options}
 	start.Blocks = r.schedulable(x.service.view.Snapshot().Config).Blocks
 	st, err := x.conn.Start(x.ctx, start, x.silence())
+	r.prompt = ""
+	r.giveBack()
 	if err == nil {
 		x.stream = st
 		return claims.Event{Kind: claims.Started}
--- a/internal/entry/openai.go
+++ b/internal/entry/openai.go
@@ -92,6 +92,7 @@
 	if err != nil {
 		return err
 	}
+	defer r.giveBackUnlessRunning()
 	r.form = form
 	body := completion{}
 	if err := json.Unmarshal(r.body, &body); err != nil {
@@ -100,11 +101,11 @@
 	if err := s.shape(r, body); err != nil {
 		return err
 	}
+	r.body = nil
 	a, err := s.submit(r)
 	if err != nil {
 		return err
 	}
-	r.body = nil
 	return s.answerCaller(c, r, a, body.Stream, usageFlag(body))
 }
 
--- a/internal/entry/pickup.go
+++ b/internal/entry/pickup.go
@@ -105,6 +105,7 @@
 	r := &request{
 		workspace: w, key: key, callerKey: true, digest: c.Digest, pool: c.Pool, plain: plain, join: true,
 		form: form, accepted: time.Now(), deadline: time.Now().Add(time.Duration(cfg.Times().RequestMS) * time.Millisecond),
+		tierName: w.Tier,
 	}
 	if plain {
 		r.form = plainForm
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,8 +6,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -71,6 +69,23 @@
 	tierName string
 	goodput  time.Duration
 	accepted time.Time
+	// lent are returns of memory; running says that the execution makes them.
+	lent    []func()
+	running bool
+}
+
+// giveBack returns the memory that was lent for the body.
+func (r *request) giveBack() {
+	for _, back := range r.lent {
+		back()
+	}
+}
+
+// giveBackUnlessRunning returns it where no execution will.
+func (r *request) giveBackUnlessRunning() {
+	if !r.running {
+		r.giveBack()
+	}
 }
 
 // once says that the request must not execute twice.
@@ -107,7 +122,8 @@
 	if err := s.setTimes(c, r); err != nil {
 		return nil, err
 	}
-	if r.body, err = s.readBody(c); err != nil {
+	if err := s.readBody(c, r); err != nil {
+		r.giveBack()
 		return nil, err
 	}
 	return r, nil
@@ -143,21 +159,6 @@
 	return rest[:i], true
 }
 
-func (s *Service) readBody(c echo.Context) ([]byte, error) {
-	ctl := http.NewResponseController(c.Response())
-	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.set.Limits.BodyBytes))
-	_ = ctl.SetReadDeadline(time.Time{})
-	large := (*http.MaxBytesError)(nil)
-	if errors.As(err, &large) {
-		return nil, fault.New(fault.TooLarge, "send a smaller body", "the body is over %d bytes", s.set.Limits.BodyBytes)
-	}
-	if err != nil {
-		return nil, fault.New(fault.Malformed, "send the whole body without long pauses", "the body could not be read: %v", err)
-	}
-	return body, nil
-}
-
 func randomID() string {
 	return strings.ToLower(rand.Text())
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -17,6 +17,7 @@
 	if err != nil {
 		return err
 	}
+	defer r.giveBackUnlessRunning()
 	svc, ok := s.view.Snapshot().Config.Service(c.Param("service"))
 	if !ok {
 		return fault.New(fault.NotFound, "check the service's name", "service %q is not declared", c.Param("service"))
