--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -12,6 +12,7 @@
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/upstream"
 	"github.com/verbenastep/verbenastep/core/claims"
+	"github.com/verbenastep/verbenastep/core/sched"
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/answer"
 	"github.com/verbenastep/verbenastep/internal/engine"
@@ -107,6 +108,7 @@
 			x.act(effect)
 		}
 		if awaited == nil {
+			x.ensureEnd()
 			return
 		}
 		if awaited.Pause {
@@ -116,6 +118,19 @@
 	}
 }
 
+// ensureEnd leaves no caller without an end and no slot held, whatever was
+// missed.
+func (x *execution) ensureEnd() {
+	if x.machine.State() == claims.Ended {
+		return
+	}
+	x.service.log.Error("request stopped without an end", zap.String("key", x.request.key), zap.String("state", string(x.machine.State())))
+	x.fail(claims.Failure{Code: claims.OutcomeUnknown, Ran: claims.MayHaveRun})
+	if x.ticket != nil {
+		x.ticket.Release(x.seen.release(sched.Broken))
+	}
+}
+
 // cancelWhenDetached ends a request that no caller can pick up any more.
 func cancelWhenDetached(ctx context.Context, detached <-chan struct{}, cancel context.CancelFunc) {
 	select {
