--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -43,7 +43,10 @@
 	return n
 }
 
-const wholeAnswer = "w0 w1 w2 w3 w4 w5 w6 w7 "
+// answerTo is the stand-in's answer to a chat of one turn.
+func answerTo(content string) string {
+	return standin.AnswerTo("user: "+content+"\n", defaultMaxTokens)
+}
 
 // TestSpoiledStreams: whatever one connection does, the caller gets the whole
 // answer and the engine runs the request once.
@@ -60,7 +63,7 @@
 			require.Equal(t, http.StatusOK, got.status, got.body)
 			answer, whole := text(got.body)
 			require.True(t, whole)
-			require.Equal(t, wholeAnswer, answer)
+			require.Equal(t, answerTo("draft #8"), answer)
 			require.Equal(t, 1, total(r.Executions()))
 			require.Equal(t, []sched.Outcome{sched.Done}, c.outcomes())
 			require.Equal(t, 1, c.count(promise.Dispatch))
@@ -152,17 +155,18 @@
 	r := c.runner(t, 100)
 	one, two := c.entry(t, "entry-1"), c.entry(t, "entry-2")
 	for _, key := range []string{"", "mine"} {
+		want := answerTo("draft " + key + " #8")
 		first := one.do(t, "POST", "/v1/chat/completions", chatBody("draft "+key+" #8", true), "Idempotency-Key", key)
 		issued := first.header.Get("Verbenastep-Request")
 		for _, e := range []*entryRig{one, two} {
 			rest := e.do(t, "GET", "/v1/answers/"+issued+"?offset=6", "")
 			answer, whole := text(rest.body)
 			require.True(t, whole, rest.body)
-			require.Equal(t, wholeAnswer[6:], answer)
+			require.Equal(t, want[6:], answer)
 			require.Equal(t, http.StatusNotFound, e.do(t, "GET", "/v1/answers/"+issued, "", "Authorization", "Bearer foreign").status)
 		}
 		all := two.do(t, "GET", "/v1/answers/"+issued, "", "Accept", "application/json")
-		require.Contains(t, all.body, wholeAnswer)
+		require.Contains(t, all.body, want)
 		require.Equal(t, http.StatusBadRequest, two.do(t, "GET", "/v1/answers/"+issued+"?offset=999", "").status)
 	}
 	require.Equal(t, 2, total(r.Executions()))
@@ -179,6 +183,6 @@
 	again := two.do(t, "POST", "/v1/chat/completions", chatBody("draft #8", true), "Idempotency-Key", "k1")
 	answer, whole := text(again.body)
 	require.True(t, whole, again.body)
-	require.Equal(t, wholeAnswer, answer)
+	require.Equal(t, answerTo("draft #8"), answer)
 	require.Equal(t, 1, total(r.Executions()))
 }
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -41,6 +40,9 @@
 	// Self is what it announces.
 	Self  upstream.Announcement
 	Speed Speed
+	// Observe, where set before Listen, hears of each execution; it must not
+	// block.
+	Observe func(Execution)
 
 	mu    sync.Mutex
 	runs  map[string]*run
@@ -169,6 +171,7 @@
 	r.runs[s.Stream] = x
 	if processed == 0 {
 		r.executions[s.Stream]++
+		observe(r.Observe, Execution{Upstream: r.Self.Name, Stream: s.Stream, Text: strings.Join(answerWords(s), ""), Blocks: s.Blocks})
 	}
 	go r.generate(ctx, x, processed)
 	return x, true
@@ -185,14 +188,15 @@
 	defer func() { <-r.slots }()
 	prompt := len(x.start.Prompt)/4 + 1
 	cached := max(processed, r.cachedTokens(x.start, prompt))
+	observe(r.Observe, Execution{Upstream: r.Self.Name, Stream: x.start.Stream, Blocks: x.start.Blocks, Prefill: max(0, prompt-cached), Cached: cached})
 	done := wait(ctx, float64(max(0, prompt-cached))/r.Speed.PrefillPerSecond)
-	tokens := outputTokens(x.start)
+	words := answerWords(x.start)
 	first := x.tokens
-	for i := first; i < tokens && done; i++ {
+	for i := first; i < len(words) && done; i++ {
 		if done = wait(ctx, 1/r.Speed.DecodePerSecond); !done {
 			break
 		}
-		f := upstream.Frame{Stream: x.start.Stream, Text: fmt.Sprintf("w%d ", i), Tokens: 1}
+		f := upstream.Frame{Stream: x.start.Stream, Text: words[i], Tokens: 1}
 		if i == first {
 			f.PromptTokens = prompt
 			f.CachedTokens = cached
@@ -204,7 +208,7 @@
 		return
 	}
 	finish := "stop"
-	if tokens == x.start.MaxTokens {
+	if len(words) == x.start.MaxTokens {
 		finish = "length"
 	}
 	r.push(x, upstream.Frame{Stream: x.start.Stream, End: true, Finish: finish, PromptTokens: prompt, CachedTokens: cached}, 0)
--- a/internal/standin/runner_test.go
+++ b/internal/standin/runner_test.go
@@ -55,7 +55,7 @@
 	st, err := dial(t, r).Start(t.Context(), start("s1"), quiet)
 	require.NoError(t, err)
 	whole, last := rest(t, st)
-	require.Equal(t, "w0 w1 w2 w3 w4 w5 ", whole)
+	require.Equal(t, AnswerTo("draft #6", 100), whole)
 	require.Equal(t, int64(len(whole)), last.Offset)
 	_, err = dial(t, r).Start(t.Context(), start("s1"), quiet)
 	refused := (*engine.StatusError)(nil)
@@ -93,7 +93,7 @@
 	resumed, err := dial(t, to).Resume(t.Context(), "s1", moved.Offset, quiet)
 	require.NoError(t, err)
 	after, _ := rest(t, resumed)
-	require.Equal(t, "w0 w1 w2 w3 w4 w5 ", before+after)
+	require.Equal(t, AnswerTo("draft #6", 100), before+after)
 	require.Empty(t, to.Executions())
 }
 
