Let only what came after a refusal run under its key

Cause: a copy of a request that an entry had accepted before another entry's refusal could find the mark and take the next attempt, so that it ran after not_run was said. Ruled out: wall clocks; saying unknown at each resend. Change: an entry takes the next attempt only for what it accepted after it had learnt of the mark; the other copies are refused once more.

--- a/core/claims/event.go
+++ b/core/claims/event.go
@@ -110,6 +110,9 @@
 	// Settle proposes, until answered, a claim whose fate is not known, and
 	// marks it as not run where it stands.
 	Settle EffectKind = "settle"
+	// Remember notes that the claim's attempt is marked as not run; see
+	// Request.Known.
+	Remember EffectKind = "remember"
 	// Recorded ends the answer with what the claim holds.
 	Recorded EffectKind = "recorded"
 	// End ends the answer whole.
@@ -177,6 +180,8 @@
 	KeyConflict Code = "key_conflict"
 	// Refusal says that the scheduler refused the request.
 	Refusal Code = "refusal"
+	// RefusedBefore says that the key is marked as not run.
+	RefusedBefore Code = "refused_before"
 	// CallerGone says that the caller went away.
 	CallerGone Code = "caller_gone"
 	// TooLate says that the request's time is over.
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -22,6 +22,8 @@
 	case claims.Dispatched:
 		x.answer.Begin(e.Stream)
 		x.service.observer.followed(x.request, e.Stream)
+	case claims.Remember:
+		x.service.marks.note(x.request.workspace.Name, x.request.key, e.Claim.Attempt)
 	case claims.Deliver:
 		x.deliver()
 	case claims.Retire:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,7 @@
 	observer    *observer
 	conns       *connections
 	memory      *memory
+	marks       *marks
 	server      *http.Server
 	ln          net.Listener
 	ctx         context.Context
@@ -58,7 +59,7 @@
 func New(set *settings.Settings, log *zap.Logger, self port.Holder) *Service {
 	return &Service{
 		set: set, log: log.Named("entry"), self: self, answers: answer.NewStore(),
-		conns: newConnections(set.Limits.Connections), memory: newMemory(DefaultBodyMemory),
+		conns: newConnections(set.Limits.Connections), memory: newMemory(DefaultBodyMemory), marks: newMarks(),
 	}
 }
 
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -88,7 +88,7 @@
 	x := &execution{service: s, request: r, answer: a, ctx: ctx}
 	x.machine = claims.NewMachine(claims.Request{
 		Workspace: r.workspace.Name, Key: r.key, Keyed: r.callerKey, Join: r.join, Plain: r.plain, Digest: r.digest,
-		Pool: r.pool, Stream: r.stream, Entry: s.self.Address,
+		Pool: r.pool, Stream: r.stream, Entry: s.self.Address, Known: r.known,
 	})
 	defer r.giveBack()
 	defer x.retire()
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -38,10 +38,9 @@
 func (x *execution) wording(f claims.Failure) *fault.Error {
 	switch f.Code {
 	case claims.Refusal:
-		if x.refusal != nil {
-			return x.refusal
-		}
-		return fault.New(fault.Unavailable, "send the request again with the same key", "another entry refused the request").After(upstreamRetryAfter)
+		return x.refusal
+	case claims.RefusedBefore:
+		return fault.New(fault.Unavailable, "send the request again with the same key", "the request was refused at another entry and did not run").After(upstreamRetryAfter)
 	case claims.NoLog:
 		return fault.New(fault.Unavailable, "send the request again with the same key", "the key's claim could not be read or committed").After(logRetryAfter)
 	case claims.KeyConflict:
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -62,6 +62,8 @@
 	form string
 	// join says that a claim is followed and nothing is dispatched.
 	join bool
+	// known is the newest attempt that was known to be marked at acceptance.
+	known uint64
 	// stream names the request's only dispatch.
 	stream string
 	// tier is the position in the declared order, tierName its name.
@@ -119,6 +121,7 @@
 		r.key = issuedPrefix + s.self.Name + keySeparator + randomID()
 	}
 	r.stream = w.Name + "-" + randomID()
+	r.known = s.marks.attempt(w.Name, r.key)
 	if err := s.setTimes(c, r); err != nil {
 		return nil, err
 	}
