--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -34,7 +34,7 @@
 	ResumeTries = 5
 	// FetchTries bounds calls on the entry that holds an answer, without
 	// progress, before it counts as gone.
-	FetchTries = 4
+	FetchTries = 3
 )
 
 // Request is what the decisions depend on.
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -13,9 +13,9 @@
 
 const (
 	// fetchHeartbeat is the longest pause between two frames of a fetch.
-	fetchHeartbeat = 500 * time.Millisecond
+	fetchHeartbeat = 250 * time.Millisecond
 	// fetchSilence ends a fetch that carries nothing.
-	fetchSilence = 2 * time.Second
+	fetchSilence = time.Second
 	// fetchBytes is the largest frame of a fetch.
 	fetchBytes = 256 << 10
 )
