--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,8 +6,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -64,6 +62,8 @@
 	form string
 	// join says that a claim is followed and nothing is dispatched.
 	join bool
+	// known is the newest attempt that was known to be marked at acceptance.
+	known uint64
 	// stream names the request's only dispatch.
 	stream string
 	// tier is the position in the declared order, tierName its name.
@@ -71,6 +71,23 @@
 	tierName string
 	goodput  time.Duration
 	accepted time.Time
+	// lent are returns of memory; running says that the execution makes them.
+	lent    []func()
+	running bool
+}
+
+// giveBack returns the memory that was lent for the body.
+func (r *request) giveBack() {
+	for _, back := range r.lent {
+		back()
+	}
+}
+
+// giveBackUnlessRunning returns it where no execution will.
+func (r *request) giveBackUnlessRunning() {
+	if !r.running {
+		r.giveBack()
+	}
 }
 
 // once says that the request must not execute twice.
@@ -104,10 +121,12 @@
 		r.key = issuedPrefix + s.self.Name + keySeparator + randomID()
 	}
 	r.stream = w.Name + "-" + randomID()
+	r.known = s.marks.attempt(w.Name, r.key)
 	if err := s.setTimes(c, r); err != nil {
 		return nil, err
 	}
-	if r.body, err = s.readBody(c); err != nil {
+	if err := s.readBody(c, r); err != nil {
+		r.giveBack()
 		return nil, err
 	}
 	return r, nil
@@ -143,21 +162,6 @@
 	return rest[:i], true
 }
 
-func (s *Service) readBody(c echo.Context) ([]byte, error) {
-	ctl := http.NewResponseController(c.Response())
-	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.set.Limits.BodyBytes))
-	_ = ctl.SetReadDeadline(time.Time{})
-	large := (*http.MaxBytesError)(nil)
-	if errors.As(err, &large) {
-		return nil, fault.New(fault.TooLarge, "send a smaller body", "the body is over %d bytes", s.set.Limits.BodyBytes)
-	}
-	if err != nil {
-		return nil, fault.New(fault.Malformed, "send the whole body without long pauses", "the body could not be read: %v", err)
-	}
-	return body, nil
-}
-
 func randomID() string {
 	return strings.ToLower(rand.Text())
 }
