Break callers' connections when a stop is forced

Cause: a daemon that was stopped at once first told the callers of running streams that they were canceled, so a keyed stream that goes on at its engine was never picked up elsewhere. Change: the callers' server closes before the requests' contexts end. Before: TestEntryKilledMidStream failed in each run.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -236,6 +236,9 @@
 	case <-done:
 	case <-ctx.Done():
 		err = ctx.Err()
+		// Callers must see their connections break: an answer under their own
+		// key goes on, and they can pick it up at another entry.
+		_ = s.server.Close()
 	}
 	s.cancel()
 	return err
