--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -43,6 +43,8 @@
 	Key       string
 	// Keyed says that the key is the caller's own, so that it is claimed.
 	Keyed bool
+	// Join says that a claim is only followed: nothing is dispatched.
+	Join bool
 	// Plain says that a plain service is called, which can't be resumed.
 	Plain  bool
 	Digest string
@@ -124,8 +126,7 @@
 func (m *Machine) joining(e Event) []Effect {
 	switch e.Kind {
 	case NotFound:
-		m.state = Queued
-		return []Effect{{Kind: Acquire}}
+		return m.enqueue()
 	case Found:
 		return m.join(e.Claim)
 	case Failed, Canceled, Expired:
@@ -142,12 +143,19 @@
 		return m.fail(Failure{Code: KeyConflict, Ran: NotRun})
 	case c.NotRun:
 		m.attempt = max(c.Attempt, 1) + 1
-		m.state = Queued
-		return []Effect{{Kind: Acquire}}
+		return m.enqueue()
 	}
 	return m.follow(c)
 }
 
+func (m *Machine) enqueue() []Effect {
+	if m.request.Join {
+		return m.fail(Failure{Code: NoClaim, Ran: MayHaveRun})
+	}
+	m.state = Queued
+	return []Effect{{Kind: Acquire}}
+}
+
 // follow takes the answer of a dispatch that another machine made.
 func (m *Machine) follow(c state.Claim) []Effect {
 	m.claim = c
@@ -287,9 +295,13 @@
 		m.length = e.Length
 		return m.whole()
 	case NothingSent:
-		return m.notRun(SlotNotSent, Failure{Code: NotSent, Ran: NotRun})
+		out := append(m.release(SlotNotSent), m.finish(state.Finish{NotRun: true})...)
+		return append(out, m.fail(Failure{Code: NotSent, Ran: NotRun})...)
 	case Rejected:
-		return m.notRun(SlotNotSent, Failure{Code: UpstreamRefused, Ran: NotRun})
+		// The request left, so its key is used up, and only the upstream's word
+		// stands for its not having run.
+		out := append(m.release(SlotNotSent), m.finish(state.Finish{Unknown: true})...)
+		return append(out, m.fail(Failure{Code: UpstreamRefused, Ran: MayHaveRun})...)
 	case SendBroken:
 		if m.request.Plain {
 			return m.unknown()
@@ -304,12 +316,6 @@
 	return nil
 }
 
-// notRun ends a dispatch of which nothing reached the upstream's execution.
-func (m *Machine) notRun(slot Slot, f Failure) []Effect {
-	out := append(m.release(slot), m.finish(state.Finish{NotRun: true})...)
-	return append(out, m.fail(f)...)
-}
-
 func (m *Machine) streaming(e Event) []Effect {
 	switch e.Kind {
 	case FrameRead:
--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -29,7 +29,7 @@
 		c.granted++
 	case ClaimMade:
 		c.claimed = true
-	case Started, Replied, SendBroken:
+	case Started, Replied, SendBroken, Rejected:
 		c.reached = true
 	}
 }
@@ -76,7 +76,7 @@
 // TestEveryFaultAtEveryStep walks the machine with any event at any step.
 func TestEveryFaultAtEveryStep(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := Request{Workspace: "w", Key: "k", Digest: "d", Stream: "own", Entry: "self", Keyed: rapid.Bool().Draw(t, "keyed"), Plain: rapid.Bool().Draw(t, "plain")}
+		r := Request{Workspace: "w", Key: "k", Digest: "d", Stream: "own", Entry: "self", Keyed: rapid.Bool().Draw(t, "keyed"), Join: rapid.Bool().Draw(t, "join"), Plain: rapid.Bool().Draw(t, "plain")}
 		m := NewMachine(r)
 		seen := tally{}
 		require.Equal(t, 1, seen.effects(t, r.Keyed, m.Step(Event{Kind: Begin})))
@@ -151,6 +151,7 @@
 		{"lost claim is proposed again", false, []Event{missing, grant, connected, {Kind: ClaimLost}}, []EffectKind{Propose}, "", ""},
 		{"lost claim until the deadline", false, []Event{missing, grant, connected, {Kind: ClaimLost}, {Kind: Expired}}, []EffectKind{Release, Settle, Fail}, NoLog, MayHaveRun},
 		{"nothing sent after the claim", true, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: NothingSent}}, []EffectKind{Release, Finish, Fail}, NotSent, NotRun},
+		{"runner refuses the start", false, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: Rejected}}, []EffectKind{Release, Finish, Fail}, UpstreamRefused, MayHaveRun},
 		{"plain service breaks", true, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: SendBroken}}, []EffectKind{Release, Finish, Fail}, OutcomeUnknown, MayHaveRun},
 		{"owner is asked", true, []Event{{Kind: Found, Claim: peers}}, []EffectKind{Dispatched, Fetch}, "", ""},
 		{"owner gone, plain", true, []Event{{Kind: Found, Claim: peers}, {Kind: FetchUnheld}}, []EffectKind{Finish, Fail}, OutcomeUnknown, MayHaveRun},
--- a/core/claims/event.go
+++ b/core/claims/event.go
@@ -29,7 +29,7 @@
 	Replied EventKind = "replied"
 	// NothingSent says that not one byte left for the upstream.
 	NothingSent EventKind = "nothing_sent"
-	// Rejected says that the upstream promised not to run the request.
+	// Rejected says that the upstream answered that it does not run the request.
 	Rejected EventKind = "rejected"
 	// SendBroken says that the upstream may have received the request.
 	SendBroken EventKind = "send_broken"
@@ -183,7 +183,7 @@
 	TooLate Code = "too_late"
 	// NotSent says that the upstream broke off before the first byte.
 	NotSent Code = "not_sent"
-	// UpstreamRefused says that the upstream promised not to run the request.
+	// UpstreamRefused says that the upstream answered that it does not run it.
 	UpstreamRefused Code = "upstream_refused"
 	// UpstreamFailed says that the engine reported a failure.
 	UpstreamFailed Code = "upstream_failed"
@@ -191,6 +191,8 @@
 	OutcomeUnknown Code = "outcome_unknown"
 	// OwnersFailure passes on the failure that the owner's answer ended in.
 	OwnersFailure Code = "owners_failure"
+	// NoClaim says that nothing stands under the key that was to be joined.
+	NoClaim Code = "no_claim"
 	// AnswerLost says that the request ran but its answer is held no more.
 	AnswerLost Code = "answer_lost"
 )
