--- a/api/client/operator.go
+++ b/api/client/operator.go
@@ -7,11 +7,20 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
+	"time"
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/operator"
 )
 
+// Unreachable is the kind of the client's own error where nothing answers at
+// an address.
+const Unreachable fault.Kind = "unreachable"
+
+// maxAnswer is the longest answer of a daemon that is read, in bytes.
+const maxAnswer = 256 << 20
+
 // Operator speaks with one daemon's administrative address.
 type Operator struct {
 	// Address is IP:port.
@@ -44,7 +53,18 @@
 	return out, o.call(ctx, http.MethodGet, operator.PathState, nil, &out)
 }
 
+// Explain gets why a request went where it did, as the daemon saw it.
+func (o *Operator) Explain(ctx context.Context, key string) (json.RawMessage, error) {
+	out := json.RawMessage{}
+	return out, o.call(ctx, http.MethodGet, operator.PathExplain+"?key="+url.QueryEscape(key), nil, &out)
+}
+
+// callTimeout bounds one exchange with a daemon.
+const callTimeout = 10 * time.Second
+
 func (o *Operator) call(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	body := io.Reader(nil)
 	if in != nil {
 		data, err := json.Marshal(in)
@@ -61,10 +81,10 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return fault.New(fault.Unavailable, "check that the daemon runs and that the address is its administrative one", "%s does not answer: %v", o.Address, err)
+		return unanswered(o.Address, "administrative", err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		return err
 	}
@@ -74,6 +94,16 @@
 	return json.Unmarshal(data, out)
 }
 
+// unanswered says that nothing answers at an address. What was sent may still
+// have had its effect.
+func unanswered(address, which string, err error) *fault.Error {
+	e := fault.New(Unreachable, "check that the daemon runs and that the address is its "+which+" one", "%s does not answer: %v", address, err)
+	if notSent(err) {
+		return e
+	}
+	return e.WithRan(fault.MayHaveRun)
+}
+
 func decodeFault(status int, data []byte) error {
 	e, err := fault.Decode(data)
 	if err != nil || e.Kind == "" {
