Name no daemon to callers before it has a configuration

Cause: with three replicas, a restarted daemon was in the directory before its first configuration and refused callers as unknown. Change: the directory leaves out daemons at version 0 while any has one; the rolling restart now runs with three replicas.

--- a/internal/daemon/site_test.go
+++ b/internal/daemon/site_test.go
@@ -30,7 +30,7 @@
 const (
 	callerKey = "caller"
 	// replicasInTests is how many of the daemons keep the log.
-	replicasInTests = 1
+	replicasInTests = 3
 	patience        = 20 * time.Second
 	callTimeout     = time.Minute
 )
--- a/internal/directory/choose.go
+++ b/internal/directory/choose.go
@@ -32,15 +32,16 @@
 	draw     float64
 }
 
-// choose lists live entries that don't drain: nearest first, and at one
+// choose lists live entries that don't drain and have a configuration: nearest first, and at one
 // distance in an order drawn by spare capacity, so that many callers spread in
 // proportion to it. The draw is Efraimidis and Spirakis' weighted sampling;
 // random returns numbers in [0, 1).
 func choose(live []port.Member, dataCentre string, random func() float64) []string {
 	region := regionOf(live, dataCentre)
+	oldest := leastVersion(live)
 	all := []candidate{}
 	for _, m := range live {
-		if m.Leaving || m.Callers == "" {
+		if m.Leaving || m.Callers == "" || m.Version < oldest {
 			continue
 		}
 		spare := max(leastSpare, 1-m.Load)
@@ -56,6 +57,17 @@
 	return out
 }
 
+// leastVersion is 1 once any daemon has a configuration: one that has just
+// started knows no workspace yet and would refuse every caller.
+func leastVersion(live []port.Member) uint64 {
+	for _, m := range live {
+		if m.Version > 0 {
+			return 1
+		}
+	}
+	return 0
+}
+
 func distanceTo(m port.Member, region, dataCentre string) distance {
 	switch {
 	case m.DataCentre == dataCentre:
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -40,6 +40,12 @@
 	require.InDelta(t, 1000, first["busy"], 300)
 }
 
+func TestDaemonWithoutConfigurationIsNotNamed(t *testing.T) {
+	live := []port.Member{{Callers: "new", DataCentre: "a"}, {Callers: "old", DataCentre: "b", Version: 3}}
+	require.Equal(t, []string{"old"}, choose(live, "a", rand.New(rand.NewPCG(1, 1)).Float64))
+	require.Equal(t, []string{"new"}, choose(live[:1], "a", rand.New(rand.NewPCG(1, 1)).Float64))
+}
+
 func TestAnswerIsBounded(t *testing.T) {
 	live := []port.Member{}
 	for range 700 {
