Let short requests of lower tiers use the slots kept for them

Cause: lookups of the lowest tier waited 2 s at 0.9 behind long files of higher tiers, which may not take the slots kept for short requests anyway; and one lost cache event halved the trust in an upstream's residency. Change: while nothing was refused for 10 s, short requests of lower tiers take these slots; a gap takes a tenth of the trust; a prefill's delay weighs fully.

--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -10,8 +10,9 @@
 	maxCandidates = topCandidates + holders
 	// suspectPenalty is added for each request beside a suspect.
 	suspectPenalty = time.Second
-	// prefillDelay is by what part a prefill delays each stream beside it.
-	prefillDelay = 0.33
+	// prefillDelay weighs a prefill's time once more for each stream beside it,
+	// which it delays.
+	prefillDelay = 1.0
 )
 
 // parts is an upstream's expected completion time for one request.
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -42,6 +42,7 @@
 // drop refuses a queued request.
 func (d *Dispatcher) drop(now time.Duration, r *request, code Code, why string, out *Decisions) {
 	d.forgetQueued(r)
+	d.calmFrom = now + calmAfter
 	refusal := d.refuse(now, r.offer, code, d.comeBack(code), why)
 	d.recent.last().WaitedMS = milliseconds(now - r.arrived)
 	out.Refusals = append(out.Refusals, *refusal)
@@ -52,19 +53,25 @@
 	return &Refusal{ID: o.ID, Code: code, Workspace: o.Workspace, Tier: o.Tier, RetryAfter: after, Why: why}
 }
 
-// grantAll grants in the order of the tiers. A lower tier is granted nothing
-// while a higher one waits.
+// grantAll grants in the order of the tiers. While a higher tier waits, a lower
+// one is granted nothing but short requests on slots that the higher tier's long
+// ones may not take, and not even these while requests are being refused.
 func (d *Dispatcher) grantAll(now time.Duration, out *Decisions) {
+	classesLeft := [classes]bool{true, true}
 	for _, t := range d.tiers {
 		if t == nil {
 			continue
 		}
 		before := len(d.setAside)
-		for len(d.setAside)-before < maxSetAside && d.grantOne(now, t, out) {
+		for len(d.setAside)-before < maxSetAside && d.grantOne(now, t, classesLeft, out) {
 		}
-		if t.queued > 0 && len(d.setAside) == before {
+		if t.queued == 0 || len(d.setAside) > before {
+			continue
+		}
+		if now < d.calmFrom {
 			break
 		}
+		classesLeft[long] = false
 	}
 	for _, r := range d.setAside {
 		r.workspace.tier.enqueue(r)
@@ -72,15 +79,17 @@
 	d.setAside = d.setAside[:0]
 }
 
+// calmAfter is how long after a refusal capacity counts as short.
+const calmAfter = 10 * time.Second
+
 // maxSetAside is how many requests of a tier may be passed over in a round
 // since no upstream with room suits them.
 const maxSetAside = 8
 
 // grantOne grants the tier's next request; it returns false where none can be.
-func (d *Dispatcher) grantOne(now time.Duration, t *tier, out *Decisions) bool {
-	allowed := [classes]bool{}
+func (d *Dispatcher) grantOne(now time.Duration, t *tier, allowed [classes]bool, out *Decisions) bool {
 	for c := range d.open {
-		allowed[c] = d.openFor(now, class(c))
+		allowed[c] = allowed[c] && d.openFor(now, class(c))
 	}
 	r := t.head(allowed)
 	if r == nil {
--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -36,6 +36,8 @@
 	lastShort time.Duration
 	seenShort bool
 	drain     drain
+	// calmFrom is when capacity no longer counts as short.
+	calmFrom time.Duration
 
 	tracker  *quarantine.Tracker
 	suspects []quarantine.Change
--- a/core/sched/residency.go
+++ b/core/sched/residency.go
@@ -8,7 +8,7 @@
 	// maxBlocks is the largest size assumed.
 	maxBlocks = 1 << 16
 	// gapTrust is what remains of the trust after a gap in the cache events.
-	gapTrust = 0.5
+	gapTrust = 0.9
 	// trustGain is the weight of a new observation in the trust.
 	trustGain = 0.1
 	// growth is by how many blocks the assumed size grows after a hit as
