Test the policy's parts; give slow upstreams trial requests

Seen by TestStragglerIsDemotedAndRecovers, which failed first: at low load an upstream that had looked slow twice was never chosen again, so it was neither demoted nor did a recovery show. Learned speeds are kept blended.

--- a/core/sched/announce.go
+++ b/core/sched/announce.go
@@ -54,7 +54,7 @@
 
 func (d *Dispatcher) addUpstream(a Upstream) *upstream {
 	u := &upstream{
-		Upstream: a, id: int32(len(d.byID)), inFlight: map[ID]*request{}, speed: newSpeed(),
+		Upstream: a, id: int32(len(d.byID)), inFlight: map[ID]*request{}, speed: newSpeed(), known: newSpeed(),
 		cache: newResidency(), index: [classes]int{notQueued, notQueued}, lease: notQueued,
 	}
 	d.upstreams[a.Name] = u
--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -28,7 +28,7 @@
 // score returns the expected completion of a request on an upstream. It
 // changes nothing.
 func (d *Dispatcher) score(now time.Duration, u *upstream, r *request) parts {
-	s := blend(&u.speed, &d.pool)
+	s := &u.known
 	p := parts{cached: d.cached(u, r)}
 	uncached := float64(max(0, r.offer.PromptTokens-p.cached))
 	n := len(u.inFlight) + u.load.foreign() + 1
--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -23,7 +23,7 @@
 	open      [classes]openHeap
 	leases    leaseHeap
 	holding   holderIndex
-	demoted   []*upstream
+	probation []*upstream
 	nextTrial int
 	nextSweep time.Duration
 	// fastest holds the least times of any upstream.
@@ -284,7 +284,7 @@
 		uncached: float64(r.offer.PromptTokens - rel.CachedTokens), prefill: rel.Prefill, clean: r.clearStart,
 		tokens: rel.OutputTokens, decode: rel.Decode, beside: (r.beside + len(u.inFlight) + 1) / 2,
 	}
-	known := blend(&u.speed, &d.pool)
+	known := u.known
 	single := u.speed.observe(o, speedGain)
 	d.pool.observe(o, poolGain)
 	if single > 0 {
--- a/core/sched/dump.go
+++ b/core/sched/dump.go
@@ -54,7 +54,7 @@
 func (d *Dispatcher) Dump(now time.Duration) Dump {
 	out := Dump{Queued: d.queued, Running: len(d.requests) - d.queued, Suspects: d.tracker.Len(), Recent: d.recent.list(dumpedDecisions)}
 	for _, u := range d.byID {
-		s := blend(&u.speed, &d.pool)
+		s := &u.known
 		out.Upstreams = append(out.Upstreams, UpstreamDump{
 			Name: u.Name, Address: u.Address, Slots: u.capacity(), InFlight: len(u.inFlight), Live: u.expires > now && !u.leaving,
 			PrefillRate: 1 / s.prefill, TokenMS: milliseconds(seconds(s.token)), Slowness: u.straggler.slowness,
--- a/core/sched/explain.go
+++ b/core/sched/explain.go
@@ -59,7 +59,7 @@
 		e.Examined = append(e.Examined, c)
 	}
 	if !found {
-		e.Reason = "trial of a demoted upstream"
+		e.Reason = "trial of a slow upstream"
 	}
 	return e
 }
--- /dev/null
+++ b/core/sched/policy_test.go
@@ -0,0 +1,309 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/verbenastep/verbenastep/core/limits"
+	"github.com/verbenastep/verbenastep/core/quarantine"
+)
+
+// request number n of a workspace, a page long.
+func offerOf(n int, workspace string, tier int) Offer {
+	return Offer{ID: ID{Entry: "e", Number: uint64(n)}, Workspace: workspace, Tier: tier, Weight: 1, PromptTokens: 1000, MaxTokens: 400, Deadline: time.Hour}
+}
+
+func mustOffer(t require.TestingT, d *Dispatcher, now time.Duration, o Offer) {
+	refusal, err := d.Offer(now, o)
+	require.NoError(t, err)
+	require.Nil(t, refusal)
+}
+
+func mustAnnounce(t require.TestingT, d *Dispatcher, now time.Duration, name string, slots int) {
+	require.NoError(t, d.Announce(now, Upstream{Name: name, Slots: slots, Lease: time.Hour, Incarnation: 1}))
+}
+
+func finish(t require.TestingT, d *Dispatcher, now time.Duration, g Grant, token time.Duration) {
+	_, err := d.Release(now, Release{ID: g.ID, Outcome: Done, Prefill: time.Second / 4, Decode: 100 * token, OutputTokens: 101})
+	require.NoError(t, err)
+}
+
+func TestBadInputChangesNothing(t *testing.T) {
+	d := fresh(t, 0)
+	mustOffer(t, d, 0, offerOf(1, "w", 0))
+	d.Decide(0)
+	before := d.Dump(0)
+	bad := map[string]func(*Offer){
+		"tier below": func(o *Offer) { o.Tier = -1 },
+		"tier above": func(o *Offer) { o.Tier = maxTiers },
+		"weight":     func(o *Offer) { o.Weight = 0 },
+		"prompt":     func(o *Offer) { o.PromptTokens = -1 },
+		"most":       func(o *Offer) { o.MaxTokens = -1 },
+		"limit":      func(o *Offer) { o.Limits = limits.Limits{Concurrency: -1} },
+		"entry":      func(o *Offer) { o.ID.Entry = "" },
+	}
+	for name, spoil := range bad {
+		o := offerOf(2, "w", 0)
+		spoil(&o)
+		_, err := d.Offer(0, o)
+		require.IsType(t, &OfferError{}, err, name)
+	}
+	for _, r := range []Release{{ID: ID{"e", 1}}, {ID: ID{"e", 1}, Outcome: Done, OutputTokens: -1}, {ID: ID{"e", 9}, Outcome: Done}} {
+		_, err := d.Release(0, r)
+		require.IsType(t, &OfferError{}, err)
+	}
+	require.IsType(t, &OfferError{}, d.Announce(0, Upstream{Name: "x"}))
+	require.False(t, d.Leave(0, "unknown", 9))
+	require.Equal(t, before, d.Dump(0))
+}
+
+func TestHigherTierGoesFirst(t *testing.T) {
+	d := New(Params{})
+	mustAnnounce(t, d, 0, "u", 1)
+	for i, tier := range []int{2, 1, 0, 1} {
+		mustOffer(t, d, 0, offerOf(i, "w", tier))
+	}
+	order := []int{}
+	for range 4 {
+		g := d.Decide(0).Grants[0]
+		order = append(order, g.Tier)
+		finish(t, d, 0, g, time.Millisecond)
+	}
+	require.Equal(t, []int{0, 1, 1, 2}, order)
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	d := New(Params{})
+	mustAnnounce(t, d, 0, "u", 1)
+	for i := range 400 {
+		o := offerOf(i, "light", 0)
+		if i%2 == 0 {
+			o.Workspace, o.Weight = "heavy", 3
+		}
+		mustOffer(t, d, 0, o)
+	}
+	served := map[string]int{}
+	for range 100 {
+		g := d.Decide(0).Grants[0]
+		served[g.Workspace]++
+		finish(t, d, 0, g, time.Millisecond)
+	}
+	require.InDelta(t, 75, served["heavy"], 3)
+}
+
+func TestIdleTimeEarnsNoCredit(t *testing.T) {
+	d := New(Params{})
+	mustAnnounce(t, d, 0, "u", 1)
+	serve := func(n int) map[string]int {
+		served := map[string]int{}
+		for range n {
+			g := d.Decide(0).Grants[0]
+			served[g.Workspace]++
+			finish(t, d, 0, g, time.Millisecond)
+		}
+		return served
+	}
+	for i := range 200 {
+		mustOffer(t, d, 0, offerOf(i, "busy", 0))
+	}
+	serve(100)
+	for i := range 50 {
+		mustOffer(t, d, 0, offerOf(1000+i, "idle", 0))
+	}
+	require.InDelta(t, 10, serve(20)["idle"], 2)
+}
+
+func TestPrefixAttracts(t *testing.T) {
+	d := New(Params{})
+	mustAnnounce(t, d, 0, "a", 8)
+	mustAnnounce(t, d, 0, "b", 8)
+	o := offerOf(1, "w", 0)
+	o.Blocks = []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12}
+	mustOffer(t, d, 0, o)
+	first := d.Decide(0).Grants[0]
+	finish(t, d, time.Second, first, time.Millisecond)
+	o.ID.Number = 2
+	mustOffer(t, d, time.Minute, o)
+	again := d.Decide(time.Minute).Grants[0]
+	require.Equal(t, first.Upstream, again.Upstream)
+	require.Len(t, again.Why.Examined, 2)
+}
+
+func TestGapsNeverRaiseTrust(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newResidency()
+		for range 30 {
+			before := c.trust
+			c.event(CacheEvent{Sequence: rapid.Uint64Range(0, 40).Draw(t, "sequence"), Evicted: rapid.Bool().Draw(t, "evicted"), Blocks: []uint64{1}})
+			require.LessOrEqual(t, c.trust, before)
+		}
+	})
+}
+
+// TestOwnWorkIsNeverForeign reports any earlier count of our own requests, at
+// any age: a lagging report must not look like another's load.
+func TestOwnWorkIsNeverForeign(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := loadReport{}
+		history := []int{0}
+		for step := range 60 {
+			now := time.Duration(step) * time.Second / 2
+			history = append(history, max(0, history[len(history)-1]+rapid.IntRange(-2, 2).Draw(t, "change")))
+			l.own(now, history[len(history)-1])
+			lag := rapid.IntRange(0, min(4, len(history)-1)).Draw(t, "lag")
+			l.take(Load{Running: history[len(history)-1-lag], Age: time.Duration(lag) * time.Second / 2}, 8)
+			require.Zero(t, l.foreign())
+		}
+	})
+}
+
+func TestStragglerIsDemotedAndRecovers(t *testing.T) {
+	d := New(Params{})
+	for i := range 4 {
+		mustAnnounce(t, d, 0, fmt.Sprintf("u%d", i), 8)
+	}
+	now, next := time.Duration(0), 0
+	play := func(rounds int, slow time.Duration) (onSlow, lookups int) {
+		for range rounds {
+			now += time.Second
+			for i := range 4 {
+				next++
+				o := offerOf(next, "w", 0)
+				if i == 0 {
+					o.PromptTokens, o.MaxTokens = 20, 20
+				}
+				mustOffer(t, d, now, o)
+			}
+			for _, g := range d.Decide(now).Grants {
+				token := 20 * time.Millisecond
+				if g.Upstream == "u0" {
+					token *= slow
+					onSlow++
+				}
+				finish(t, d, now+time.Second/2, g, token)
+			}
+		}
+		return onSlow, lookups
+	}
+	play(20, 1)
+	play(60, 5)
+	require.True(t, d.upstreams["u0"].straggler.demoted)
+	onSlow, _ := play(20, 5)
+	require.LessOrEqual(t, onSlow, 20, "a trickle at most")
+	play(120, 1)
+	require.False(t, d.upstreams["u0"].straggler.demoted)
+}
+
+func TestWhatCannotFinishIsRefusedBeforeItRuns(t *testing.T) {
+	d := New(Params{})
+	mustAnnounce(t, d, 0, "u", 4)
+	o := offerOf(1, "w", 0)
+	o.PromptTokens, o.Deadline = 1_000_000, time.Second
+	mustOffer(t, d, 0, o)
+	require.Empty(t, d.Decide(0).Grants)
+	out := d.Decide(time.Second)
+	require.Empty(t, out.Grants)
+	require.Equal(t, TooLate, out.Refusals[0].Code)
+}
+
+func TestSpillComesBeforeShed(t *testing.T) {
+	d := New(Params{QueueLimit: 1, Spill: true})
+	mustAnnounce(t, d, 0, "u", 1)
+	for i := range 3 {
+		mustOffer(t, d, 0, offerOf(i, "w", 1))
+	}
+	out := d.Decide(0)
+	require.Equal(t, Spill, out.Refusals[0].Code)
+	final := offerOf(9, "w", 1)
+	final.Final = true
+	mustOffer(t, d, 0, final)
+	codes := []Code{}
+	for _, r := range d.Decide(0).Refusals {
+		codes = append(codes, r.Code)
+	}
+	require.Len(t, codes, 1)
+}
+
+func TestCrashingRequestIsQuarantinedAndInnocentsAreNot(t *testing.T) {
+	d := New(Params{})
+	mustAnnounce(t, d, 0, "a", 4)
+	number := 0
+	send := func(print uint64) {
+		number++
+		o := offerOf(number, "w", 0)
+		o.Fingerprint = print
+		mustOffer(t, d, 0, o)
+	}
+	crash := func(name string, incarnation uint64, grants []Grant) []quarantine.Change {
+		for _, g := range grants {
+			_, err := d.Release(0, Release{ID: g.ID, Outcome: Broken})
+			require.NoError(t, err)
+		}
+		require.NoError(t, d.Announce(0, Upstream{Name: name, Slots: 4, Lease: time.Hour, Incarnation: incarnation}))
+		return d.Decide(0).Suspects
+	}
+	send(66)
+	send(1)
+	require.Len(t, crash("a", 2, d.Decide(0).Grants), 2)
+	send(66)
+	send(1)
+	alone := d.Decide(0).Grants
+	require.Len(t, alone, 1, "suspects do not run side by side")
+	require.Equal(t, []quarantine.Change{{Fingerprint: 66, Crashes: 2}}, crash("a", 3, alone))
+	innocent := d.upstreams["a"].inFlight
+	require.Len(t, innocent, 1)
+	o := offerOf(99, "w", 0)
+	o.Fingerprint = 66
+	refusal, err := d.Offer(0, o)
+	require.NoError(t, err)
+	require.Equal(t, Quarantined, refusal.Code)
+	require.Equal(t, quarantine.Hold, refusal.RetryAfter)
+}
+
+func TestAbsentEntryKeepsItsSlotsForABoundedTime(t *testing.T) {
+	d := New(Params{})
+	mustAnnounce(t, d, 0, "u", 1)
+	mustOffer(t, d, 0, offerOf(1, "w", 0))
+	require.Len(t, d.Decide(0).Grants, 1)
+	d.LoseEntry(0, "e")
+	other := offerOf(2, "w", 0)
+	other.ID.Entry = "f"
+	mustOffer(t, d, 0, other)
+	require.Empty(t, d.Decide(orphanTime-1).Grants)
+	require.Len(t, d.Decide(orphanTime).Grants, 1)
+}
+
+func TestPlainServiceTakesItsConcurrency(t *testing.T) {
+	d := New(Params{Plain: true, Concurrency: 2})
+	mustAnnounce(t, d, 0, "u", 8)
+	for i := range 5 {
+		mustOffer(t, d, 0, offerOf(i, "w", 0))
+	}
+	require.Len(t, d.Decide(0).Grants, 2)
+}
+
+func TestExplanationsForAllStates(t *testing.T) {
+	d := New(Params{})
+	mustAnnounce(t, d, 0, "u", 1)
+	for i := range 2 {
+		mustOffer(t, d, 0, offerOf(i, "w", 0))
+	}
+	late := offerOf(7, "w", 0)
+	late.Deadline = -time.Second
+	mustOffer(t, d, 0, late)
+	d.Decide(0)
+	states := map[uint64]string{0: "granted", 1: "queued", 7: "refused"}
+	for n, state := range states {
+		e, ok := d.Explain(0, ID{"e", n})
+		require.True(t, ok)
+		require.Equal(t, state, e.State)
+	}
+	waiting, _ := d.Explain(0, ID{"e", 1})
+	require.Equal(t, "all slots are in use", waiting.Examined[0].Excluded)
+	_, ok := d.Explain(0, ID{"e", 55})
+	require.False(t, ok)
+}
--- a/core/sched/residency.go
+++ b/core/sched/residency.go
@@ -170,16 +170,18 @@
 	next uint8
 }
 
-// add remembers an upstream in place of the oldest one.
-func (h *holderSet) add(id int32) {
+// add remembers an upstream in place of the oldest one. It returns false where
+// the upstream was known.
+func (h *holderSet) add(id int32) bool {
 	for i := range h.used {
 		if h.ids[i] == id {
-			return
+			return false
 		}
 	}
 	h.ids[h.next] = id
 	h.next = (h.next + 1) % holders
 	h.used = min(holders, h.used+1)
+	return true
 }
 
 // holderIndex finds upstreams by block, within a bounded memory.
@@ -195,8 +197,9 @@
 	if !ok && len(x.sets) >= maxHolderSets {
 		clear(x.sets)
 	}
-	s.add(id)
-	x.sets[hash] = s
+	if s.add(id) {
+		x.sets[hash] = s
+	}
 }
 
 // deepest returns the holders of the last block that any upstream was granted.
--- a/core/sched/straggler.go
+++ b/core/sched/straggler.go
@@ -25,9 +25,9 @@
 	overduePart  = 0.6
 	// sweepEvery is how often peers are compared.
 	sweepEvery = time.Second
-	// trialPause is how often a demoted upstream is given a short request that
+	// trialPause is how often a slow upstream is given a short request that
 	// another could finish sooner, so that its recovery shows.
-	trialPause = 2 * time.Second
+	trialPause = 10 * time.Second
 )
 
 // straggler is an upstream's standing against its peers.
@@ -52,11 +52,11 @@
 	if !ok {
 		return
 	}
-	d.demoted = d.demoted[:0]
+	d.probation = d.probation[:0]
 	for _, u := range d.byID {
 		d.judge(now, u, median)
-		if u.straggler.demoted {
-			d.demoted = append(d.demoted, u)
+		if u.straggler.demoted || u.straggler.slowness >= restoreAt {
+			d.probation = append(d.probation, u)
 		}
 	}
 }
@@ -105,14 +105,14 @@
 	return late >= overdueLeast && float64(late) >= overduePart*float64(len(u.inFlight))
 }
 
-// trial returns a demoted upstream that is due a short request, or nil.
+// trial returns a slow upstream that is due a short request, or nil.
 func (d *Dispatcher) trial(now time.Duration, r *request) *upstream {
-	if r.class != short || len(d.demoted) == 0 {
+	if r.class != short || len(d.probation) == 0 {
 		return nil
 	}
 	d.nextTrial++
-	u := d.demoted[d.nextTrial%len(d.demoted)]
-	if now-u.straggler.lastTrial < trialPause || !u.straggler.demoted || !d.room(now, u, short) {
+	u := d.probation[d.nextTrial%len(d.probation)]
+	if now-u.straggler.lastTrial < trialPause || !d.room(now, u, short) {
 		return nil
 	}
 	if now+d.score(now, u, r).total > r.offer.Deadline {
@@ -130,7 +130,7 @@
 		if u.expires <= now || u.leaving || u.straggler.demoted {
 			continue
 		}
-		s := blend(&u.speed, &d.pool)
+		s := &u.known
 		best.prefill = min(best.prefill, s.prefill)
 		best.token = min(best.token, s.token)
 	}
--- a/core/sched/tight.go
+++ b/core/sched/tight.go
@@ -14,14 +14,14 @@
 	}
 	deviation := (r.output - r.least) / cautiousDeviations
 	left := r.offer.Deadline - now - p.queue - p.prefill - p.link
-	s := blend(&u.speed, &d.pool)
+	s := &u.known
 	return max(left.Seconds()/(r.output+deviation), s.perToken(len(u.inFlight)))
 }
 
 // breaks says whether one more stream would slow a request of the same or a
 // higher tier on the upstream so much that it misses its deadline.
 func (d *Dispatcher) breaks(u *upstream, r *request) bool {
-	s := blend(&u.speed, &d.pool)
+	s := &u.known
 	after := s.perToken(len(u.inFlight) + 1)
 	for t := range min(len(u.tight), r.offer.Tier+1) {
 		if u.tight[t] > 0 && after > u.tight[t] {
--- a/core/sched/upstream.go
+++ b/core/sched/upstream.go
@@ -30,8 +30,10 @@
 	// prefillUntil is when the prefill of all granted requests should be over.
 	prefillUntil time.Duration
 	// tight is the least need of the requests in flight by tier.
-	tight     []float64
-	speed     speed
+	tight []float64
+	speed speed
+	// known is the speed with the pool's average counted in.
+	known     speed
 	slots     slots
 	straggler straggler
 	cache     *residency
@@ -80,7 +82,8 @@
 
 // refresh recomputes an upstream's place among those with room.
 func (d *Dispatcher) refresh(now time.Duration, u *upstream) {
-	s := blend(&u.speed, &d.pool)
+	u.known = blend(&u.speed, &d.pool)
+	s := &u.known
 	n := len(u.inFlight) + u.load.foreign()
 	u.base = s.prefill*u.uncached*prefillPart + s.perToken(n+1)*d.typicalOutput() + s.call*float64(n+1)/float64(max(1, u.Slots))
 	for c := range d.open {
