--- a/internal/schedclient/session.go
+++ b/internal/schedclient/session.go
@@ -1,9 +1,12 @@
 package schedclient
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/sched"
@@ -111,11 +114,31 @@
 	s.nudge()
 }
 
+// maxPendingEvents bounds the cache events of one upstream that wait for a
+// session. Where more come, the oldest are dropped: a gap that the dispatcher
+// sees by the sequence numbers.
+const maxPendingEvents = 256
+
+// announce passes on an announcement. One that still waits is replaced, and its
+// cache events are kept.
 func (s *session) announce(u *rpc.UpstreamState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.nudge()
+	for i, old := range s.pending.Upstreams {
+		if old.Name != u.Name || old.Incarnation != u.Incarnation || len(old.CacheEvents) == 0 {
+			continue
+		}
+		merged := proto.Clone(u).(*rpc.UpstreamState)
+		events := append(slices.Clone(old.CacheEvents), u.CacheEvents...)
+		merged.CacheEvents = events[max(0, len(events)-maxPendingEvents):]
+		s.pending.Upstreams[i] = merged
+		return
+	}
+	s.pending.Upstreams = slices.DeleteFunc(s.pending.Upstreams, func(old *rpc.UpstreamState) bool {
+		return old.Name == u.Name && old.Incarnation <= u.Incarnation
+	})
 	s.pending.Upstreams = append(s.pending.Upstreams, u)
-	s.nudge()
 }
 
 // hello offers again all that waits or runs. What was pending is part of it.
--- a/internal/schedclient/speak.go
+++ b/internal/schedclient/speak.go
@@ -107,9 +107,20 @@
 	}
 }
 
+// send sends a batch. Where that fails, its releases and announcements go with
+// the next session's first batch; offers are repeated there anyway, and
+// cancels are no longer needed.
 func (s *session) send(stream stream, b *rpc.EntryBatch) error {
 	s.crossed(causeScheduling, sizeOf(b))
-	return stream.Send(b)
+	err := stream.Send(b)
+	if err == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending.Releases = append(b.Releases, s.pending.Releases...)
+	s.pending.Upstreams = append(b.Upstreams, s.pending.Upstreams...)
+	return err
 }
 
 // disconnect tells those who wait that the session ended.
