Wait up to 2 s for an upstream that holds the prompt's prefix

Change: a request that would find 512 more tokens on a live upstream without room waits for it up to 2 s or a twentieth of its slack.

--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -102,7 +102,7 @@
 		return true
 	}
 	u, p, set := d.choose(now, r)
-	if u != nil && d.waits(now, r, p) {
+	if u != nil && (d.waits(now, r, p) || d.waitsForPrefix(now, r, p)) {
 		u = nil
 	}
 	if u == nil {
--- /dev/null
+++ b/core/sched/locality.go
@@ -0,0 +1,36 @@
+package sched
+
+import "time"
+
+const (
+	// localityTokens is the least hit that is worth waiting for, in tokens.
+	localityTokens = 512
+	// localityWait is the longest wait for it, from when the request was first
+	// at the head of the queue.
+	localityWait = 2 * time.Second
+	// localityPart is the longest wait as a part of the time to the deadline.
+	localityPart = 0.05
+)
+
+// waitsForPrefix says whether a request had better wait a moment for a slot on
+// an upstream that holds much more of its prompt than the one at hand.
+func (d *Dispatcher) waitsForPrefix(now time.Duration, r *request, chosen parts) bool {
+	if r.considered == 0 {
+		r.considered = max(1, now)
+	}
+	slack := time.Duration(localityPart * float64(r.offer.Deadline-r.considered))
+	if r.suspect || now-r.considered >= min(localityWait, slack) {
+		return false
+	}
+	h := d.holding.deepest(r.offer.Blocks)
+	for _, id := range h.ids[:h.used] {
+		u := d.byID[id]
+		if u.leaving || u.expires <= now || u.straggler.demoted {
+			continue
+		}
+		if d.cached(u, r)-chosen.cached >= localityTokens {
+			return true
+		}
+	}
+	return false
+}
--- a/core/sched/request.go
+++ b/core/sched/request.go
@@ -35,6 +35,8 @@
 	doomIndex int
 	// doomAt is when the request can no longer finish in time.
 	doomAt time.Duration
+	// considered is when the request was first at the head of the queue.
+	considered time.Duration
 	// set once granted:
 	upstream    string
 	incarnation uint64
