--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -42,7 +42,9 @@
 // drop refuses a queued request.
 func (d *Dispatcher) drop(now time.Duration, r *request, code Code, why string, out *Decisions) {
 	d.forgetQueued(r)
-	d.calmFrom = now + calmAfter
+	if code == Overload || code == Spill {
+		d.calmFrom = now + calmAfter
+	}
 	refusal := d.refuse(now, r.offer, code, d.comeBack(code), why)
 	d.recent.last().WaitedMS = milliseconds(now - r.arrived)
 	out.Refusals = append(out.Refusals, *refusal)
@@ -55,7 +57,7 @@
 
 // grantAll grants in the order of the tiers. While a higher tier waits, a lower
 // one is granted nothing but short requests on slots that the higher tier's long
-// ones may not take, and not even these while requests are being refused.
+// ones may not take, and not even these while requests are being shed.
 func (d *Dispatcher) grantAll(now time.Duration, out *Decisions) {
 	classesLeft := [classes]bool{true, true}
 	for _, t := range d.tiers {
@@ -79,7 +81,7 @@
 	d.setAside = d.setAside[:0]
 }
 
-// calmAfter is how long after a refusal capacity counts as short.
+// calmAfter is how long after a request was shed capacity counts as short.
 const calmAfter = 10 * time.Second
 
 // maxSetAside is how many requests of a tier may be passed over in a round
