--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -30,7 +30,7 @@
 
 const (
 	// maxApply is the largest configuration that is taken, in bytes.
-	maxApply = 64 << 20
+	maxApply = 16 << 20
 	// headerTimeout, readTimeout and idleTimeout bound what a client may keep a
 	// connection waiting.
 	headerTimeout = 5 * time.Second
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,177 @@
+package admin_test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/verbenastep/verbenastep/api/client"
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/operator"
+	"github.com/verbenastep/verbenastep/internal/daemon"
+	"github.com/verbenastep/verbenastep/internal/settings"
+)
+
+// Planted secrets; none may show in a dump, a metric or a log.
+const (
+	plantedOperator  = "planted-operator-key"
+	plantedWorkspace = "planted-workspace-key"
+	plantedUpstream  = "planted-upstream-key"
+	plantedPeer      = "planted-peer-secret"
+)
+
+// safeBuffer collects log lines of several goroutines.
+type safeBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *safeBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+func hashed(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+// freePorts reserves loopback ports and frees them again.
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	out := []string{}
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer ln.Close()
+		out = append(out, ln.Addr().String())
+	}
+	return out
+}
+
+// single starts a daemon that is its own only replica.
+func single(t *testing.T) (*settings.Settings, *safeBuffer) {
+	t.Helper()
+	ports := freePorts(t, 4)
+	secret := filepath.Join(t.TempDir(), "peer.key")
+	require.NoError(t, os.WriteFile(secret, []byte(plantedPeer), 0o600))
+	raw, err := json.Marshal(&settings.Settings{
+		Name: "d1", Region: "r", DataCentre: "c",
+		Addresses: settings.Addresses{Callers: ports[0], Peers: ports[1], Upstreams: ports[2], Admin: ports[3]},
+		Roles:     []settings.Role{settings.Replica}, DataFolder: t.TempDir(),
+		Replicas: []settings.Peer{{Name: "d1", Address: ports[1]}}, Seeds: []string{ports[1]},
+		OperatorKeys: []string{hashed(plantedOperator)}, UpstreamKeys: []string{hashed(plantedUpstream)}, PeerKeyFile: secret,
+	})
+	require.NoError(t, err)
+	set, err := settings.Parse("d1", raw)
+	require.NoError(t, err)
+	logs := &safeBuffer{}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(logs), zap.DebugLevel)
+	d, err := daemon.New(set, zap.New(core))
+	require.NoError(t, err)
+	require.NoError(t, d.Start(t.Context()))
+	t.Cleanup(d.Kill)
+	return set, logs
+}
+
+// get asks the administrative address.
+func get(t *testing.T, set *settings.Settings, path, key string) (int, string) {
+	t.Helper()
+	return exchange(t, http.MethodGet, "http://"+set.Addresses.Admin+path, key, http.NoBody)
+}
+
+func exchange(t *testing.T, method, url, key string, body io.Reader) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, body)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, string(data)
+}
+
+func configuration(workspaceKey string) operator.Files {
+	return operator.Files{"all.json": []byte(`{
+		"tiers": [{"name": "one", "goodput_ms": 1000}],
+		"regions": [{"name": "r", "data_centres": ["c"]}],
+		"models": [{"name": "m"}],
+		"workspaces": [{"name": "w", "tier": "one", "home_region": "r", "keys": ["` + workspaceKey + `"]}]
+	}`)}
+}
+
+// apply retries until the daemon's own log has a leader.
+func apply(t *testing.T, op client.Operator, change operator.Apply) {
+	t.Helper()
+	for {
+		_, err := op.Apply(t.Context(), change)
+		if err == nil {
+			return
+		}
+		require.NotEqual(t, fault.Malformed, fault.From(err).Kind, err)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestAdministrativeAddress(t *testing.T) {
+	set, logs := single(t)
+	op := client.Operator{Address: set.Addresses.Admin, Key: plantedOperator}
+
+	code, _ := get(t, set, "/readyz", "")
+	require.Equal(t, http.StatusServiceUnavailable, code, "ready without a configuration")
+	for _, path := range []string{operator.PathConfig, operator.PathState, operator.PathStatus, operator.PathExplain + "?key=k"} {
+		for _, key := range []string{"", "wrong", hashed(plantedOperator), plantedUpstream} {
+			code, body := get(t, set, path, key)
+			require.Equal(t, http.StatusUnauthorized, code, path)
+			require.Contains(t, body, "remedy")
+		}
+	}
+
+	_, err := op.Apply(t.Context(), operator.Apply{Files: configuration(plantedWorkspace)})
+	require.Equal(t, fault.Malformed, fault.From(err).Kind)
+	require.Contains(t, err.Error(), "all.json: $.workspaces[0].keys[0]")
+	require.NotContains(t, err.Error(), "planted", "a fault repeats a key")
+
+	apply(t, op, operator.Apply{Files: configuration(hashed(plantedWorkspace))})
+	for code != http.StatusOK {
+		time.Sleep(10 * time.Millisecond)
+		code, _ = get(t, set, "/readyz", "")
+	}
+	code, _ = exchange(t, http.MethodPost, "http://"+set.Addresses.Admin+operator.PathConfig, plantedOperator, strings.NewReader(`{"base": 1, "files": {"a": "`+strings.Repeat("x", 17<<20)+`"}}`))
+	require.Equal(t, http.StatusRequestEntityTooLarge, code)
+
+	for _, key := range []string{plantedWorkspace, "planted-wrong-key"} {
+		_, _ = exchange(t, http.MethodPost, "http://"+set.Addresses.Callers+"/v1/completions", key, strings.NewReader(`{"model": "m", "prompt": "hello"}`))
+	}
+	seen := logs.String()
+	for _, path := range []string{"/metrics", "/healthz", operator.PathState, operator.PathConfig, operator.PathStatus} {
+		code, body := get(t, set, path, plantedOperator)
+		require.Equal(t, http.StatusOK, code, path)
+		seen += body
+	}
+	require.Contains(t, seen, hashed(plantedWorkspace), "the dump is not the whole one")
+	require.NotContains(t, seen, "planted", "a secret shows in a dump, a metric or a log")
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -109,7 +109,7 @@
 	if r.site, err = newSite(folder); err != nil {
 		return nil, err
 	}
-	defer func() { _ = r.site.stop() }()
+	defer r.site.end()
 	if err := r.site.start(ctx, r.opt.Log, r.rec); err != nil {
 		return nil, err
 	}
@@ -218,8 +218,7 @@
 	calls.run(ctx, load)
 	side.Wait()
 	report.failed(drain)
-	report.failed(r.site.stop())
-	r.say("no caller waits any more, all daemons have stopped")
+	r.say("no caller waits any more")
 	r.sumUp(calls, report)
 	return report, nil
 }
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -14,10 +14,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/verbenastep/verbenastep/core/promise"
 	"github.com/verbenastep/verbenastep/internal/daemon"
-	"github.com/verbenastep/verbenastep/internal/kernel"
-	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
@@ -40,16 +37,10 @@
 	{"western-cape", "cpt-south"},
 }
 
-// observer is the event log with its hook.
-type observer interface {
-	Observe(fn func(promise.Event))
-}
-
 // site is the daemons of one run.
 type site struct {
 	settings []*settings.Settings
 	daemons  []*daemon.Daemon
-	rec      *recorder
 
 	mu      sync.Mutex
 	stopped []bool
@@ -120,7 +111,6 @@
 
 // start starts all daemons at once.
 func (s *site) start(ctx context.Context, log *zap.Logger, rec *recorder) error {
-	s.rec = rec
 	errs := make([]error, daemonCount)
 	wait := sync.WaitGroup{}
 	for i, set := range s.settings {
@@ -128,11 +118,7 @@
 		if err != nil {
 			return err
 		}
-		events, err := kernel.Find[observer](d.Kernel(), port.NameEvents)
-		if err != nil {
-			return err
-		}
-		events.Observe(rec.record)
+		d.Observe(rec.record)
 		s.daemons = append(s.daemons, d)
 		wait.Go(func() { errs[i] = d.Start(ctx) })
 	}
@@ -151,23 +137,26 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	s.rec.record(promise.Event{Kind: promise.Drain, Daemon: name(i)})
 	if err := s.daemons[i].Stop(ctx); err != nil {
 		return fmt.Errorf("%s did not stop gracefully: %w", name(i), err)
 	}
-	s.rec.record(promise.Event{Kind: promise.Stopped, Daemon: name(i)})
 	return nil
 }
 
-// stop drains all daemons that still run, at once.
-func (s *site) stop() error {
-	errs := make([]error, len(s.daemons))
+// end stops all daemons that still run without a drain: nobody uses them any
+// more.
+func (s *site) end() {
 	wait := sync.WaitGroup{}
-	for i := range s.daemons {
-		wait.Go(func() { errs[i] = s.drain(i) })
+	for i, d := range s.daemons {
+		s.mu.Lock()
+		again := s.stopped[i]
+		s.stopped[i] = true
+		s.mu.Unlock()
+		if !again {
+			wait.Go(d.Kill)
+		}
 	}
 	wait.Wait()
-	return errors.Join(errs...)
 }
 
 // callers lists the callers' addresses.
