--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -72,7 +72,8 @@
 		checkCommand(), diffCommand(), applyCommand(), getCommand(),
 		statusCommand(), dumpCommand(), explainCommand(),
 		whereCommand(), sendCommand(), standinCommand(),
-		capacityCommand(), versionCommand(), completionCommand(),
+		capacityCommand(), benchCommand(),
+		versionCommand(), completionCommand(),
 	}
 }
 
--- a/internal/demo/backends.go
+++ b/internal/demo/backends.go
@@ -60,10 +60,11 @@
 		a := announcement(r.name, upstream.Runner, modelName, r.place, runnerSlots)
 		up := standin.NewRunner(a, standin.Speed{PrefillPerSecond: prefillSpeed * r.speed, DecodePerSecond: decodeSpeed * r.speed})
 		up.Observe = rec.execution
+		up.Distinct = true
 		if err := up.Listen(); err != nil {
 			return b, err
 		}
-		b.run(r.name, up.Close, rotate(daemons, i), func() upstream.Announcement { return up.Self })
+		b.run(r.name, up.Close, rotate(daemons, i), up.Announcement)
 	}
 	a := announcement("register-1", upstream.Plain, serviceName, 0, 8)
 	svc := standin.NewService(a, servicePause)
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 
 	mu         sync.Mutex
 	executions map[string]int
+	fault      Fault
 	server     *http.Server
 }
 
@@ -57,6 +59,14 @@
 	return out
 }
 
+// SetFault makes later calls go wrong after they have executed: Silent never
+// answers, Truncated sends half an answer, Cut closes the connection.
+func (s *Service) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -64,10 +74,21 @@
 	}
 	s.mu.Lock()
 	s.executions[r.Header.Get(upstream.HeaderRequest)]++
+	fault := s.fault
 	s.mu.Unlock()
-	reply := fmt.Sprintf(`{"service":%q,"method":%q,"path":%q,"bytes":%d}`+"\n", s.Self.Pool, r.Method, r.URL.Path, len(body))
-	observe(s.Observe, Execution{Upstream: s.Self.Name, Stream: r.Header.Get(upstream.HeaderRequest), Text: reply})
+	answer := fmt.Sprintf(`{"service":%q,"method":%q,"path":%q,"bytes":%d}`+"\n", s.Self.Pool, r.Method, r.URL.Path, len(body))
+	observe(s.Observe, Execution{Upstream: s.Self.Name, Stream: r.Header.Get(upstream.HeaderRequest), Text: answer})
 	time.Sleep(s.Pause)
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = io.WriteString(w, reply)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	switch fault {
+	case Silent:
+		<-r.Context().Done()
+		return
+	case Cut:
+		panic(http.ErrAbortHandler)
+	case Truncated:
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = io.WriteString(w, answer)
 }
