--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -72,8 +72,7 @@
 		checkCommand(), diffCommand(), applyCommand(), getCommand(),
 		statusCommand(), dumpCommand(), explainCommand(),
 		whereCommand(), sendCommand(), standinCommand(),
-		capacityCommand(), benchCommand(),
-		versionCommand(), completionCommand(),
+		benchCommand(), capacityCommand(), versionCommand(), completionCommand(),
 	}
 }
 
--- a/internal/demo/backends.go
+++ b/internal/demo/backends.go
@@ -60,7 +60,6 @@
 		a := announcement(r.name, upstream.Runner, modelName, r.place, runnerSlots)
 		up := standin.NewRunner(a, standin.Speed{PrefillPerSecond: prefillSpeed * r.speed, DecodePerSecond: decodeSpeed * r.speed})
 		up.Observe = rec.execution
-		up.Distinct = true
 		if err := up.Listen(); err != nil {
 			return b, err
 		}
--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/internal/standin"
 )
 
 // TestRefusalsBeforeDispatch: each fault of a call is told before anything is
@@ -68,9 +69,9 @@
 	require.Contains(t, got.body, `"completion_tokens":2`)
 	answer, whole := text(got.body)
 	require.True(t, whole)
-	require.Equal(t, "w0 w1 ", answer)
+	require.Equal(t, standin.AnswerTo("system: brief\nuser: draft #2\n", defaultMaxTokens), answer)
 	legacy := e.do(t, "POST", "/v1/completions", `{"model":"logbook-model","prompt":"draft #2"}`)
-	require.Contains(t, legacy.body, `"text":"w0 w1 "`)
+	require.Contains(t, legacy.body, `"text":"`+standin.AnswerTo("draft #2", defaultMaxTokens)+`"`)
 	require.Contains(t, e.do(t, "GET", "/v1/models", "").body, `"id":"logbook-model"`)
 }
 
--- a/internal/standin/execution.go
+++ b/internal/standin/execution.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"strings"
 
 	"github.com/verbenastep/verbenastep/api/upstream"
 )
@@ -29,17 +30,19 @@
 	}
 }
 
-// words are the tokens of the answer to a request.
-func (r *Runner) words(s upstream.Start) []string {
-	mark := ""
-	if r.Distinct {
-		h := fnv.New32a()
-		_, _ = h.Write([]byte(s.Prompt))
-		mark = fmt.Sprintf("-%08x", h.Sum32())
-	}
-	out := make([]string, outputTokens(s))
-	for i := range out {
-		out[i] = fmt.Sprintf("w%d%s ", i, mark)
+// AnswerTo is the whole answer that a runner gives to a prompt.
+func AnswerTo(prompt string, maxTokens int) string {
+	return strings.Join(answerWords(upstream.Start{Prompt: prompt, MaxTokens: maxTokens}), "")
+}
+
+// answerWords are the tokens of the answer to a request. They depend on the
+// prompt, so that answers to two prompts differ.
+func answerWords(s upstream.Start) []string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s.Prompt))
+	words := make([]string, outputTokens(s))
+	for i := range words {
+		words[i] = fmt.Sprintf("w%d-%04x ", i, h.Sum32()&0xffff)
 	}
-	return out
+	return words
 }
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -43,8 +43,6 @@
 	// Observe, where set before Listen, hears of each execution; it must not
 	// block.
 	Observe func(Execution)
-	// Distinct makes answers to two prompts differ in every word.
-	Distinct bool
 
 	mu    sync.Mutex
 	runs  map[string]*run
@@ -173,9 +171,7 @@
 	r.runs[s.Stream] = x
 	if processed == 0 {
 		r.executions[s.Stream]++
-	}
-	if processed == 0 {
-		observe(r.Observe, Execution{Upstream: r.Self.Name, Stream: s.Stream, Text: strings.Join(r.words(s), ""), Blocks: s.Blocks})
+		observe(r.Observe, Execution{Upstream: r.Self.Name, Stream: s.Stream, Text: strings.Join(answerWords(s), ""), Blocks: s.Blocks})
 	}
 	go r.generate(ctx, x, processed)
 	return x, true
@@ -194,10 +190,9 @@
 	cached := max(processed, r.cachedTokens(x.start, prompt))
 	observe(r.Observe, Execution{Upstream: r.Self.Name, Stream: x.start.Stream, Blocks: x.start.Blocks, Prefill: max(0, prompt-cached), Cached: cached})
 	done := wait(ctx, float64(max(0, prompt-cached))/r.Speed.PrefillPerSecond)
-	words := r.words(x.start)
-	tokens := len(words)
+	words := answerWords(x.start)
 	first := x.tokens
-	for i := first; i < tokens && done; i++ {
+	for i := first; i < len(words) && done; i++ {
 		if done = wait(ctx, 1/r.Speed.DecodePerSecond); !done {
 			break
 		}
@@ -213,7 +208,7 @@
 		return
 	}
 	finish := "stop"
-	if tokens == x.start.MaxTokens {
+	if len(words) == x.start.MaxTokens {
 		finish = "length"
 	}
 	r.push(x, upstream.Frame{Stream: x.start.Stream, End: true, Finish: finish, PromptTokens: prompt, CachedTokens: cached}, 0)
