Count a resent change as the same operator's after it names him

Cause: the log knew an operator by the declared name. A change that first declares the operator who makes it was made by "settings"; resent after it was in force it came from the declared name and conflicted with itself. Ruled out: preferring the name in settings (daemons' settings differ). Change: the log knows an operator by the hash of the key; the name is looked up where people read it. Proof: TestAdministrativeAddress failed before ("version 1 of settings won") and passes after.

--- a/cmd/verbenastepd/main.go
+++ b/cmd/verbenastepd/main.go
@@ -30,6 +30,7 @@
 func run() int {
 	file := flag.String("settings", "", "settings `FILE`, JSON")
 	check := flag.Bool("check", false, "check the settings and exit")
+	flag.Usage = usage
 	flag.Parse()
 	set, err := settings.Load(*file)
 	if err != nil {
@@ -49,6 +50,13 @@
 	return serve(set, log)
 }
 
+func usage() {
+	w := flag.CommandLine.Output()
+	fmt.Fprint(w, "usage: verbenastepd -settings FILE [-check]\nexample: verbenastepd -settings examples/local/daemon-1.json\n\n")
+	flag.PrintDefaults()
+	fmt.Fprint(w, "\nexit codes: 0 stopped gracefully, 1 failed, 2 faulty settings; docs/SETTINGS.md explains them\n")
+}
+
 func serve(set *settings.Settings, log *zap.Logger) int {
 	d, err := daemon.New(set, log)
 	if err != nil {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -31,10 +31,10 @@
 const (
 	// maxApply is the largest configuration that is taken, in bytes.
 	maxApply = 16 << 20
-	// headerTimeout, readTimeout and idleTimeout bound what a client may keep a
-	// connection waiting.
+	// These bound how long a client may keep a connection waiting.
 	headerTimeout = 5 * time.Second
 	readTimeout   = 30 * time.Second
+	writeTimeout  = time.Minute
 	idleTimeout   = time.Minute
 	// maxHeader is the largest header, in bytes.
 	maxHeader = 16 << 10
@@ -93,7 +93,7 @@
 	}
 	s.server = &http.Server{
 		Handler: s.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	go func() { _ = s.server.Serve(ln) }()
 	return nil
@@ -124,29 +124,44 @@
 	_ = c.JSON(e.HTTPStatus(), e)
 }
 
-// operatorName is the context key under which the operator's name stands.
-const operatorName = "operator"
+// operatorID is the context key under which the operator's identity stands.
+const operatorID = "operator"
 
 func (s *Service) authenticated(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		name, ok := s.identify(c.Request().Header.Get("Authorization"))
-		if !ok {
+		id := identity(c.Request().Header.Get("Authorization"))
+		if _, ok := s.operatorOf(id); !ok {
 			return fault.New(fault.Unauthenticated, "give a key that settings or configuration list for operators", "the operator's key is missing or unknown")
 		}
-		c.Set(operatorName, name)
+		c.Set(operatorID, id)
 		return next(c)
 	}
 }
 
-func (s *Service) identify(header string) (string, bool) {
+// identity names an operator in the log by the key's hash. The declared name
+// would not do: a change may declare or rename the operator who makes it, and
+// its resend must still count as the same operator's.
+func identity(header string) string {
 	sum := sha256.Sum256([]byte(strings.TrimPrefix(header, "Bearer ")))
-	hash := "sha256:" + hex.EncodeToString(sum[:])
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+// operatorOf finds the name behind an identity, for people.
+func (s *Service) operatorOf(id string) (string, bool) {
 	for _, o := range s.view.Snapshot().Config.Operators {
-		if slices.Contains(o.Keys, hash) {
+		if slices.Contains(o.Keys, id) {
 			return o.Name, true
 		}
 	}
-	return "settings", slices.Contains(s.set.OperatorKeys, hash)
+	return "settings", slices.Contains(s.set.OperatorKeys, id)
+}
+
+// winner names who made the version that came first.
+func (s *Service) winner(id string) string {
+	if name, ok := s.operatorOf(id); ok {
+		return name
+	}
+	return "an operator who is no longer declared"
 }
 
 func (s *Service) healthz(c echo.Context) error {
@@ -208,15 +223,15 @@
 	if err := schema.CheckFiles(files); err != nil {
 		return fault.New(fault.Malformed, "mend the files", "%v", err)
 	}
-	name, _ := c.Get(operatorName).(string)
-	result, err := s.logs.Propose(c.Request().Context(), port.GroupMain, state.Command{Apply: &state.Apply{Base: a.Base, Files: files, Operator: name}})
+	id, _ := c.Get(operatorID).(string)
+	result, err := s.logs.Propose(c.Request().Context(), port.GroupMain, state.Command{Apply: &state.Apply{Base: a.Base, Files: files, Operator: id}})
 	if err != nil {
 		return err
 	}
 	if result.Status != state.OK {
-		return fault.New(fault.Conflict, "get the current version, merge your change and apply again", "version %d of %s won", result.Version, result.Winner)
+		return fault.New(fault.Conflict, "get the current version, merge your change and apply again", "version %d of %s won", result.Version, s.winner(result.Winner))
 	}
-	s.log.Info("configuration accepted", zap.Uint64("version", result.Version), zap.String("operator", name))
+	s.log.Info("configuration accepted", zap.Uint64("version", result.Version), zap.String("operator", s.winner(id)))
 	return c.JSON(http.StatusOK, operator.Applied{Version: result.Version, Digest: result.Digest})
 }
 
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -119,6 +119,7 @@
 		"tiers": [{"name": "one", "goodput_ms": 1000}],
 		"regions": [{"name": "r", "data_centres": ["c"]}],
 		"models": [{"name": "m"}],
+		"operators": [{"name": "registrar", "keys": ["` + hashed(plantedOperator) + `"]}],
 		"workspaces": [{"name": "w", "tier": "one", "home_region": "r", "keys": ["` + workspaceKey + `"]}]
 	}`)}
 }
@@ -160,6 +161,13 @@
 		time.Sleep(10 * time.Millisecond)
 		code, _ = get(t, set, "/readyz", "")
 	}
+	resent, err := op.Apply(t.Context(), operator.Apply{Files: configuration(hashed(plantedWorkspace))})
+	require.NoError(t, err, "the resent change that gave the operator a name conflicts with itself")
+	require.EqualValues(t, 1, resent.Version)
+	_, err = op.Apply(t.Context(), operator.Apply{Files: configuration(hashed("another"))})
+	require.Equal(t, fault.Conflict, fault.From(err).Kind)
+	require.ErrorContains(t, err, "version 1 of registrar won")
+
 	code, _ = exchange(t, http.MethodPost, "http://"+set.Addresses.Admin+operator.PathConfig, plantedOperator, strings.NewReader(`{"base": 1, "files": {"a": "`+strings.Repeat("x", 17<<20)+`"}}`))
 	require.Equal(t, http.StatusRequestEntityTooLarge, code)
 
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -4,9 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/verbenastep/verbenastep/api/upstream"
@@ -33,8 +31,6 @@
 			f.Float64Var(&speed.DecodePerSecond, "decode", 50, "output tokens a second for one stream")
 		},
 		Run: func(ctx context.Context, std IO, _ []string) error {
-			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
-			defer stop()
 			a.Kind = upstream.Kind(kind)
 			a.Incarnation = uint64(time.Now().UnixNano())
 			up, self := newStandin(a, speed)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -205,6 +205,7 @@
 // underLoad sends the load, kills a runner and drains a daemon on the way, and
 // sums up.
 func (r *run) underLoad(ctx context.Context, calls *callers) (*Report, error) {
+	whole := ctx
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
 	load := plan(r.opt.Seed, len(r.whole.Workspaces))
@@ -217,6 +218,9 @@
 	side.Go(func() { drain = r.drain(ctx, began, report) })
 	calls.run(ctx, load)
 	side.Wait()
+	if whole.Err() != nil {
+		return nil, fault.New(fault.Canceled, "let it run to its end", "the demo was interrupted")
+	}
 	report.failed(drain)
 	r.say("no caller waits any more")
 	r.sumUp(calls, report)
@@ -236,7 +240,7 @@
 	sleep(ctx, time.Duration(drainAt*float64(loadTime)))
 	report.Drained = Step{Name: name(drained), At: time.Since(began).Seconds()}
 	r.say("%s drains", name(drained))
-	err := r.site.drain(drained)
+	err := r.site.drain(ctx, drained)
 	report.Drained.Until = time.Since(began).Seconds()
 	r.say("%s has stopped", name(drained))
 	return err
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -127,7 +127,7 @@
 }
 
 // drain stops one daemon gracefully; a second call does nothing.
-func (s *site) drain(i int) error {
+func (s *site) drain(ctx context.Context, i int) error {
 	s.mu.Lock()
 	again := s.stopped[i]
 	s.stopped[i] = true
@@ -135,7 +135,7 @@
 	if again {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	if err := s.daemons[i].Stop(ctx); err != nil {
 		return fmt.Errorf("%s did not stop gracefully: %w", name(i), err)
