Say how to go on where an apply's fate stays unknown

Cause: an apply that ran out of time after a lost answer exited as if no daemon had answered, though the change may have been accepted.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -98,20 +98,32 @@
 // propose sends the change until its fate is known. A resent change that had
 // been accepted gets the same answer again.
 func (a *applying) propose(ctx context.Context, std IO, change operator.Apply) (operator.Applied, error) {
+	mayBeAccepted := false
 	for {
 		made, err := ask(ctx, &a.target, func(ctx context.Context, o *client.Operator) (operator.Applied, error) { return o.Apply(ctx, change) })
 		if err == nil || !undecided(err) {
 			return made, err
 		}
-		fmt.Fprintf(std.Err, "no answer yet, sending the change again: %v\n", err)
+		mayBeAccepted = mayBeAccepted || fault.From(err).Ran == fault.MayHaveRun
+		if ctx.Err() == nil {
+			fmt.Fprintf(std.Err, "no answer yet, sending the change again: %v\n", err)
+		}
 		select {
 		case <-time.After(resendPause):
 		case <-ctx.Done():
+			if mayBeAccepted {
+				err = unknownFate(change.Base)
+			}
 			return made, err
 		}
 	}
 }
 
+func unknownFate(base uint64) error {
+	e := fault.New(fault.Unknown, fmt.Sprintf("apply the same files with -base %d: a change that was accepted is not made twice", base), "no answer came in time; the change may have been accepted")
+	return e.WithRan(fault.MayHaveRun)
+}
+
 // undecided tells whether the same change may be sent again.
 func undecided(err error) bool {
 	e := (*fault.Error)(nil)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -24,8 +25,12 @@
 
 func command(t *testing.T, args ...string) result {
 	t.Helper()
+	return commandIn(t.Context(), args...)
+}
+
+func commandIn(ctx context.Context, args ...string) result {
 	out, errs := bytes.Buffer{}, bytes.Buffer{}
-	code := Main(t.Context(), IO{In: strings.NewReader(""), Out: &out, Err: &errs}, args)
+	code := Main(ctx, IO{In: strings.NewReader(""), Out: &out, Err: &errs}, args)
 	return result{code: code, out: out.String(), err: errs.String()}
 }
 
@@ -96,9 +101,10 @@
 	config  operator.Config
 	applies []operator.Apply
 	// lost counts applies whose answer is lost; refuse answers all others.
-	lost   int
-	refuse *fault.Error
-	status []operator.Status
+	lost     int
+	whenLost func()
+	refuse   *fault.Error
+	status   []operator.Status
 }
 
 func (d *fakeDaemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -129,6 +135,9 @@
 	d.applies = append(d.applies, a)
 	if d.lost > 0 {
 		d.lost--
+		if d.whenLost != nil {
+			d.whenLost()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if d.refuse != nil {
@@ -177,6 +186,21 @@
 	}
 }
 
+func TestApplyOfUnknownFateSaysHowToGoOn(t *testing.T) {
+	d, address := fake(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	d.lost = 2
+	d.whenLost = func() {
+		if d.lost == 0 {
+			cancel()
+		}
+	}
+	r := commandIn(ctx, "apply", "-base", "4", "-daemon", address, "testdata/valid")
+	require.Equal(t, ExitUnknown, r.code, r.err)
+	require.Contains(t, r.err, "apply the same files with -base 4")
+	require.Len(t, d.applies, 2)
+}
+
 func TestApplyConflictShowsWinnerAndDifference(t *testing.T) {
 	d, address := fake(t)
 	d.refuse = fault.New(fault.Conflict, "merge your change and apply again", "version 4 of registrar won")
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 
 	"github.com/verbenastep/verbenastep/api/client"
@@ -56,8 +58,8 @@
 
 func printStatus(w io.Writer, st operator.Status) error {
 	fmt.Fprintf(w, "%s has version %d in force\n", st.Daemon, st.Version)
-	for name, problem := range st.Failing {
-		fmt.Fprintf(w, "failing: %s: %s\n", name, problem)
+	for _, name := range slices.Sorted(maps.Keys(st.Failing)) {
+		fmt.Fprintf(w, "failing: %s: %s\n", name, st.Failing[name])
 	}
 	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tab, "daemon\tregion\tdata centre\tcallers\treplica\tversion\tstate")
