--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -109,7 +109,7 @@
 	if r.site, err = newSite(folder); err != nil {
 		return nil, err
 	}
-	defer func() { _ = r.site.stop() }()
+	defer r.site.end()
 	if err := r.site.start(ctx, r.opt.Log, r.rec); err != nil {
 		return nil, err
 	}
@@ -205,6 +205,7 @@
 // underLoad sends the load, kills a runner and drains a daemon on the way, and
 // sums up.
 func (r *run) underLoad(ctx context.Context, calls *callers) (*Report, error) {
+	whole := ctx
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
 	load := plan(r.opt.Seed, len(r.whole.Workspaces))
@@ -217,9 +218,11 @@
 	side.Go(func() { drain = r.drain(ctx, began, report) })
 	calls.run(ctx, load)
 	side.Wait()
+	if whole.Err() != nil {
+		return nil, fault.New(fault.Canceled, "let it run to its end", "the demo was interrupted")
+	}
 	report.failed(drain)
-	report.failed(r.site.stop())
-	r.say("no caller waits any more, all daemons have stopped")
+	r.say("no caller waits any more")
 	r.sumUp(calls, report)
 	return report, nil
 }
@@ -237,7 +240,7 @@
 	sleep(ctx, time.Duration(drainAt*float64(loadTime)))
 	report.Drained = Step{Name: name(drained), At: time.Since(began).Seconds()}
 	r.say("%s drains", name(drained))
-	err := r.site.drain(drained)
+	err := r.site.drain(ctx, drained)
 	report.Drained.Until = time.Since(began).Seconds()
 	r.say("%s has stopped", name(drained))
 	return err
