--- a/internal/schedclient/session.go
+++ b/internal/schedclient/session.go
@@ -1,12 +1,11 @@
 package schedclient
 
 import (
-	"context"
-	"errors"
+	"slices"
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
@@ -14,15 +13,6 @@
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
-const (
-	// heartbeat is the longest pause between two batches.
-	heartbeat = 300 * time.Millisecond
-	// silence ends a session that carries nothing.
-	silence = 1200 * time.Millisecond
-	// retryPause is the wait before a session is opened again.
-	retryPause = 50 * time.Millisecond
-)
-
 // waiter is a request on its way to a grant and through it.
 type waiter struct {
 	id      uint64
@@ -31,6 +21,12 @@
 	settled chan struct{}
 	grant   *rpc.Grant
 	failure *fault.Error
+	// offered says that a session has carried the offer.
+	offered bool
+	// spilled names the region that passed the request on; final says that the
+	// other regions refused it.
+	spilled string
+	final   bool
 }
 
 // session speaks with the dispatcher of one place, wherever it is now.
@@ -39,8 +35,10 @@
 	place   place
 	wake    chan struct{}
 
-	mu      sync.Mutex
-	epoch   uint64
+	mu    sync.Mutex
+	epoch uint64
+	// down is closed when the present session ends; nil where there is none.
+	down    chan struct{}
 	waiting map[uint64]*waiter
 	running map[uint64]*waiter
 	pending rpc.EntryBatch
@@ -68,14 +66,24 @@
 	s.nudge()
 }
 
+// connected returns a channel that is closed when the present session ends, or
+// nil where there is none.
+func (s *session) connected() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 func encodeOffer(w *waiter) *rpc.Offer {
 	r := w.request
 	o := &rpc.Offer{
 		Id: w.id, Workspace: r.Workspace, Operation: r.Operation,
 		PromptTokens: uint32(r.PromptTokens), MaxTokens: uint32(r.MaxTokens),
 		Blocks: r.Blocks, Fingerprint: r.Fingerprint,
-		WaitMs: uint32(max(0, time.Until(r.Deadline).Milliseconds())),
+		WaitMs:  uint32(max(0, time.Until(r.Deadline).Milliseconds())),
+		Spilled: w.spilled, Final: w.final, Admitted: w.offered,
 	}
+	w.offered = true
 	if w.grant != nil {
 		o.Running = w.grant.Upstream
 	}
@@ -106,87 +114,31 @@
 	s.nudge()
 }
 
+// maxPendingEvents bounds the cache events of one upstream that wait for a
+// session. Where more come, the oldest are dropped: a gap that the dispatcher
+// sees by the sequence numbers.
+const maxPendingEvents = 256
+
+// announce passes on an announcement. One that still waits is replaced, and its
+// cache events are kept.
 func (s *session) announce(u *rpc.UpstreamState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pending.Upstreams = append(s.pending.Upstreams, u)
-	s.nudge()
-}
-
-// run follows the pool's lease from daemon to daemon.
-func (s *session) run() {
-	ctx := s.service.ctx
-	cancel := s.service.upstreams.Subscribe(s.place.pool, s.place.region, s.announce)
-	defer cancel()
-	for ctx.Err() == nil {
-		changed := s.service.view.Changed()
-		lease := s.service.view.Lease(port.DispatchLease(s.place.pool, s.place.region))
-		holder, ok := port.ParseHolder(lease.Holder)
-		if ok {
-			err := s.speak(ctx, holder.Address, lease.Epoch)
-			s.service.log.Debug("dispatcher session ended", zap.String("pool", s.place.pool), zap.String("region", s.place.region), zap.Error(err))
-		}
-		select {
-		case <-changed:
-		case <-time.After(retryPause):
-		case <-ctx.Done():
-		}
-	}
-}
-
-var errSilent = errors.New("the dispatcher fell silent")
-
-// speak holds one session with one dispatcher.
-func (s *session) speak(ctx context.Context, address string, epoch uint64) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stream, err := rpc.NewDRPCDispatchClient(s.service.link.Conn(address)).Session(ctx)
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	if err := stream.Send(s.hello(epoch)); err != nil {
-		return err
-	}
-	in := make(chan *rpc.GrantBatch)
-	failed := make(chan error, 1)
-	go receive(ctx, stream, in, failed)
-	quiet := time.NewTimer(silence)
-	defer quiet.Stop()
-	for {
-		select {
-		case <-s.wake:
-			err = stream.Send(s.drain(epoch))
-		case <-time.After(heartbeat):
-			err = stream.Send(s.drain(epoch))
-		case b := <-in:
-			quiet.Reset(silence)
-			s.take(epoch, b)
-		case err = <-failed:
-		case <-quiet.C:
-			err = errSilent
-		case <-ctx.Done():
-			err = ctx.Err()
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-func receive(ctx context.Context, stream rpc.DRPCDispatch_SessionClient, in chan<- *rpc.GrantBatch, failed chan<- error) {
-	for {
-		b, err := stream.Recv()
-		if err != nil {
-			failed <- err
-			return
-		}
-		select {
-		case in <- b:
-		case <-ctx.Done():
-			return
+	defer s.nudge()
+	for i, old := range s.pending.Upstreams {
+		if old.Name != u.Name || old.Incarnation != u.Incarnation || len(old.CacheEvents) == 0 {
+			continue
 		}
+		merged := proto.Clone(u).(*rpc.UpstreamState)
+		events := append(slices.Clone(old.CacheEvents), u.CacheEvents...)
+		merged.CacheEvents = events[max(0, len(events)-maxPendingEvents):]
+		s.pending.Upstreams[i] = merged
+		return
 	}
+	s.pending.Upstreams = slices.DeleteFunc(s.pending.Upstreams, func(old *rpc.UpstreamState) bool {
+		return old.Name == u.Name && old.Incarnation <= u.Incarnation
+	})
+	s.pending.Upstreams = append(s.pending.Upstreams, u)
 }
 
 // hello offers again all that waits or runs. What was pending is part of it.
@@ -197,7 +149,9 @@
 	b := s.frame(epoch)
 	b.Synced = true
 	b.Upstreams = s.pending.Upstreams
+	b.Releases = s.pending.Releases
 	s.pending = rpc.EntryBatch{}
+	s.down = make(chan struct{})
 	for _, w := range s.running {
 		b.Offers = append(b.Offers, encodeOffer(w))
 	}
