--- a/internal/matrix/apply.go
+++ b/internal/matrix/apply.go
@@ -31,6 +31,9 @@
 	// ends a watch that carries not even keepalives.
 	watchPause   = 200 * time.Millisecond
 	watchSilence = 3 * time.Second
+	// quorumLost is when a replica that is cut off from the others ends its
+	// watches: the longest election timeout and two keepalives.
+	quorumLost = 3300 * time.Millisecond
 	// manyChanges pass a daemon by while it is down; more than the log keeps.
 	manyChanges = 300
 )
@@ -47,8 +50,8 @@
 	damage    damage
 }
 
-// copyOf is one replica's applied state. A replica in the minority keeps
-// serving its watches, but begins none: that takes a read through the quorum.
+// copyOf is one replica's applied state. A replica in the minority serves its
+// watches for a while, but begins none: that takes a read through the quorum.
 type copyOf struct {
 	process
 	machine  *state.Machine
@@ -56,6 +59,12 @@
 	minority time.Duration
 }
 
+// gaveUp tells whether the replica has been in the minority for so long that it
+// has ended its watches.
+func (c *copyOf) gaveUp(now time.Duration) bool {
+	return c.minority > now && now-(c.minority-cutTime) > quorumLost
+}
+
 // follower is a daemon that watches a replica.
 type follower struct {
 	process
@@ -137,7 +146,7 @@
 	case f.watching == nil && now >= f.resume:
 		f.watch()
 	case f.watching == nil:
-	case !f.watching.alive || f.watching.run != f.run0 || now-f.heard > watchSilence:
+	case !f.watching.alive || f.watching.run != f.run0 || now-f.heard > watchSilence || f.watching.gaveUp(now):
 		f.drop()
 	case f.reachable() && f.watching.reachable():
 		f.heard = now
