Show, remove, back up and restore replicas from the command

Cause: operators could see the log only in a state dump, and had no backup. Change: verbenastep replicas, backup and restore, with their administrative paths. A restored state begins a group only where all replicas are empty.

--- /dev/null
+++ b/core/state/apply_test.go
@@ -0,0 +1,119 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/core/config"
+)
+
+func files(content string) config.Files {
+	return config.Files{"a.json": json.RawMessage(content), "b.json": json.RawMessage(`{"same":true}`)}
+}
+
+func apply(m *Machine, base uint64, operator, content string) Result {
+	return m.Apply(Command{Apply: &Apply{Base: base, Operator: operator, Files: files(content)}})
+}
+
+func TestResentApplyGetsItsFirstAnswer(t *testing.T) {
+	m := New()
+	first := apply(m, 0, "ana", `{"n":1}`)
+	require.Equal(t, Result{Status: OK, Version: 1, Digest: files(`{"n":1}`).Digest()}, first)
+	for i := uint64(1); i < 1000; i++ {
+		require.Equal(t, i+1, apply(m, i, "ana", fmt.Sprintf(`{"n":%d}`, i+1)).Version)
+	}
+	require.Equal(t, first, apply(m, 0, "ana", `{"n":1}`))
+	number, _, _ := m.Config()
+	require.Equal(t, uint64(1000), number)
+}
+
+func TestEqualBaseHasOneWinner(t *testing.T) {
+	m := New()
+	apply(m, 0, "ana", `{"n":1}`)
+	require.Equal(t, OK, apply(m, 1, "ana", `{"n":2}`).Status)
+	apply(m, 2, "eva", `{"n":3}`)
+	lost := apply(m, 1, "leo", `{"n":9}`)
+	require.Equal(t, Conflict, lost.Status)
+	require.Equal(t, "ana", lost.Winner)
+	require.Equal(t, uint64(3), lost.Version)
+	want := config.Difference{File: "a.json", Path: "$.n", Yours: json.RawMessage("9"), Theirs: json.RawMessage("3")}
+	require.Equal(t, []config.Difference{want}, lost.Differences)
+}
+
+func TestMissedChangesComeInOneDelta(t *testing.T) {
+	m := New()
+	apply(m, 0, "ana", `{"n":1}`)
+	_, digest, old := m.Config()
+	for i := uint64(1); i < 400; i++ {
+		apply(m, i, "ana", fmt.Sprintf(`{"n":%d}`, i+1))
+	}
+	near, ok := m.DeltaSince(399, files(`{"n":399}`).Digest())
+	require.True(t, ok)
+	require.Len(t, near.Set, 1)
+	far, ok := m.DeltaSince(1, digest)
+	require.True(t, ok)
+	got, err := far.Apply(old)
+	require.NoError(t, err)
+	require.Equal(t, files(`{"n":400}`), got)
+}
+
+func claimOf(key, stream string, at int64) Command {
+	return Command{Claim: &Claim{Workspace: "w", Key: key, Digest: "d", Stream: stream, AtMS: at}}
+}
+
+func TestTrimKeepsClaimsWhoseAnswersGo(t *testing.T) {
+	m := New()
+	for i := range 4 {
+		key := fmt.Sprint(i)
+		m.Apply(claimOf(key, "s"+key, int64(i)))
+		m.Apply(Command{Finish: &Finish{Workspace: "w", Key: key, Stream: "s" + key, Status: 200, Body: make([]byte, 10)}})
+	}
+	require.Equal(t, int64(40), m.AnswerBytes())
+	m.Apply(Command{Trim: &Trim{BeforeMS: 1, AnswerBytes: 15}})
+	require.Equal(t, 3, m.Claims())
+	require.Equal(t, int64(10), m.AnswerBytes())
+	dropped, ok := m.Claim("w", "1")
+	require.True(t, ok)
+	require.Nil(t, dropped.Body)
+	require.Equal(t, Exists, m.Apply(claimOf("1", "other", 9)).Status)
+}
+
+func TestFrozenStateDoesNotChange(t *testing.T) {
+	m := New()
+	apply(m, 0, "ana", `{"n":1}`)
+	apply(m, 1, "ana", `{"n":2}`)
+	m.Apply(claimOf("k", "s", 1))
+	m.Apply(Command{Acquire: &Acquire{Name: "l", Holder: "h"}})
+	frozen := m.Freeze()
+	m.Apply(Command{Finish: &Finish{Workspace: "w", Key: "k", Stream: "s", Status: 200}})
+	apply(m, 2, "ana", `{"n":3}`)
+	data, err := frozen.Encode()
+	require.NoError(t, err)
+	back := New()
+	require.NoError(t, back.Restore(data))
+	c, _ := back.Claim("w", "k")
+	require.False(t, c.Done)
+	require.Equal(t, uint64(1), back.Lease("l").Epoch)
+	require.Equal(t, uint64(1), apply(back, 0, "ana", `{"n":1}`).Version)
+	_, ok := back.DeltaSince(1, files(`{"n":1}`).Digest())
+	require.True(t, ok)
+}
+
+func FuzzRestore(f *testing.F) {
+	m := New()
+	apply(m, 0, "ana", `{"n":1}`)
+	m.Apply(claimOf("k", "s", 1))
+	data, _ := m.Snapshot()
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m := New()
+		if m.Restore(b) == nil {
+			_, err := m.Snapshot()
+			require.NoError(t, err)
+			m.Apply(Command{Trim: &Trim{BeforeMS: 1 << 40, AnswerBytes: 1}})
+		}
+	})
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -110,6 +110,7 @@
 	e.POST(operator.PathConfig, s.apply, s.authenticated)
 	e.GET(operator.PathStatus, s.status, s.authenticated)
 	e.GET(operator.PathExplain, s.explain, s.authenticated)
+	s.replicaRoutes(e)
 	return e
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -72,6 +72,7 @@
 		checkCommand(), diffCommand(), applyCommand(), getCommand(),
 		statusCommand(), dumpCommand(), explainCommand(),
 		whereCommand(), sendCommand(), standinCommand(),
+		replicasCommand(), backupCommand(), restoreCommand(),
 		benchCommand(), logBenchCommand(), capacityCommand(), versionCommand(), completionCommand(),
 	}
 }
--- a/internal/replica/joiner.go
+++ b/internal/replica/joiner.go
@@ -127,6 +127,9 @@
 		j.log.Debug("join is not answered yet", zap.Error(err))
 		return
 	}
+	if _, err := os.Stat(RestoreFile(j.set.DataFolder, j.group.name)); err == nil {
+		j.log.Warn("backup is not used: the group has begun already; see docs/operations/replicas.md")
+	}
 	j.log.Info("asked to join", zap.Bool("done", reply.Done), zap.String("why", reply.Why))
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -35,6 +35,11 @@
 	SyncEach bool
 }
 
+// LogFolder is where a group's log lies below the data folder.
+func LogFolder(dataFolder, group string) string {
+	return filepath.Join(dataFolder, "log-"+group)
+}
+
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
 	return &Service{set: set, log: log.Named("replica"), groups: map[string]*group{}}
@@ -76,7 +81,7 @@
 }
 
 func (s *Service) open(ctx context.Context, name string, events port.Events, meters *meters) error {
-	folder, err := wal.OpenFolder(filepath.Join(s.set.DataFolder, "log-"+name))
+	folder, err := wal.OpenFolder(LogFolder(s.set.DataFolder, name))
 	if err != nil {
 		return err
 	}
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -36,7 +36,7 @@
 
 // WriteSnapshot puts a snapshot into a folder.
 func WriteSnapshot(disk Disk, s consensus.Snapshot) error {
-	return replaceFile(disk, snapshotName(s.Meta.Index), EncodeSnapshot(s))
+	return WriteFile(disk, snapshotName(s.Meta.Index), EncodeSnapshot(s))
 }
 
 func (l *Log) loadSnapshot(names []string) (consensus.Meta, []byte, error) {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -156,12 +156,13 @@
 	return l.replace(identityName, appendFrame(nil, 0, payload))
 }
 
-// replace writes a whole file: write, sync, rename, sync the folder.
 func (l *Log) replace(name string, content []byte) error {
-	return replaceFile(l.disk, name, content)
+	return WriteFile(l.disk, name, content)
 }
 
-func replaceFile(disk Disk, name string, content []byte) error {
+// WriteFile puts a whole file in place of another: write, sync, rename, sync
+// the folder.
+func WriteFile(disk Disk, name string, content []byte) error {
 	f, err := disk.Create(name + newSuffix)
 	if err != nil {
 		return &DiskError{File: disk.Path(name), Cause: err}
