--- /dev/null
+++ b/internal/logclient/logclient_test.go
@@ -0,0 +1,144 @@
+package logclient
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"storj.io/drpc"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/state"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+)
+
+// fakeLink answers Propose as a test says, by address.
+type fakeLink struct {
+	mu      sync.Mutex
+	calls   []string
+	answers map[string]func(*rpc.ProposeRequest) (*rpc.ProposeReply, error)
+}
+
+func (l *fakeLink) Mux() drpc.Mux { return nil }
+
+func (l *fakeLink) Conn(address string) drpc.Conn { return &fakeConn{link: l, address: address} }
+
+type fakeConn struct {
+	drpc.Conn
+	link    *fakeLink
+	address string
+}
+
+func (c *fakeConn) Invoke(_ context.Context, _ string, _ drpc.Encoding, in, out drpc.Message) error {
+	c.link.mu.Lock()
+	c.link.calls = append(c.link.calls, c.address)
+	c.link.mu.Unlock()
+	reply, err := c.link.answers[c.address](in.(*rpc.ProposeRequest))
+	if err == nil {
+		to := out.(*rpc.ProposeReply)
+		to.Results, to.Leader = reply.Results, reply.Leader
+	}
+	return err
+}
+
+func testClient(answers map[string]func(*rpc.ProposeRequest) (*rpc.ProposeReply, error)) (*Service, *fakeLink) {
+	link := &fakeLink{answers: answers}
+	set := &settings.Settings{Replicas: []settings.Peer{{Name: "a", Address: "a"}, {Name: "b", Address: "b"}}}
+	s := New(set, zap.NewNop())
+	s.link = link
+	return s, link
+}
+
+func accept(req *rpc.ProposeRequest) (*rpc.ProposeReply, error) {
+	reply := &rpc.ProposeReply{}
+	for range req.Commands {
+		data, _ := json.Marshal(state.Result{Status: state.OK})
+		reply.Results = append(reply.Results, &rpc.Proposed{Result: data})
+	}
+	return reply, nil
+}
+
+func refuse(leader string) func(*rpc.ProposeRequest) (*rpc.ProposeReply, error) {
+	return func(req *rpc.ProposeRequest) (*rpc.ProposeReply, error) {
+		reply := &rpc.ProposeReply{Leader: leader}
+		for range req.Commands {
+			reply.Results = append(reply.Results, &rpc.Proposed{Refused: true})
+		}
+		return reply, nil
+	}
+}
+
+func broken(*rpc.ProposeRequest) (*rpc.ProposeReply, error) { return nil, errors.New("broken") }
+
+var (
+	claim   = state.Command{Claim: &state.Claim{Workspace: "w", Key: "k", Stream: "s"}}
+	suspect = state.Command{Suspect: &state.Suspect{Pool: "p", Crashes: 1}}
+)
+
+func TestFollowsTheHint(t *testing.T) {
+	s, link := testClient(map[string]func(*rpc.ProposeRequest) (*rpc.ProposeReply, error){"a": refuse("b"), "b": accept})
+	for range 2 {
+		result, err := s.Propose(t.Context(), port.GroupMain, claim)
+		require.NoError(t, err)
+		require.Equal(t, state.OK, result.Status)
+	}
+	require.Equal(t, []string{"a", "b", "b"}, link.calls)
+}
+
+func TestRepeatsOnlyWhatMayCommitTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, link := testClient(map[string]func(*rpc.ProposeRequest) (*rpc.ProposeReply, error){"a": broken, "b": accept})
+		_, err := s.Propose(t.Context(), port.GroupMain, claim)
+		require.NoError(t, err)
+		require.Equal(t, []string{"a", "b"}, link.calls)
+
+		s, link = testClient(map[string]func(*rpc.ProposeRequest) (*rpc.ProposeReply, error){"a": broken, "b": accept})
+		_, err = s.Propose(t.Context(), port.GroupMain, suspect)
+		failed := fault.From(err)
+		require.Equal(t, fault.Unknown, failed.Kind)
+		require.Equal(t, fault.MayHaveRun, failed.Ran)
+		require.Equal(t, []string{"a"}, link.calls)
+	})
+}
+
+func TestSaysWhatCertainlyDidNotCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := testClient(map[string]func(*rpc.ProposeRequest) (*rpc.ProposeReply, error){"a": refuse(""), "b": refuse("")})
+		_, err := s.Propose(t.Context(), port.GroupMain, claim)
+		require.Equal(t, fault.Unavailable, fault.From(err).Kind)
+		require.Equal(t, fault.NotRun, fault.From(err).Ran)
+
+		s, _ = testClient(map[string]func(*rpc.ProposeRequest) (*rpc.ProposeReply, error){"a": broken, "b": refuse("")})
+		_, err = s.Propose(t.Context(), port.GroupMain, claim)
+		require.Equal(t, fault.MayHaveRun, fault.From(err).Ran)
+	})
+}
+
+func TestProposalsShareCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := func(req *rpc.ProposeRequest) (*rpc.ProposeReply, error) {
+			time.Sleep(time.Millisecond)
+			return accept(req)
+		}
+		s, link := testClient(map[string]func(*rpc.ProposeRequest) (*rpc.ProposeReply, error){"a": slow, "b": slow})
+		all := sync.WaitGroup{}
+		for i := range 200 {
+			all.Go(func() {
+				c := state.Command{Claim: &state.Claim{Workspace: "w", Key: fmt.Sprint(i), Stream: "s"}}
+				_, err := s.Propose(t.Context(), port.GroupMain, c)
+				require.NoError(t, err)
+			})
+		}
+		all.Wait()
+		require.LessOrEqual(t, len(link.calls), 2*callsInFlight)
+	})
+}
