--- a/core/state/state.go
+++ b/core/state/state.go
@@ -172,7 +172,7 @@
 }
 
 // MaxClaimBytes bounds what claims take, without the recorded answers.
-const MaxClaimBytes = 256 << 20
+const MaxClaimBytes = 1 << 30
 
 // Machine is the state. It is not safe for concurrent use.
 type Machine struct {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"sync"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
@@ -27,8 +28,10 @@
 	link   port.Link
 	kernel *kernel.Kernel
 	events port.Events
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	// inForce is the gauge of the version in force.
+	inForce prometheus.Gauge
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 
 	mu      sync.Mutex
 	files   config.Files
@@ -48,14 +51,17 @@
 		set: set, log: log.Named("view"), files: config.Files{},
 		current: port.Snapshot{Digest: config.Files{}.Digest(), Config: &config.Config{}},
 		leases:  map[string]state.Lease{}, changed: make(chan struct{}),
+		inForce: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "verbenastep", Subsystem: "config", Name: "version_in_force", Help: "Configuration version in force on this daemon.",
+		}),
 	}
 }
 
 // Name returns the service's name.
 func (s *Service) Name() string { return port.NameView }
 
-// Needs returns the link and who takes events.
-func (s *Service) Needs() []string { return []string{port.NameLink, port.NameEvents} }
+// Needs returns the link, and who takes events and metrics.
+func (s *Service) Needs() []string { return []string{port.NameLink, port.NameEvents, port.NameMetrics} }
 
 // Start begins watching.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
@@ -68,6 +74,13 @@
 	if s.events, err = kernel.Find[port.Events](k, port.NameEvents); err != nil {
 		return err
 	}
+	metrics, err := kernel.Find[port.Metrics](k, port.NameMetrics)
+	if err != nil {
+		return err
+	}
+	if err := metrics.Registerer().Register(s.inForce); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.done.Go(func() { s.run(ctx) })
@@ -138,6 +151,7 @@
 	}
 	s.files = files
 	s.current = port.Snapshot{Version: d.Version, Digest: d.Digest, Config: merged}
+	s.inForce.Set(float64(d.Version))
 	s.log.Info("configuration in force", zap.Uint64("version", d.Version))
 	if s.events != nil {
 		s.events.Record(promise.Event{Kind: promise.InForce, Version: d.Version, Digest: d.Digest})
