Measure how far lengths may spread; bound those that wait for a prefix

Cause: with eight requests waiting for a prefix the rest of their tier stood still, so slots stayed free under load.

--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -59,6 +59,7 @@
 // one is granted nothing but short requests on slots that the higher tier's long
 // ones may not take, and not even these while requests are being shed.
 func (d *Dispatcher) grantAll(now time.Duration, out *Decisions) {
+	d.localityWaits = 0
 	classesLeft := [classes]bool{true, true}
 	for _, t := range d.tiers {
 		if t == nil {
--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -43,7 +43,9 @@
 	suspects []quarantine.Change
 	// setAside are requests that no upstream with room suits in this round.
 	setAside []*request
-	recent   recent
+	// localityWaits counts those that wait for a prefix in this round.
+	localityWaits int
+	recent        recent
 }
 
 // Configure replaces the parameters.
--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -109,14 +109,17 @@
 	}
 	d.meanCost += costGain * (r.cost - d.meanCost)
 	r.class = long
-	if r.cost <= shortPart*d.meanCost {
+	if r.cost <= shortPart*d.meanCost && !d.params.ByArrival {
 		r.class = short
 		d.lastShort = now
 		d.seenShort = true
 	}
 	service := d.pool.service(float64(r.offer.PromptTokens), r.output)
 	aging := min(agingFactor*service, maxAging)
-	r.key = r.arrived + aging
+	r.key = r.arrived
+	if !d.params.ByArrival {
+		r.key += aging
+	}
 	r.doomAt = r.offer.Deadline - d.fastest.service(0, r.least)
 }
 
--- a/core/sched/locality.go
+++ b/core/sched/locality.go
@@ -10,6 +10,9 @@
 	localityWait = 2 * time.Second
 	// localityPart is the longest wait as a part of the time to the deadline.
 	localityPart = 0.05
+	// maxLocality is how many requests may wait so at once, so that slots don't
+	// stay free under load.
+	maxLocality = 4
 )
 
 // waitsForPrefix says whether a request had better wait a moment for a slot on
@@ -19,7 +22,7 @@
 		r.considered = max(1, now)
 	}
 	slack := time.Duration(localityPart * float64(r.offer.Deadline-r.considered))
-	if r.suspect || now-r.considered >= min(localityWait, slack) {
+	if r.suspect || d.localityWaits >= maxLocality || now-r.considered >= min(localityWait, slack) {
 		return false
 	}
 	h := d.holding.deepest(r.offer.Blocks)
@@ -29,6 +32,7 @@
 			continue
 		}
 		if d.cached(u, r)-chosen.cached >= localityTokens {
+			d.localityWaits++
 			return true
 		}
 	}
--- a/core/sched/params.go
+++ b/core/sched/params.go
@@ -51,6 +51,9 @@
 	// Concurrency bounds the slots of each upstream; zero leaves what it
 	// announces.
 	Concurrency int
+	// ByArrival orders a workspace's requests by arrival alone, and reserves
+	// nothing for short ones.
+	ByArrival bool
 	// Spill says that other regions may serve the pool.
 	Spill bool
 	// Link is the path to the other regions.
--- a/core/sched/policy_test.go
+++ b/core/sched/policy_test.go
@@ -211,21 +211,21 @@
 }
 
 func TestSpillComesBeforeShed(t *testing.T) {
-	d := New(Params{QueueLimit: 1, Spill: true})
-	mustAnnounce(t, d, 0, "u", 1)
-	for i := range 3 {
-		mustOffer(t, d, 0, offerOf(i, "w", 1))
-	}
-	out := d.Decide(0)
-	require.Equal(t, Spill, out.Refusals[0].Code)
-	final := offerOf(9, "w", 1)
-	final.Final = true
-	mustOffer(t, d, 0, final)
-	codes := []Code{}
-	for _, r := range d.Decide(0).Refusals {
-		codes = append(codes, r.Code)
+	codeOf := func(change func(*Offer)) Code {
+		d := New(Params{QueueLimit: 1, Spill: true})
+		mustAnnounce(t, d, 0, "u", 1)
+		for i := range 3 {
+			o := offerOf(i, "w", 1)
+			change(&o)
+			mustOffer(t, d, 0, o)
+		}
+		out := d.Decide(0)
+		require.Len(t, out.Refusals, 1)
+		return out.Refusals[0].Code
 	}
-	require.Len(t, codes, 1)
+	require.Equal(t, Spill, codeOf(func(*Offer) {}))
+	require.Equal(t, Overload, codeOf(func(o *Offer) { o.Final = true }), "the others refused")
+	require.Equal(t, Overload, codeOf(func(o *Offer) { o.Spilled = "r" }), "it goes back to where it came from")
 }
 
 func TestCrashingRequestIsQuarantinedAndInnocentsAreNot(t *testing.T) {
--- a/internal/schedbench/dispatcher.go
+++ b/internal/schedbench/dispatcher.go
@@ -35,9 +35,10 @@
 	last    sched.Dump
 }
 
-func newDispatcher(s site, seed uint64) *dispatcher {
+func newDispatcher(s site, seed uint64, params sched.Params) *dispatcher {
+	params.BlockTokens = blockTokens
 	return &dispatcher{
-		core: sched.New(sched.Params{Region: "r", BlockTokens: blockTokens}), site: s,
+		core: sched.New(params), site: s,
 		rng: rand.New(rand.NewPCG(seed, 11)), jobs: map[uint64]*job{}, serial: make([]uint64, s.totalEngines()),
 	}
 }
--- a/internal/schedbench/measure.go
+++ b/internal/schedbench/measure.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/verbenastep/verbenastep/core/sched"
 )
 
 // scenario is one set of circumstances.
@@ -15,6 +17,8 @@
 	heavy float64
 	// burst multiplies all arrivals for ten seconds.
 	burst float64
+	// spread makes answers' lengths hard to predict; see arrivals.
+	spread float64
 }
 
 const (
@@ -47,10 +51,15 @@
 		{"round robin", plain(roundRobin)},
 		{"least outstanding", plain(leastOutstanding)},
 		{"two choices, 2 s old", plain(twoChoices)},
-		{ours, func(s site, seed uint64) policy { return newDispatcher(s, seed) }},
+		{ours, func(s site, seed uint64) policy { return newDispatcher(s, seed, sched.Params{}) }},
 	}
 }
 
+// byArrival is the policy without the use of predicted lengths for the order.
+func byArrival() named {
+	return named{ours + ", by arrival", func(s site, seed uint64) policy { return newDispatcher(s, seed, sched.Params{ByArrival: true}) }}
+}
+
 const ours = "verbenastep"
 
 // tierResult is what one tier got.
@@ -81,14 +90,15 @@
 func (r result) wasted() float64 { return r.lost + r.repeated }
 
 // capacity is the rate, in requests a second, at which the site's engines
-// finish a long queue of the site's own mix, whoever waits how long.
-func capacity(s site, seed uint64) float64 {
+// finish a long queue of the site's own mix, whoever waits how long. A spread
+// of the lengths changes it, since the callers' limits cut long answers.
+func capacity(s site, seed uint64, spread float64) float64 {
 	endless := s
 	endless.tiers = slices.Clone(s.tiers)
 	for i := range endless.tiers {
 		endless.tiers[i].goodput = time.Hour
 	}
-	jobs := arrivals{site: endless, rate: capacityLoad, length: runLength / 4, seed: seed}.draw()
+	jobs := arrivals{site: endless, rate: capacityLoad, length: runLength / 4, seed: seed, spread: spread}.draw()
 	w := newWorld(endless, leastOutstanding(seed), runLength)
 	w.run(jobs)
 	done := 0
@@ -102,7 +112,7 @@
 
 // play runs one policy through one scenario.
 func play(s site, c scenario, p named, rate float64, seed uint64) result {
-	a := arrivals{site: s, rate: rate * c.load, length: runLength, seed: seed}
+	a := arrivals{site: s, rate: rate * c.load, length: runLength, seed: seed, spread: c.spread}
 	if c.heavy > 0 {
 		a.heavy, a.factor = s.heavy, c.heavy
 	}
--- a/internal/schedbench/report.go
+++ b/internal/schedbench/report.go
@@ -67,7 +67,7 @@
 }
 
 func (b *report) site(s site) {
-	rate := capacity(s, firstSeed)
+	rate := capacity(s, firstSeed, 0)
 	b.line("### %s\n", s.name)
 	b.line("Capacity: %.1f requests a second of the site's mix, seed %d.\n", rate, firstSeed)
 	b.line("| scenario | load | policy | goodput/s | by tier, %% | lost prefill | repeated prefill | refused | lookup wait p99 ms | lookup service ms | inversions | late |")
@@ -87,15 +87,39 @@
 	b.judge(s, "tier inversions in all runs", "0", fmt.Sprint(inversions), inversions == 0)
 	b.topTier(s, rate)
 	b.line("")
+	b.lengths(s)
 }
 
-func (b *report) row(s site, c scenario, policy string, r result) {
+// lengths compares the order by predicted length with that by arrival, while
+// lengths become harder to predict.
+func (b *report) lengths(s site) {
+	b.line("Order by predicted length against order by arrival, as answers' lengths spread (standard deviation of the logarithm). Loads are relative to the capacity at that spread:\n")
+	b.line("| spread | load | order | goodput/s | by tier, %% | lookup wait p99 ms |")
+	b.line("|---|---|---|---|---|---|")
+	mine := policies()[len(policies())-1]
+	for _, spread := range []float64{0, 0.5, 1, 1.5} {
+		rate := capacity(s, firstSeed, spread)
+		for _, load := range []float64{0.9, 1.2} {
+			for _, p := range []named{mine, byArrival()} {
+				r := play(s, scenario{load: load, spread: spread}, p, rate, firstSeed)
+				b.line("| %.1f | %.1f | %s | %.2f | %s | %d |", spread, load, p.name, r.good, b.byTier(s, r), r.wait99.Milliseconds())
+			}
+		}
+	}
+	b.line("")
+}
+
+func (b *report) byTier(s site, r result) string {
 	parts := []string{}
 	for i, t := range r.tiers {
 		parts = append(parts, fmt.Sprintf("%s %.1f", s.tiers[i].name, percent(t)))
 	}
+	return strings.Join(parts, ", ")
+}
+
+func (b *report) row(s site, c scenario, policy string, r result) {
 	b.line("| %s | %.1f | %s | %.2f | %s | %.0fk | %.0fk | %d | %d | %d | %d | %d |", c.name, c.load, policy, r.good,
-		strings.Join(parts, ", "), r.lost/1000, r.repeated/1000, r.shed, r.wait99.Milliseconds(), r.service.Milliseconds(), r.inversions, r.lateInversions)
+		b.byTier(s, r), r.lost/1000, r.repeated/1000, r.shed, r.wait99.Milliseconds(), r.service.Milliseconds(), r.inversions, r.lateInversions)
 }
 
 func percent(t tierResult) float64 {
--- a/internal/schedbench/workload.go
+++ b/internal/schedbench/workload.go
@@ -55,7 +55,10 @@
 	burst      float64
 	burstBegin time.Duration
 	burstEnd   time.Duration
-	seed       uint64
+	// spread is the standard deviation of the logarithm by which answers'
+	// lengths vary beyond their kind; the mean stays.
+	spread float64
+	seed   uint64
 }
 
 func (a arrivals) draw() []*job {
@@ -102,6 +105,10 @@
 		arrived: now, workspace: w, tier: t, kind: k, limit: s.limit,
 		prompt: s.prompt.draw(rng), output: s.output.draw(rng), deadline: now + a.site.tiers[t].goodput,
 	}
+	if a.spread > 0 {
+		factor := math.Exp(a.spread*rng.NormFloat64() - a.spread*a.spread/2)
+		j.output = max(1, min(j.limit, int(float64(j.output)*factor)))
+	}
 	template := drawIndex(rng, weights)
 	unique := rng.Uint64()
 	for b := range min(maxBlocks, j.prompt/blockTokens) {
