Strengthen the policy's tests by what mutations survived

A trial of 16 mutations left 5 unnoticed: shedding with a lower tier in service, shedding the highest first, no correction of charges, a gap that raises trust, no affinity to prefixes. Change: tests for each; the property test starts with an upstream and a short queue, since it seldom shed before.

--- a/core/sched/policy_test.go
+++ b/core/sched/policy_test.go
@@ -123,8 +123,12 @@
 	mustAnnounce(t, d, 0, "b", 8)
 	o := offerOf(1, "w", 0)
 	o.Blocks = []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12}
+	mustOffer(t, d, 0, offerOf(9, "w", 0))
+	other := d.Decide(0).Grants[0]
 	mustOffer(t, d, 0, o)
 	first := d.Decide(0).Grants[0]
+	require.NotEqual(t, other.Upstream, first.Upstream)
+	finish(t, d, time.Second, other, time.Millisecond)
 	finish(t, d, time.Second, first, time.Millisecond)
 	o.ID.Number = 2
 	mustOffer(t, d, time.Minute, o)
@@ -136,6 +140,7 @@
 func TestGapsNeverRaiseTrust(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newResidency()
+		c.trust = 0.5
 		for range 30 {
 			before := c.trust
 			c.event(CacheEvent{Sequence: rapid.Uint64Range(0, 40).Draw(t, "sequence"), Evicted: rapid.Bool().Draw(t, "evicted"), Blocks: []uint64{1}})
@@ -144,6 +149,84 @@
 	})
 }
 
+func TestGapLowersTrust(t *testing.T) {
+	c := newResidency()
+	c.event(CacheEvent{Sequence: 1})
+	c.event(CacheEvent{Sequence: 2})
+	require.InDelta(t, 1, c.trust, 0)
+	c.event(CacheEvent{Sequence: 4})
+	require.Less(t, c.trust, 1.0)
+}
+
+// TestChargesFollowWhatHappened gives two workspaces equal predictions, of
+// which one's answers turn out far shorter.
+func TestChargesFollowWhatHappened(t *testing.T) {
+	d := New(Params{})
+	mustAnnounce(t, d, 0, "u", 1)
+	for i := range 200 {
+		o := offerOf(i, "brief", 0)
+		if i%2 == 0 {
+			o.Workspace = "full"
+		}
+		o.PromptTokens = 0
+		mustOffer(t, d, 0, o)
+	}
+	served := map[string]int{}
+	for range 60 {
+		g := d.Decide(0).Grants[0]
+		served[g.Workspace]++
+		tokens := 400
+		if g.Workspace == "brief" {
+			tokens = 100
+		}
+		_, err := d.Release(0, Release{ID: g.ID, Outcome: Done, OutputTokens: tokens})
+		require.NoError(t, err)
+	}
+	require.InDelta(t, 48, served["brief"], 4, "four answers for one")
+}
+
+// TestKeptSlotsGoToShortRequestsOfLowerTiersOnly fills all but the kept slot.
+func TestKeptSlotsGoToShortRequestsOfLowerTiersOnly(t *testing.T) {
+	d := New(Params{})
+	mustAnnounce(t, d, 0, "u", 8)
+	lookup := func(n int) Offer {
+		o := offerOf(n, "w", 1)
+		o.PromptTokens, o.MaxTokens = 10, 10
+		return o
+	}
+	for i := range 9 {
+		mustOffer(t, d, 0, offerOf(i, "w", 0))
+	}
+	mustOffer(t, d, 0, offerOf(20, "w", 1))
+	mustOffer(t, d, 0, lookup(21))
+	mustOffer(t, d, 0, lookup(22))
+	granted := []uint64{}
+	for _, g := range d.Decide(0).Grants {
+		granted = append(granted, g.ID.Number)
+	}
+	require.Len(t, granted, 8)
+	require.Contains(t, granted, uint64(21))
+	require.NotContains(t, granted, uint64(20))
+}
+
+// TestLowestTierIsShedFirst keeps a lower tier in service: nothing above it is
+// shed.
+func TestLowestTierIsShedFirst(t *testing.T) {
+	d := New(Params{QueueLimit: 1})
+	mustAnnounce(t, d, 0, "u", 1)
+	mustOffer(t, d, 0, offerOf(1, "w", 2))
+	running := d.Decide(0).Grants[0]
+	for i, tier := range []int{0, 1, 1} {
+		mustOffer(t, d, 0, offerOf(10+i, "w", tier))
+	}
+	require.Empty(t, d.Decide(0).Refusals, "tier 2 is in service")
+	finish(t, d, 0, running, time.Millisecond)
+	out := d.Decide(0)
+	require.Equal(t, 0, out.Grants[0].Tier)
+	require.Len(t, out.Refusals, 1)
+	require.Equal(t, 1, out.Refusals[0].Tier)
+}
+
 // TestOwnWorkIsNeverForeign reports any earlier count of our own requests, at
 // any age: a lagging report must not look like another's load.
 func TestOwnWorkIsNeverForeign(t *testing.T) {
--- a/core/sched/property_test.go
+++ b/core/sched/property_test.go
@@ -105,7 +105,8 @@
 
 func TestDispatcherKeepsItsInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{t: t, d: New(Params{QueueLimit: 12}), waiting: map[ID]Offer{}, running: map[ID]Grant{}, slots: map[string]int{}, ended: map[ID]bool{}}
+		m := &model{t: t, d: New(Params{QueueLimit: 3}), waiting: map[ID]Offer{}, running: map[ID]Grant{}, slots: map[string]int{}, ended: map[ID]bool{}}
+		m.announce()
 		steps := rapid.SliceOfN(rapid.SampledFrom([]func(*model){(*model).offer, (*model).offer, (*model).announce, (*model).release, (*model).decide}), 1, 200).Draw(t, "steps")
 		for _, step := range steps {
 			step(m)
