--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,10 +7,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -22,9 +24,22 @@
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/schema"
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
+const (
+	// maxApply is the largest configuration that is taken, in bytes.
+	maxApply = 16 << 20
+	// These bound how long a client may keep a connection waiting.
+	headerTimeout = 5 * time.Second
+	readTimeout   = 30 * time.Second
+	writeTimeout  = time.Minute
+	idleTimeout   = time.Minute
+	// maxHeader is the largest header, in bytes.
+	maxHeader = 16 << 10
+)
+
 // filesView is the view with the files it holds.
 type filesView interface {
 	port.View
@@ -76,7 +91,10 @@
 	if err != nil {
 		return err
 	}
-	s.server = &http.Server{Handler: s.routes()}
+	s.server = &http.Server{
+		Handler: s.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
 	go func() { _ = s.server.Serve(ln) }()
 	return nil
 }
@@ -91,40 +109,59 @@
 	e.GET(operator.PathConfig, s.getConfig, s.authenticated)
 	e.POST(operator.PathConfig, s.apply, s.authenticated)
 	e.GET(operator.PathStatus, s.status, s.authenticated)
+	e.GET(operator.PathExplain, s.explain, s.authenticated)
 	return e
 }
 
 func failed(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
 	e := fault.From(err)
 	if he, ok := err.(*echo.HTTPError); ok {
-		e = fault.New(fault.NotFound, "see docs/OPERATORS.md", "%v", he.Message)
+		e = fault.New(fault.NotFound, "see docs/OPERATORS.md for the paths and methods", "%v", he.Message)
 	}
 	_ = c.JSON(e.HTTPStatus(), e)
 }
 
-// operatorName is the context key under which the operator's name stands.
-const operatorName = "operator"
+// operatorID is the context key under which the operator's identity stands.
+const operatorID = "operator"
 
 func (s *Service) authenticated(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		name, ok := s.identify(c.Request().Header.Get("Authorization"))
-		if !ok {
+		id := identity(c.Request().Header.Get("Authorization"))
+		if _, ok := s.operatorOf(id); !ok {
 			return fault.New(fault.Unauthenticated, "give a key that settings or configuration list for operators", "the operator's key is missing or unknown")
 		}
-		c.Set(operatorName, name)
+		c.Set(operatorID, id)
 		return next(c)
 	}
 }
 
-func (s *Service) identify(header string) (string, bool) {
+// identity names an operator in the log by the key's hash. The declared name
+// would not do: a change may declare or rename the operator who makes it, and
+// its resend must still count as the same operator's.
+func identity(header string) string {
 	sum := sha256.Sum256([]byte(strings.TrimPrefix(header, "Bearer ")))
-	hash := "sha256:" + hex.EncodeToString(sum[:])
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+// operatorOf finds the name behind an identity, for people.
+func (s *Service) operatorOf(id string) (string, bool) {
 	for _, o := range s.view.Snapshot().Config.Operators {
-		if slices.Contains(o.Keys, hash) {
+		if slices.Contains(o.Keys, id) {
 			return o.Name, true
 		}
 	}
-	return "settings", slices.Contains(s.set.OperatorKeys, hash)
+	return "settings", slices.Contains(s.set.OperatorKeys, id)
+}
+
+// winner names who made the version that came first.
+func (s *Service) winner(id string) string {
+	if name, ok := s.operatorOf(id); ok {
+		return name
+	}
+	return "an operator who is no longer declared"
 }
 
 func (s *Service) healthz(c echo.Context) error {
@@ -160,34 +197,61 @@
 	return c.JSON(http.StatusOK, operator.Config{Version: snap.Version, Digest: snap.Digest, Files: operator.Files(s.view.Files())})
 }
 
-func (s *Service) apply(c echo.Context) error {
+// readApply reads a change; what it holds is checked afterwards.
+func readApply(c echo.Context) (operator.Apply, error) {
 	a := operator.Apply{}
-	if err := json.NewDecoder(c.Request().Body).Decode(&a); err != nil {
-		return fault.New(fault.Malformed, "send an apply as docs/OPERATORS.md shows", "the body is not readable: %v", err)
+	err := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxApply)).Decode(&a)
+	large := (*http.MaxBytesError)(nil)
+	if errors.As(err, &large) {
+		return a, fault.New(fault.TooLarge, "send fewer or smaller files", "the configuration is over %d bytes", maxApply)
 	}
-	files, err := config.Files(a.Files).Compact()
 	if err != nil {
-		return fault.New(fault.Malformed, "mend the files", "%v", err)
+		return a, fault.New(fault.Malformed, "send an apply as docs/OPERATORS.md shows", "the body is not readable: %v", err)
 	}
-	merged, err := config.Merge(files)
+	return a, nil
+}
+
+func (s *Service) apply(c echo.Context) error {
+	a, err := readApply(c)
+	if err != nil {
+		return err
+	}
+	files, err := config.Files(a.Files).Compact()
 	if err != nil {
 		return fault.New(fault.Malformed, "mend the files", "%v", err)
 	}
-	if err := config.Check(merged); err != nil {
+	if err := schema.CheckFiles(files); err != nil {
 		return fault.New(fault.Malformed, "mend the files", "%v", err)
 	}
-	name, _ := c.Get(operatorName).(string)
-	result, err := s.logs.Propose(c.Request().Context(), port.GroupMain, state.Command{Apply: &state.Apply{Base: a.Base, Files: files, Operator: name}})
+	id, _ := c.Get(operatorID).(string)
+	result, err := s.logs.Propose(c.Request().Context(), port.GroupMain, state.Command{Apply: &state.Apply{Base: a.Base, Files: files, Operator: id}})
 	if err != nil {
 		return err
 	}
 	if result.Status != state.OK {
-		return fault.New(fault.Conflict, "get the current version, merge your change and apply again", "version %d of %s won", result.Version, result.Winner)
+		return fault.New(fault.Conflict, "get the current version, merge your change and apply again", "version %d of %s won", result.Version, s.winner(result.Winner))
 	}
-	s.log.Info("configuration accepted", zap.Uint64("version", result.Version), zap.String("operator", name))
+	s.log.Info("configuration accepted", zap.Uint64("version", result.Version), zap.String("operator", s.winner(id)))
 	return c.JSON(http.StatusOK, operator.Applied{Version: result.Version, Digest: result.Digest})
 }
 
+// explain asks the entry, which is found at the request: it starts later.
+func (s *Service) explain(c echo.Context) error {
+	key := c.QueryParam("key")
+	if key == "" {
+		return fault.New(fault.Malformed, "give ?key=", "the request's key is missing")
+	}
+	entry, err := kernel.Find[port.Explainer](s.kernel, port.NameEntry)
+	if err != nil {
+		return fault.New(fault.Unavailable, "ask another daemon", "this daemon explains no requests: %v", err)
+	}
+	why, ok := entry.Explain(key)
+	if !ok {
+		return fault.New(fault.NotFound, "ask the daemon that took the request, or check the key", "this daemon has seen no request with the key")
+	}
+	return c.JSONBlob(http.StatusOK, why)
+}
+
 func (s *Service) status(c echo.Context) error {
 	snap := s.view.Snapshot()
 	out := operator.Status{Daemon: s.set.Name, Version: snap.Version, Digest: snap.Digest, Failing: s.failing()}
--- a/internal/daemon/site_test.go
+++ b/internal/daemon/site_test.go
@@ -30,7 +30,7 @@
 const (
 	callerKey = "caller"
 	// replicasInTests is how many of the daemons keep the log.
-	replicasInTests = 1
+	replicasInTests = 3
 	patience        = 20 * time.Second
 	callTimeout     = time.Minute
 )
@@ -167,11 +167,8 @@
 	if err != nil {
 		return err
 	}
-	want := strings.Builder{}
-	for i := range tokens {
-		fmt.Fprintf(&want, "w%d ", i)
-	}
-	if !strings.Contains(text, `"`+want.String()+`"`) {
+	want := standin.AnswerTo(fmt.Sprintf("user: %s #%d\n", key, tokens), tokens)
+	if !strings.Contains(text, `"`+want+`"`) {
 		return fmt.Errorf("another answer: %s", text)
 	}
 	return nil
