--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -70,6 +69,7 @@
 	snapshot snapshotter
 	role     consensus.Role
 	term     uint64
+	leader   consensus.ID
 	restart  error
 }
 
@@ -137,7 +137,9 @@
 			return nil
 		case j := <-e.g.jobs:
 			e.runJob(j)
-			e.drain()
+			if !e.g.limits.syncEach {
+				e.drain()
+			}
 		case done := <-e.snapshot.done:
 			e.useSnapshot(done)
 		case <-ticker.C:
@@ -263,7 +265,7 @@
 		return
 	}
 	addresses := map[consensus.ID]string{}
-	for _, m := range e.node.Status().Members {
+	for _, m := range e.node.Members() {
 		addresses[m.ID] = m.Address
 	}
 	for _, m := range messages {
@@ -298,7 +300,7 @@
 		p.done <- outcome{result: e.machine.Apply(p.command), index: e.g.applied}
 		return
 	}
-	if e.node.Status().Role != consensus.Leader {
+	if role, _, _ := e.node.Position(); role != consensus.Leader {
 		p.done <- outcome{refused: true, leader: e.leaderAddress()}
 		return
 	}
@@ -307,9 +309,9 @@
 }
 
 func (e *engine) leaderAddress() string {
-	s := e.node.Status()
-	for _, m := range s.Members {
-		if m.ID == s.Leader && m.ID != s.ID {
+	_, _, leader := e.node.Position()
+	for _, m := range e.node.Members() {
+		if m.ID == leader && m.ID != e.log.Identity().ID {
 			return m.Address
 		}
 	}
@@ -337,17 +339,6 @@
 	e.reads = kept
 }
 
-func decode(entry consensus.Entry) (state.Command, bool) {
-	c := state.Command{}
-	if entry.Kind != consensus.EntryCommand {
-		return c, false
-	}
-	if json.Unmarshal(entry.Data, &c) != nil {
-		c = state.Command{}
-	}
-	return c, true
-}
-
 // close ends what still waits: nobody can tell here whether it will commit.
 func (e *engine) close() {
 	if e.snapshot.busy {
