Move a leaving engine's streams with their cache

Cause: a leaving engine had to finish each of its streams, though it can export. Change: a frame that says leaving makes the entry ask for another engine, export, import and resume there; decision 0034.

--- a/api/upstream/upstream.go
+++ b/api/upstream/upstream.go
@@ -115,6 +115,8 @@
 	Finish string `json:"finish,omitempty"`
 	// Error ends the stream with a failure.
 	Error string `json:"error,omitempty"`
+	// Leaving asks the daemon to move the stream to another runner.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Action is what an order asks for.
--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -76,6 +76,8 @@
 	claim  state.Claim
 	length int64
 	tries  int
+	// moving says that a move to another upstream was tried.
+	moving bool
 	// refusal is what a keyed request is refused with once its key is marked.
 	refusal Failure
 }
@@ -335,6 +337,13 @@
 		return m.frame(e.Frame)
 	case Broken:
 		return m.retry()
+	case Moved:
+		// What the old engine still sends is read to its end; from there on the
+		// stream is resumed at the new one.
+		m.address = e.Address
+		return []Effect{{Kind: Receive}}
+	case MoveFailed:
+		return []Effect{{Kind: Receive}}
 	case Canceled:
 		return m.canceled(Failure{Code: CallerGone, Ran: DidRun})
 	case Expired:
@@ -359,6 +368,10 @@
 	if f.End {
 		return append(out, m.whole()...)
 	}
+	if f.Leaving && m.held && !m.moving {
+		m.moving = true
+		return append(out, Effect{Kind: Move, Address: m.address, Stream: m.stream})
+	}
 	return append(out, Effect{Kind: Receive})
 }
 
--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -12,7 +12,7 @@
 // allEvents is every kind, so that each fault meets each step.
 var allEvents = []EventKind{
 	Begin, Found, NotFound, GrantGiven, Refused, Connected, Unreachable, ClaimMade, ClaimExists, ClaimConflict,
-	ClaimLost, Started, Replied, NothingSent, Rejected, SendBroken, FrameRead, Broken, Fetched, FetchFailed,
+	ClaimLost, Started, Replied, NothingSent, Rejected, SendBroken, FrameRead, Broken, Moved, MoveFailed, Fetched, FetchFailed,
 	FetchBroken, FetchUnheld, Canceled, Expired, Failed,
 }
 
@@ -62,7 +62,7 @@
 		Stream: rapid.SampledFrom([]string{"own", "other", "crossed"}).Draw(t, "stream"),
 		Offset: m.length + rapid.SampledFrom([]int64{0, 0, 0, 1, -1}).Draw(t, "shift"),
 		Length: rapid.Int64Range(0, 3).Draw(t, "length"),
-		End:    rapid.Bool().Draw(t, "end"),
+		End:    rapid.Bool().Draw(t, "end"), Leaving: rapid.Bool().Draw(t, "leaving"),
 	}
 	c := state.Claim{
 		Digest: rapid.SampledFrom([]string{"d", "d", "e"}).Draw(t, "digest"), Stream: "other",
@@ -147,6 +147,9 @@
 	}{
 		{"whole stream", false, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: Started}, {Kind: FrameRead, Frame: Frame{Stream: "own", Length: 2, End: true}}}, []EffectKind{Deliver, Release, End, Finish}, "", ""},
 		{"end at a wrong offset", false, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: Started}, {Kind: FrameRead, Frame: Frame{Stream: "own", Offset: 5, End: true}}}, []EffectKind{Retire, Resume}, "", ""},
+		{"leaving engine", false, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: Started}, {Kind: FrameRead, Frame: Frame{Stream: "own", Leaving: true}}}, []EffectKind{Deliver, Move}, "", ""},
+		{"moved", false, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: Started}, {Kind: FrameRead, Frame: Frame{Stream: "own", Leaving: true}}, {Kind: Moved, Address: "b"}, {Kind: Broken}}, []EffectKind{Retire, Resume}, "", ""},
+		{"moved only once", false, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: Started}, {Kind: FrameRead, Frame: Frame{Stream: "own", Leaving: true}}, {Kind: MoveFailed}, {Kind: FrameRead, Frame: Frame{Stream: "own", Leaving: true}}}, []EffectKind{Deliver, Receive}, "", ""},
 		{"crossed frame", false, []Event{missing, grant, connected, {Kind: ClaimMade}, {Kind: Started}, {Kind: FrameRead, Frame: Frame{Stream: "x", Length: 2}}}, []EffectKind{Retire, Resume}, "", ""},
 		{"lost claim is proposed again", false, []Event{missing, grant, connected, {Kind: ClaimLost}}, []EffectKind{Propose}, "", ""},
 		{"lost claim until the deadline", false, []Event{missing, grant, connected, {Kind: ClaimLost}, {Kind: Expired}}, []EffectKind{Release, Settle, Fail}, NoLog, MayHaveRun},
--- a/core/claims/event.go
+++ b/core/claims/event.go
@@ -36,6 +36,9 @@
 	// FrameRead and Broken answer a Receive.
 	FrameRead EventKind = "frame"
 	Broken    EventKind = "broken"
+	// Moved and MoveFailed answer a Move.
+	Moved      EventKind = "moved"
+	MoveFailed EventKind = "move_failed"
 	// Fetched, FetchFailed, FetchBroken and FetchUnheld answer a Fetch: the
 	// answer's end, the failure it ended in, a lost connection, and an owner
 	// that holds no such answer.
@@ -68,6 +71,8 @@
 	Offset int64
 	Length int64
 	End    bool
+	// Leaving asks to move the stream to another engine.
+	Leaving bool
 	// Error is an engine's failure.
 	Error string
 }
@@ -92,6 +97,8 @@
 	Receive EffectKind = "receive"
 	// Resume reads a stream from an offset over a new connection.
 	Resume EffectKind = "resume"
+	// Move takes the stream with its cache to another engine.
+	Move EffectKind = "move"
 	// Fetch reads the answer from the entry that dispatched the request.
 	Fetch EffectKind = "fetch"
 
@@ -140,7 +147,7 @@
 // Awaited tells whether an event must answer the effect.
 func (e Effect) Awaited() bool {
 	switch e.Kind {
-	case Lookup, Acquire, Dial, Propose, Send, Receive, Resume, Fetch:
+	case Lookup, Acquire, Dial, Propose, Send, Receive, Resume, Move, Fetch:
 		return true
 	}
 	return false
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -149,6 +149,10 @@
 	cached int
 	prompt int
 	whole  bool
+	// moved says that the stream came from another engine, base how many tokens
+	// were generated there.
+	moved bool
+	base  int
 	// watch counts tokens of the own dispatch; nil for another's.
 	watch *observer
 }
@@ -177,7 +181,10 @@
 }
 
 func (o *observed) release(outcome sched.Outcome) sched.Release {
-	r := sched.Release{Outcome: outcome, OutputTokens: o.tokens, CachedTokens: o.cached}
+	r := sched.Release{Outcome: outcome, OutputTokens: o.tokens - o.base, CachedTokens: o.cached}
+	if o.moved {
+		r.CachedTokens = o.prompt
+	}
 	if !o.first.IsZero() {
 		r.Prefill = o.first.Sub(o.began)
 		r.Decode = o.last.Sub(o.first)
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -46,10 +46,12 @@
 	// the answer up.
 	ctx context.Context
 
-	ticket  port.Ticket
-	conn    *engine.Conn
-	stream  *engine.Stream
-	frame   upstream.Frame
+	ticket port.Ticket
+	conn   *engine.Conn
+	stream *engine.Stream
+	frame  upstream.Frame
+	// offer is what the scheduler was asked.
+	offer   port.Request
 	reply   engine.Reply
 	result  answer.Result
 	refusal *fault.Error
@@ -164,6 +166,8 @@
 		return x.receive()
 	case claims.Resume:
 		return x.resume(e)
+	case claims.Move:
+		return x.move(e)
 	case claims.Fetch:
 		return x.fetch(e)
 	}
@@ -197,7 +201,8 @@
 }
 
 func (x *execution) acquire() claims.Event {
-	t, err := x.service.sched.Acquire(x.ctx, x.request.schedulable(x.service.view.Snapshot().Config))
+	x.offer = x.request.schedulable(x.service.view.Snapshot().Config)
+	t, err := x.service.sched.Acquire(x.ctx, x.offer)
 	if err != nil {
 		x.refusal = fault.From(err)
 		return x.interrupted(claims.Refused)
@@ -258,7 +263,7 @@
 	}
 	r := x.request
 	start := upstream.Start{Stream: e.Stream, Model: r.pool, Prompt: r.prompt, MaxTokens: r.maxTokens, Options: r.options}
-	start.Blocks = r.schedulable(x.service.view.Snapshot().Config).Blocks
+	start.Blocks = x.offer.Blocks
 	st, err := x.conn.Start(x.ctx, start, x.silence())
 	r.prompt = ""
 	r.giveBack()
@@ -317,7 +322,7 @@
 		return x.interrupted(claims.Broken)
 	}
 	x.frame = f
-	out := claims.Frame{Stream: f.Stream, Offset: f.Offset, Length: int64(len(f.Text)), End: f.End, Error: f.Error}
+	out := claims.Frame{Stream: f.Stream, Offset: f.Offset, Length: int64(len(f.Text)), End: f.End, Leaving: f.Leaving, Error: f.Error}
 	if out.Offset+out.Length > answer.MaxBytes {
 		out.Error = fmt.Sprintf("the answer is over %d bytes", answer.MaxBytes)
 	}
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -58,6 +58,7 @@
 	inter      *prometheus.HistogramVec
 	wastedSum  *prometheus.CounterVec
 	resumedSum prometheus.Counter
+	movedSum   prometheus.Counter
 
 	mu    sync.Mutex
 	known map[explained]*Explanation
@@ -79,8 +80,9 @@
 		first:      histogram("first_token_seconds", "Time from acceptance to the first token.", firstBuckets, "tier", "pool"),
 		inter:      histogram("inter_token_seconds", "Time between two tokens.", interBuckets, "pool"),
 		resumedSum: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "verbenastep", Name: "streams_resumed_total", Help: "Streams resumed over a new connection."}),
+		movedSum:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: "verbenastep", Name: "streams_moved_total", Help: "Streams moved with their cache from a leaving engine."}),
 	}
-	m.Registerer().MustRegister(o.requests, o.goodput, o.wastedSum, o.first, o.inter, o.resumedSum)
+	m.Registerer().MustRegister(o.requests, o.goodput, o.wastedSum, o.first, o.inter, o.resumedSum, o.movedSum)
 	m.Registerer().MustRegister(
 		gauge("answer_bytes", "Bytes of the answers held.", func() float64 { return float64(s.answers.Bytes()) }),
 		gauge("caller_connections", "Open callers' connections.", func() float64 { return float64(s.conns.count()) }),
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenastep/verbenastep/api/fault"
@@ -21,6 +22,8 @@
 	r := standin.NewRunner(upstream.Announcement{Name: "up-1", Pool: "logbook-model", Address: "127.0.0.1:0", Slots: 8}, standin.Speed{PrefillPerSecond: 1e6, DecodePerSecond: decode})
 	require.NoError(t, r.Listen())
 	t.Cleanup(r.Close)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.pools["logbook-model"] = r.Self.Address
 	return r
 }
@@ -186,3 +189,34 @@
 	require.Equal(t, answerTo("draft #8"), answer)
 	require.Equal(t, 1, total(r.Executions()))
 }
+
+// TestLeavingEngine: a leaving engine's stream moves with its cache to another
+// one, or stays where that one refuses; no byte is missing and nothing is
+// computed again.
+func TestLeavingEngine(t *testing.T) {
+	for _, plan := range []standin.Plan{{}, {Fault: standin.Refuse}} {
+		t.Run("target "+string(plan.Fault), func(t *testing.T) {
+			c := newCluster(t)
+			from := c.runner(t, 40)
+			e := c.entry(t, "entry-1")
+			told := make(chan reply, 1)
+			go func() {
+				got, _ := e.try("POST", "/v1/chat/completions", chatBody("draft #40", true), "Idempotency-Key", "k1")
+				told <- got
+			}()
+			require.Eventually(t, func() bool { return total(from.Executions()) == 1 }, 5*time.Second, time.Millisecond)
+			to := c.runner(t, 500)
+			to.SetPlan(plan)
+			from.Leave()
+			got := <-told
+			answer, whole := text(got.body)
+			require.True(t, whole, got.body)
+			require.Equal(t, answerTo("draft #40"), answer)
+			moved := plan.Fault == ""
+			require.Equal(t, moved, testutil.ToFloat64(e.observer.movedSum) == 1)
+			require.Zero(t, total(to.Executions()))
+			require.Equal(t, 1, total(from.Executions()))
+			require.Len(t, c.outcomes(), 2)
+		})
+	}
+}
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -122,6 +122,10 @@
 		http.Error(w, "malformed export", http.StatusBadRequest)
 		return
 	}
+	if r.currentPlan().Fault == Refuse {
+		http.Error(w, "no room", http.StatusTooManyRequests)
+		return
+	}
 	if string(e.KV) != e.Start.Prompt {
 		http.Error(w, "the cache does not fit the prompt", http.StatusUnprocessableEntity)
 		return
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -26,7 +26,7 @@
 	Late Fault = "late"
 	// Early sends an end before the stream's end.
 	Early Fault = "early"
-	// Refuse refuses each start, which does not run then.
+	// Refuse refuses each start and import, which do not run then.
 	Refuse Fault = "refuse"
 )
 
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -99,6 +99,13 @@
 	return a
 }
 
+// Leave announces that the runner leaves, and asks to move its streams.
+func (r *Runner) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Self.Leaving = true
+}
+
 // Close ends the runner as a crash would.
 func (r *Runner) Close() {
 	_ = r.server.Close()
@@ -277,11 +284,12 @@
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
 	out := &line{w: w, ctl: http.NewResponseController(w), trouble: r.trouble(), request: req}
-	next := 0
+	next, told := 0, false
 	for {
 		r.mu.Lock()
 		frames := x.frames[next:]
-		ended, changed := x.ended, x.changed
+		ended, changed, length := x.ended, x.changed, x.length
+		leaving := r.Self.Leaving && !told && !ended && x.tokens > 0
 		r.mu.Unlock()
 		next += len(frames)
 		for _, f := range frames {
@@ -295,6 +303,12 @@
 		if ended {
 			return
 		}
+		if leaving {
+			told = true
+			if !out.put(upstream.Frame{Stream: x.start.Stream, Offset: max(offset, length), Leaving: true}) {
+				return
+			}
+		}
 		select {
 		case <-changed:
 		case <-time.After(upstream.HeartbeatMS * time.Millisecond):
