--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -224,7 +224,9 @@
 	return data, err == nil
 }
 
-// Stop refuses new requests and waits for those in flight.
+// Stop refuses new requests and waits for those in flight. Where the context
+// ends before, callers' connections are cut without a word, as in a crash: what
+// became of their requests is for other entries to say.
 func (s *Service) Stop(ctx context.Context) error {
 	err := s.server.Shutdown(ctx)
 	done := make(chan struct{})
@@ -236,6 +238,7 @@
 	case <-done:
 	case <-ctx.Done():
 		err = ctx.Err()
+		_ = s.server.Close()
 	}
 	s.cancel()
 	return err
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -220,3 +222,31 @@
 		})
 	}
 }
+
+// TestForcedStopSaysNothing: a stop that may not wait cuts its callers off; the
+// answer goes on at another entry.
+func TestForcedStopSaysNothing(t *testing.T) {
+	c := newCluster(t)
+	r := c.runner(t, 50)
+	one, two := c.entry(t, "entry-1"), c.entry(t, "entry-2")
+	told := make(chan reply, 1)
+	go func() {
+		got, _ := one.try("POST", "/v1/chat/completions", chatBody("draft #40", true), "Idempotency-Key", "k1")
+		told <- got
+	}()
+	require.Eventually(t, func() bool { return total(r.Executions()) == 1 }, 5*time.Second, time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	now, cancel := context.WithCancel(t.Context())
+	cancel()
+	one.Record(promise.Event{Kind: promise.Crashed})
+	require.Error(t, one.Stop(now))
+	cut := <-told
+	before, whole := text(cut.body)
+	require.False(t, whole)
+	require.NotContains(t, cut.body, `"error"`)
+	rest := two.do(t, "GET", fmt.Sprintf("/v1/answers/k1?offset=%d", len(before)), "")
+	after, whole := text(rest.body)
+	require.True(t, whole, rest.body)
+	require.Equal(t, answerTo("draft #40"), before+after)
+	require.Equal(t, 1, total(r.Executions()))
+}
