--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -10,8 +10,9 @@
 	maxCandidates = topCandidates + holders
 	// suspectPenalty is added for each request beside a suspect.
 	suspectPenalty = time.Second
-	// prefillDelay is by what part a prefill delays each stream beside it.
-	prefillDelay = 0.33
+	// prefillDelay weighs a prefill's time once more for each stream beside it,
+	// which it delays.
+	prefillDelay = 1.0
 )
 
 // parts is an upstream's expected completion time for one request.
@@ -27,7 +28,7 @@
 // score returns the expected completion of a request on an upstream. It
 // changes nothing.
 func (d *Dispatcher) score(now time.Duration, u *upstream, r *request) parts {
-	s := blend(&u.speed, &d.pool)
+	s := &u.known
 	p := parts{cached: d.cached(u, r)}
 	uncached := float64(max(0, r.offer.PromptTokens-p.cached))
 	n := len(u.inFlight) + u.load.foreign() + 1
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -76,10 +76,9 @@
 	s.executions[r.Header.Get(upstream.HeaderRequest)]++
 	fault := s.fault
 	s.mu.Unlock()
-	reply := fmt.Sprintf(`{"service":%q,"method":%q,"path":%q,"bytes":%d}`+"\n", s.Self.Pool, r.Method, r.URL.Path, len(body))
-	observe(s.Observe, Execution{Upstream: s.Self.Name, Stream: r.Header.Get(upstream.HeaderRequest), Text: reply})
+	answer := fmt.Sprintf(`{"service":%q,"method":%q,"path":%q,"bytes":%d}`+"\n", s.Self.Pool, r.Method, r.URL.Path, len(body))
+	observe(s.Observe, Execution{Upstream: s.Self.Name, Stream: r.Header.Get(upstream.HeaderRequest), Text: answer})
 	time.Sleep(s.Pause)
-	answer := reply
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	switch fault {
