Ask membership whether a silent owner is dead

Cause: the fault matrix shows a resend that waits out several fetches from an entry that is cut off, 8 to 11 s, though membership knows after 2.5 s. Change: a fetch that breaks asks the member list; a dead owner is given up at once, another after three tries of 1 s. core/claims has the event for it. Left: internal/matrix keeps its own fetch silence of 2 s and does not raise the new event yet, so that its cells stay late.

--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -436,7 +436,7 @@
 			return []Effect{{Kind: Fetch, Address: m.owner, Stream: m.stream, Offset: m.length, Pause: true}}
 		}
 		return m.ownerGone()
-	case FetchUnheld:
+	case FetchUnheld, OwnerDead:
 		m.length = max(m.length, e.Length)
 		return m.ownerGone()
 	case Canceled:
--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -13,7 +13,7 @@
 var allEvents = []EventKind{
 	Begin, Found, NotFound, GrantGiven, Refused, Connected, Unreachable, ClaimMade, ClaimExists, ClaimConflict,
 	ClaimLost, Started, Replied, NothingSent, Rejected, SendBroken, FrameRead, Broken, Moved, MoveFailed, Fetched, FetchFailed,
-	FetchBroken, FetchUnheld, Canceled, Expired, Failed,
+	FetchBroken, FetchUnheld, OwnerDead, Canceled, Expired, Failed,
 }
 
 // tally watches the invariants over one request's effects.
--- a/core/claims/event.go
+++ b/core/claims/event.go
@@ -46,6 +46,9 @@
 	FetchFailed EventKind = "fetch_failed"
 	FetchBroken EventKind = "fetch_broken"
 	FetchUnheld EventKind = "fetch_unheld"
+	// OwnerDead answers a Fetch that broke where membership holds the owner for
+	// dead.
+	OwnerDead EventKind = "owner_dead"
 	// Canceled says that the caller went away, Expired that the request's time
 	// is over, Failed that the effect could not be attempted.
 	Canceled EventKind = "canceled"
--- a/core/claims/table_test.go
+++ b/core/claims/table_test.go
@@ -69,6 +69,7 @@
 		"an end too early":                {Kind: FrameRead, Frame: Frame{Stream: "own", Offset: 9, End: true}},
 		"the engine fails":                {Kind: FrameRead, Frame: Frame{Stream: "own", Offset: 2, Error: "out of memory"}},
 		"the owner's link breaks":         {Kind: FetchBroken},
+		"the owner is dead":               {Kind: OwnerDead},
 		"the owner holds nothing":         {Kind: FetchUnheld},
 		"the owner's answer failed":       {Kind: FetchFailed},
 	}
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/verbenastep/verbenastep/api/fault"
@@ -164,5 +165,13 @@
 	if kind == claims.FetchBroken && x.ctx.Err() != nil {
 		return x.interrupted(kind)
 	}
+	if kind == claims.FetchBroken && !x.service.live(e.Address) {
+		kind = claims.OwnerDead
+	}
 	return claims.Event{Kind: kind, Length: x.answer.Length()}
 }
+
+// live tells whether a daemon of a peers' address is a live member.
+func (s *Service) live(address string) bool {
+	return slices.ContainsFunc(s.members.Live(), func(m port.Member) bool { return m.Peers == address })
+}
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -12,6 +12,7 @@
 	"github.com/verbenastep/verbenastep/core/promise"
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/engine"
+	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/standin"
 )
 
@@ -64,6 +65,7 @@
 	c := newCluster(t)
 	r := c.runner(t, 500)
 	owner := silent(t)
+	c.members = append(c.members, port.Member{Name: "entry-0", Peers: owner})
 	conn, err := engine.Dial(t.Context(), r.Self.Address)
 	require.NoError(t, err)
 	defer conn.Close()
@@ -85,3 +87,15 @@
 	require.Equal(t, 1, total(r.Executions()))
 	require.Equal(t, fault.MayHaveRun, faultOf(t, (<-told).body).Ran)
 }
+
+// TestDeadOwner: an owner that membership holds for dead is asked once only.
+func TestDeadOwner(t *testing.T) {
+	c := newCluster(t)
+	owner := silent(t)
+	digest := digestOf([]byte("register-api"), []byte("POST"), []byte("/transfers"), []byte("{}"))
+	c.dispatched(state.Claim{Key: "t1", Pool: "register-api", Stream: "s1", Entry: owner, Digest: digest})
+	e := c.entry(t, "entry-1")
+	require.False(t, e.live(owner))
+	require.Equal(t, fault.Unknown, faultOf(t, transfer(t, e, "t1", "{}").body).Kind)
+	require.Zero(t, e.answers.Len(), "the failed answer is forgotten")
+}
