Keep the entry's bookkeeping constant in cost a request

Cause: each request beyond 4,096 copied the list of explanations or marks, and each connection beyond the limit walked all quiet ones. Change: lists drop their head; quiet connections stand in order.

--- a/internal/entry/connections.go
+++ b/internal/entry/connections.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
+	"container/list"
 	"net"
 	"net/http"
 	"sync"
-	"time"
 )
 
 // connections bounds the callers' connections. Where there are too many it
@@ -13,13 +13,15 @@
 type connections struct {
 	limit int
 
-	mu    sync.Mutex
-	quiet map[net.Conn]time.Time
+	mu sync.Mutex
+	// quiet holds the connections without a request, the longest first.
+	quiet *list.List
+	at    map[net.Conn]*list.Element
 	total int
 }
 
 func newConnections(limit int) *connections {
-	return &connections{limit: limit, quiet: map[net.Conn]time.Time{}}
+	return &connections{limit: limit, quiet: list.New(), at: map[net.Conn]*list.Element{}}
 }
 
 // changed follows each connection; it is the server's ConnState.
@@ -29,33 +31,42 @@
 	switch s {
 	case http.StateNew:
 		c.total++
-		c.quiet[conn] = time.Now()
+		c.enter(conn)
 		if c.total > c.limit {
 			c.closeQuietest()
 		}
 	case http.StateIdle:
-		c.quiet[conn] = time.Now()
+		c.enter(conn)
 	case http.StateActive:
-		delete(c.quiet, conn)
+		c.leave(conn)
 	case http.StateClosed, http.StateHijacked:
-		delete(c.quiet, conn)
+		c.leave(conn)
 		c.total--
 	}
 }
 
+func (c *connections) enter(conn net.Conn) {
+	c.leave(conn)
+	c.at[conn] = c.quiet.PushBack(conn)
+}
+
+func (c *connections) leave(conn net.Conn) {
+	if e, ok := c.at[conn]; ok {
+		c.quiet.Remove(e)
+		delete(c.at, conn)
+	}
+}
+
 // closeQuietest closes the longest quiet connection: the new one where all
 // others carry requests.
 func (c *connections) closeQuietest() {
-	oldest := net.Conn(nil)
-	for conn, at := range c.quiet {
-		if oldest == nil || at.Before(c.quiet[oldest]) {
-			oldest = conn
-		}
-	}
-	if oldest != nil {
-		delete(c.quiet, oldest)
-		_ = oldest.Close()
+	oldest := c.quiet.Front()
+	if oldest == nil {
+		return
 	}
+	conn := oldest.Value.(net.Conn)
+	c.leave(conn)
+	_ = conn.Close()
 }
 
 // count returns how many connections are open.
--- a/internal/entry/marks.go
+++ b/internal/entry/marks.go
@@ -34,7 +34,7 @@
 	m.order = append(m.order, id)
 	if len(m.order) > keptMarks {
 		delete(m.known, m.order[0])
-		m.order = append([]keyID{}, m.order[1:]...)
+		m.order = m.order[1:]
 	}
 }
 
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -121,7 +121,7 @@
 	o.known[id] = &Explanation{Key: r.key, Workspace: r.workspace.Name, Pool: r.pool, Tier: r.tierName, Accepted: r.accepted}
 	if len(o.order) > keptExplanations {
 		delete(o.known, o.order[0])
-		o.order = append([]explained{}, o.order[1:]...)
+		o.order = o.order[1:]
 	}
 }
 
