--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// queueLimit is the most requests that wait at one dispatcher.
+	queueLimit = 50_000
 	// linkRoundTrip is between two regions.
 	linkRoundTrip = 40 * time.Millisecond
 	// linkBytesPerSecond is what the link between two regions carries.
@@ -21,7 +23,7 @@
 // params derives a dispatcher's parameters from the configuration.
 func params(c *config.Config, pool, region string) sched.Params {
 	out := sched.Params{
-		Region: region, Spill: len(c.Regions) > 1,
+		Region: region, QueueLimit: queueLimit, Spill: len(c.Regions) > 1,
 		Link: sched.Link{RoundTrip: linkRoundTrip, BytesPerSecond: linkBytesPerSecond},
 	}
 	if m, ok := c.Model(pool); ok {
