--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -20,8 +20,8 @@
 	d.grantAll(now, &out)
 	d.shed(now, &out)
 	d.suspects = append(d.suspects, d.tracker.Expire(now)...)
-	out.Suspects = d.suspects
-	d.suspects = nil
+	out.Suspects, out.Ended = d.suspects, d.ended
+	d.suspects, d.ended = nil, nil
 	return out
 }
 
--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -41,6 +41,8 @@
 
 	tracker  *quarantine.Tracker
 	suspects []quarantine.Change
+	// ended are requests that ended since the last round.
+	ended []Ended
 	// setAside are requests that no upstream with room suits in this round.
 	setAside []*request
 	// localityWaits counts those that wait for a prefix in this round.
@@ -195,10 +197,12 @@
 	d.queued--
 	r.workspace.usage.Leave()
 	delete(d.requests, r.offer.ID)
+	d.ended = append(d.ended, Ended{ID: r.offer.ID, Workspace: r.offer.Workspace, Tier: r.offer.Tier})
 }
 
-// Ended tells what a released request cost.
+// Ended is a request that is no longer queued or granted, and what it cost.
 type Ended struct {
+	ID        ID
 	Workspace string
 	Tier      int
 	Upstream  string
@@ -219,12 +223,11 @@
 	if !ok || r.upstream == "" {
 		return Ended{}, &OfferError{ID: rel.ID, Message: "it holds no grant", Remedy: "release each grant once"}
 	}
-	d.end(now, r, rel)
-	return r.ended(rel), nil
+	return d.end(now, r, rel), nil
 }
 
 func (r *request) ended(rel Release) Ended {
-	e := Ended{Workspace: r.offer.Workspace, Tier: r.offer.Tier, Upstream: r.upstream}
+	e := Ended{ID: r.offer.ID, Workspace: r.offer.Workspace, Tier: r.offer.Tier, Upstream: r.upstream}
 	computed := max(0, r.offer.PromptTokens-rel.CachedTokens)
 	if rel.Outcome == Canceled || rel.Outcome == Broken {
 		e.Lost = computed
@@ -236,22 +239,21 @@
 }
 
 // end frees a granted request's slot.
-func (d *Dispatcher) end(now time.Duration, r *request, rel Release) {
+func (d *Dispatcher) end(now time.Duration, r *request, rel Release) Ended {
+	ended := r.ended(rel)
+	d.ended = append(d.ended, ended)
 	delete(d.requests, r.offer.ID)
 	r.workspace.tier.running--
 	r.workspace.usage.Leave()
 	u := d.unplace(now, r)
 	d.settle(now, r, rel)
-	if u == nil {
-		return
-	}
-	if rel.Outcome == Broken {
+	if u != nil && rel.Outcome == Broken {
 		d.noteBroken(u, r)
-		return
 	}
-	if rel.Outcome == Done {
+	if u != nil && rel.Outcome == Done {
 		d.learn(now, u, r, rel)
 	}
+	return ended
 }
 
 // settle corrects what was charged at the grant to the work that was done.
--- a/core/sched/entries.go
+++ b/core/sched/entries.go
@@ -71,3 +71,11 @@
 		}
 	}
 }
+
+// TakeEnded returns the requests that ended since the last round, which Decide
+// then does not return again.
+func (d *Dispatcher) TakeEnded() []Ended {
+	out := d.ended
+	d.ended = nil
+	return out
+}
--- a/core/sched/locality.go
+++ b/core/sched/locality.go
@@ -28,7 +28,7 @@
 	h := d.holding.deepest(r.offer.Blocks)
 	for _, id := range h.ids[:h.used] {
 		u := d.byID[id]
-		if u.leaving || u.expires <= now || u.straggler.demoted {
+		if u.leaving || u.expires <= now || u.straggler.demoted || d.room(now, u, r.class) {
 			continue
 		}
 		if d.cached(u, r)-chosen.cached >= localityTokens {
--- a/core/sched/policy_test.go
+++ b/core/sched/policy_test.go
@@ -137,6 +137,24 @@
 	require.Len(t, again.Why.Examined, 2)
 }
 
+// TestPrefixIsWaitedForABoundedTime fills the holder of a prompt's prefix.
+func TestPrefixIsWaitedForABoundedTime(t *testing.T) {
+	d := New(Params{})
+	mustAnnounce(t, d, 0, "a", 1)
+	mustAnnounce(t, d, 0, "b", 1)
+	o := offerOf(1, "w", 0)
+	o.Blocks = []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12}
+	mustOffer(t, d, 0, o)
+	holder := d.Decide(0).Grants[0].Upstream
+	o.ID.Number = 2
+	mustOffer(t, d, 0, o)
+	require.Empty(t, d.Decide(0).Grants)
+	require.Empty(t, d.Decide(localityWait-1).Grants)
+	g := d.Decide(localityWait + 1).Grants
+	require.Len(t, g, 1)
+	require.NotEqual(t, holder, g[0].Upstream)
+}
+
 func TestGapsNeverRaiseTrust(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newResidency()
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -163,6 +163,9 @@
 type Decisions struct {
 	Grants   []Grant
 	Refusals []Refusal
+	// Ended are all requests that left the queue or their slot since the round
+	// before, for whatever cause, this round's refusals included.
+	Ended []Ended
 	// Suspects are crash counts to share with the other dispatchers.
 	Suspects []quarantine.Change
 	// Lost names the upstreams whose lease ended.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -173,6 +173,7 @@
 	now := p.now()
 	decided := p.core.Decide(now)
 	batches := batchSet{pool: p, live: uint32(p.core.Live(now)), byEntry: map[string]*rpc.GrantBatch{}}
+	p.ended(decided.Ended)
 	for _, g := range decided.Grants {
 		b := batches.of(g.ID.Entry)
 		b.Grants = append(b.Grants, encodeGrant(g))
@@ -223,6 +224,13 @@
 	}
 }
 
+// ended records requests that left the queue or their slot.
+func (p *pool) ended(all []sched.Ended) {
+	for _, e := range all {
+		p.event(promise.Release, e.ID, e.Tier, e.Workspace, e.Upstream, "")
+	}
+}
+
 func (p *pool) event(kind promise.Kind, id sched.ID, tier int, workspace, upstream, code string) {
 	p.events.Record(promise.Event{
 		Kind: kind, Offer: offerName(id), Pool: p.name, Region: p.region, Tier: tier,
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -225,6 +225,26 @@
 	})
 }
 
+// TestEveryOfferThatIsQueuedEndsInTheEvents withdraws, loses and refuses.
+func TestEveryOfferThatIsQueuedEndsInTheEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "one")
+		late := offer(3)
+		late.WaitMs = 1
+		s := b.join(t, "one#1@a", &rpc.EntryBatch{Offers: []*rpc.Offer{offer(1), offer(2), late}})
+		s.in <- &rpc.EntryBatch{Cancels: []uint64{1}}
+		synctest.Wait()
+		s.end()
+		time.Sleep(settleTime + time.Second)
+		synctest.Wait()
+		count := map[promise.Kind]int{}
+		for _, k := range b.events.kinds {
+			count[k]++
+		}
+		require.Equal(t, map[promise.Kind]int{promise.Queue: 3, promise.Release: 3}, count)
+	})
+}
+
 func TestLimitsHoldOverAllEntriesAndAreAQuarterAwayFromHome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, "one")
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -121,20 +121,31 @@
 	}
 	offers := make([]sched.Offer, 0, len(first.Offers))
 	for _, o := range first.Offers {
-		offer := p.decodeOffer(now, first.Entry, o)
-		offers = append(offers, offer)
-		if offer.Running == "" {
-			p.event(promise.Queue, offer.ID, offer.Tier, offer.Workspace, "", "")
-		}
+		offers = append(offers, p.decodeOffer(now, first.Entry, o))
 	}
 	refusals, failed := p.core.Resync(now, first.Entry, offers)
 	for _, err := range failed {
 		p.log.Warn("offer refused", zap.String("pool", p.name), zap.Error(err))
 	}
+	p.ended(p.core.TakeEnded())
+	p.queueEvents(offers, refusals)
 	p.refuse(refusals)
 	p.nudge()
 }
 
+// queueEvents records the offers of a first batch that now wait.
+func (p *pool) queueEvents(offers []sched.Offer, refusals []sched.Refusal) {
+	refused := map[sched.ID]bool{}
+	for _, r := range refusals {
+		refused[r.ID] = true
+	}
+	for _, o := range offers {
+		if o.Running == "" && !refused[o.ID] {
+			p.event(promise.Queue, o.ID, o.Tier, o.Workspace, "", "")
+		}
+	}
+}
+
 func (p *pool) refuse(refusals []sched.Refusal) {
 	set := batchSet{pool: p, byEntry: map[string]*rpc.GrantBatch{}}
 	for _, r := range refusals {
@@ -210,5 +221,4 @@
 		return
 	}
 	p.metrics.ended(p.name, ended)
-	p.event(promise.Release, release.ID, ended.Tier, ended.Workspace, ended.Upstream, "")
 }
