Stop the entry before the dispatcher and the replica that it uses

Cause: services stop in the reverse of their starting order, which names no one needs decide. The replica and the dispatcher stopped while the daemon's entry still had requests in flight: they waited for a claim that no one answered until the shutdown's time ran out and were cut. Ruled out: a slow upstream (the log shows claims unanswered for 4 s after the replica stopped); a drain in the entry (it would run before the directory's). Change: the entry needs the dispatcher, the log's client needs the daemon's own replica. The demo waits longer for a drain than a request may take.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -35,7 +35,7 @@
 	// drained is the index of the daemon that drains.
 	drained = 2
 	// runTimeout bounds the load with all its answers.
-	runTimeout = 20 * time.Second
+	runTimeout = 24 * time.Second
 )
 
 //go:embed config/*.json
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -23,8 +23,9 @@
 	daemonCount = 3
 	// portsEach is how many addresses a daemon has.
 	portsEach = 4
-	// stopTimeout bounds a daemon's graceful shutdown.
-	stopTimeout = 12 * time.Second
+	// stopTimeout bounds a graceful shutdown; it exceeds the request timeout of
+	// the embedded configuration, after which no request is in flight.
+	stopTimeout = 18 * time.Second
 	// operatorKey and upstreamKey are credentials of the demonstration alone.
 	operatorKey = "demo-operator"
 	upstreamKey = "demo-upstream"
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,8 @@
 func (s *Service) Needs() []string {
 	return []string{
 		port.NameView, port.NameScheduler, port.NameLog, port.NameMembers, port.NameDirectory, port.NameLink, port.NameEvents, port.NameMetrics,
+		// The dispatcher must outlast the requests in flight here.
+		port.NameDispatcher,
 	}
 }
 
--- a/internal/logclient/logclient.go
+++ b/internal/logclient/logclient.go
@@ -51,8 +51,15 @@
 // Name returns the service's name.
 func (s *Service) Name() string { return port.NameLog }
 
-// Needs returns the link.
-func (s *Service) Needs() []string { return []string{port.NameLink} }
+// Needs returns the link, and the daemon's own replica where it has one: the
+// replica must outlast those who propose.
+func (s *Service) Needs() []string {
+	needs := []string{port.NameLink}
+	if s.set.HasRole(settings.Replica) {
+		needs = append(needs, port.NameReplica)
+	}
+	return needs
+}
 
 // Start finds the link.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
