--- a/api/client/caller_test.go
+++ b/api/client/caller_test.go
@@ -138,3 +138,20 @@
 	require.Equal(t, Unreachable, fault.From(err).Kind)
 	require.Equal(t, fault.NotRun, fault.From(err).Ran)
 }
+
+func TestCompletionOfBothForms(t *testing.T) {
+	chat := Completion{Form: Chat, Model: "m", Prompt: "p", Stream: true}.Request("k")
+	require.Equal(t, "/v1/chat/completions", chat.Path)
+	require.Equal(t, "k", chat.Key)
+	require.JSONEq(t, `{"model":"m","messages":[{"role":"user","content":"p"}],"stream":true}`, string(chat.Body))
+	plain := Completion{Form: Text, Model: "m", Prompt: "p", MaxTokens: 4}.Request("")
+	require.JSONEq(t, `{"model":"m","prompt":"p","max_tokens":4}`, string(plain.Body))
+	for _, body := range []string{`{"choices":[{"text":"a","finish_reason":"stop"}]}`, `{"choices":[{"message":{"content":"a"},"finish_reason":"stop"}]}`} {
+		text, finish, err := (&Reply{Body: []byte(body)}).Completion()
+		require.NoError(t, err)
+		require.Equal(t, "a", text)
+		require.Equal(t, "stop", finish)
+	}
+	_, _, err := (&Reply{Body: []byte(`{}`)}).Completion()
+	require.Equal(t, fault.DidRun, fault.From(err).Ran)
+}
--- a/internal/cli/caller.go
+++ b/internal/cli/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -124,40 +123,17 @@
 	return s.whole(ctx, std, c, r)
 }
 
-// completionBody is the body of both completion calls.
-type completionBody struct {
-	Model     string        `json:"model"`
-	Prompt    string        `json:"prompt,omitempty"`
-	Messages  []chatMessage `json:"messages,omitempty"`
-	MaxTokens int           `json:"max_tokens,omitempty"`
-	Stream    bool          `json:"stream,omitempty"`
-}
-
-type chatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
 func (s *sending) completion(args []string) (client.Request, error) {
 	prompt := strings.Join(args, " ")
 	if prompt == "" {
 		return client.Request{}, &usageError{problem: "give a prompt"}
 	}
-	body := completionBody{Model: s.model, MaxTokens: s.maxTokens, Stream: s.stream}
-	r := client.Request{Method: http.MethodPost, Key: s.id}
-	switch s.form {
-	case "chat":
-		r.Path = "/v1/chat/completions"
-		body.Messages = []chatMessage{{Role: "user", Content: prompt}}
-	case "text":
-		r.Path = "/v1/completions"
-		body.Prompt = prompt
-	default:
-		return r, &usageError{problem: fmt.Sprintf("-form is %q; write chat or text", s.form)}
-	}
-	err := error(nil)
-	r.Body, err = json.Marshal(body)
-	return r, err
+	form := client.Form(s.form)
+	if form != client.Chat && form != client.Text {
+		return client.Request{}, &usageError{problem: fmt.Sprintf("-form is %q; write chat or text", s.form)}
+	}
+	c := client.Completion{Form: form, Model: s.model, Prompt: prompt, MaxTokens: s.maxTokens, Stream: s.stream}
+	return c.Request(s.id), nil
 }
 
 // streamed shows one stream as it comes.
@@ -187,20 +163,9 @@
 	if err != nil {
 		return err
 	}
-	answer := struct {
-		Choices []struct {
-			Text         string      `json:"text"`
-			Message      chatMessage `json:"message"`
-			FinishReason string      `json:"finish_reason"`
-		} `json:"choices"`
-	}{}
-	if err := json.Unmarshal(reply.Body, &answer); err != nil {
-		return err
-	}
 	out := sent{Key: reply.Key, Entry: reply.Entry, Status: reply.Status}
-	for _, choice := range answer.Choices {
-		out.Text += choice.Text + choice.Message.Content
-		out.Finish = choice.FinishReason
+	if out.Text, out.Finish, err = reply.Completion(); err != nil {
+		return err
 	}
 	return printSent(std, out)
 }
--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"sync"
 	"time"
 
@@ -123,27 +121,9 @@
 		return "", err
 	}
 	o.key = reply.Key
-	if p.form == call {
+	if p.plain {
 		return string(reply.Body), nil
 	}
-	return completionText(reply.Body)
-}
-
-var errNoChoice = errors.New("the answer holds no choice")
-
-// completionText takes the text out of a whole completion of either form.
-func completionText(body []byte) (string, error) {
-	answer := struct {
-		Choices []struct {
-			Text    string      `json:"text"`
-			Message chatMessage `json:"message"`
-		} `json:"choices"`
-	}{}
-	if err := json.Unmarshal(body, &answer); err != nil {
-		return "", err
-	}
-	if len(answer.Choices) == 0 {
-		return "", errNoChoice
-	}
-	return answer.Choices[0].Text + answer.Choices[0].Message.Content, nil
+	text, _, err := reply.Completion()
+	return text, err
 }
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -21,7 +21,7 @@
 func TestLoadSpreadsAHundredfoldAndResends(t *testing.T) {
 	shortest, longest, resent := 1<<30, 0, 0
 	for _, p := range plan(1, 5) {
-		if p.form != call {
+		if !p.plain {
 			shortest = min(shortest, len(p.request.Body))
 			longest = max(longest, len(p.request.Body))
 		}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -36,41 +35,19 @@
 	resendAfter = 150 * time.Millisecond
 )
 
-// form is how a request is made and its answer read.
-type form int
-
-const (
-	chat form = iota
-	text
-	call
-)
-
 // planned is one request before it is sent.
 type planned struct {
 	at        time.Duration
 	workspace int
-	form      form
-	stream    bool
-	request   client.Request
+	// plain says that it is a service's call, not a completion.
+	plain   bool
+	stream  bool
+	request client.Request
 	// resend is how long after the first the same request is sent again; zero
 	// means never.
 	resend time.Duration
 }
 
-// completionBody is the body of both completion calls.
-type completionBody struct {
-	Model     string        `json:"model"`
-	Prompt    string        `json:"prompt,omitempty"`
-	Messages  []chatMessage `json:"messages,omitempty"`
-	MaxTokens int           `json:"max_tokens"`
-	Stream    bool          `json:"stream,omitempty"`
-}
-
-type chatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
 // planner draws a load from a seed.
 type planner struct {
 	rng        *rand.Rand
@@ -114,25 +91,15 @@
 
 func (p *planner) completion(at time.Duration) planned {
 	w := p.rng.IntN(p.workspaces)
-	prompt := p.prompt(w)
-	body := completionBody{Model: modelName, MaxTokens: longestAnswer, Stream: p.rng.IntN(2) == 0}
-	out := planned{at: at, workspace: w, stream: body.Stream, form: form(p.rng.IntN(2))}
-	path := "/v1/completions"
-	body.Prompt = prompt
-	if out.form == chat {
-		path = "/v1/chat/completions"
-		body.Prompt = ""
-		body.Messages = []chatMessage{{Role: "user", Content: prompt}}
+	c := client.Completion{Form: client.Text, Model: modelName, Prompt: p.prompt(w), MaxTokens: longestAnswer, Stream: p.rng.IntN(2) == 0}
+	if p.rng.IntN(2) == 0 {
+		c.Form = client.Chat
 	}
-	data, err := json.Marshal(body)
-	if err != nil {
-		panic(err)
-	}
-	out.request = client.Request{Method: http.MethodPost, Path: path, Body: data}
+	key := ""
 	if p.rng.IntN(3) == 0 {
-		out.request.Key = p.key()
+		key = p.key()
 	}
-	return out
+	return planned{at: at, workspace: w, stream: c.Stream, request: c.Request(key)}
 }
 
 // prompt is the beginning of one of the workspace's documents, a question, and
@@ -158,14 +125,14 @@
 
 func (p *planner) lookup(i int) planned {
 	path := fmt.Sprintf("/services/%s/chassis/%d", serviceName, i)
-	return planned{at: p.arrival(), workspace: p.rng.IntN(p.workspaces), form: call, request: client.Request{Method: http.MethodGet, Path: path}}
+	return planned{at: p.arrival(), workspace: p.rng.IntN(p.workspaces), plain: true, request: client.Request{Method: http.MethodGet, Path: path}}
 }
 
 // transfer may not be repeated; it carries a key, and some are sent twice.
 func (p *planner) transfer(i int) planned {
 	path := fmt.Sprintf("/services/%s/transfers/%d", serviceName, i)
 	r := client.Request{Method: http.MethodPost, Path: path, Body: []byte(`{"owner":"new"}`), Key: p.key()}
-	out := planned{at: p.arrival(), workspace: p.rng.IntN(p.workspaces), form: call, request: r}
+	out := planned{at: p.arrival(), workspace: p.rng.IntN(p.workspaces), plain: true, request: r}
 	if i%resendEvery == 0 {
 		out.resend = 1 + time.Duration(p.rng.Int64N(int64(resendAfter)))
 	}
@@ -174,10 +141,10 @@
 
 // warmModel and warmService are the smallest requests.
 func warmModel() planned {
-	body := []byte(`{"model":"` + modelName + `","prompt":"warm #1","max_tokens":1}`)
-	return planned{form: text, request: client.Request{Method: http.MethodPost, Path: "/v1/completions", Body: body}}
+	c := client.Completion{Form: client.Text, Model: modelName, Prompt: "warm #1", MaxTokens: 1}
+	return planned{request: c.Request("")}
 }
 
 func warmService() planned {
-	return planned{form: call, request: client.Request{Method: http.MethodGet, Path: "/services/" + serviceName + "/chassis/warm"}}
+	return planned{plain: true, request: client.Request{Method: http.MethodGet, Path: "/services/" + serviceName + "/chassis/warm"}}
 }
