--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -23,7 +23,7 @@
 	open      [classes]openHeap
 	leases    leaseHeap
 	holding   holderIndex
-	demoted   []*upstream
+	probation []*upstream
 	nextTrial int
 	nextSweep time.Duration
 	// fastest holds the least times of any upstream.
@@ -36,12 +36,16 @@
 	lastShort time.Duration
 	seenShort bool
 	drain     drain
+	// calmFrom is when capacity no longer counts as short.
+	calmFrom time.Duration
 
 	tracker  *quarantine.Tracker
 	suspects []quarantine.Change
 	// setAside are requests that no upstream with room suits in this round.
 	setAside []*request
-	recent   recent
+	// localityWaits counts those that wait for a prefix in this round.
+	localityWaits int
+	recent        recent
 }
 
 // Configure replaces the parameters.
@@ -282,7 +286,7 @@
 		uncached: float64(r.offer.PromptTokens - rel.CachedTokens), prefill: rel.Prefill, clean: r.clearStart,
 		tokens: rel.OutputTokens, decode: rel.Decode, beside: (r.beside + len(u.inFlight) + 1) / 2,
 	}
-	known := blend(&u.speed, &d.pool)
+	known := u.known
 	single := u.speed.observe(o, speedGain)
 	d.pool.observe(o, poolGain)
 	if single > 0 {
--- a/internal/demo/backends.go
+++ b/internal/demo/backends.go
@@ -63,7 +63,7 @@
 		if err := up.Listen(); err != nil {
 			return b, err
 		}
-		b.run(r.name, up.Close, rotate(daemons, i), func() upstream.Announcement { return up.Self })
+		b.run(r.name, up.Close, rotate(daemons, i), up.Announcement)
 	}
 	a := announcement("register-1", upstream.Plain, serviceName, 0, 8)
 	svc := standin.NewService(a, servicePause)
