--- a/internal/daemon/site_test.go
+++ b/internal/daemon/site_test.go
@@ -209,11 +209,13 @@
 	return text.String(), nil
 }
 
-// ready waits until every daemon serves a request.
+// ready waits until every daemon serves a request of both kinds.
 func (s *site) ready() {
 	for i, set := range s.settings {
 		require.Eventually(s.t, func() bool {
-			return answered(http.DefaultClient, set.Addresses.Callers, fmt.Sprintf("ready-%d-%d", i, time.Now().UnixNano()), 1) == nil
+			key := fmt.Sprintf("ready-%d-%d", i, time.Now().UnixNano())
+			return answered(http.DefaultClient, set.Addresses.Callers, key, 1) == nil &&
+				transferred(http.DefaultClient, set.Addresses.Callers, "call-"+key) == nil
 		}, patience, 100*time.Millisecond)
 	}
 }
