--- a/internal/daemon/alerts_test.go
+++ b/internal/daemon/alerts_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"encoding/json"
 	"os"
 	"regexp"
 	"testing"
@@ -11,7 +12,7 @@
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
-func TestAlertsNameOnlyMetricsThatExist(t *testing.T) {
+func TestOperatorsFilesNameOnlyMetricsThatExist(t *testing.T) {
 	s := startSite(t, 1, 1)
 	s.ready()
 	m, err := kernel.Find[port.Metrics](s.daemons[0].Kernel(), port.NameMetrics)
@@ -22,12 +23,17 @@
 	for _, f := range families {
 		exist[f.GetName()] = true
 	}
-	rules, err := os.ReadFile("../../docs/operations/alerts.yml")
-	require.NoError(t, err)
-	named := regexp.MustCompile(`verbenastep_[a-z_]+`).FindAllString(string(rules), -1)
-	require.NotEmpty(t, named)
-	for _, name := range named {
-		base := regexp.MustCompile(`_(bucket|sum|count)$`).ReplaceAllString(name, "")
-		require.True(t, exist[name] || exist[base], name)
+	for _, file := range []string{"alerts.yml", "dashboard.json"} {
+		text, err := os.ReadFile("../../docs/operations/" + file)
+		require.NoError(t, err)
+		named := regexp.MustCompile(`verbenastep_[a-z_]+`).FindAllString(string(text), -1)
+		require.NotEmpty(t, named)
+		for _, name := range named {
+			base := regexp.MustCompile(`_(bucket|sum|count)$`).ReplaceAllString(name, "")
+			require.True(t, exist[name] || exist[base], "%s names %s", file, name)
+		}
 	}
+	dashboard, err := os.ReadFile("../../docs/operations/dashboard.json")
+	require.NoError(t, err)
+	require.True(t, json.Valid(dashboard))
 }
