--- a/internal/daemon/alerts_test.go
+++ b/internal/daemon/alerts_test.go
@@ -13,7 +13,7 @@
 )
 
 func TestOperatorsFilesNameOnlyMetricsThatExist(t *testing.T) {
-	s := startSite(t, 1, 1)
+	s := startSite(t, 2, 1)
 	s.ready()
 	m, err := kernel.Find[port.Metrics](s.daemons[0].Kernel(), port.NameMetrics)
 	require.NoError(t, err)
