Play 500 random sessions with faults

Cause: the matrix strikes one request at named steps; a session has many. Promises and callers without an end are judged, times are not.

--- a/internal/matrix/matrix_test.go
+++ b/internal/matrix/matrix_test.go
@@ -133,3 +133,21 @@
 	}
 	fmt.Fprintf(&page, "\n## Pairs of different faults\n\n%d pairs drawn with seed %d: %d held, %d failed, %d can't be, as the first changed the path.\n\n%s", pairs, pairSeed, sum.held, sum.failed, sum.skipped, failed.String())
 }
+
+const sessions = 500
+
+func TestRandomSessions(t *testing.T) {
+	broken, struck := 0, 0
+	for seed := range uint64(sessions) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			v, what := verdict{}, []string(nil)
+			synctest.Test(t, func(*testing.T) { v, what = runSession(kinds()[seed%2], seed) })
+			struck += len(what)
+			if len(v.broken) > 0 || len(v.hung) > 0 {
+				broken++
+				t.Errorf("%v: %v %v", what, v.broken, v.hung)
+			}
+		})
+	}
+	fmt.Fprintf(&page, "\n## Random sessions\n\n%d sessions, seeds from 0, with %d faults in all: %d broke a promise or left a caller without an end.\n", sessions, struck, broken)
+}
