--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -20,8 +20,8 @@
 	d.grantAll(now, &out)
 	d.shed(now, &out)
 	d.suspects = append(d.suspects, d.tracker.Expire(now)...)
-	out.Suspects = d.suspects
-	d.suspects = nil
+	out.Suspects, out.Ended = d.suspects, d.ended
+	d.suspects, d.ended = nil, nil
 	return out
 }
 
@@ -59,6 +59,7 @@
 // one is granted nothing but short requests on slots that the higher tier's long
 // ones may not take, and not even these while requests are being shed.
 func (d *Dispatcher) grantAll(now time.Duration, out *Decisions) {
+	d.localityWaits = 0
 	classesLeft := [classes]bool{true, true}
 	for _, t := range d.tiers {
 		if t == nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,8 @@
 func (s *Service) Needs() []string {
 	return []string{
 		port.NameView, port.NameScheduler, port.NameLog, port.NameMembers, port.NameDirectory, port.NameLink, port.NameEvents, port.NameMetrics,
+		// The dispatcher must outlast the requests in flight here.
+		port.NameDispatcher,
 	}
 }
 
@@ -224,7 +226,9 @@
 	return data, err == nil
 }
 
-// Stop refuses new requests and waits for those in flight.
+// Stop refuses new requests and waits for those in flight. Where the context
+// ends before, callers' connections are cut without a word, as in a crash: what
+// became of their requests is for other entries to say.
 func (s *Service) Stop(ctx context.Context) error {
 	err := s.server.Shutdown(ctx)
 	done := make(chan struct{})
@@ -236,8 +240,6 @@
 	case <-done:
 	case <-ctx.Done():
 		err = ctx.Err()
-		// Callers must see their connections break: an answer under their own
-		// key goes on, and they can pick it up at another entry.
 		_ = s.server.Close()
 	}
 	s.cancel()
