--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -229,7 +229,7 @@
 func (n *Node) applicable() uint64 { return min(n.log.commit, n.log.persisted) }
 
 // applyBytes bounds what one Effects gives to apply.
-const applyBytes = 1 << 20
+const applyBytes = 4 << 20
 
 // Effects returns what is to be done. Persisted must be called after it and
 // before any other call.
--- a/core/state/apply_test.go
+++ b/core/state/apply_test.go
@@ -117,3 +117,21 @@
 		}
 	})
 }
+
+func FuzzCommands(f *testing.F) {
+	f.Add([]byte(`[{"apply":{"base":0,"files":{"a":{}}}},{"claim":{"workspace":"w","key":"k","stream":"s"}},{"finish":{"workspace":"w","key":"k","stream":"s"}},{"acquire":{"name":"n","holder":"h"}},{"expire":{"name":"n","epoch":1}},{"suspect":{"pool":"p"}},{"trim":{"before_ms":9}}]`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		list := []Command{}
+		if json.Unmarshal(b, &list) != nil {
+			return
+		}
+		m := New()
+		for _, c := range list {
+			m.Apply(c)
+		}
+		data, err := m.Snapshot()
+		if err == nil {
+			require.NoError(t, New().Restore(data))
+		}
+	})
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -37,7 +37,8 @@
 	Winner string `json:"winner,omitempty"`
 	// Lease is the lease after an Acquire or Expire.
 	Lease *Lease `json:"lease,omitempty"`
-	// Claim is the claim that stands after a Claim or Finish.
+	// Claim is the claim that stands after a Claim or Finish; it must not be
+	// changed.
 	Claim *Claim `json:"claim,omitempty"`
 	// Differences lists, after a conflicting Apply, where its files and the
 	// accepted ones differ.
@@ -300,7 +301,7 @@
 	m.order = append(m.order, k)
 	m.claimBytes += made.size()
 	m.answerBytes += int64(len(made.Body))
-	return Result{Status: OK, Claim: made.clone()}
+	return Result{Status: OK, Claim: made}
 }
 
 // compare tells a retried proposal, a resend and a conflict apart.
--- a/internal/logbench/measure.go
+++ b/internal/logbench/measure.go
@@ -106,6 +106,8 @@
 	snapshotClaims = 10_000
 	behindSnapshot = 100_000
 	entriesAWrite  = 1_000
+	// entriesApplied is about what a replica applies at a time.
+	entriesApplied = 10_000
 )
 
 // restart measures reading a log of many entries behind a snapshot.
@@ -129,7 +131,7 @@
 		return err
 	}
 	none := func(consensus.Entry) (state.Command, bool) { return state.Command{}, false }
-	for part := range slices.Chunk(saved.Entries, entriesAWrite) {
+	for part := range slices.Chunk(saved.Entries, entriesApplied) {
 		for _, d := range replica.DecodeAll(part, none) {
 			machine.Apply(d.Command)
 		}
--- a/internal/logclient/logclient_test.go
+++ b/internal/logclient/logclient_test.go
@@ -142,3 +142,11 @@
 		require.LessOrEqual(t, len(link.calls), 2*callsInFlight)
 	})
 }
+
+func TestRefusesWhatCouldNotBeReplicated(t *testing.T) {
+	s, link := testClient(nil)
+	body := make([]byte, port.MaxCommandBytes)
+	_, err := s.Propose(t.Context(), port.GroupMain, state.Command{Finish: &state.Finish{Body: body}})
+	require.Equal(t, fault.TooLarge, fault.From(err).Kind)
+	require.Empty(t, link.calls)
+}
--- a/internal/logclient/propose.go
+++ b/internal/logclient/propose.go
@@ -7,6 +7,7 @@
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/state"
+	"github.com/verbenastep/verbenastep/internal/port"
 )
 
 const (
@@ -53,6 +54,9 @@
 	if err != nil {
 		return state.Result{}, err
 	}
+	if len(data) > port.MaxCommandBytes {
+		return state.Result{}, fault.New(fault.TooLarge, "split it, or send less", "the command has %d bytes, the log takes %d", len(data), port.MaxCommandBytes)
+	}
 	cmd := &command{data: data, again: idempotent(c), done: make(chan settled, 1)}
 	s.enqueue(group, cmd)
 	out := settled{unknown: true}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -53,6 +53,11 @@
 // GroupMain is the log group for configuration, leases and claims.
 const GroupMain = "main"
 
+// MaxCommandBytes bounds a command of the log in its encoded form. With a batch
+// of others it still fits into one drpc message, which is bounded at 4 MiB: one
+// that did not could never be replicated.
+const MaxCommandBytes = 2 << 20
+
 // LeaseTTL is how long a holder may act on a lease, by its own monotonic clock,
 // from the moment it sent the Acquire that succeeded. The log gives the lease
 // to nobody else before a third more has passed, which covers the clocks'
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -8,6 +8,7 @@
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/consensus"
+	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/wal"
 )
 
@@ -19,6 +20,9 @@
 	}
 	batch := make([]*proposal, 0, len(req.Commands))
 	for _, data := range req.Commands {
+		if len(data) > port.MaxCommandBytes {
+			return nil, fault.New(fault.TooLarge, "send less", "a command has %d bytes, the log takes %d", len(data), port.MaxCommandBytes)
+		}
 		p := &proposal{data: data, done: make(chan outcome, 1)}
 		if err := json.Unmarshal(data, &p.command); err != nil {
 			return nil, fault.New(fault.Malformed, "send commands as documented", "%v", err)
