Take local ports from outside the range of outgoing connections

Cause: in two of eight runs of internal/e2e a daemon could not listen: 'address already in use'. The port had been free when it was looked up; an outgoing connection of a test beside it had it by then. Ruled out: two sites with one port; the numbers differed. Change: localsite probes ports from 10,000 to 29,999, each once.

--- a/internal/localsite/localsite.go
+++ b/internal/localsite/localsite.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"path/filepath"
 	"sync"
 	"time"
@@ -73,7 +72,7 @@
 // nothing runs yet.
 func New(opt Options) (*Site, error) {
 	n := len(opt.Places)
-	ports, err := freePorts(n * portsEach)
+	ports, err := FreeAddresses(n * portsEach)
 	if err != nil {
 		return nil, err
 	}
@@ -117,20 +116,6 @@
 	return settings.Parse(set.Name, data)
 }
 
-// freePorts asks the system for loopback ports that nobody listens on.
-func freePorts(n int) ([]string, error) {
-	out := []string{}
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = ln.Close() }()
-		out = append(out, ln.Addr().String())
-	}
-	return out, nil
-}
-
 // Start starts one daemon, for the first time or again.
 func (s *Site) Start(ctx context.Context, i int) error {
 	d, err := daemon.New(s.Settings[i], s.opt.Log)
