Let no Expire follow a renewal that is still on its way through the log

A leader without its own lease put a renewal into the log, and its lessor put an Expire behind it: the holder was granted what ended at once. By reading, two more of the kind that one job at a time can't show: a renewal answered before an Expire committed in the same batch was applied, and counts of commands on their way lost at a change of role within a batch. Change: commands on their way are counted by term and by their own proposal; a lease with a renewal on its way does not lapse; renewals without the log need all that is committed to be applied. A proposal whose index is taken again ends as unknown at once, and a group begins in a term in which the replica has not voted.

--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -157,6 +157,10 @@
 	n.lead.reads = kept
 }
 
+// Settled tells whether a leader has committed an entry of its own term, and
+// with it all that came before.
+func (n *Node) Settled() bool { return n.role == Leader && n.committedInTerm() }
+
 func (n *Node) committedInTerm() bool { return n.log.commit >= n.lead.first }
 
 // Leased tells whether this node is the leader and no other can be, by the
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -314,6 +314,9 @@
 	return n.role, n.hard.Term, n.leader
 }
 
+// Commit returns the commit index.
+func (n *Node) Commit() uint64 { return n.log.commit }
+
 // Members returns the members, which the caller must not change.
 func (n *Node) Members() []Member { return n.conf.members() }
 
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -35,6 +35,9 @@
 	for i, entry := range entries {
 		p := e.waiting[entry.Index]
 		delete(e.waiting, entry.Index)
+		if p != nil {
+			e.lessor.ended(p)
+		}
 		if p != nil && p.term != entry.Term {
 			// Another leader's entry stands here: this one never commits.
 			answers = append(answers, answer{proposal: p, outcome: outcome{refused: true, leader: e.leaderAddress()}})
@@ -115,7 +118,7 @@
 		return
 	}
 	e.role, e.term, e.leader = role, term, leader
-	e.lessor.reset(e.g.now())
+	e.lessor.reset(e.g.now(), term)
 	e.showStatus()
 	e.g.log.Info("role changed", zap.Stringer("role", role), zap.Uint64("term", term))
 }
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -187,11 +187,16 @@
 	index, term, err := e.node.Propose(commands)
 	for i, p := range batch {
 		if err != nil {
-			e.lessor.ended(p.command)
+			e.lessor.ended(p)
 			p.done <- outcome{refused: true, leader: e.leaderAddress()}
 			continue
 		}
 		p.term = term
+		if old := e.waiting[index+uint64(i)]; old != nil {
+			// Its entry is gone from this log, but may live on in another.
+			e.lessor.ended(old)
+			old.done <- outcome{err: errReset}
+		}
 		e.waiting[index+uint64(i)] = p
 	}
 }
@@ -253,6 +258,7 @@
 	for index, p := range e.waiting {
 		if index <= s.Meta.Index {
 			delete(e.waiting, index)
+			e.lessor.ended(p)
 			p.done <- outcome{err: errReset}
 		}
 	}
@@ -295,8 +301,11 @@
 // take queues a command, or answers it without the log: the present holder's
 // Acquire renews its lease while no other leader can exist.
 func (e *engine) take(p *proposal) {
+	// The role may have changed in this very batch.
+	e.noteRole()
 	a := p.command.Acquire
-	if a != nil && e.node.Leased() && e.lessor.renew(e.machine, a, e.g.now()) {
+	applied := e.g.applied == e.node.Commit()
+	if a != nil && applied && e.node.Leased() && e.lessor.renew(e.machine, a, e.g.now()) {
 		p.done <- outcome{result: e.machine.Apply(p.command), index: e.g.applied}
 		return
 	}
@@ -304,7 +313,8 @@
 		p.done <- outcome{refused: true, leader: e.leaderAddress()}
 		return
 	}
-	e.lessor.began(p.command)
+	p.term = e.term
+	e.lessor.began(p)
 	e.batch = append(e.batch, p)
 }
 
--- a/internal/replica/joiner.go
+++ b/internal/replica/joiner.go
@@ -180,7 +180,8 @@
 		e.restart = err
 		return
 	}
-	hard := consensus.Hard{Term: max(s.Term, firstTerm)}
+	// A new term, so that no vote of an earlier one is forgotten.
+	hard := consensus.Hard{Term: max(s.Term+1, firstTerm)}
 	meta := consensus.Meta{Index: firstIndex, Term: firstTerm, Members: members, Size: uint64(len(data))}
 	err = e.log.Save(&hard, nil)
 	if err == nil {
--- a/internal/replica/keeper.go
+++ b/internal/replica/keeper.go
@@ -37,6 +37,9 @@
 		return
 	}
 	now := e.g.now()
+	if !e.node.Settled() {
+		return
+	}
 	for _, l := range e.lessor.lapsed(e.machine, now, e.g.limits.expireAfter) {
 		e.g.log.Info("lease ran out", zap.String("lease", l.Name), zap.String("holder", l.Holder))
 		e.order(state.Command{Expire: &state.Expire{Name: l.Name, Epoch: l.Epoch}})
--- a/internal/replica/lessor.go
+++ b/internal/replica/lessor.go
@@ -16,15 +16,19 @@
 // lessor knows, on the leader, when leases were renewed. A new leader does not
 // know: it extends all of them.
 type lessor struct {
+	term    uint64
 	since   time.Time
 	renewed map[string]time.Time
-	// expiring counts Expire commands on their way by lease: meanwhile
-	// renewals go through the log, behind them.
-	expiring map[string]int
+	// expiring and acquiring count this term's commands on their way, by lease.
+	// While a lease may be about to expire, renewals go through the log, behind
+	// the Expire; while a renewal is in the log, the lease does not lapse, or
+	// the Expire behind it would end what the holder was just granted.
+	expiring  map[string]int
+	acquiring map[string]int
 }
 
-func (l *lessor) reset(now time.Time) {
-	*l = lessor{since: now, renewed: map[string]time.Time{}, expiring: map[string]int{}}
+func (l *lessor) reset(now time.Time, term uint64) {
+	*l = lessor{term: term, since: now, renewed: map[string]time.Time{}, expiring: map[string]int{}, acquiring: map[string]int{}}
 }
 
 // renew extends the lease of its present holder; it returns false where the
@@ -37,20 +41,25 @@
 	return true
 }
 
-func (l *lessor) began(c state.Command) {
-	if c.Expire != nil && l.expiring != nil {
-		l.expiring[c.Expire.Name]++
+// count adds to the commands on their way.
+func (l *lessor) count(p *proposal, by int) {
+	if p.term != l.term || l.renewed == nil {
+		return
 	}
-}
-
-func (l *lessor) ended(c state.Command) {
-	if c.Expire != nil && l.expiring[c.Expire.Name] > 0 {
-		l.expiring[c.Expire.Name]--
+	if c := p.command.Expire; c != nil {
+		l.expiring[c.Name] += by
+	}
+	if c := p.command.Acquire; c != nil {
+		l.acquiring[c.Name] += by
 	}
 }
 
+// began notes a command that goes into the log, ended one that is applied or
+// never will be.
+func (l *lessor) began(p *proposal) { l.count(p, 1) }
+func (l *lessor) ended(p *proposal) { l.count(p, -1) }
+
 func (l *lessor) applied(c state.Command, r state.Result, now time.Time) {
-	l.ended(c)
 	if c.Acquire != nil && r.Status == state.OK && l.renewed != nil {
 		l.renewed[c.Acquire.Name] = now
 	}
@@ -64,7 +73,8 @@
 		if at := l.renewed[name]; at.After(last) {
 			last = at
 		}
-		if lease.Holder != "" && l.expiring[name] == 0 && now.Sub(last) > after {
+		idle := l.expiring[name] == 0 && l.acquiring[name] == 0
+		if lease.Holder != "" && idle && now.Sub(last) > after {
 			out = append(out, lease)
 		}
 	}
