Let the last entries arrive before the schedules' final comparison

Change: the comparison waits up to 1 s of virtual time for replicas that are behind; it still asks for equal states, a leader and all replicas up.

--- a/internal/replica/schedule_test.go
+++ b/internal/replica/schedule_test.go
@@ -27,6 +27,9 @@
 	scheduleEnd = 12 * time.Second
 )
 
+// lastEntries is how long the last entries may take to reach all replicas.
+const lastEntries = time.Second
+
 // gcPercent lets garbage grow: the schedules keep little and allocate much.
 const gcPercent = 800
 
@@ -231,6 +234,17 @@
 	return false
 }
 
+// level tells whether all replicas have applied the leader's whole log.
+func (w *world) level() bool {
+	l := w.leader()
+	for _, s := range w.sites {
+		if l == nil || s.engine == nil || s.group.applied < l.engine.node.Status().Last {
+			return false
+		}
+	}
+	return true
+}
+
 // play runs one schedule and returns the world at its end.
 func play(seed uint64, d defect) *world {
 	size := 3
@@ -253,6 +267,9 @@
 		s.disk.crashIn = 0
 	}
 	w.run(scheduleEnd)
+	for end := scheduleEnd + lastEntries; w.now < end && !w.level(); {
+		w.run(w.now + tick)
+	}
 	w.check.final(w)
 	return w
 }
