--- /dev/null
+++ b/internal/entry/fuzz_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/core/config"
+)
+
+// FuzzCompletion shapes any body into a request: it is refused, or holds a
+// prompt, a bound and a digest that the same body gives again.
+func FuzzCompletion(f *testing.F) {
+	f.Add([]byte(chatBody("draft #2", true)))
+	f.Add([]byte(`{"model":"logbook-model","prompt":"x","max_tokens":-1,"stop":null}`))
+	f.Add([]byte(`{"model":"logbook-model","messages":[{"content":[{"type":"text","text":"a"}]}],"n":1}`))
+	f.Add([]byte(`{"model":"logbook-model","messages":[null],"max_completion_tokens":1e99}`))
+	c := &cluster{config: &config.Config{Models: []config.Model{{Name: "logbook-model", MaxTokens: 100}}}}
+	s := &Service{view: c}
+	shape := func(data []byte) (*request, error) {
+		r := &request{form: chatForm, body: data}
+		body := completion{}
+		if err := json.Unmarshal(data, &body); err != nil {
+			return nil, err
+		}
+		return r, s.shape(r, body)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := shape(data)
+		if err != nil {
+			return
+		}
+		require.NotEmpty(t, r.prompt)
+		require.True(t, r.maxTokens > 0 && r.maxTokens <= 100)
+		again, err := shape(data)
+		require.NoError(t, err)
+		require.Equal(t, r.digest, again.digest)
+	})
+}
