--- a/internal/localsite/localsite.go
+++ b/internal/localsite/localsite.go
@@ -25,8 +25,9 @@
 	portsEach = 4
 	// StopTimeout bounds a daemon's graceful shutdown.
 	StopTimeout = 12 * time.Second
-	// OperatorKey and UpstreamKey are the site's credentials.
+	// OperatorKey is the bearer key of the site's operators.
 	OperatorKey = "local-operator"
+	// UpstreamKey is the bearer key of the site's upstreams.
 	UpstreamKey = "local-upstream"
 )
 
