Free a lost entry's slots by expected time; wait for announcements before no_upstream

Change: running work of an absent entry is kept for twice its expected time, 2 to 30 s; a pool without upstreams is waited for 2 s from the dispatcher's start or the last live upstream. Also: a grant looks up fewer blocks.

--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -54,6 +54,9 @@
 	items  [maxCandidates]*upstream
 	scores [maxCandidates]parts
 	n      int
+	// held are the holders of the prompt's first depth blocks.
+	held  holderSet
+	depth int
 }
 
 func (c *candidateSet) add(u *upstream) {
@@ -74,8 +77,8 @@
 	for i := range min(topCandidates, len(open)) {
 		set.add(open[i])
 	}
-	h := d.holding.deepest(r.offer.Blocks)
-	for _, id := range h.ids[:h.used] {
+	set.held, set.depth = d.holding.deepest(r.offer.Blocks)
+	for _, id := range set.held.ids[:set.held.used] {
 		u := d.byID[id]
 		if d.room(now, u, r.class) {
 			set.add(u)
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -14,7 +14,7 @@
 	d.freeOrphans(now)
 	d.sweep(now)
 	d.refuseDoomed(now, &out)
-	if d.queued > 0 && !d.anyLive(now) {
+	if d.knownGone(now) {
 		d.refuseAll(now, &out)
 	}
 	d.grantAll(now, &out)
@@ -32,6 +32,16 @@
 	}
 }
 
+// knownGone says whether no upstream has served the pool for long enough that
+// one which lives would have announced itself, since the dispatcher began too.
+func (d *Dispatcher) knownGone(now time.Duration) bool {
+	if !d.started || d.anyLive(now) {
+		d.started = true
+		d.lastLive = now
+	}
+	return now-d.lastLive >= announceGrace
+}
+
 // refuseAll refuses everything, since no upstream serves the pool.
 func (d *Dispatcher) refuseAll(now time.Duration, out *Decisions) {
 	for len(d.doomed) > 0 {
@@ -105,7 +115,7 @@
 		return true
 	}
 	u, p, set := d.choose(now, r)
-	if u != nil && (d.waits(now, r, p) || d.waitsForPrefix(now, r, p)) {
+	if u != nil && (d.waits(now, r, p) || d.waitsForPrefix(now, r, p, &set)) {
 		u = nil
 	}
 	if u == nil {
@@ -161,8 +171,9 @@
 	d.place(now, r, u, p)
 	u.prefillUntil = max(now, u.prefillUntil) + p.prefill
 	for i := len(r.offer.Blocks) - 1; i >= 0; i-- {
-		u.cache.touch(r.offer.Blocks[i])
-		d.holding.add(r.offer.Blocks[i], u.id)
+		if u.cache.touch(r.offer.Blocks[i]) {
+			d.holding.add(r.offer.Blocks[i], u.id)
+		}
 	}
 	r.charged = r.uncached() + outputCost*r.output
 	t.charge(r.workspace, r.charged)
--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -36,6 +36,9 @@
 	lastShort time.Duration
 	seenShort bool
 	drain     drain
+	// lastLive is when an upstream last was live, or the first round.
+	lastLive time.Duration
+	started  bool
 	// calmFrom is when capacity no longer counts as short.
 	calmFrom time.Duration
 
@@ -133,6 +136,7 @@
 func (d *Dispatcher) adopt(now time.Duration, r *request) {
 	r.upstream = r.offer.Running
 	r.granted = now
+	r.expected = d.pool.service(float64(r.offer.PromptTokens), r.output)
 	r.workspace.tier.running++
 	if u, ok := d.upstreams[r.upstream]; ok {
 		d.place(now, r, u, parts{})
--- a/core/sched/entries.go
+++ b/core/sched/entries.go
@@ -16,7 +16,8 @@
 			d.forgetQueued(r)
 			continue
 		}
-		r.orphaned = now + orphanTime
+		left := orphanFactor*r.expected - (now - r.granted)
+		r.orphaned = now + min(orphanTime, max(orphanLeast, left))
 		heap.Push(&d.orphans, orphan{at: r.orphaned, id: id})
 	}
 }
--- a/core/sched/locality.go
+++ b/core/sched/locality.go
@@ -17,7 +17,7 @@
 
 // waitsForPrefix says whether a request had better wait a moment for a slot on
 // an upstream that holds much more of its prompt than the one at hand.
-func (d *Dispatcher) waitsForPrefix(now time.Duration, r *request, chosen parts) bool {
+func (d *Dispatcher) waitsForPrefix(now time.Duration, r *request, chosen parts, set *candidateSet) bool {
 	if r.considered == 0 {
 		r.considered = max(1, now)
 	}
@@ -25,13 +25,17 @@
 	if r.suspect || d.localityWaits >= maxLocality || now-r.considered >= min(localityWait, slack) {
 		return false
 	}
-	h := d.holding.deepest(r.offer.Blocks)
-	for _, id := range h.ids[:h.used] {
+	tokens := min(set.depth*d.params.BlockTokens, r.offer.PromptTokens-1)
+	if tokens-chosen.cached < localityTokens {
+		return false
+	}
+	for _, id := range set.held.ids[:set.held.used] {
 		u := d.byID[id]
 		if u.leaving || u.expires <= now || u.straggler.demoted || d.room(now, u, r.class) {
 			continue
 		}
-		if d.cached(u, r)-chosen.cached >= localityTokens {
+		_, held := u.cache.index[r.offer.Blocks[set.depth-1]]
+		if held && int(u.cache.trust*float64(tokens))-chosen.cached >= localityTokens {
 			d.localityWaits++
 			return true
 		}
--- a/core/sched/params.go
+++ b/core/sched/params.go
@@ -9,9 +9,15 @@
 	defaultBlockTokens = 64
 	// outputCost is the cost of an output token, in uncached prompt tokens.
 	outputCost = 4
-	// orphanTime is how long the running work of an entry whose session broke
-	// keeps its slots.
-	orphanTime = 30 * time.Second
+	// orphanTime is the longest, orphanLeast the shortest that the running work
+	// of an entry whose session broke keeps its slots.
+	orphanTime  = 30 * time.Second
+	orphanLeast = 2 * time.Second
+	// orphanFactor is how many times its expected time such work is given.
+	orphanFactor = 2
+	// announceGrace is how long a pool without upstreams is waited for: the
+	// announcements' renewal, with time to spare.
+	announceGrace = 2 * time.Second
 	// retryAfter is when the caller of a refused request may come back, where
 	// nothing better is known.
 	retryAfter = time.Second
--- a/core/sched/residency.go
+++ b/core/sched/residency.go
@@ -48,17 +48,18 @@
 	return &residency{index: map[uint64]int32{}, head: nowhere, tail: nowhere, size: firstBlocks, trust: 1}
 }
 
-// touch makes a block the most recently used. It returns the block that it
-// pushed out, if any.
-func (c *residency) touch(hash uint64) (evicted uint64, full bool) {
+// touch makes a block the most recently used, and pushes out the least recent
+// one where there is no space. It returns false where the block was held.
+func (c *residency) touch(hash uint64) bool {
 	if i, ok := c.index[hash]; ok {
-		c.unlink(i)
-		c.link(i)
-		return 0, false
+		if c.head != i {
+			c.unlink(i)
+			c.link(i)
+		}
+		return false
 	}
 	if len(c.index) >= c.size {
-		evicted, full = c.nodes[c.tail].hash, true
-		c.drop(evicted)
+		c.drop(c.nodes[c.tail].hash)
 	}
 	i := int32(len(c.nodes))
 	if n := len(c.free); n > 0 {
@@ -70,7 +71,7 @@
 	}
 	c.index[hash] = i
 	c.link(i)
-	return evicted, full
+	return true
 }
 
 func (c *residency) link(i int32) {
@@ -113,7 +114,13 @@
 // hash covers all before it, and earlier blocks are used with later ones, a
 // binary search finds the end.
 func (c *residency) matched(blocks []uint64) int {
-	low, high := 0, len(blocks)
+	if len(blocks) == 0 {
+		return 0
+	}
+	if _, ok := c.index[blocks[0]]; !ok {
+		return 0
+	}
+	low, high := 1, len(blocks)
 	for low < high {
 		middle := (low + high + 1) / 2
 		if _, ok := c.index[blocks[middle-1]]; ok {
@@ -202,8 +209,9 @@
 	}
 }
 
-// deepest returns the holders of the last block that any upstream was granted.
-func (x *holderIndex) deepest(blocks []uint64) holderSet {
+// deepest returns the holders of the last block that any upstream was granted,
+// and how many blocks these are.
+func (x *holderIndex) deepest(blocks []uint64) (holderSet, int) {
 	low, high := 0, len(blocks)
 	best := holderSet{}
 	for low < high {
@@ -215,5 +223,5 @@
 			high = middle - 1
 		}
 	}
-	return best
+	return best, low
 }
--- a/core/sched/session_test.go
+++ b/core/sched/session_test.go
@@ -85,6 +85,7 @@
 	s := &script{t: t, d: New(Params{QueueLimit: 4, Spill: true})}
 	s.offer(1, 1, nil)
 	s.decide(0)
+	s.decide(announceGrace)
 	s.announce("a", 1)
 	s.announce("b", 1)
 	prefix := func(o *Offer) { o.Blocks = []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10} }
