--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -72,7 +72,8 @@
 		checkCommand(), diffCommand(), applyCommand(), getCommand(),
 		statusCommand(), dumpCommand(), explainCommand(),
 		whereCommand(), sendCommand(), standinCommand(),
-		benchCommand(), capacityCommand(), versionCommand(), completionCommand(),
+		replicasCommand(), backupCommand(), restoreCommand(),
+		benchCommand(), logBenchCommand(), capacityCommand(), versionCommand(), completionCommand(),
 	}
 }
 
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -29,9 +29,10 @@
 func (e *engine) applyLocked(entries []consensus.Entry) []answer {
 	answers := []answer{}
 	wake := false
+	decoded := DecodeAll(entries, e.proposed)
 	e.g.mu.Lock()
 	defer e.g.mu.Unlock()
-	for _, entry := range entries {
+	for i, entry := range entries {
 		p := e.waiting[entry.Index]
 		delete(e.waiting, entry.Index)
 		if p != nil && p.term != entry.Term {
@@ -40,10 +41,10 @@
 			p = nil
 		}
 		e.g.applied = entry.Index
-		c, ok := command(entry, p)
-		if !ok {
+		if !decoded[i].Is {
 			continue
 		}
+		c := decoded[i].Command
 		result := e.machine.Apply(c)
 		e.recordAccepted(c, result)
 		e.lessor.applied(c, result, e.g.now())
@@ -58,12 +59,13 @@
 	return answers
 }
 
-// command saves decoding what was proposed here.
-func command(entry consensus.Entry, p *proposal) (state.Command, bool) {
-	if p != nil {
-		return p.command, true
+// proposed returns the command of an entry that was proposed here.
+func (e *engine) proposed(entry consensus.Entry) (state.Command, bool) {
+	p := e.waiting[entry.Index]
+	if p == nil || p.term != entry.Term {
+		return state.Command{}, false
 	}
-	return decode(entry)
+	return p.command, true
 }
 
 // noteChange tells whether watchers may want to know of a command.
@@ -106,19 +108,24 @@
 	}
 }
 
-// noteRole follows changes of term and role, and publishes the status.
+// noteRole follows changes of role, term and leader.
 func (e *engine) noteRole() {
+	role, term, leader := e.node.Position()
+	if role == e.role && term == e.term && leader == e.leader {
+		return
+	}
+	e.role, e.term, e.leader = role, term, leader
+	e.lessor.reset(e.g.now())
+	e.showStatus()
+	e.g.log.Info("role changed", zap.Stringer("role", role), zap.Uint64("term", term))
+}
+
+// showStatus publishes the position for operators and metrics.
+func (e *engine) showStatus() {
 	s := e.node.Status()
-	changed := s.Role != e.role || s.Term != e.term
-	e.role, e.term = s.Role, s.Term
+	version, _, _ := e.machine.Config()
 	e.g.mu.Lock()
 	e.g.status = s
-	version, _, _ := e.machine.Config()
 	e.g.mu.Unlock()
 	e.g.meters.note(s, version)
-	if !changed {
-		return
-	}
-	e.lessor.reset(e.g.now())
-	e.g.log.Info("role changed", zap.Stringer("role", s.Role), zap.Uint64("term", s.Term))
 }
