--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,8 +87,9 @@
 	return errors.Join(drained, stopped)
 }
 
-// Kill stops all services without draining, as a crash would, for tests.
-func (d *Daemon) Kill() {
+// Abort stops all services without draining and cuts what they serve. Unlike a
+// crash it gives up leases and leaves the membership.
+func (d *Daemon) Abort() {
 	d.events.Record(promise.Event{Kind: promise.Crashed})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
