--- a/internal/daemon/site_test.go
+++ b/internal/daemon/site_test.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -28,7 +29,9 @@
 )
 
 const (
-	callerKey = "caller"
+	lowestPort  = 20_000
+	highestPort = 32_000
+	callerKey   = "caller"
 	// replicasInTests is how many of the daemons keep the log.
 	replicasInTests = 3
 	patience        = 20 * time.Second
@@ -48,12 +51,19 @@
 	events []promise.Event
 }
 
+// freeAddress returns an address below the ports that the system gives to
+// outgoing connections, so that a daemon finds it free after a restart too.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		require.NoError(t, ln.Close())
+		return address
+	}
 }
 
 func hashOf(key string) string {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strings"
@@ -58,12 +59,19 @@
 
 func (n node) stop() { _ = n.kernel.Stop(context.Background()) }
 
+// freeAddress returns an address below the ports that the system gives to
+// outgoing connections, so that a daemon finds it free after a restart too.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		require.NoError(t, ln.Close())
+		return address
+	}
 }
 
 func eventually(t *testing.T, ok func() bool) {
@@ -107,8 +115,9 @@
 var measure = flag.String("measure", "", "measure the cost of membership and write it to `FILE`")
 
 const (
+	lowestPort  = 20_000
+	highestPort = 32_000
 	measureBase = 7900
-	measureSpan = 50
 	settleTime  = 90 * time.Second
 	measureTime = 30 * time.Second
 )
@@ -138,7 +147,7 @@
 
 func measureFleet(t *testing.T, n int) cost {
 	address := func(i int) string {
-		return fmt.Sprintf("127.0.0.%d:%d", 1+i/measureSpan, measureBase+i%measureSpan)
+		return fmt.Sprintf("127.0.0.1:%d", measureBase+i)
 	}
 	nodes := []node{}
 	for i := range n {
