--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -30,6 +30,14 @@
 	router *router
 	groups map[string]*group
 	cancel context.CancelFunc
+	// SyncEach makes each entry wait for a write and sync of its own, to
+	// measure what batching gains. It must be set before Start.
+	SyncEach bool
+}
+
+// LogFolder is where a group's log lies below the data folder.
+func LogFolder(dataFolder, group string) string {
+	return filepath.Join(dataFolder, "log-"+group)
 }
 
 // New returns the service.
@@ -73,12 +81,16 @@
 }
 
 func (s *Service) open(ctx context.Context, name string, events port.Events, meters *meters) error {
-	folder, err := wal.OpenFolder(filepath.Join(s.set.DataFolder, "log-"+name))
+	folder, err := wal.OpenFolder(LogFolder(s.set.DataFolder, name))
 	if err != nil {
 		return err
 	}
 	g := newGroup(name, s.set, folder, s.router, s.log)
 	g.events = events
+	if s.SyncEach {
+		g.limits.syncEach = true
+		g.limits.appendBytes = 1
+	}
 	g.meters = meters.group(name)
 	if err := g.start(); err != nil {
 		return err
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
@@ -9,8 +11,17 @@
 	"github.com/verbenastep/verbenastep/core/state"
 )
 
-// keepaliveEvery is the longest pause between updates of a watch.
-const keepaliveEvery = time.Second
+const (
+	// keepaliveEvery is the longest pause between updates of a watch.
+	keepaliveEvery = time.Second
+	// lostKeepalives in a row without a leader end a watch, so that the daemon
+	// turns to a replica that is not cut off.
+	lostKeepalives = 2
+	// watchRead bounds the read that a watch begins with.
+	watchRead = 1500 * time.Millisecond
+)
+
+var errNoQuorum = errors.New("this replica has lost the leader; watch another one")
 
 // watcher is one daemon's position.
 type watcher struct {
@@ -19,6 +30,8 @@
 	// index is the log position up to which leases and suspects were sent.
 	index uint64
 	begun bool
+	// lost counts keepalives in a row without a leader.
+	lost int
 }
 
 // changes is what a watcher lacks.
@@ -39,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	if err := g.read(stream.Context()); err != nil {
+	if err := g.readWithin(stream.Context(), watchRead); err != nil {
 		return err
 	}
 	w := &watcher{version: req.Version, digest: req.Digest}
@@ -56,6 +69,9 @@
 		select {
 		case <-changed:
 		case <-keepalive.C:
+			if w.lost = g.leaderless(w.lost); w.lost >= lostKeepalives {
+				return errNoQuorum
+			}
 		case <-stream.Context().Done():
 			return nil
 		case <-g.stop:
@@ -64,6 +80,26 @@
 	}
 }
 
+// readWithin is a bounded read.
+func (g *group) readWithin(ctx context.Context, bound time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	if err := g.read(ctx); err != nil {
+		return errors.Join(errNoQuorum, err)
+	}
+	return nil
+}
+
+// leaderless counts one more keepalive without a leader, or none.
+func (g *group) leaderless(before int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.status.Leader != 0 {
+		return 0
+	}
+	return before + 1
+}
+
 // update returns what the watcher lacks, and a channel that is closed at the
 // next change.
 func (g *group) update(w *watcher) (*rpc.WatchUpdate, <-chan struct{}, error) {
