--- a/internal/daemon/abort_test.go
+++ b/internal/daemon/abort_test.go
@@ -13,7 +13,7 @@
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
-// cutAfter is when a daemon is aborted, in the middle of an answer of
+// cutAfter is when a daemon is killed, in the middle of an answer of
 // longAnswer tokens at 40 tokens a second.
 const (
 	cutAfter   = 300 * time.Millisecond
@@ -39,7 +39,7 @@
 
 // An answer survives its entry, and its dispatcher's daemon, while it streams:
 // the caller sends the key again elsewhere, and the engine never starts twice.
-func TestAnswerSurvivesAnAbortedDaemon(t *testing.T) {
+func TestAnswerSurvivesAKilledDaemon(t *testing.T) {
 	for _, victim := range []string{"entry", "dispatcher"} {
 		t.Run(victim, func(t *testing.T) {
 			s := startSite(t, 3, replicasInTests)
@@ -57,7 +57,7 @@
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 			go func() { first <- answered(client, s.settings[entry].Addresses.Callers, key, longAnswer) }()
 			time.Sleep(cutAfter)
-			s.daemons[struck].Abort()
+			s.daemons[struck].Kill()
 			err := <-first
 			for i := 1; err != nil && i <= 20; i++ {
 				time.Sleep(100 * time.Millisecond)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,9 +87,9 @@
 	return errors.Join(drained, stopped)
 }
 
-// Abort stops all services without draining and cuts what they serve. Unlike a
+// Kill stops all services without draining and cuts what they serve. Unlike a
 // crash it gives up leases and leaves the membership.
-func (d *Daemon) Abort() {
+func (d *Daemon) Kill() {
 	d.events.Record(promise.Event{Kind: promise.Crashed})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
