--- a/internal/demo/backends.go
+++ b/internal/demo/backends.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/verbenastep/verbenastep/api/upstream"
+	"github.com/verbenastep/verbenastep/internal/localsite"
 	"github.com/verbenastep/verbenastep/internal/standin"
 )
 
@@ -83,14 +84,14 @@
 func announcement(name string, kind upstream.Kind, pool string, place, slots int) upstream.Announcement {
 	return upstream.Announcement{
 		Name: name, Kind: kind, Pool: pool, Address: "127.0.0.1:0", Slots: slots,
-		Region: places[place].region, DataCentre: places[place].dataCentre, Incarnation: uint64(time.Now().UnixNano()),
+		Region: places[place].Region, DataCentre: places[place].DataCentre, Incarnation: uint64(time.Now().UnixNano()),
 	}
 }
 
 func (b *backends) run(name string, closeIt func(), daemons []string, state func() upstream.Announcement) {
 	ctx, cancel := context.WithCancel(context.Background())
 	one := &backend{name: name, close: closeIt, cancel: cancel}
-	ann := &standin.Announcer{Daemons: daemons, Key: upstreamKey, State: state}
+	ann := &standin.Announcer{Daemons: daemons, Key: localsite.UpstreamKey, State: state}
 	one.done.Go(func() { ann.Run(ctx) })
 	b.list = append(b.list, one)
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -20,6 +20,7 @@
 	"github.com/verbenastep/verbenastep/api/operator"
 	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/promise"
+	"github.com/verbenastep/verbenastep/internal/localsite"
 )
 
 const (
@@ -58,7 +59,7 @@
 	files config.Files
 	whole *config.Config
 	rec   *recorder
-	site  *site
+	site  *localsite.Site
 	back  *backends
 }
 
@@ -106,23 +107,23 @@
 // carry takes the run from the daemons' start to the report.
 func (r *run) carry(ctx context.Context, folder string) (*Report, error) {
 	err := error(nil)
-	if r.site, err = newSite(folder); err != nil {
+	if r.site, err = newSite(folder, r.opt.Log, r.rec); err != nil {
 		return nil, err
 	}
-	defer r.site.end()
-	if err := r.site.start(ctx, r.opt.Log, r.rec); err != nil {
+	defer r.site.KillAll()
+	if err := r.site.StartAll(ctx); err != nil {
 		return nil, err
 	}
-	r.say("%d daemons serve on loopback, the first at http://%s", daemonCount, r.site.callers()[0])
+	r.say("%d daemons serve on loopback, the first at http://%s", daemonCount, r.site.Callers()[0])
 	if err := r.apply(ctx); err != nil {
 		return nil, err
 	}
-	r.back, err = startBackends(r.site.upstreams(), r.rec)
+	r.back, err = startBackends(r.site.Upstreams(), r.rec)
 	defer r.back.stop()
 	if err != nil {
 		return nil, err
 	}
-	calls := newCallers(r.site.callers(), r.whole.Workspaces, r.rec)
+	calls := newCallers(r.site.Callers(), r.whole.Workspaces, r.rec)
 	if err := r.ready(ctx, calls); err != nil {
 		return nil, err
 	}
@@ -136,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	op := client.Operator{Address: r.site.settings[0].Addresses.Admin, Key: operatorKey}
+	op := client.Operator{Address: r.site.Admins()[0], Key: localsite.OperatorKey}
 	version := uint64(0)
 	err = r.retry(ctx, func(ctx context.Context) error {
 		applied, err := op.Apply(ctx, operator.Apply{Files: operator.Files(files)})
@@ -146,8 +147,8 @@
 	if err != nil {
 		return err
 	}
-	for _, set := range r.site.settings {
-		op := client.Operator{Address: set.Addresses.Admin, Key: operatorKey}
+	for _, address := range r.site.Admins() {
+		op := client.Operator{Address: address, Key: localsite.OperatorKey}
 		err := r.retry(ctx, func(ctx context.Context) error { return inForce(ctx, op, version) })
 		if err != nil {
 			return err
@@ -191,7 +192,7 @@
 
 // ready sends small requests until each entry serves both pools.
 func (r *run) ready(ctx context.Context, calls *callers) error {
-	for _, entry := range r.site.callers() {
+	for _, entry := range r.site.Callers() {
 		for _, p := range []planned{warmModel(), warmService()} {
 			err := r.retry(ctx, func(ctx context.Context) error { return calls.sendTo(ctx, entry, p) })
 			if err != nil {
@@ -238,11 +239,11 @@
 
 func (r *run) drain(ctx context.Context, began time.Time, report *Report) error {
 	sleep(ctx, time.Duration(drainAt*float64(loadTime)))
-	report.Drained = Step{Name: name(drained), At: time.Since(began).Seconds()}
-	r.say("%s drains", name(drained))
-	err := r.site.drain(ctx, drained)
+	report.Drained = Step{Name: localsite.Name(drained), At: time.Since(began).Seconds()}
+	r.say("%s drains", localsite.Name(drained))
+	err := r.site.Stop(drained)
 	report.Drained.Until = time.Since(began).Seconds()
-	r.say("%s has stopped", name(drained))
+	r.say("%s has stopped", localsite.Name(drained))
 	return err
 }
 
@@ -268,7 +269,7 @@
 	report.Prefill.Processed, report.Prefill.Lost, report.Prefill.Repeated = r.rec.wasted(whole)
 	names := []string{}
 	for i := range daemonCount {
-		names = append(names, name(i))
+		names = append(names, localsite.Name(i))
 	}
 	report.Promises = judge(r.rec.all(), promise.Options{Daemons: names})
 	report.Held = report.Lost == 0 && len(report.Faults) == 0
--- a/internal/localsite/localsite.go
+++ b/internal/localsite/localsite.go
@@ -3,6 +3,7 @@
 package localsite
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -24,10 +25,11 @@
 const (
 	// portsEach is how many addresses a daemon has.
 	portsEach = 4
-	// StopTimeout bounds a daemon's graceful shutdown.
-	StopTimeout = 12 * time.Second
-	// OperatorKey and UpstreamKey are the site's credentials.
+	// defaultStopTimeout bounds a daemon's graceful shutdown.
+	defaultStopTimeout = 12 * time.Second
+	// OperatorKey is the operator's credential.
 	OperatorKey = "local-operator"
+	// UpstreamKey is the upstreams' credential.
 	UpstreamKey = "local-upstream"
 )
 
@@ -48,6 +50,8 @@
 	Log      *zap.Logger
 	// Observe, where set, hears of all daemons' events; it must not block.
 	Observe func(promise.Event)
+	// StopTimeout bounds a daemon's graceful shutdown; zero means 12 seconds.
+	StopTimeout time.Duration
 }
 
 // Site is a few daemons. Its methods may be called from several goroutines,
@@ -73,6 +77,7 @@
 // nothing runs yet.
 func New(opt Options) (*Site, error) {
 	n := len(opt.Places)
+	opt.StopTimeout = cmp.Or(opt.StopTimeout, defaultStopTimeout)
 	ports, err := freePorts(n * portsEach)
 	if err != nil {
 		return nil, err
@@ -187,7 +192,7 @@
 	if d == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), StopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.opt.StopTimeout)
 	defer cancel()
 	if err := d.Stop(ctx); err != nil {
 		return fmt.Errorf("%s did not stop gracefully: %w", Name(i), err)
