--- a/internal/localsite/localsite.go
+++ b/internal/localsite/localsite.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"path/filepath"
 	"sync"
 	"time"
@@ -78,7 +77,7 @@
 func New(opt Options) (*Site, error) {
 	n := len(opt.Places)
 	opt.StopTimeout = cmp.Or(opt.StopTimeout, defaultStopTimeout)
-	ports, err := freePorts(n * portsEach)
+	ports, err := FreeAddresses(n * portsEach)
 	if err != nil {
 		return nil, err
 	}
@@ -122,20 +121,6 @@
 	return settings.Parse(set.Name, data)
 }
 
-// freePorts asks the system for loopback ports that nobody listens on.
-func freePorts(n int) ([]string, error) {
-	out := []string{}
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = ln.Close() }()
-		out = append(out, ln.Addr().String())
-	}
-	return out, nil
-}
-
 // Start starts one daemon, for the first time or again.
 func (s *Site) Start(ctx context.Context, i int) error {
 	d, err := daemon.New(s.Settings[i], s.opt.Log)
