Let apply wait for a daemon that is only just starting

Cause: the README's lines start three daemons and apply at once; on a busy machine (load 38) the apply came before the daemon listened and failed, and with it all that followed. Ruled out: a pause in the README (guesses the machine's speed). Change: without -base, apply reads the version in force until a daemon answers or -timeout ends, and says so once. Proof: TestApplyWaitsForADaemonThatStarts failed before, passes after.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -67,7 +67,7 @@
 func (a *applying) run(ctx context.Context, std IO, files config.Files) error {
 	base := uint64(max(0, a.base))
 	if a.base == noBase {
-		current, err := ask(ctx, &a.target, currentConfig)
+		current, err := a.current(ctx, std)
 		if err != nil {
 			return err
 		}
@@ -95,6 +95,26 @@
 	return nil
 }
 
+// current reads the version in force, and waits for a daemon that is only just
+// starting.
+func (a *applying) current(ctx context.Context, std IO) (operator.Config, error) {
+	shown := ""
+	for {
+		c, err := ask(ctx, &a.target, currentConfig)
+		if !unreachable(err) {
+			return c, err
+		}
+		if ctx.Err() == nil {
+			say(std, &shown, "no daemon answers yet at "+a.target.addresses)
+		}
+		select {
+		case <-time.After(resendPause):
+		case <-ctx.Done():
+			return c, err
+		}
+	}
+}
+
 // propose sends the change until its fate is known. A resent change that had
 // been accepted gets the same answer again.
 func (a *applying) propose(ctx context.Context, std IO, change operator.Apply) (operator.Applied, error) {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -101,13 +101,19 @@
 	config  operator.Config
 	applies []operator.Apply
 	// lost counts applies whose answer is lost; refuse answers all others.
-	lost     int
+	lost int
+	// starting counts questions that break off before it answers any.
+	starting int
 	whenLost func()
 	refuse   *fault.Error
 	status   []operator.Status
 }
 
 func (d *fakeDaemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.starting > 0 {
+		d.starting--
+		panic(http.ErrAbortHandler)
+	}
 	switch {
 	case r.Header.Get("Authorization") != "Bearer right":
 		d.write(w, fault.New(fault.Unauthenticated, "give a key", "the operator's key is unknown"))
@@ -186,6 +192,15 @@
 	}
 }
 
+func TestApplyWaitsForADaemonThatStarts(t *testing.T) {
+	d, address := fake(t)
+	d.starting = 2
+	r := command(t, "apply", "-daemon", address, "testdata/valid")
+	require.Equal(t, ExitOK, r.code, r.err)
+	require.Equal(t, 1, strings.Count(r.err, "no daemon answers yet"))
+	require.Len(t, d.applies, 1)
+}
+
 func TestApplyOfUnknownFateSaysHowToGoOn(t *testing.T) {
 	d, address := fake(t)
 	ctx, cancel := context.WithCancel(t.Context())
