--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -42,7 +42,9 @@
 	case claims.End:
 		x.end()
 	case claims.Fail:
-		x.fail(e.Failure)
+		if !x.abandoned() {
+			x.fail(e.Failure)
+		}
 	}
 }
 
@@ -194,13 +196,18 @@
 	return r
 }
 
-// cancelAtEngine leaves a keyed stream running where it is this daemon that
-// ends: another entry may go on with it.
+// abandoned tells whether it is this daemon that ends, and not the request:
+// another entry may go on with one under its caller's key, so nothing is said
+// of how it ended.
+func (x *execution) abandoned() bool {
+	return x.request.callerKey && x.service.ctx.Err() != nil
+}
+
+// cancelAtEngine leaves an abandoned stream running.
 func (x *execution) cancelAtEngine(e claims.Effect) {
-	if x.request.callerKey && x.service.ctx.Err() != nil {
-		return
+	if !x.abandoned() {
+		go cancelStream(e.Address, e.Stream)
 	}
-	go cancelStream(e.Address, e.Stream)
 }
 
 func cancelStream(address, stream string) {
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -250,3 +250,30 @@
 	require.Equal(t, answerTo("draft #40"), before+after)
 	require.Equal(t, 1, total(r.Executions()))
 }
+
+// TestForcedStopUnderAFetch: a caller that reads a running answer through
+// another entry gets the rest of it when the entry that dispatched is stopped
+// by force.
+func TestForcedStopUnderAFetch(t *testing.T) {
+	c := newCluster(t)
+	r := c.runner(t, 50)
+	one, two := c.entry(t, "entry-1"), c.entry(t, "entry-2")
+	go func() { _, _ = one.try("POST", "/v1/chat/completions", chatBody("draft #40", true), "Idempotency-Key", "k1") }()
+	require.Eventually(t, func() bool { return total(r.Executions()) == 1 }, 5*time.Second, time.Millisecond)
+	joined := make(chan reply, 1)
+	go func() {
+		got, _ := two.try("POST", "/v1/chat/completions", chatBody("draft #40", true), "Idempotency-Key", "k1")
+		joined <- got
+	}()
+	time.Sleep(200 * time.Millisecond)
+	now, cancel := context.WithCancel(t.Context())
+	cancel()
+	one.Record(promise.Event{Kind: promise.Crashed})
+	require.Error(t, one.Stop(now))
+	one.crash()
+	got := <-joined
+	answer, whole := text(got.body)
+	require.True(t, whole, got.body)
+	require.Equal(t, answerTo("draft #40"), answer)
+	require.Equal(t, 1, total(r.Executions()))
+}
