--- a/internal/matrix/attempt.go
+++ b/internal/matrix/attempt.go
@@ -290,7 +290,7 @@
 		a.step(e)
 	}
 	if !owner.alive {
-		a.daemon.do(2*hop, func() { reply(claims.Event{Kind: claims.FetchBroken}, nil) })
+		a.daemon.do(2*hop, func() { reply(claims.Event{Kind: owner.fetchLost()}, nil) })
 		return
 	}
 	a.daemon.send(&owner.process, func() { owner.hold(a, f.Stream, reply) })
@@ -301,7 +301,7 @@
 func (a *attempt) watchOwner(owner *daemon, run int, reply func(claims.Event, *ending)) {
 	a.daemon.do(fetchSilence, func() {
 		if !owner.reachable() || owner.run != run || owner.paused > owner.world.now() || !a.daemon.reachable() {
-			reply(claims.Event{Kind: claims.FetchBroken}, nil)
+			reply(claims.Event{Kind: owner.fetchLost()}, nil)
 			return
 		}
 		if a.ended == nil {
@@ -310,6 +310,15 @@
 	})
 }
 
+// fetchLost is what a fetch that broke says of its owner: membership is asked
+// whether it is dead.
+func (d *daemon) fetchLost() claims.EventKind {
+	if d.believedLive() {
+		return claims.FetchBroken
+	}
+	return claims.OwnerDead
+}
+
 // hold answers a fetch once the owner's own attempt has ended.
 func (d *daemon) hold(from *attempt, name string, reply func(claims.Event, *ending)) {
 	for _, x := range sortedAttempts(d.attempts) {
--- a/internal/matrix/world.go
+++ b/internal/matrix/world.go
@@ -18,7 +18,7 @@
 	// silence ends a stream that carries nothing.
 	silence = 3 * time.Second
 	// fetchSilence ends a fetch from another entry that carries nothing.
-	fetchSilence = 2 * time.Second
+	fetchSilence = time.Second
 	// restartAfter is how long a dead process stays down.
 	restartAfter = time.Second
 	// pool, region and space name the only ones.
