Hold a content back while two of its failures are unsettled

Cause: TestCrashingRequest saw three runners crash where two are allowed, once under load. A crash counts when the upstream's lease ends, up to 2 s after the request broke; a caller that sends again at once could meet a third upstream meanwhile. Ruled out: counting each broken request as a crash, which would quarantine contents whose connection merely broke. Change: a failure is unsettled until its upstream renews a second later or dies; a content with two crashes or unsettled failures waits, and a failure told after its upstream's lease ended counts at once. Before: TestThirdUpstreamWaitsForTwoUnsettledFailures, new, granted the third.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -27,6 +27,9 @@
 	Clear Verdict = iota
 	// Suspect requests run where no other suspect runs.
 	Suspect
+	// Unsettled requests wait: they failed on an upstream of which it is not
+	// known yet whether it died, and another crash would be one too many.
+	Unsettled
 	// Quarantined requests are refused.
 	Quarantined
 )
@@ -48,11 +51,14 @@
 // Tracker knows the suspects of one pool.
 type Tracker struct {
 	marks map[uint64]mark
+	// unsettled counts, by fingerprint, the failures on upstreams of which it
+	// is not known yet whether they died.
+	unsettled map[uint64]int
 }
 
 // New returns a tracker without suspects.
 func New() *Tracker {
-	return &Tracker{marks: map[uint64]mark{}}
+	return &Tracker{marks: map[uint64]mark{}, unsettled: map[uint64]int{}}
 }
 
 // Sync takes over the shared crash counts. What the shared list held before
@@ -78,13 +84,30 @@
 // quarantined, for how long.
 func (t *Tracker) Verdict(now time.Duration, fingerprint uint64) (Verdict, time.Duration) {
 	m, ok := t.marks[fingerprint]
-	if !ok || fingerprint == 0 {
+	switch {
+	case fingerprint == 0:
 		return Clear, 0
-	}
-	if m.crashes < crashesToQuarantine {
+	case m.crashes >= crashesToQuarantine:
+		return Quarantined, max(0, m.since+Hold-now)
+	case m.crashes+t.unsettled[fingerprint] >= crashesToQuarantine:
+		return Unsettled, 0
+	case ok:
 		return Suspect, 0
 	}
-	return Quarantined, max(0, m.since+Hold-now)
+	return Clear, 0
+}
+
+// Broke notes that a content failed on an upstream that may have died of it.
+func (t *Tracker) Broke(fingerprint uint64) {
+	t.unsettled[fingerprint]++
+}
+
+// Settled takes one failure back: its upstream lives, or counts as crashed.
+func (t *Tracker) Settled(fingerprint uint64) {
+	t.unsettled[fingerprint]--
+	if t.unsettled[fingerprint] <= 0 {
+		delete(t.unsettled, fingerprint)
+	}
 }
 
 // Crashed counts a crash for each content that was in flight; a content that
--- a/core/sched/announce.go
+++ b/core/sched/announce.go
@@ -10,6 +10,10 @@
 // maxBroken bounds the failures remembered of one upstream.
 const maxBroken = 1024
 
+// announceDelay is how old an announcement may be when it arrives: one that
+// was sent before a crash doesn't show that the upstream lives.
+const announceDelay = time.Second
+
 // Announce adds or renews an upstream.
 func (d *Dispatcher) Announce(now time.Duration, a Upstream) error {
 	if err := checkUpstream(a); err != nil {
@@ -30,6 +34,8 @@
 	}
 	if a.Incarnation > u.Incarnation && ok {
 		d.restarted(now, u)
+	} else if ok {
+		d.settleBroken(u, now-announceDelay)
 	}
 	events := a.Events
 	a.Events = nil
@@ -85,22 +91,40 @@
 
 // crashed makes suspects of all that was in flight on a dead upstream.
 func (d *Dispatcher) crashed(now time.Duration, u *upstream) {
-	prints := u.broken
+	prints := d.settleBroken(u, now)
 	for _, r := range u.inFlight {
 		if r.incarnation == u.Incarnation {
 			prints = append(prints, r.offer.Fingerprint)
+			r.counted = true
 		}
 	}
-	u.broken = nil
 	d.suspects = append(d.suspects, d.tracker.Crashed(now, prints)...)
 }
 
-// noteBroken remembers a request that failed on an upstream.
-func (d *Dispatcher) noteBroken(u *upstream, r *request) {
-	if r.incarnation != u.Incarnation || len(u.broken) >= maxBroken {
+// noteBroken remembers a request that failed on an upstream, until it is known
+// whether that died of it.
+func (d *Dispatcher) noteBroken(now time.Duration, u *upstream, r *request) {
+	if r.incarnation != u.Incarnation || len(u.broken) >= maxBroken || u.leaving || r.counted {
+		return
+	}
+	if u.expires <= now {
+		d.suspects = append(d.suspects, d.tracker.Crashed(now, []uint64{r.offer.Fingerprint})...)
 		return
 	}
-	u.broken = append(u.broken, r.offer.Fingerprint)
+	u.broken = append(u.broken, failure{fingerprint: r.offer.Fingerprint, at: now})
+	d.tracker.Broke(r.offer.Fingerprint)
+}
+
+// settleBroken forgets the failures up to a time, of an upstream that has
+// crashed or has shown since that it lives, and returns their fingerprints.
+func (d *Dispatcher) settleBroken(u *upstream, upTo time.Duration) []uint64 {
+	prints := []uint64{}
+	for len(u.broken) > 0 && u.broken[0].at <= upTo {
+		prints = append(prints, u.broken[0].fingerprint)
+		d.tracker.Settled(u.broken[0].fingerprint)
+		u.broken = u.broken[1:]
+	}
+	return prints
 }
 
 // Leave ends new work on an upstream at once. What it runs goes on. It returns
@@ -111,7 +135,7 @@
 		return false
 	}
 	u.leaving = true
-	u.broken = nil
+	d.settleBroken(u, now)
 	d.refresh(now, u)
 	return true
 }
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -109,7 +109,13 @@
 		return false
 	}
 	r.suspect = d.suspectNow(now, r)
-	if verdict, left := d.tracker.Verdict(now, r.offer.Fingerprint); verdict == quarantine.Quarantined {
+	verdict, left := d.tracker.Verdict(now, r.offer.Fingerprint)
+	if verdict == quarantine.Unsettled {
+		t.dequeue(r)
+		d.setAside = append(d.setAside, r)
+		return true
+	}
+	if verdict == quarantine.Quarantined {
 		d.forgetQueued(r)
 		out.Refusals = append(out.Refusals, *d.refuse(now, r.offer, Quarantined, left, "the content was in flight at two crashes of upstreams"))
 		return true
--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -252,7 +252,7 @@
 	u := d.unplace(now, r)
 	d.settle(now, r, rel)
 	if u != nil && rel.Outcome == Broken {
-		d.noteBroken(u, r)
+		d.noteBroken(now, u, r)
 	}
 	if u != nil && rel.Outcome == Done {
 		d.learn(now, u, r, rel)
--- a/core/sched/policy_test.go
+++ b/core/sched/policy_test.go
@@ -431,3 +431,46 @@
 	_, ok := d.Explain(0, ID{"e", 55})
 	require.False(t, ok)
 }
+
+// TestThirdUpstreamWaitsForTwoUnsettledFailures sends a content that breaks on
+// two upstreams in quick succession: it runs nowhere else until it is known
+// whether they died, and then it is refused, or runs where they live after all.
+func TestThirdUpstreamWaitsForTwoUnsettledFailures(t *testing.T) {
+	for _, died := range []bool{true, false} {
+		d := New(Params{})
+		renew := func(now time.Duration, names ...string) {
+			for _, n := range names {
+				require.NoError(t, d.Announce(now, Upstream{Name: n, Slots: 1, Lease: 2 * time.Second, Incarnation: 1}))
+			}
+		}
+		send := func(now time.Duration, number int) []Grant {
+			o := offerOf(number, "w", 0)
+			o.Fingerprint = 66
+			mustOffer(t, d, now, o)
+			return d.Decide(now).Grants
+		}
+		renew(0, "a", "b", "c")
+		grants := append(send(0, 1), send(0, 2)...)
+		require.Len(t, grants, 2)
+		require.NotEqual(t, grants[0].Upstream, grants[1].Upstream)
+		for _, g := range grants {
+			_, err := d.Release(0, Release{ID: g.ID, Outcome: Broken})
+			require.NoError(t, err)
+		}
+		require.Empty(t, send(0, 3), "two failures are unsettled")
+		if died {
+			for _, n := range []string{"a", "b", "c"} {
+				if n != grants[0].Upstream && n != grants[1].Upstream {
+					renew(1900*time.Millisecond, n)
+				}
+			}
+			out := d.Decide(2100 * time.Millisecond)
+			require.Empty(t, out.Grants)
+			require.Len(t, out.Refusals, 1)
+			require.Equal(t, Quarantined, out.Refusals[0].Code)
+			continue
+		}
+		renew(1500*time.Millisecond, "a", "b", "c")
+		require.Len(t, d.Decide(1500*time.Millisecond).Grants, 1)
+	}
+}
--- a/core/sched/request.go
+++ b/core/sched/request.go
@@ -40,9 +40,11 @@
 	// set once granted:
 	upstream    string
 	incarnation uint64
-	granted     time.Duration
-	charged     float64
-	expected    time.Duration
+	// counted says that a crash of its upstream has made it a suspect.
+	counted  bool
+	granted  time.Duration
+	charged  float64
+	expected time.Duration
 	// need is the time per output token that it must have, in seconds.
 	need   float64
 	cached int
--- a/core/sched/upstream.go
+++ b/core/sched/upstream.go
@@ -38,8 +38,8 @@
 	straggler straggler
 	cache     *residency
 	load      loadReport
-	// broken are the fingerprints of requests that failed here lately.
-	broken []uint64
+	// broken are the requests that failed here lately, oldest first.
+	broken []failure
 	// base orders upstreams for a request that nothing is known of, in seconds.
 	base  float64
 	index [classes]int
@@ -169,3 +169,9 @@
 	last.lease = notQueued
 	return last
 }
+
+// failure is a request that broke on an upstream.
+type failure struct {
+	fingerprint uint64
+	at          time.Duration
+}
