Speak with other regions' dispatchers only on demand in a large fleet

Cause: docs/CAPACITY.md: an entry kept a session to each pool of each region, 35 at the target; their heartbeats alone were 26.6 KB/s of the 5 KB/s that control may take. Ruled out: slower heartbeats to other regions, which at one a second would still be over the budget and find a lost dispatcher later.

--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -176,11 +176,19 @@
 	Acquire(ctx context.Context, r Request) (Ticket, error)
 }
 
+// Place is one pool in one region: what a dispatcher serves.
+type Place struct {
+	Pool   string
+	Region string
+}
+
 // Upstreams hands announcements to whoever dispatches their pool.
 type Upstreams interface {
 	// Subscribe calls fn for each announcement of a pool in a region, those
 	// that still hold first, until cancel is called.
-	Subscribe(pool, region string, fn func(*rpc.UpstreamState)) (cancel func())
+	Subscribe(at Place, fn func(*rpc.UpstreamState)) (cancel func())
+	// Places lists what the upstreams that announce themselves here serve.
+	Places() []Place
 }
 
 // DispatchLease names the lease of a pool's dispatcher in a region.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -39,16 +39,10 @@
 	maxAddresses = 16
 )
 
-// topic is where announcements of one pool and region go.
-type topic struct {
-	pool   string
-	region string
-}
-
 // held is an announcement until its lease ends.
 type held struct {
 	state   *rpc.UpstreamState
-	topic   topic
+	place   port.Place
 	expires time.Time
 }
 
@@ -63,7 +57,7 @@
 
 	mu          sync.Mutex
 	held        map[string]held
-	subscribers map[topic]map[int]func(*rpc.UpstreamState)
+	subscribers map[port.Place]map[int]func(*rpc.UpstreamState)
 	nextID      int
 }
 
@@ -71,7 +65,7 @@
 func New(set *settings.Settings, log *zap.Logger) *Service {
 	return &Service{
 		set: set, log: log.Named("upstream"), held: map[string]held{},
-		subscribers: map[topic]map[int]func(*rpc.UpstreamState){},
+		subscribers: map[port.Place]map[int]func(*rpc.UpstreamState){},
 	}
 }
 
@@ -160,15 +154,15 @@
 	for _, e := range a.Events {
 		state.CacheEvents = append(state.CacheEvents, &rpc.CacheEvent{Sequence: e.Sequence, Evicted: e.Evicted, Blocks: e.Blocks})
 	}
-	t := topic{pool: a.Pool, region: a.Region}
+	at := port.Place{Pool: a.Pool, Region: a.Region}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.prune()
 	if s.held[a.Name].state.GetIncarnation() > a.Incarnation {
 		return false
 	}
-	s.held[a.Name] = held{state: state, topic: t, expires: time.Now().Add(leaseMS * time.Millisecond)}
-	for _, fn := range s.subscribers[t] {
+	s.held[a.Name] = held{state: state, place: at, expires: time.Now().Add(leaseMS * time.Millisecond)}
+	for _, fn := range s.subscribers[at] {
 		fn(state)
 	}
 	return true
@@ -187,40 +181,38 @@
 // Address returns where announcements are taken; it is known once started.
 func (s *Service) Address() string { return s.ln.Addr().String() }
 
-// Subscribe passes on a pool's announcements; fn must not block.
-func (s *Service) Subscribe(pool, region string, fn func(*rpc.UpstreamState)) func() {
-	t := topic{pool: pool, region: region}
+// Subscribe passes on a place's announcements; fn must not block.
+func (s *Service) Subscribe(at port.Place, fn func(*rpc.UpstreamState)) func() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := s.nextID
 	s.nextID++
-	if s.subscribers[t] == nil {
-		s.subscribers[t] = map[int]func(*rpc.UpstreamState){}
+	if s.subscribers[at] == nil {
+		s.subscribers[at] = map[int]func(*rpc.UpstreamState){}
 	}
-	s.subscribers[t][id] = fn
+	s.subscribers[at][id] = fn
 	s.prune()
 	for _, h := range s.held {
-		if h.topic == t {
+		if h.place == at {
 			fn(h.state)
 		}
 	}
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.subscribers[t], id)
+		delete(s.subscribers[at], id)
 	}
 }
 
-// Topics returns the pools and regions with live announcements here.
-func (s *Service) Topics() [][2]string {
+// Places lists what the upstreams that announce themselves here serve.
+func (s *Service) Places() []port.Place {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.prune()
-	out := [][2]string{}
+	out := []port.Place{}
 	for _, h := range s.held {
-		pair := [2]string{h.topic.pool, h.topic.region}
-		if !slices.Contains(out, pair) {
-			out = append(out, pair)
+		if !slices.Contains(out, h.place) {
+			out = append(out, h.place)
 		}
 	}
 	return out
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -59,7 +59,7 @@
 func TestAnnounceRenewLeave(t *testing.T) {
 	s := start(t)
 	heard := make(chan *rpc.UpstreamState, 8)
-	cancel := s.Subscribe("m", "r", func(u *rpc.UpstreamState) { heard <- u })
+	cancel := s.Subscribe(port.Place{Pool: "m", Region: "r"}, func(u *rpc.UpstreamState) { heard <- u })
 	defer cancel()
 	renewal, err := announce(t, s, "key", announcement(5))
 	require.NoError(t, err)
@@ -85,5 +85,5 @@
 	require.NoError(t, err)
 	_, err = announce(t, s, "key", announcement(4))
 	require.ErrorContains(t, err, http.StatusText(http.StatusConflict))
-	require.Equal(t, [][2]string{{"m", "r"}}, s.Topics())
+	require.Equal(t, []port.Place{{Pool: "m", Region: "r"}}, s.Places())
 }
--- a/internal/schedclient/acquire.go
+++ b/internal/schedclient/acquire.go
@@ -28,7 +28,7 @@
 // region has no upstream of the pool, or would shed the request, the others
 // are asked; what they refuse too is decided finally in the own region.
 func (s *Service) Acquire(ctx context.Context, r port.Request) (port.Ticket, error) {
-	home := place{pool: r.Pool, region: s.set.Region}
+	home := port.Place{Pool: r.Pool, Region: s.set.Region}
 	t, first := s.acquireIn(ctx, home, s.waiter(r))
 	if first == nil {
 		return t, nil
@@ -39,7 +39,7 @@
 	for _, region := range s.others() {
 		w := s.waiter(r)
 		w.spilled = s.set.Region
-		t, err := s.acquireIn(ctx, place{pool: r.Pool, region: region}, w)
+		t, err := s.acquireIn(ctx, port.Place{Pool: r.Pool, Region: region}, w)
 		if err == nil {
 			return t, nil
 		}
@@ -77,11 +77,11 @@
 
 // acquireIn waits for a grant in one place. A request that was passed on waits
 // only while the session to that place holds.
-func (s *Service) acquireIn(ctx context.Context, p place, w *waiter) (*ticket, *fault.Error) {
-	sess := s.session(p)
+func (s *Service) acquireIn(ctx context.Context, p port.Place, w *waiter) (*ticket, *fault.Error) {
+	sess := s.session(p, time.Now().Add(connectWait))
 	down := (<-chan struct{})(nil)
 	if w.spilled != "" {
-		if down = sess.connected(); down == nil {
+		if down = sess.connected(ctx); down == nil {
 			return nil, unreachable(p)
 		}
 	}
@@ -109,6 +109,6 @@
 	return &ticket{session: sess, waiter: w}, nil
 }
 
-func unreachable(p place) *fault.Error {
-	return fault.New(fault.Unavailable, "send the request again later", "the dispatcher of %s in %s can't be reached", p.pool, p.region).After(time.Second)
+func unreachable(p port.Place) *fault.Error {
+	return fault.New(fault.Unavailable, "send the request again later", "the dispatcher of %s in %s can't be reached", p.Pool, p.Region).After(time.Second)
 }
--- a/internal/schedclient/bytes.go
+++ b/internal/schedclient/bytes.go
@@ -32,10 +32,10 @@
 
 // crossed counts bytes where the place is in another region.
 func (s *session) crossed(c cause, bytes int) {
-	if s.place.region == s.service.set.Region || s.service.bytes == nil {
+	if s.place.Region == s.service.set.Region || s.service.bytes == nil {
 		return
 	}
-	s.service.bytes.total.WithLabelValues(s.place.region, string(c)).Add(float64(bytes))
+	s.service.bytes.total.WithLabelValues(s.place.Region, string(c)).Add(float64(bytes))
 }
 
 func (s *session) promptCrosses(tokens int) {
--- a/internal/schedclient/client.go
+++ b/internal/schedclient/client.go
@@ -33,19 +33,13 @@
 	done   sync.WaitGroup
 
 	mu       sync.Mutex
-	sessions map[place]*session
+	sessions map[port.Place]*session
 	nextID   uint64
 }
 
-// place is one pool in one region.
-type place struct {
-	pool   string
-	region string
-}
-
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger, self port.Holder) *Service {
-	return &Service{set: set, log: log.Named("sched"), self: self, sessions: map[place]*session{}}
+	return &Service{set: set, log: log.Named("sched"), self: self, sessions: map[port.Place]*session{}}
 }
 
 // Name returns the service's name.
@@ -89,39 +83,6 @@
 	return rpc.NewDRPCDispatchClient(s.link.Conn(address)).Session(ctx)
 }
 
-// maintain opens a session to each pool and region that is declared, so that
-// announcements reach the dispatcher before any request does.
-func (s *Service) maintain() {
-	for s.ctx.Err() == nil {
-		changed := s.view.Changed()
-		c := s.view.Snapshot().Config
-		for _, r := range c.Regions {
-			for _, m := range c.Models {
-				s.session(place{pool: m.Name, region: r.Name})
-			}
-			for _, v := range c.Services {
-				s.session(place{pool: v.Name, region: r.Name})
-			}
-		}
-		select {
-		case <-changed:
-		case <-s.ctx.Done():
-		}
-	}
-}
-
-func (s *Service) session(p place) *session {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if old, ok := s.sessions[p]; ok {
-		return old
-	}
-	made := newSession(s, p)
-	s.sessions[p] = made
-	s.done.Go(made.run)
-	return made
-}
-
 // ticket is a granted slot.
 type ticket struct {
 	session *session
--- a/internal/schedclient/session.go
+++ b/internal/schedclient/session.go
@@ -1,6 +1,7 @@
 package schedclient
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -32,21 +33,30 @@
 // session speaks with the dispatcher of one place, wherever it is now.
 type session struct {
 	service *Service
-	place   place
+	place   port.Place
 	wake    chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// used is when it was last asked for; the service's lock guards it.
+	used time.Time
+	// awaited is how long requests wait for the first connection.
+	awaited time.Time
 
 	mu    sync.Mutex
 	epoch uint64
 	// down is closed when the present session ends; nil where there is none.
-	down    chan struct{}
+	down chan struct{}
+	// up is closed when the next session begins.
+	up      chan struct{}
 	waiting map[uint64]*waiter
 	running map[uint64]*waiter
 	pending rpc.EntryBatch
 }
 
-func newSession(s *Service, p place) *session {
+func newSession(s *Service, p port.Place) *session {
+	ctx, cancel := context.WithCancel(s.ctx)
 	return &session{
-		service: s, place: p, wake: make(chan struct{}, 1),
+		service: s, place: p, wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel, up: make(chan struct{}),
 		waiting: map[uint64]*waiter{}, running: map[uint64]*waiter{},
 	}
 }
@@ -66,14 +76,6 @@
 	s.nudge()
 }
 
-// connected returns a channel that is closed when the present session ends, or
-// nil where there is none.
-func (s *session) connected() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.down
-}
-
 func encodeOffer(w *waiter) *rpc.Offer {
 	r := w.request
 	o := &rpc.Offer{
@@ -152,6 +154,8 @@
 	b.Releases = s.pending.Releases
 	s.pending = rpc.EntryBatch{}
 	s.down = make(chan struct{})
+	close(s.up)
+	s.up = make(chan struct{})
 	for _, w := range s.running {
 		b.Offers = append(b.Offers, encodeOffer(w))
 	}
@@ -162,7 +166,7 @@
 }
 
 func (s *session) frame(epoch uint64) *rpc.EntryBatch {
-	return &rpc.EntryBatch{Entry: s.service.self.String(), Pool: s.place.pool, Epoch: epoch}
+	return &rpc.EntryBatch{Entry: s.service.self.String(), Pool: s.place.Pool, Epoch: epoch}
 }
 
 func (s *session) drain(epoch uint64) *rpc.EntryBatch {
@@ -217,5 +221,5 @@
 func (s *session) dump() sessionDump {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return sessionDump{Pool: s.place.pool, Region: s.place.region, Epoch: s.epoch, Waiting: len(s.waiting), Running: len(s.running)}
+	return sessionDump{Pool: s.place.Pool, Region: s.place.Region, Epoch: s.epoch, Waiting: len(s.waiting), Running: len(s.running)}
 }
--- a/internal/schedclient/session_test.go
+++ b/internal/schedclient/session_test.go
@@ -27,13 +27,10 @@
 	mu      sync.Mutex
 	leases  map[string]state.Lease
 	changed chan struct{}
+	config  *config.Config
 }
 
-func (v *fakeView) Snapshot() port.Snapshot {
-	return port.Snapshot{Version: 1, Config: &config.Config{
-		Models: []config.Model{{Name: "m"}}, Regions: []config.Region{{Name: "here"}, {Name: "there"}},
-	}}
-}
+func (v *fakeView) Snapshot() port.Snapshot { return port.Snapshot{Version: 1, Config: v.config} }
 
 func (v *fakeView) Changed() <-chan struct{} {
 	v.mu.Lock()
@@ -59,7 +56,8 @@
 
 type fakeUpstreams struct{}
 
-func (fakeUpstreams) Subscribe(string, string, func(*rpc.UpstreamState)) func() { return func() {} }
+func (fakeUpstreams) Subscribe(port.Place, func(*rpc.UpstreamState)) func() { return func() {} }
+func (fakeUpstreams) Places() []port.Place                                  { return nil }
 
 // fakeDispatcher is one daemon's end of a session.
 type fakeDispatcher struct {
@@ -135,9 +133,15 @@
 }
 
 func newBench(t *testing.T) *bench {
+	return newBenchOf(t, &config.Config{
+		Models: []config.Model{{Name: "m"}}, Regions: []config.Region{{Name: "here"}, {Name: "there"}},
+	})
+}
+
+func newBenchOf(t *testing.T, c *config.Config) *bench {
 	b := &bench{
 		Service: New(&settings.Settings{Region: "here"}, zap.NewNop(), port.Holder{Name: "self", Incarnation: 1}),
-		view:    &fakeView{leases: map[string]state.Lease{}, changed: make(chan struct{})}, daemons: map[string]*fakeDispatcher{}, down: map[string]bool{},
+		view:    &fakeView{leases: map[string]state.Lease{}, changed: make(chan struct{}), config: c}, daemons: map[string]*fakeDispatcher{}, down: map[string]bool{},
 	}
 	b.Service.view, b.Service.upstreams = b.view, fakeUpstreams{}
 	b.Service.open = func(_ context.Context, address string) (stream, error) {
@@ -323,7 +327,7 @@
 func TestAnnouncementsDoNotPileUpWithoutASession(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
-		s := b.session(place{pool: "m", region: "here"})
+		s := b.session(port.Place{Pool: "m", Region: "here"}, time.Time{})
 		for n := range 3 * maxPendingEvents {
 			s.announce(&rpc.UpstreamState{Name: "u", Incarnation: 1, Running: uint32(n), CacheEvents: []*rpc.CacheEvent{{Sequence: uint64(n)}}})
 			s.announce(&rpc.UpstreamState{Name: "v", Incarnation: 1})
--- a/internal/schedclient/speak.go
+++ b/internal/schedclient/speak.go
@@ -35,8 +35,8 @@
 
 // run follows the pool's lease from daemon to daemon.
 func (s *session) run() {
-	ctx := s.service.ctx
-	cancel := s.service.upstreams.Subscribe(s.place.pool, s.place.region, s.announce)
+	ctx := s.ctx
+	cancel := s.service.upstreams.Subscribe(s.place, s.announce)
 	defer cancel()
 	for ctx.Err() == nil {
 		changed := s.service.view.Changed()
@@ -44,7 +44,7 @@
 		holder, ok := port.ParseHolder(lease.Holder)
 		if ok {
 			err := s.speak(ctx, holder.Address, lease)
-			s.service.log.Debug("dispatcher session ended", zap.String("pool", s.place.pool), zap.String("region", s.place.region), zap.Error(err))
+			s.service.log.Debug("dispatcher session ended", zap.String("pool", s.place.Pool), zap.String("region", s.place.Region), zap.Error(err))
 		}
 		select {
 		case <-changed:
@@ -55,7 +55,7 @@
 }
 
 func (s *session) lease() state.Lease {
-	return s.service.view.Lease(port.DispatchLease(s.place.pool, s.place.region))
+	return s.service.view.Lease(port.DispatchLease(s.place.Pool, s.place.Region))
 }
 
 // speak holds one session with one dispatcher, until it ends, falls silent or
