--- a/internal/capacity/membership.go
+++ b/internal/capacity/membership.go
@@ -14,7 +14,10 @@
 const (
 	// memberTick is the step of the fleet's virtual time.
 	memberTick = 50 * time.Millisecond
-	// memberTime is how long a fleet runs after it has come together.
+	// settleEach is how long the news of one daemon's start may take to be
+	// passed on to all, where all start at once.
+	settleEach = 2 * time.Second
+	// memberTime is how long a fleet is measured after it has settled.
 	memberTime = 30 * time.Second
 	memberSeed = 1
 )
@@ -79,7 +82,7 @@
 		f := (*fleet)(nil)
 		held := heldBytes(func() any {
 			f = newFleet(n)
-			f.run(memberTime)
+			f.run(memberTime + time.Duration(n)*settleEach)
 			return f
 		})
 		f.messages, f.bytes = 0, 0
