Kill a daemon of a local site without a farewell

Cause: the end-to-end tests' kills still gave up leases, handed leadership over and left the membership: milder than a crash. Change: Kill cuts the link to the other daemons first.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,12 +87,15 @@
 	return errors.Join(drained, stopped)
 }
 
-// Kill stops all services without draining and cuts what they serve. Unlike a
-// crash it gives up leases and leaves the membership.
+// Kill ends the daemon as a crash would, as far as one process can: it cuts the
+// link to the other daemons first, so that no lease is given up, no leadership
+// handed over and no farewell said, and then stops all services without
+// draining.
 func (d *Daemon) Kill() {
 	d.events.Record(promise.Event{Kind: promise.Crashed})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
+	_ = d.link.Stop(ctx)
 	_ = d.kernel.Stop(ctx)
 }
 
