Hash bearer keys in one place; take a dispatcher's lease length from its port

The dispatcher held its own copy of the lease length, 1.5 s, beside port.LeaseTTL, from which the replicas derive when a lease is expired: changed alone, two dispatchers could hold one pool. The form of a hashed bearer key was written out in seven places. Ruled out: sharing how the header is read; entry, registry and admin differ in what they accept without the word Bearer. Change: port.LeaseTTL is the only length; config.HashKey the only hash, beside the check of its form.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -201,11 +201,6 @@
 	}
 }
 
-func validKeyHash(key string) bool {
-	hex, ok := strings.CutPrefix(key, "sha256:")
-	return ok && len(hex) == 64 && strings.Trim(hex, "0123456789abcdef") == ""
-}
-
 func (k *checker) models(c *Config) {
 	k.unique("models", names(c.Models, func(m Model) string { return m.Name }))
 	for i, m := range c.Models {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"net"
@@ -143,8 +141,7 @@
 // would not do: a change may declare or rename the operator who makes it, and
 // its resend must still count as the same operator's.
 func identity(header string) string {
-	sum := sha256.Sum256([]byte(strings.TrimPrefix(header, "Bearer ")))
-	return "sha256:" + hex.EncodeToString(sum[:])
+	return config.HashKey(strings.TrimPrefix(header, "Bearer "))
 }
 
 // operatorOf finds the name behind an identity, for people.
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -21,6 +19,7 @@
 	"github.com/verbenastep/verbenastep/api/client"
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/operator"
+	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/internal/daemon"
 	"github.com/verbenastep/verbenastep/internal/freeport"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -52,11 +51,6 @@
 	return b.buf.String()
 }
 
-func hashed(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return "sha256:" + hex.EncodeToString(sum[:])
-}
-
 // single starts a daemon that is its own only replica.
 func single(t *testing.T) (*settings.Settings, *safeBuffer) {
 	t.Helper()
@@ -69,7 +63,7 @@
 		Addresses: settings.Addresses{Callers: ports[0], Peers: ports[1], Upstreams: ports[2], Admin: ports[3]},
 		Roles:     []settings.Role{settings.Replica}, DataFolder: t.TempDir(),
 		Replicas: []settings.Peer{{Name: "d1", Address: ports[1]}}, Seeds: []string{ports[1]},
-		OperatorKeys: []string{hashed(plantedOperator)}, UpstreamKeys: []string{hashed(plantedUpstream)}, PeerKeyFile: secret,
+		OperatorKeys: []string{config.HashKey(plantedOperator)}, UpstreamKeys: []string{config.HashKey(plantedUpstream)}, PeerKeyFile: secret,
 	})
 	require.NoError(t, err)
 	set, err := settings.Parse("d1", raw)
@@ -107,7 +101,7 @@
 		"tiers": [{"name": "one", "goodput_ms": 1000}],
 		"regions": [{"name": "r", "data_centres": ["c"]}],
 		"models": [{"name": "m"}],
-		"operators": [{"name": "registrar", "keys": ["` + hashed(plantedOperator) + `"]}],
+		"operators": [{"name": "registrar", "keys": ["` + config.HashKey(plantedOperator) + `"]}],
 		"workspaces": [{"name": "w", "tier": "one", "home_region": "r", "keys": ["` + workspaceKey + `"]}]
 	}`)}
 }
@@ -132,7 +126,7 @@
 	code, _ := get(t, set, "/readyz", "")
 	require.Equal(t, http.StatusServiceUnavailable, code, "ready without a configuration")
 	for _, path := range []string{operator.PathConfig, operator.PathState, operator.PathStatus, operator.PathExplain + "?key=k"} {
-		for _, key := range []string{"", "wrong", hashed(plantedOperator), plantedUpstream} {
+		for _, key := range []string{"", "wrong", config.HashKey(plantedOperator), plantedUpstream} {
 			code, body := get(t, set, path, key)
 			require.Equal(t, http.StatusUnauthorized, code, path)
 			require.Contains(t, body, "remedy")
@@ -144,15 +138,15 @@
 	require.Contains(t, err.Error(), "all.json: $.workspaces[0].keys[0]")
 	require.NotContains(t, err.Error(), "planted", "a fault repeats a key")
 
-	apply(t, op, operator.Apply{Files: configuration(hashed(plantedWorkspace))})
+	apply(t, op, operator.Apply{Files: configuration(config.HashKey(plantedWorkspace))})
 	for code != http.StatusOK {
 		time.Sleep(10 * time.Millisecond)
 		code, _ = get(t, set, "/readyz", "")
 	}
-	resent, err := op.Apply(t.Context(), operator.Apply{Files: configuration(hashed(plantedWorkspace))})
+	resent, err := op.Apply(t.Context(), operator.Apply{Files: configuration(config.HashKey(plantedWorkspace))})
 	require.NoError(t, err, "the resent change that gave the operator a name conflicts with itself")
 	require.EqualValues(t, 1, resent.Version)
-	_, err = op.Apply(t.Context(), operator.Apply{Files: configuration(hashed("another"))})
+	_, err = op.Apply(t.Context(), operator.Apply{Files: configuration(config.HashKey("another"))})
 	require.Equal(t, fault.Conflict, fault.From(err).Kind)
 	require.ErrorContains(t, err, "version 1 of registrar won")
 
@@ -168,6 +162,6 @@
 		require.Equal(t, http.StatusOK, code, path)
 		seen += body
 	}
-	require.Contains(t, seen, hashed(plantedWorkspace), "the dump is not the whole one")
+	require.Contains(t, seen, config.HashKey(plantedWorkspace), "the dump is not the whole one")
 	require.NotContains(t, seen, "planted", "a secret shows in a dump, a metric or a log")
 }
--- a/internal/capacity/site.go
+++ b/internal/capacity/site.go
@@ -49,7 +49,7 @@
 	files := declared(n)
 	last := fmt.Sprintf("sha256:%064x", n*keysEach-1)
 	for p, data := range files {
-		files[p] = json.RawMessage(strings.Replace(string(data), last, localsite.HashedKey(key), 1))
+		files[p] = json.RawMessage(strings.Replace(string(data), last, config.HashKey(key), 1))
 	}
 	return files
 }
--- a/internal/daemon/site_test.go
+++ b/internal/daemon/site_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -56,11 +54,6 @@
 	return list[0]
 }
 
-func hashOf(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return "sha256:" + hex.EncodeToString(sum[:])
-}
-
 // startSite starts n daemons, the first few of them replicas.
 func startSite(t *testing.T, n, replicas int) *site {
 	t.Helper()
@@ -127,7 +120,7 @@
 			"timeouts":{"request_ms":60000,"silence_ms":3000,"retention_ms":600000}}`),
 		"backends.json": json.RawMessage(`{"models":[{"name":"logbook-model","max_tokens":64,"block_tokens":64}],
 			"services":[{"name":"register-api","concurrency":8,"operations":[{"name":"transfer","method":"POST","path":"/transfers"}]}]}`),
-		"workspaces.json": json.RawMessage(`{"workspaces":[{"name":"judging","tier":"panel","home_region":"gauteng","keys":["` + hashOf(callerKey) + `"]}]}`),
+		"workspaces.json": json.RawMessage(`{"workspaces":[{"name":"judging","tier":"panel","home_region":"gauteng","keys":["` + config.HashKey(callerKey) + `"]}]}`),
 	}
 	log, err := kernel.Find[port.Log](s.daemons[0].Kernel(), port.NameLog)
 	require.NoError(s.t, err)
--- a/internal/dispatch/keeper.go
+++ b/internal/dispatch/keeper.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// leaseTTL is shorter than the replicas' by a margin for clock drift and
-	// the time a renewal takes.
-	leaseTTL = 1500 * time.Millisecond
 	// renewEvery is the pause between renewals.
 	renewEvery = 400 * time.Millisecond
 	// renewTimeout bounds one renewal.
@@ -117,11 +114,11 @@
 		p = nil
 	}
 	if p != nil {
-		p.extend(sent.Add(leaseTTL))
+		p.extend(sent.Add(port.LeaseTTL))
 		return
 	}
 	p = newPool(name, result.Lease.Epoch, s.place())
-	p.extend(sent.Add(leaseTTL))
+	p.extend(sent.Add(port.LeaseTTL))
 	s.pools[name] = p
 	s.done.Go(p.run)
 	s.log.Info("dispatcher started", zap.String("pool", name), zap.Uint64("epoch", p.epoch))
--- a/internal/e2e/rig_test.go
+++ b/internal/e2e/rig_test.go
@@ -18,6 +18,7 @@
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/operator"
 	"github.com/verbenastep/verbenastep/api/upstream"
+	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/promise"
 	"github.com/verbenastep/verbenastep/internal/localsite"
 	"github.com/verbenastep/verbenastep/internal/standin"
@@ -84,7 +85,7 @@
 		"backends.json": json.RawMessage(`{"models":[{"name":"` + model + `","max_tokens":4096}],
 			"services":[{"name":"` + service + `","concurrency":8,"operations":[{"name":"transfer","method":"POST","path":"/transfers"}]}]}`),
 		"workspaces.json": json.RawMessage(fmt.Sprintf(`{"workspaces":[{"name":%q,"tier":"panel","weight":%d,"home_region":"gauteng","keys":[%q]}]}`,
-			workspace, weight, localsite.HashedKey(callerKey))),
+			workspace, weight, config.HashKey(callerKey))),
 	}
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -97,9 +97,7 @@
 func (s *Service) identify(c echo.Context) (config.Workspace, error) {
 	key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
 	if ok && key != "" {
-		sum := sha256.Sum256([]byte(key))
-		hash := "sha256:" + hex.EncodeToString(sum[:])
-		if w, ok := s.view.Snapshot().Config.WorkspaceByKey(hash); ok {
+		if w, ok := s.view.Snapshot().Config.WorkspaceByKey(config.HashKey(key)); ok {
 			return w, nil
 		}
 	}
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -46,17 +44,12 @@
 	config   *config.Config
 }
 
-func hashOf(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return "sha256:" + hex.EncodeToString(sum[:])
-}
-
 // newCluster returns a cluster whose events must keep all promises.
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{machine: state.New(), pools: map[string]string{}, config: &config.Config{
 		Tiers:      []config.Tier{{Name: "top", GoodputMS: 60_000}},
-		Workspaces: []config.Workspace{{Name: "judging", Tier: "top", Keys: []string{hashOf("secret")}}, {Name: "other", Tier: "top", Keys: []string{hashOf("foreign")}}},
+		Workspaces: []config.Workspace{{Name: "judging", Tier: "top", Keys: []string{config.HashKey("secret")}}, {Name: "other", Tier: "top", Keys: []string{config.HashKey("foreign")}}},
 		Models:     []config.Model{{Name: "logbook-model"}},
 		Services: []config.Service{{Name: "register-api", Operations: []config.Operation{
 			{Name: "lookup", Method: "GET", Path: "/chassis/", Idempotent: true}, {Name: "transfer", Method: "POST", Path: "/transfers"},
--- a/internal/localsite/localsite.go
+++ b/internal/localsite/localsite.go
@@ -5,8 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/promise"
 	"github.com/verbenastep/verbenastep/internal/daemon"
 	"github.com/verbenastep/verbenastep/internal/freeport"
@@ -67,12 +66,6 @@
 // Name is the name of a daemon by its position.
 func Name(i int) string { return fmt.Sprintf("daemon-%d", i+1) }
 
-// HashedKey is a bearer key's form in settings and configuration.
-func HashedKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return "sha256:" + hex.EncodeToString(sum[:])
-}
-
 // New prepares the settings on loopback ports that were free a moment ago;
 // nothing runs yet.
 func New(opt Options) (*Site, error) {
@@ -98,7 +91,7 @@
 			Name: Name(i), Region: p.Region, DataCentre: p.DataCentre,
 			Addresses: settings.Addresses{Callers: mine[0], Peers: mine[1], Upstreams: mine[2], Admin: mine[3]},
 			Replicas:  replicas, Seeds: seeds,
-			OperatorKeys: []string{HashedKey(OperatorKey)}, UpstreamKeys: []string{HashedKey(UpstreamKey)},
+			OperatorKeys: []string{config.HashKey(OperatorKey)}, UpstreamKeys: []string{config.HashKey(UpstreamKey)},
 		}
 		if i < opt.Replicas {
 			set.Roles = []settings.Role{settings.Replica}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -19,6 +17,7 @@
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/api/upstream"
+	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -127,8 +126,7 @@
 		return true
 	}
 	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-	sum := sha256.Sum256([]byte(key))
-	return slices.Contains(s.set.UpstreamKeys, "sha256:"+hex.EncodeToString(sum[:]))
+	return slices.Contains(s.set.UpstreamKeys, config.HashKey(key))
 }
 
 // addresses lists where else upstreams may announce themselves, this daemon
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"testing"
 
@@ -12,6 +10,7 @@
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/api/upstream"
+	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -32,8 +31,7 @@
 
 func start(t *testing.T) *Service {
 	t.Helper()
-	sum := sha256.Sum256([]byte("key"))
-	set := &settings.Settings{Addresses: settings.Addresses{Upstreams: "127.0.0.1:0"}, UpstreamKeys: []string{"sha256:" + hex.EncodeToString(sum[:])}}
+	set := &settings.Settings{Addresses: settings.Addresses{Upstreams: "127.0.0.1:0"}, UpstreamKeys: []string{config.HashKey("key")}}
 	s := New(set, zap.NewNop())
 	k := kernel.New()
 	require.NoError(t, k.Register(memberList{{Name: "a", Upstreams: "127.0.0.1:1"}, {Name: "b", Upstreams: "127.0.0.1:2"}}))
