--- a/cmd/verbenastepd/main.go
+++ b/cmd/verbenastepd/main.go
@@ -8,12 +8,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/internal/daemon"
 	"github.com/verbenastep/verbenastep/internal/logging"
 	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/platform"
 )
 
 // Exit codes.
@@ -47,7 +49,7 @@
 		return exitSettings
 	}
 	defer func() { _ = log.Sync() }()
-	return serve(set, log)
+	return serve(*file, set, log)
 }
 
 func usage() {
@@ -57,14 +59,17 @@
 	fmt.Fprint(w, "\nexit codes: 0 stopped gracefully, 1 failed, 2 faulty settings; docs/SETTINGS.md explains them\n")
 }
 
-func serve(set *settings.Settings, log *zap.Logger) int {
-	d, err := daemon.New(set, log)
+func serve(file string, set *settings.Settings, log *zap.Logger) int {
+	d, err := daemon.New(set, log, platform.Services(set, log)...)
 	if err != nil {
 		log.Error("daemon could not be assembled", zap.Error(err))
 		return exitFailed
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go follow(file, set, log, reload)
 	if err := d.Start(context.Background()); err != nil {
 		log.Error("daemon did not start", zap.Error(err))
 		return exitFailed
@@ -83,3 +88,37 @@
 	}
 	return exitOK
 }
+
+// rereadEvery is the pause between two looks at the settings file, which may
+// change without a signal.
+const rereadEvery = 2 * time.Second
+
+// follow reads the settings file again at each signal, and where it has
+// changed, and takes over what a running daemon can change.
+func follow(file string, set *settings.Settings, log *zap.Logger, reload <-chan os.Signal) {
+	changed := time.Time{}
+	if info, err := os.Stat(file); err == nil {
+		changed = info.ModTime()
+	}
+	for {
+		asked := false
+		select {
+		case <-reload:
+			asked = true
+		case <-time.After(rereadEvery):
+		}
+		info, err := os.Stat(file)
+		if err == nil && !asked && info.ModTime().Equal(changed) {
+			continue
+		}
+		if err == nil {
+			changed = info.ModTime()
+		}
+		next, err := settings.Load(file)
+		if err != nil {
+			log.Warn("settings were not reloaded; the daemon goes on with what it has", zap.Bool("signal", asked), zap.Error(err))
+			continue
+		}
+		log.Info("settings reloaded", zap.Bool("signal", asked), zap.Bool("seeds_changed", set.Follow(next)))
+	}
+}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -15,6 +15,7 @@
 	Leases   []Lease        `json:"leases"`
 	Claims   []*Claim       `json:"claims"`
 	Suspects []Suspect      `json:"suspects"`
+	Table    *Publish       `json:"table,omitempty"`
 }
 
 // Frozen is the state at one moment. It may be encoded while the machine goes
@@ -35,6 +36,10 @@
 		f.saved.Claims = append(f.saved.Claims, m.claims[k])
 	}
 	f.saved.Suspects = m.Suspects()
+	if m.table.Version > 0 {
+		table := m.table
+		f.saved.Table = &table
+	}
 	return f
 }
 
@@ -108,6 +113,9 @@
 	for _, x := range s.Suspects {
 		fresh.suspects[suspectKey{pool: x.Pool, fingerprint: x.Fingerprint}] = x
 	}
+	if s.Table != nil {
+		fresh.table = *s.Table
+	}
 	*m = *fresh
 	return nil
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -1,5 +1,5 @@
 // Package state is the replicated state machine: the accepted configuration,
-// leases, and claims on request keys.
+// leases, claims on request keys, and the route table.
 //
 // It is driven only by committed commands, in the log's order, and is
 // deterministic: it reads no clock, time comes inside commands. Invariants:
@@ -23,6 +23,7 @@
 	Finish  *Finish  `json:"finish,omitempty"`
 	Trim    *Trim    `json:"trim,omitempty"`
 	Suspect *Suspect `json:"suspect,omitempty"`
+	Publish *Publish `json:"publish,omitempty"`
 }
 
 // Result answers one command.
@@ -64,6 +65,9 @@
 	NotFound Status = "not_found"
 	// Full says that the claims' bound in bytes is reached; nothing changed.
 	Full Status = "full"
+	// Superseded says that a route table of the same or a higher version is
+	// held; nothing changed.
+	Superseded Status = "superseded"
 )
 
 // Apply replaces the configuration as a whole by compare-and-set.
@@ -190,6 +194,8 @@
 	claimBytes  int64
 	answerBytes int64
 	suspects    map[suspectKey]Suspect
+	// table is the route table in force; version zero means none.
+	table Publish
 }
 
 // New returns the empty state at configuration version zero.
@@ -219,6 +225,8 @@
 		return m.trim(c.Trim)
 	case c.Suspect != nil:
 		return m.suspect(c.Suspect)
+	case c.Publish != nil:
+		return m.publish(c.Publish)
 	}
 	return Result{Status: Invalid}
 }
--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,249 @@
+// Package broker serves the broker of the route table's pools to the entries.
+// Every control daemon tells them the roster; the one that leads the log grants
+// as well.
+package broker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/kernel"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/internal/work"
+)
+
+const (
+	// heartbeat is the longest pause between two messages to an entry, which
+	// takes a broker that is silent for a few of them as lost.
+	heartbeat = 100 * time.Millisecond
+	// rosterEvery is how often the roster is read again where nothing changed:
+	// upstreams fall silent without a change.
+	rosterEvery = 500 * time.Millisecond
+	// teachEvery is how often what is learned of upstreams is passed on.
+	teachEvery = 3 * time.Second
+	// sessionSilence ends an entry's session that carries nothing; entries send
+	// every 200 ms.
+	sessionSilence = 1200 * time.Millisecond
+	// outboxSize is how many messages may wait for a slow entry.
+	outboxSize = 64
+)
+
+// leadership is what the replica offers besides.
+type leadership interface {
+	Leadership() (leads bool, address string)
+}
+
+// Service is the "broker.server" service.
+type Service struct {
+	rpc.DRPCBrokerUnimplementedServer
+	set    *settings.Settings
+	log    *zap.Logger
+	view   port.TableView
+	roster port.Roster
+	leader leadership
+	began  time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	core     *broker.Broker
+	leads    bool
+	version  uint64
+	sessions map[string]*session
+	taught   time.Time
+	read     time.Time
+}
+
+// New returns the service.
+func New(set *settings.Settings, log *zap.Logger) *Service {
+	return &Service{
+		set: set, log: log.Named("broker"), began: time.Now(), wake: make(chan struct{}, 1),
+		core: broker.New(1), sessions: map[string]*session{},
+	}
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return port.NameBroker }
+
+// Needs returns what decisions rest on.
+func (s *Service) Needs() []string {
+	return []string{port.NameLink, port.NameView, port.NameRoster, port.NameReplica}
+}
+
+// Start begins to serve.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	link, err := kernel.Find[port.Link](k, port.NameLink)
+	if err != nil {
+		return err
+	}
+	if s.view, err = kernel.Find[port.TableView](k, port.NameView); err != nil {
+		return err
+	}
+	if s.roster, err = kernel.Find[port.Roster](k, port.NameRoster); err != nil {
+		return err
+	}
+	if s.leader, err = kernel.Find[leadership](k, port.NameReplica); err != nil {
+		return err
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.done.Go(s.run)
+	return rpc.DRPCRegisterBroker(link.Mux(), s)
+}
+
+func (s *Service) now() time.Duration { return time.Since(s.began) }
+
+func (s *Service) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run decides whenever something came in.
+func (s *Service) run() {
+	timer := time.NewTimer(heartbeat)
+	defer timer.Stop()
+	for s.ctx.Err() == nil {
+		roster, tables := s.roster.Changed(), s.view.Changed()
+		s.refresh(false)
+		timer.Reset(s.decide())
+		select {
+		case <-s.wake:
+		case <-roster:
+			s.refresh(true)
+		case <-tables:
+		case <-timer.C:
+		case <-s.ctx.Done():
+		}
+	}
+}
+
+// refresh takes over leadership, table and roster.
+func (s *Service) refresh(changed bool) {
+	leads, _ := s.leader.Leadership()
+	table := s.view.Routes()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if leads != s.leads {
+		s.lead(leads)
+	}
+	newer := table != nil && table.Table.Version != s.version
+	if newer {
+		s.version = table.Table.Version
+		s.core.Configure(table)
+	}
+	if !changed && !newer && time.Since(s.read) < rosterEvery {
+		return
+	}
+	s.read = time.Now()
+	s.core.Upstreams(work.Upstreams(s.roster.All(), s.set.Routing.DataCentres))
+	teach := time.Since(s.taught) > teachEvery
+	if changed || teach {
+		s.taught = time.Now()
+		s.tellRoster(s.rosterReply())
+	}
+}
+
+// lead begins or ends granting; the lock is held. Entries that are connected
+// offer again by themselves.
+func (s *Service) lead(leads bool) {
+	s.leads = leads
+	s.log.Info("broker changed", zap.Bool("leads", leads), zap.Int("entries", len(s.sessions)))
+	learned := s.core.Learned()
+	s.core = broker.New(1)
+	s.version = 0
+	s.read = time.Time{}
+	known := make([]broker.Learned, 0, len(learned))
+	for _, l := range learned {
+		known = append(known, l)
+	}
+	s.core.Upstreams(work.Upstreams(s.roster.All(), s.set.Routing.DataCentres))
+	s.core.Teach(known)
+	for _, x := range s.sessions {
+		x.end()
+	}
+}
+
+// decide sends out what the core decides and returns how long it may rest.
+func (s *Service) decide() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leads {
+		return heartbeat
+	}
+	decided := s.core.Decide(s.now())
+	replies := map[string]*rpc.BrokerReply{}
+	of := func(entry string) *rpc.BrokerReply {
+		if replies[entry] == nil {
+			replies[entry] = s.reply()
+		}
+		return replies[entry]
+	}
+	for _, g := range decided.Grants {
+		r := of(g.ID.Entry)
+		r.Grants = append(r.Grants, work.EncodeGrant(g))
+	}
+	for _, x := range decided.Refusals {
+		r := of(x.ID.Entry)
+		r.Refusals = append(r.Refusals, work.EncodeRefusal(x))
+	}
+	for entry, r := range replies {
+		if x := s.sessions[entry]; x != nil {
+			x.send(r)
+		}
+	}
+	if pause, waits := s.core.Next(); waits {
+		return pause
+	}
+	return heartbeat
+}
+
+func (s *Service) reply() *rpc.BrokerReply {
+	return &rpc.BrokerReply{Leads: s.leads, Entries: uint32(len(s.sessions))}
+}
+
+// rosterReply lists all upstreams with what is learned of them.
+func (s *Service) rosterReply() *rpc.BrokerReply {
+	r := s.reply()
+	r.RosterSet = true
+	learned := s.core.Learned()
+	for _, e := range s.roster.All() {
+		r.Roster = append(r.Roster, work.EncodeEntry(e, learned[e.ID]))
+	}
+	return r
+}
+
+func (s *Service) tellRoster(r *rpc.BrokerReply) {
+	for _, x := range s.sessions {
+		x.send(r)
+	}
+}
+
+// Stop ends all sessions.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.done.Wait()
+	return nil
+}
+
+// Health returns nil.
+func (s *Service) Health() error { return nil }
+
+// Dump shows the pools.
+func (s *Service) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return struct {
+		Leads    bool          `json:"leads"`
+		Sessions int           `json:"sessions"`
+		Pools    []broker.Dump `json:"pools"`
+	}{s.leads, len(s.sessions), s.core.Dump()}
+}
--- /dev/null
+++ b/internal/brokerclient/client.go
@@ -0,0 +1,224 @@
+// Package brokerclient is the entry's side of the broker: it offers requests,
+// waits for grants, and grants by itself, within its share of each upstream,
+// while no broker answers.
+package brokerclient
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/kernel"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/internal/work"
+)
+
+// waiter is a request on its way to a grant and through it.
+type waiter struct {
+	offer   broker.Offer
+	settled chan struct{}
+	grant   broker.Grant
+	failure *fault.Error
+	by      string
+}
+
+// Who granted.
+const (
+	byBroker = "broker"
+	byEntry  = "entry"
+)
+
+// Service is the "broker.client" service.
+type Service struct {
+	set    *settings.Settings
+	log    *zap.Logger
+	self   string
+	link   port.Link
+	view   port.TableView
+	began  time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	// wake tells the session that something is pending, local the loop that
+	// decides while no broker does.
+	wake  chan struct{}
+	local chan struct{}
+
+	mu       sync.Mutex
+	next     uint64
+	attached bool
+	entries  int
+	waiting  map[uint64]*waiter
+	running  map[uint64]*waiter
+	pending  rpc.BrokerAsk
+	core     *broker.Broker
+	version  uint64
+	roster   []port.RosterEntry
+	// tries counts failed tries to reach a broker, to go on to the next replica.
+	tries int
+}
+
+// New returns the service.
+func New(set *settings.Settings, log *zap.Logger, self port.Holder) *Service {
+	return &Service{
+		set: set, log: log.Named("work"), self: self.String(), began: time.Now(), wake: make(chan struct{}, 1), local: make(chan struct{}, 1),
+		waiting: map[uint64]*waiter{}, running: map[uint64]*waiter{}, core: broker.New(1), entries: 1,
+	}
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return port.NameWork }
+
+// Needs returns the link and the view, which knows who leads.
+func (s *Service) Needs() []string { return []string{port.NameLink, port.NameView} }
+
+// Start begins to look for a broker.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	err := error(nil)
+	if s.link, err = kernel.Find[port.Link](k, port.NameLink); err != nil {
+		return err
+	}
+	if s.view, err = kernel.Find[port.TableView](k, port.NameView); err != nil {
+		return err
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.done.Go(s.follow)
+	s.done.Go(s.decideAlone)
+	return nil
+}
+
+func (s *Service) now() time.Duration { return time.Since(s.began) }
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Acquire waits for a grant.
+func (s *Service) Acquire(ctx context.Context, o port.WorkOffer) (port.WorkTicket, error) {
+	w := s.offer(o)
+	select {
+	case <-w.settled:
+	case <-ctx.Done():
+		if s.withdraw(w) {
+			return port.WorkTicket{}, ctx.Err()
+		}
+		<-w.settled
+	}
+	if w.failure != nil {
+		return port.WorkTicket{}, w.failure
+	}
+	end := sync.Once{}
+	return port.WorkTicket{Grant: w.grant, By: w.by, End: func(e broker.End) { end.Do(func() { s.end(w, e) }) }}, nil
+}
+
+func (s *Service) offer(o port.WorkOffer) *waiter {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	w := &waiter{offer: o.Offer, settled: make(chan struct{})}
+	w.offer.ID = broker.ID{Entry: s.self, Number: s.next}
+	w.offer.Aim = o.AimAt.Sub(s.began)
+	w.offer.Deadline = o.DeadlineAt.Sub(s.began)
+	s.waiting[s.next] = w
+	if s.attached {
+		s.pending.Offers = append(s.pending.Offers, work.EncodeOffer(s.now(), w.offer))
+		poke(s.wake)
+		return w
+	}
+	s.core.Offer(s.now(), w.offer)
+	poke(s.local)
+	return w
+}
+
+// withdraw gives up waiting; it returns false where the request is settled.
+func (s *Service) withdraw(w *waiter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := w.offer.ID
+	if _, waits := s.waiting[id.Number]; !waits {
+		return false
+	}
+	delete(s.waiting, id.Number)
+	s.core.Cancel(id)
+	s.pending.Cancels = append(s.pending.Cancels, id.Number)
+	poke(s.wake)
+	return true
+}
+
+// end frees the slot; both the broker and the own books learn from it.
+func (s *Service) end(w *waiter, e broker.End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.ID = w.offer.ID
+	delete(s.running, e.ID.Number)
+	s.core.End(s.now(), e)
+	s.pending.Ends = append(s.pending.Ends, work.EncodeEnd(e))
+	poke(s.wake)
+	poke(s.local)
+}
+
+// Entries is how many entries share the system's limits.
+func (s *Service) Entries() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries
+}
+
+// granted settles a request; the lock is held. It returns false where the
+// request no longer waits.
+func (s *Service) granted(g broker.Grant, by string) bool {
+	w, ok := s.waiting[g.ID.Number]
+	if !ok {
+		return false
+	}
+	delete(s.waiting, g.ID.Number)
+	w.grant, w.by = g, by
+	w.offer.Running = g.Upstream
+	w.offer.Charge = 0
+	s.running[g.ID.Number] = w
+	close(w.settled)
+	return true
+}
+
+func (s *Service) refused(r broker.Refusal, by string) {
+	w, ok := s.waiting[r.ID.Number]
+	if !ok {
+		return
+	}
+	delete(s.waiting, r.ID.Number)
+	w.by = by
+	w.failure = fault.New(fault.Kind(r.Code), "send the request again after the stated time", "%s", r.Why).After(r.RetryAfter)
+	close(w.settled)
+}
+
+// Stop ends the session.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.done.Wait()
+	return nil
+}
+
+// Health returns nil: an entry without a broker decides by itself.
+func (s *Service) Health() error { return nil }
+
+// Dump shows what waits and runs.
+func (s *Service) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return struct {
+		Attached bool          `json:"attached"`
+		Entries  int           `json:"entries"`
+		Waiting  int           `json:"waiting"`
+		Running  int           `json:"running"`
+		Pools    []broker.Dump `json:"pools"`
+	}{s.attached, s.entries, len(s.waiting), len(s.running), s.core.Dump()}
+}
--- /dev/null
+++ b/internal/brokerclient/session.go
@@ -0,0 +1,225 @@
+package brokerclient
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/work"
+)
+
+const (
+	// heartbeat is the longest pause between two messages to the broker.
+	heartbeat = 200 * time.Millisecond
+	// silence is how long the broker, which sends every 100 ms, may be silent
+	// before the entry decides by itself: several messages, and a lost packet
+	// that is sent again.
+	silence = 500 * time.Millisecond
+	// firstSilence bounds the wait for the first message of a session, which
+	// needs a connection before.
+	firstSilence = 1200 * time.Millisecond
+	// retryPause is the wait before the next daemon is tried.
+	retryPause = 50 * time.Millisecond
+	// idleLimit is how long a session with a daemon that does not lead is kept,
+	// for its roster, while no leader is known.
+	idleLimit = 300 * time.Millisecond
+)
+
+var (
+	errSilent = errors.New("the broker fell silent")
+	errMoved  = errors.New("the broker moved")
+)
+
+// follow keeps a session with the daemon that leads, or with any that knows
+// the roster.
+func (s *Service) follow() {
+	for s.ctx.Err() == nil {
+		address := s.target()
+		err := s.speak(s.ctx, address)
+		lost := s.detach()
+		if lost && s.ctx.Err() == nil {
+			s.log.Warn("broker lost", zap.String("address", address), zap.Error(err))
+		}
+		select {
+		case <-s.ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// target is the leader as last heard, but after a failure any replica in turn.
+func (s *Service) target() string {
+	leader := s.view.Leader()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.set.KnownReplicas()
+	if leader != "" && s.tries%2 == 0 || len(known) == 0 {
+		return leader
+	}
+	return known[(s.tries/2)%len(known)].Address
+}
+
+// detach ends granting by the broker: what waits goes to the entry's own books.
+func (s *Service) detach() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tries++
+	was := s.attached
+	s.attached = false
+	s.pending.Offers = nil
+	now := s.now()
+	for _, w := range s.waiting {
+		s.core.Offer(now, w.offer)
+	}
+	poke(s.local)
+	return was
+}
+
+// speak holds one session until it ends, falls silent or another daemon leads.
+func (s *Service) speak(ctx context.Context, address string) error {
+	if address == "" {
+		return errMoved
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	quiet := time.AfterFunc(firstSilence, cancel)
+	defer quiet.Stop()
+	stream, err := rpc.NewDRPCBrokerClient(s.link.Conn(address)).Session(ctx)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	if err := stream.Send(s.hello()); err != nil {
+		return err
+	}
+	in := make(chan *rpc.BrokerReply)
+	failed := make(chan error, 1)
+	go receive(ctx, stream, in, failed)
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	began := time.Now()
+	for {
+		err := error(nil)
+		select {
+		case <-s.wake:
+			err = s.send(stream)
+		case <-beat.C:
+			err = s.send(stream)
+		case r := <-in:
+			quiet.Reset(silence)
+			err = s.take(address, r, time.Since(began) > idleLimit)
+		case err = <-failed:
+		case <-ctx.Done():
+			err = errSilent
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func receive(ctx context.Context, stream rpc.DRPCBroker_SessionClient, in chan<- *rpc.BrokerReply, failed chan<- error) {
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			failed <- err
+			return
+		}
+		select {
+		case in <- r:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// hello lists all that runs; what waits follows once the daemon says that it
+// leads.
+func (s *Service) hello() *rpc.BrokerAsk {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = rpc.BrokerAsk{}
+	now := s.now()
+	ask := &rpc.BrokerAsk{Entry: s.self, First: true}
+	for _, w := range s.running {
+		ask.Offers = append(ask.Offers, work.EncodeOffer(now, w.offer))
+	}
+	return ask
+}
+
+// send passes on what is pending, or a heartbeat.
+func (s *Service) send(stream rpc.DRPCBroker_SessionClient) error {
+	s.mu.Lock()
+	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels}
+	s.pending = rpc.BrokerAsk{}
+	s.mu.Unlock()
+	return stream.Send(ask)
+}
+
+// take reads one message of the broker.
+func (s *Service) take(address string, r *rpc.BrokerReply, settled bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = max(1, int(r.Entries))
+	s.core.SetShare(1 / float64(s.entries))
+	if r.RosterSet {
+		s.takeRoster(r)
+	}
+	if !r.Leads {
+		if s.attached || (settled && s.view.Leader() != address) {
+			return errMoved
+		}
+		return nil
+	}
+	if !s.attached {
+		s.attach(address)
+	}
+	for _, g := range r.Grants {
+		s.takeGrant(work.DecodeGrant(s.self, g))
+	}
+	for _, x := range r.Refusals {
+		s.refused(work.DecodeRefusal(s.self, x), byBroker)
+	}
+	return nil
+}
+
+// attach gives all that waits to the broker; the lock is held.
+func (s *Service) attach(address string) {
+	s.attached = true
+	s.tries = 0
+	now := s.now()
+	for _, w := range s.waiting {
+		s.core.Cancel(w.offer.ID)
+		s.pending.Offers = append(s.pending.Offers, work.EncodeOffer(now, w.offer))
+	}
+	poke(s.wake)
+	s.log.Info("broker found", zap.String("address", address), zap.Int("waiting", len(s.waiting)), zap.Int("running", len(s.running)), zap.Int("entries", s.entries))
+}
+
+// takeGrant settles a request, or gives back a slot that nobody waits for.
+func (s *Service) takeGrant(g broker.Grant) {
+	w := s.waiting[g.ID.Number]
+	if w == nil {
+		s.pending.Ends = append(s.pending.Ends, work.EncodeEnd(broker.End{ID: g.ID, Outcome: broker.NotSent}))
+		poke(s.wake)
+		return
+	}
+	s.granted(g, byBroker)
+	s.core.Offer(s.now(), w.offer)
+}
+
+func (s *Service) takeRoster(r *rpc.BrokerReply) {
+	s.roster = s.roster[:0]
+	learned := []broker.Learned{}
+	for _, e := range r.Roster {
+		entry, l := work.DecodeEntry(e)
+		s.roster = append(s.roster, entry)
+		learned = append(learned, l)
+	}
+	s.core.Upstreams(work.Upstreams(s.roster, s.set.Routing.DataCentres))
+	s.core.Teach(learned)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,10 +10,13 @@
 
 	"github.com/verbenastep/verbenastep/core/promise"
 	"github.com/verbenastep/verbenastep/internal/admin"
+	"github.com/verbenastep/verbenastep/internal/broker"
+	"github.com/verbenastep/verbenastep/internal/brokerclient"
 	"github.com/verbenastep/verbenastep/internal/directory"
 	"github.com/verbenastep/verbenastep/internal/dispatch"
 	"github.com/verbenastep/verbenastep/internal/entry"
 	"github.com/verbenastep/verbenastep/internal/eventlog"
+	"github.com/verbenastep/verbenastep/internal/forward"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/link"
 	"github.com/verbenastep/verbenastep/internal/logclient"
@@ -22,8 +25,10 @@
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/registry"
 	"github.com/verbenastep/verbenastep/internal/replica"
+	"github.com/verbenastep/verbenastep/internal/roster"
 	"github.com/verbenastep/verbenastep/internal/schedclient"
 	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/internal/tables"
 	"github.com/verbenastep/verbenastep/internal/view"
 )
 
@@ -35,8 +40,9 @@
 	log    *zap.Logger
 }
 
-// New assembles the services without starting any.
-func New(set *settings.Settings, log *zap.Logger) (*Daemon, error) {
+// New assembles the services without starting any. Extra services come from
+// adapters, which know how others speak.
+func New(set *settings.Settings, log *zap.Logger, extra ...kernel.Service) (*Daemon, error) {
 	log = log.With(zap.String("daemon", set.Name))
 	self := port.Holder{Name: set.Name, Incarnation: uint64(time.Now().UnixNano()), Address: set.Addresses.Peers}
 	d := &Daemon{kernel: kernel.New(), link: link.New(set, log), events: eventlog.New(self), log: log}
@@ -46,18 +52,17 @@
 		view.New(set, log),
 		member.New(set, log, self),
 		directory.New(set, log),
-		registry.New(set, log),
-		dispatch.New(set, log, self),
-		schedclient.New(set, log, self),
-		entry.New(set, log, self),
-		admin.New(set, log),
 		metrics.New(),
 		d.events,
 	}
+	if set.Addresses.Admin != "" {
+		services = append(services, admin.New(set, log))
+	}
 	if set.HasRole(settings.Replica) {
 		services = append(services, replica.New(set, log))
 	}
-	for _, s := range services {
+	services = append(services, serving(set, log, self)...)
+	for _, s := range append(services, extra...) {
 		if err := d.kernel.Register(s); err != nil {
 			return nil, err
 		}
@@ -65,6 +70,25 @@
 	return d, nil
 }
 
+// serving returns the services for what the daemon serves: workspaces by
+// declared files, or a published route table as an entry, as a control daemon,
+// or as both.
+func serving(set *settings.Settings, log *zap.Logger, self port.Holder) []kernel.Service {
+	if set.Routing == nil {
+		return []kernel.Service{
+			registry.New(set, log), dispatch.New(set, log, self), schedclient.New(set, log, self), entry.New(set, log, self),
+		}
+	}
+	out := []kernel.Service{}
+	if set.Addresses.Callers != "" {
+		out = append(out, brokerclient.New(set, log, self), forward.New(set, log))
+	}
+	if set.ControlDaemon() {
+		out = append(out, tables.New(log), roster.New(set, log), broker.New(set, log))
+	}
+	return out
+}
+
 // Start starts the services, then begins to answer other daemons.
 func (d *Daemon) Start(ctx context.Context) error {
 	if err := d.kernel.Start(ctx); err != nil {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -63,12 +63,20 @@
 	if dataCentre == "" {
 		dataCentre = s.set.DataCentre
 	}
+	if s.set.Routing != nil {
+		kept := time.Duration(s.set.Routing.AnswerLifeMS) * time.Millisecond
+		return nearest(s.members.Live(), s.set.Routing.DataCentres, dataCentre), kept
+	}
 	return choose(s.members.Live(), dataCentre, rand.Float64), life
 }
 
 // Drain leaves the directory and waits until no caller holds an answer that
 // names this daemon, or until the context ends. Meanwhile the daemon serves.
 func (s *Service) Drain(ctx context.Context) error {
+	if s.set.Routing != nil {
+		// The entry itself serves those callers on; see internal/forward.
+		return nil
+	}
 	s.members.Announce()
 	s.log.Info("left the directory; serving callers that hold an older answer", zap.Duration("for", life+spreadTime))
 	select {
--- a/internal/logclient/logclient.go
+++ b/internal/logclient/logclient.go
@@ -21,7 +21,7 @@
 
 const (
 	// callTimeout bounds one attempt.
-	callTimeout = 1500 * time.Millisecond
+	callTimeout = 800 * time.Millisecond
 	// totalTimeout bounds all attempts of one call; it outlasts an election.
 	totalTimeout = 5 * time.Second
 	// firstPause and longestPause bound the wait between attempts, which
@@ -76,7 +76,8 @@
 	if address := s.leaders[group]; address != "" {
 		return address
 	}
-	address := s.set.Replicas[s.next%len(s.set.Replicas)].Address
+	known := s.set.KnownReplicas()
+	address := known[s.next%len(known)].Address
 	s.next++
 	return address
 }
@@ -174,5 +175,5 @@
 	return struct {
 		Replicas []settings.Peer   `json:"replicas"`
 		Leaders  map[string]string `json:"leaders"`
-	}{s.set.Replicas, leaders}
+	}{s.set.KnownReplicas(), leaders}
 }
--- a/internal/logclient/replicas.go
+++ b/internal/logclient/replicas.go
@@ -14,9 +14,9 @@
 
 // Status asks each replica of the settings for its position.
 func (s *Service) Status(ctx context.Context, group string) []port.ReplicaStatus {
-	out := make([]port.ReplicaStatus, len(s.set.Replicas))
+	out := make([]port.ReplicaStatus, len(s.set.KnownReplicas()))
 	all := sync.WaitGroup{}
-	for i, p := range s.set.Replicas {
+	for i, p := range s.set.KnownReplicas() {
 		all.Go(func() { out[i] = s.statusOf(ctx, group, p) })
 	}
 	all.Wait()
@@ -56,7 +56,7 @@
 // Backup writes a snapshot from the first replica that gives a whole one.
 func (s *Service) Backup(ctx context.Context, group string, w io.Writer) error {
 	last := error(nil)
-	for _, p := range s.set.Replicas {
+	for _, p := range s.set.KnownReplicas() {
 		data, err := s.backupFrom(ctx, group, p.Address)
 		if err == nil {
 			_, err = w.Write(data)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -28,5 +28,8 @@
 		}
 		cfg.Level = zap.NewAtomicLevelAt(level)
 	}
+	if s.Stdout {
+		cfg.OutputPaths = []string{"stdout"}
+	}
 	return cfg.Build()
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -103,7 +103,7 @@
 
 // due brings this daemon's own state up to date and asks the machine.
 func (s *Service) due() []member.Request {
-	version := s.view.Snapshot().Version
+	version := s.version()
 	load := s.load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,6 +113,19 @@
 	return out
 }
 
+// version is that of the configuration, or of the route table where the daemon
+// serves one.
+func (s *Service) version() uint64 {
+	if s.set.Routing == nil {
+		return s.view.Snapshot().Version
+	}
+	tables, ok := s.view.(port.TableView)
+	if !ok || tables.Routes() == nil {
+		return 0
+	}
+	return tables.Routes().Table.Version
+}
+
 func (s *Service) info(version uint64, load uint32) member.Info {
 	return member.Info{
 		Region: s.set.Region, DataCentre: s.set.DataCentre, Peers: s.set.Addresses.Peers, Callers: s.set.Addresses.Callers,
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -12,8 +12,11 @@
 	"storj.io/drpc"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/promise"
+	"github.com/verbenastep/verbenastep/core/roster"
+	"github.com/verbenastep/verbenastep/core/routes"
 	"github.com/verbenastep/verbenastep/core/sched"
 	"github.com/verbenastep/verbenastep/core/state"
 )
@@ -48,6 +51,18 @@
 	NameMetrics = "metrics"
 	// NameDirectory answers which entries to use; see Directory.
 	NameDirectory = "directory"
+	// NameTables publishes route tables; see Tables.
+	NameTables = "config.tables"
+	// NameRoster keeps the upstreams that send heartbeats; see Roster.
+	NameRoster = "upstream.roster"
+	// NameBroker grants upstreams to the entries of a route table.
+	NameBroker = "broker.server"
+	// NameWork is the entry's side of the broker; see Work.
+	NameWork = "broker.client"
+	// NameForward forwards requests by the route table.
+	NameForward = "entry.forward"
+	// NameDialect knows the header names of callers and upstreams.
+	NameDialect = "entry.dialect"
 )
 
 // GroupMain is the log group for configuration, leases and claims.
@@ -257,3 +272,78 @@
 	// Explain finds a request by its key, as this daemon saw it.
 	Explain(key string) (json.RawMessage, bool)
 }
+
+// Tables publishes route tables and reads them back.
+type Tables interface {
+	// Publish commits a table; source is what the operator sent. It returns the
+	// version in force afterwards. An error of kind malformed refuses the table
+	// for good.
+	Publish(ctx context.Context, t *routes.Table, source []byte) (uint64, error)
+	// Read returns the newest table's source, and false where there is none.
+	Read(ctx context.Context) (source []byte, found bool, err error)
+}
+
+// TableView is the daemon's copy of the route table.
+type TableView interface {
+	// Routes returns the table in force, nil where none is known yet. Its
+	// version never falls.
+	Routes() *routes.Index
+	// Leader returns the peers' address of the log's leader as last heard;
+	// empty where none is known.
+	Leader() string
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// Roster keeps the upstreams that send heartbeats.
+type Roster interface {
+	// Take takes in a heartbeat and passes it on. An error says that this
+	// daemon can't, and that another one should be asked.
+	Take(e roster.Entry) error
+	// Leave ends an upstream by its id.
+	Leave(id string) error
+	// All lists the upstreams by id, with how long ago each was heard of.
+	All() []RosterEntry
+	// Changed returns a channel that is closed at the next change of what
+	// upstreams may be used for.
+	Changed() <-chan struct{}
+}
+
+// RosterEntry is an upstream with the age of its newest heartbeat.
+type RosterEntry struct {
+	roster.Entry
+	Age    time.Duration
+	Silent bool
+}
+
+// Work grants upstreams to requests of the route table.
+type Work interface {
+	// Acquire waits for a grant. Its error is a *fault.Error of a request that
+	// did not run, or the context's.
+	Acquire(ctx context.Context, o WorkOffer) (WorkTicket, error)
+	// Entries is how many entries share the system's limits, at least 1.
+	Entries() int
+}
+
+// WorkOffer is a request that waits for an upstream.
+type WorkOffer struct {
+	broker.Offer
+	// AimAt is when the first event must have come to be on time, DeadlineAt
+	// when the caller stops waiting.
+	AimAt      time.Time
+	DeadlineAt time.Time
+}
+
+// WorkTicket is a granted slot. End must be called exactly once.
+type WorkTicket struct {
+	broker.Grant
+	// By says who granted: "broker", or "entry" where no broker answered.
+	By  string
+	End func(e broker.End)
+}
+
+// Readiness tells whether an entry takes new callers.
+type Readiness interface {
+	// Ready returns nil, or why the entry should not be used.
+	Ready() error
+}
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -74,7 +74,7 @@
 // noteChange tells whether watchers may want to know of a command.
 func (e *engine) noteChange(c state.Command, index uint64) bool {
 	switch {
-	case c.Apply != nil:
+	case c.Apply != nil, c.Publish != nil:
 		return true
 	case c.Acquire != nil:
 		e.g.leaseAt[c.Acquire.Name] = index
--- a/internal/replica/joiner.go
+++ b/internal/replica/joiner.go
@@ -24,6 +24,9 @@
 	joinEvery = 300 * time.Millisecond
 	// joinCall bounds one call meanwhile.
 	joinCall = time.Second
+	// checkEvery is the pause between two looks whether this replica is still a
+	// member: one that was away for long may have been replaced.
+	checkEvery = 2 * time.Second
 )
 
 // RestoreFile is where a backup waits, below the data folder, for the group's
@@ -34,9 +37,10 @@
 
 // joiner brings a replica with an empty folder into its group.
 //
-// The group begins only once: the replica whose name sorts first does it, and
-// only when every replica in the settings answers that it is empty. In all
-// other cases the replica asks to become a learner.
+// The group begins only once: the replica whose address sorts first does it,
+// and only when every replica in the settings answers that it is empty. In all
+// other cases the replica asks to become a learner. Replicas are known by their
+// addresses; a name is learned from its owner.
 type joiner struct {
 	group *group
 	set   *settings.Settings
@@ -45,10 +49,14 @@
 }
 
 func (j *joiner) run(ctx context.Context) {
-	for ctx.Err() == nil && !j.settled(ctx) {
+	for ctx.Err() == nil {
+		pause := joinEvery
+		if j.settled(ctx) {
+			pause = checkEvery
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(joinEvery):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -57,10 +65,8 @@
 // present address.
 func (j *joiner) settled(ctx context.Context) bool {
 	own := j.group.report()
-	for _, m := range own.Members {
-		if m.ID == own.ID && m.Address == own.Address {
-			return true
-		}
+	if listed(own.Members, own) && !j.removed(ctx, own) {
+		return true
 	}
 	began, members := j.ask(ctx, own)
 	switch {
@@ -72,35 +78,73 @@
 	return false
 }
 
+func listed(members []port.ReplicaMember, own port.ReplicaStatus) bool {
+	return slices.ContainsFunc(members, func(m port.ReplicaMember) bool { return m.ID == own.ID && m.Address == own.Address })
+}
+
+// removed tells whether another replica, at least as far in the log, does not
+// list this one any more.
+func (j *joiner) removed(ctx context.Context, own port.ReplicaStatus) bool {
+	if own.Role == consensus.Leader.String() {
+		return false
+	}
+	for _, m := range own.Members {
+		if m.ID == own.ID {
+			continue
+		}
+		st, err := j.status(ctx, m.Address)
+		if err != nil || st.Term < own.Term || st.Committed < own.Committed || len(st.Members) == 0 {
+			continue
+		}
+		return !listed(st.Members, own)
+	}
+	return false
+}
+
 // ask returns the address of a replica that has begun, or else all members-to-be
 // where all of them answered.
 func (j *joiner) ask(ctx context.Context, own port.ReplicaStatus) (string, []consensus.Member) {
 	members := []consensus.Member{{ID: consensus.ID(own.ID), Name: own.Name, Address: own.Address}}
-	for _, p := range j.set.Replicas {
-		if p.Name == own.Name {
-			continue
-		}
-		st, err := j.status(ctx, p.Address)
+	for _, address := range j.others(own) {
+		st, err := j.status(ctx, address)
 		if err != nil {
 			members = nil
 			continue
 		}
 		if len(st.Members) > 0 {
-			return p.Address, nil
+			return address, nil
 		}
 		if members != nil {
-			members = append(members, consensus.Member{ID: consensus.ID(st.ID), Name: st.Name, Address: p.Address})
+			members = append(members, consensus.Member{ID: consensus.ID(st.ID), Name: st.Name, Address: address})
 		}
 	}
 	return "", members
 }
 
+// others lists where other replicas may be: those of the settings, and those
+// that this one knew as members.
+func (j *joiner) others(own port.ReplicaStatus) []string {
+	out := []string{}
+	for _, p := range j.set.KnownReplicas() {
+		out = append(out, p.Address)
+	}
+	for _, m := range own.Members {
+		out = append(out, m.Address)
+	}
+	slices.Sort(out)
+	return slices.DeleteFunc(slices.Compact(out), func(a string) bool { return a == own.Address })
+}
+
+// first tells whether it is this replica's part to begin the group.
 func (j *joiner) first() bool {
-	names := []string{}
-	for _, p := range j.set.Replicas {
-		names = append(names, p.Name)
+	if j.set.Routing != nil && !j.set.Routing.Found {
+		return false
+	}
+	addresses := []string{}
+	for _, p := range j.set.KnownReplicas() {
+		addresses = append(addresses, p.Address)
 	}
-	return len(names) > 0 && slices.Min(names) == j.set.Name
+	return len(addresses) > 0 && slices.Min(addresses) == j.set.Addresses.Peers
 }
 
 func (j *joiner) status(ctx context.Context, address string) (port.ReplicaStatus, error) {
--- a/internal/replica/keeper.go
+++ b/internal/replica/keeper.go
@@ -14,7 +14,15 @@
 
 const (
 	// keepEvery is the pause between the leader's rounds of upkeep.
-	keepEvery = time.Second
+	keepEvery = 250 * time.Millisecond
+	// goneTicks is how long a voter may be silent before another may take its
+	// place: longer than a restart, much shorter than the time within which a
+	// second loss must be borne.
+	goneTicks = 60
+	// lostTicks is how long a learner may be silent before it is removed.
+	lostTicks = 400
+	// leastVoters are never gone below by removing silent voters.
+	leastVoters = 3
 	// trimStep is how far past their retention claims may get, so that one
 	// entry trims many.
 	trimStep = 10 * time.Second
@@ -49,6 +57,7 @@
 	}
 	e.keeper.next = now.Add(keepEvery)
 	e.promote()
+	e.retire()
 	e.trim(now)
 }
 
@@ -72,6 +81,9 @@
 		old := slices.IndexFunc(list, func(m consensus.Member) bool {
 			return m.Name == p.Member.Name && m.ID != p.Member.ID
 		})
+		if old < 0 {
+			old = silentVoter(s)
+		}
 		if old >= 0 {
 			list = slices.Delete(list, old, old+1)
 		} else {
@@ -84,6 +96,42 @@
 	}
 }
 
+// silentVoter returns the place of a voter that has been silent for long, or -1.
+func silentVoter(s consensus.Status) int {
+	return slices.IndexFunc(s.Members, func(m consensus.Member) bool {
+		return !m.Learner && slices.ContainsFunc(s.Peers, func(p consensus.PeerStatus) bool {
+			return p.Member.ID == m.ID && p.Heard > goneTicks
+		})
+	})
+}
+
+// retire removes a silent voter beyond the least number of voters, so that it
+// no longer counts for a quorum, and learners that never came back.
+func (e *engine) retire() {
+	s := e.node.Status()
+	voters := 0
+	for _, m := range s.Members {
+		if !m.Learner {
+			voters++
+		}
+	}
+	at := -1
+	if voters > leastVoters {
+		at = silentVoter(s)
+	}
+	for _, p := range s.Peers {
+		if at < 0 && p.Member.Learner && p.Heard > lostTicks {
+			at = slices.IndexFunc(s.Members, func(m consensus.Member) bool { return m.ID == p.Member.ID })
+		}
+	}
+	if at < 0 {
+		return
+	}
+	gone := s.Members[at]
+	_, err := e.node.ProposeMembers(slices.Delete(slices.Clone(s.Members), at, at+1))
+	e.g.log.Info("silent replica removed", zap.String("replica", gone.Name), zap.String("address", gone.Address), zap.Error(err))
+}
+
 // trim drops claims past their retention and answers past their bound.
 func (e *engine) trim(now time.Time) {
 	version, _, files := e.machine.Config()
--- /dev/null
+++ b/internal/replica/table.go
@@ -0,0 +1,56 @@
+package replica
+
+import (
+	"context"
+
+	"github.com/verbenastep/verbenastep/core/consensus"
+	"github.com/verbenastep/verbenastep/core/state"
+	"github.com/verbenastep/verbenastep/internal/port"
+)
+
+// ReadTable returns the route table after all that was committed before the
+// call. It fails where this replica can't be sure of that.
+func (s *Service) ReadTable(ctx context.Context) (state.Publish, error) {
+	g, err := s.group(port.GroupMain)
+	if err != nil {
+		return state.Publish{}, err
+	}
+	if err := g.read(ctx); err != nil {
+		return state.Publish{}, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Table(), nil
+}
+
+// Leadership tells whether this replica leads the main group, and where the
+// leader is; the address is empty where none is known.
+func (s *Service) Leadership() (leads bool, address string) {
+	g, err := s.group(port.GroupMain)
+	if err != nil {
+		return false, ""
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.status.Members {
+		if m.ID == g.status.Leader {
+			address = m.Address
+		}
+	}
+	return g.status.Role == consensus.Leader, address
+}
+
+// MemberAddresses lists the peers' addresses of the group's members, learners included.
+func (s *Service) MemberAddresses() []string {
+	g, err := s.group(port.GroupMain)
+	if err != nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := []string{}
+	for _, m := range g.status.Members {
+		out = append(out, m.Address)
+	}
+	return out
+}
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -13,10 +13,10 @@
 
 const (
 	// keepaliveEvery is the longest pause between updates of a watch.
-	keepaliveEvery = time.Second
+	keepaliveEvery = 300 * time.Millisecond
 	// lostKeepalives in a row without a leader end a watch, so that the daemon
-	// turns to a replica that is not cut off.
-	lostKeepalives = 2
+	// turns to a replica that is not cut off; together they outlast an election.
+	lostKeepalives = 5
 	// watchRead bounds the read that a watch begins with.
 	watchRead = 1500 * time.Millisecond
 )
@@ -32,6 +32,8 @@
 	begun bool
 	// lost counts keepalives in a row without a leader.
 	lost int
+	// table is the version of the route table that was sent.
+	table uint64
 }
 
 // changes is what a watcher lacks.
@@ -42,6 +44,8 @@
 	suspects []state.Suspect
 	// allSuspects says that suspects is set.
 	allSuspects bool
+	// table is set where the watcher's is older.
+	table *state.Publish
 }
 
 // Watch streams changes until the caller goes away. The first update has all
@@ -55,7 +59,7 @@
 	if err := g.readWithin(stream.Context(), watchRead); err != nil {
 		return err
 	}
-	w := &watcher{version: req.Version, digest: req.Digest}
+	w := &watcher{version: req.Version, digest: req.Digest, table: req.TableVersion}
 	keepalive := time.NewTicker(keepaliveEvery)
 	defer keepalive.Stop()
 	for {
@@ -108,9 +112,13 @@
 	u := &rpc.WatchUpdate{Full: !w.begun, Index: g.applied, SuspectsFull: c.allSuspects}
 	for _, m := range g.status.Members {
 		if m.ID == g.status.Leader {
-			u.Leader = m.Name
+			u.Leader, u.LeaderAddress = m.Name, m.Address
 		}
 	}
+	if c.table != nil {
+		u.Table, u.TableVersion = c.table.Table, c.table.Version
+		w.table = c.table.Version
+	}
 	changed := g.changed
 	w.index = g.applied
 	g.mu.Unlock()
@@ -142,6 +150,9 @@
 		c.suspects = g.machine.Suspects()
 		c.allSuspects = true
 	}
+	if table := g.machine.Table(); table.Version > w.table {
+		c.table = &table
+	}
 	return c
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -48,6 +48,14 @@
 		{"$.addresses.upstreams", s.Addresses.Upstreams},
 		{"$.addresses.admin", s.Addresses.Admin},
 	}
+	if s.Routing != nil {
+		all = append(all, []struct{ path, value string }{
+			{"$.routing.ready", s.Routing.Ready},
+			{"$.routing.control", s.Routing.Control},
+			{"$.routing.directory", s.Routing.Directory},
+		}...)
+		all = slices.DeleteFunc(all, func(a struct{ path, value string }) bool { return a.value == "" })
+	}
 	for i, a := range all {
 		k.address(a.path, a.value)
 		for _, b := range all[:i] {
@@ -59,6 +67,9 @@
 	if a, err := netip.ParseAddrPort(s.Addresses.Peers); err == nil && a.Addr().IsUnspecified() {
 		k.add("$.addresses.peers", "other daemons can't reach an unspecified IP", "write the IP by which they reach this one")
 	}
+	if s.Routing != nil && s.Addresses.Callers == "" && s.Routing.Control == "" {
+		k.add("$.routing", "the daemon serves neither callers nor control", "write $.addresses.callers, or $.routing.control")
+	}
 	if a, err := netip.ParseAddrPort(s.Addresses.Callers); err == nil && a.Addr().IsUnspecified() {
 		k.add("$.addresses.callers", "the directory can't name an unspecified IP", "write the IP by which callers reach this daemon")
 	}
@@ -77,6 +88,12 @@
 }
 
 func (k *checker) replicas(s *Settings) {
+	if s.Routing == nil && len(s.Replicas) == 0 {
+		k.add("$.replicas", "the list is empty or missing", "list the daemons that keep the durable state")
+	}
+	if s.Routing != nil && len(s.Replicas)+len(s.Seeds) == 0 {
+		k.add("$.seeds", "the list is empty or missing", "list peers' addresses of control daemons")
+	}
 	seen := map[string]string{}
 	for i, r := range s.Replicas {
 		path := fmt.Sprintf("$.replicas[%d]", i)
@@ -95,8 +112,14 @@
 // role checks that the replica's role, its place in the list of replicas and
 // its data folder agree.
 func (k *checker) role(s *Settings) {
-	i := slices.IndexFunc(s.Replicas, func(p Peer) bool { return p.Name == s.Name })
 	replica := s.HasRole(Replica)
+	if replica && s.DataFolder == "" {
+		k.add("$.data_folder", "a replica needs a data folder", "name a folder on its disk")
+	}
+	if s.Routing != nil {
+		return
+	}
+	i := slices.IndexFunc(s.Replicas, func(p Peer) bool { return p.Name == s.Name })
 	if replica && i < 0 && len(s.Replicas) > 0 {
 		k.add("$.roles", fmt.Sprintf("%q has the role replica but is not listed in $.replicas", s.Name), "list it there, or remove the role")
 	}
@@ -106,9 +129,6 @@
 	if i >= 0 && s.Replicas[i].Address != s.Addresses.Peers {
 		k.add(fmt.Sprintf("$.replicas[%d].address", i), fmt.Sprintf("%s is not this daemon's peers' address %s", s.Replicas[i].Address, s.Addresses.Peers), "write the same address in both places")
 	}
-	if replica && s.DataFolder == "" {
-		k.add("$.data_folder", "a replica needs a data folder", "name a folder on its disk")
-	}
 }
 
 // tls checks that all files are given or none.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,10 @@
 	Limits      Limits `json:"limits,omitempty"`
 	TLS         TLS    `json:"tls,omitempty"`
 	Log         Log    `json:"log,omitempty"`
+	// Routing is set where the daemon serves a published route table.
+	Routing *Routing `json:"routing,omitempty"`
+
+	seeds *seedList
 }
 
 // Peer is another daemon.
@@ -92,6 +96,8 @@
 	Format string `json:"format,omitempty"`
 	// Level is "debug", "info", "warn" or "error".
 	Level string `json:"level,omitempty"`
+	// Stdout writes to standard output instead of standard error.
+	Stdout bool `json:"stdout,omitempty"`
 }
 
 // HasRole tells whether the daemon has a role.
@@ -171,4 +177,9 @@
 	if s.Limits.Connections == 0 {
 		s.Limits.Connections = DefaultConnections
 	}
+	if s.Routing != nil {
+		s.Routing.fill()
+		s.followSeeds()
+	}
+	s.seeds = &seedList{seeds: s.Seeds, replicas: s.Replicas}
 }
--- /dev/null
+++ b/internal/view/table.go
@@ -0,0 +1,43 @@
+package view
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/routes"
+)
+
+// takeTable puts a newer route table in force; the lock is held.
+func (s *Service) takeTable(u *rpc.WatchUpdate) error {
+	if len(u.Table) == 0 || u.TableVersion <= s.tableVersion() {
+		return nil
+	}
+	t, err := routes.Decode(u.Table)
+	if err != nil {
+		return err
+	}
+	s.routes = routes.NewIndex(t)
+	s.log.Info("route table in force", zap.Uint64("version", t.Version), zap.Int("routes", len(t.Routes)), zap.Uint64("index", u.Index))
+	return nil
+}
+
+func (s *Service) tableVersion() uint64 {
+	if s.routes == nil {
+		return 0
+	}
+	return s.routes.Table.Version
+}
+
+// Routes returns the route table in force, nil where none is known yet.
+func (s *Service) Routes() *routes.Index {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routes
+}
+
+// Leader returns the peers' address of the log's leader as last heard.
+func (s *Service) Leader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -15,6 +15,7 @@
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/promise"
+	"github.com/verbenastep/verbenastep/core/routes"
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
@@ -43,6 +44,9 @@
 	// source is the replica that is watched, index the log position reached.
 	source string
 	index  uint64
+	// routes is the route table in force, leader the log leader's address.
+	routes *routes.Index
+	leader string
 }
 
 // New returns the service.
@@ -111,7 +115,12 @@
 			return err
 		}
 	}
-	if len(u.Config) == 0 && len(u.Leases) == 0 && !u.SuspectsFull {
+	if err := s.takeTable(u); err != nil {
+		return err
+	}
+	moved := s.leader != u.LeaderAddress
+	s.leader = u.LeaderAddress
+	if len(u.Config) == 0 && len(u.Leases) == 0 && !u.SuspectsFull && len(u.Table) == 0 && !moved {
 		return nil
 	}
 	close(s.changed)
--- a/internal/view/watch.go
+++ b/internal/view/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sort"
 	"time"
 
@@ -16,10 +17,10 @@
 
 const (
 	// retryPause is the wait before the next replica is tried.
-	retryPause = 200 * time.Millisecond
+	retryPause = 100 * time.Millisecond
 	// silence is how long a watch may carry nothing, not even a keepalive,
 	// before it is dropped. It outlasts the read that a watch begins with.
-	silence = 3 * time.Second
+	silence = 1800 * time.Millisecond
 )
 
 var errSilent = errors.New("the watch carried nothing for too long; another replica is tried")
@@ -43,13 +44,13 @@
 func (s *Service) order() []settings.Peer {
 	members, _ := kernel.Find[port.Members](s.kernel, port.NameMembers)
 	distance := func(p settings.Peer) int {
-		if p.Name == s.set.Name {
+		if p.Address == s.set.Addresses.Peers {
 			return 0
 		}
 		if members == nil {
 			return 3
 		}
-		m, ok := members.Find(p.Name)
+		m, ok := byAddress(members.Live(), p.Address)
 		switch {
 		case ok && m.DataCentre == s.set.DataCentre:
 			return 1
@@ -58,18 +59,43 @@
 		}
 		return 3
 	}
-	out := append([]settings.Peer{}, s.set.Replicas...)
+	out := append([]settings.Peer{}, s.set.KnownReplicas()...)
+	if members != nil {
+		out = addReplicas(out, members.Live())
+	}
 	sort.SliceStable(out, func(i, j int) bool { return distance(out[i]) < distance(out[j]) })
 	return out
 }
 
+func byAddress(live []port.Member, address string) (port.Member, bool) {
+	i := slices.IndexFunc(live, func(m port.Member) bool { return m.Peers == address })
+	if i < 0 {
+		return port.Member{}, false
+	}
+	return live[i], true
+}
+
+// addReplicas adds the live replicas that the settings don't list.
+func addReplicas(known []settings.Peer, live []port.Member) []settings.Peer {
+	for _, m := range live {
+		listed := slices.ContainsFunc(known, func(p settings.Peer) bool { return p.Address == m.Peers })
+		if m.Replica && !listed {
+			known = append(known, settings.Peer{Name: m.Name, Address: m.Peers})
+		}
+	}
+	return known
+}
+
 func (s *Service) watch(ctx context.Context, p settings.Peer) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	snap := s.Snapshot()
-	req := &rpc.WatchRequest{Daemon: s.set.Name, Group: port.GroupMain, Version: snap.Version, Digest: snap.Digest}
+	s.mu.Lock()
+	table := s.tableVersion()
+	s.mu.Unlock()
+	req := &rpc.WatchRequest{Daemon: s.set.Name, Group: port.GroupMain, Version: snap.Version, Digest: snap.Digest, TableVersion: table}
 	stream, err := rpc.NewDRPCLogClient(s.link.Conn(p.Address)).Watch(ctx, req)
 	if err != nil {
 		return err
