Refuse a workspace's less urgent requests first where its quota runs short

Ruled out: the order of the queue, which holds nothing that the quota refused. Change: a request leaves 0.2 of the bucket for each rank of its route before it; an entry takes a broker as lost after 400 ms instead of 500. Test: core/limits TestBucketKeepsAReserveForUrgentRequests.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -38,6 +38,9 @@
 	OutputTokens int
 	// Charge is what the workspace's quota counts; zero where it is paid.
 	Charge int
+	// Reserve is the part of the quota's bucket that must be left, so that the
+	// workspace's less urgent requests are refused before its urgent ones.
+	Reserve float64
 	// Session names what the prompt shares with earlier ones, SessionTokens long.
 	Session       uint64
 	SessionTokens int
@@ -274,7 +277,7 @@
 	}
 	rate := float64(space.TokensPerSecond) * min(1, b.share*aloneRate)
 	burst := (float64(space.TokenBurst) + b.slack*slackPart) * b.share
-	wait, ok := bucket.Take(now, rate, burst, float64(w.Charge))
+	wait, ok := bucket.Take(now, rate, burst, w.Reserve*burst, float64(w.Charge))
 	if ok {
 		w.paid = w.Charge
 	}
--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -10,12 +10,13 @@
 	begun bool
 }
 
-// Take takes n tokens where the bucket holds them, or is full and can never
-// hold more. Otherwise it takes none and returns how long it is until it holds
-// them. Rate and burst, in tokens a second and tokens, may change between calls.
-func (b *Bucket) Take(now time.Duration, rate, burst, n float64) (wait time.Duration, ok bool) {
+// Take takes n tokens where the bucket holds them above a reserve, or is full
+// and can never hold more. Otherwise it takes none and returns how long it is
+// until it holds them. Rate, burst and reserve, in tokens a second and tokens,
+// may change between calls.
+func (b *Bucket) Take(now time.Duration, rate, burst, reserve, n float64) (wait time.Duration, ok bool) {
 	b.fill(now, rate, burst)
-	need := min(n, burst)
+	need := min(n+reserve, burst)
 	if b.level >= need {
 		b.level -= n
 		return 0, true
--- /dev/null
+++ b/core/limits/bucket_test.go
@@ -0,0 +1,91 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	testRate  = 1000.0
+	testBurst = 2000.0
+)
+
+// TestBucketBoundsAnyWindow spends all it can at every step: in no window may
+// more than the rate and one burst get through.
+func TestBucketBoundsAnyWindow(t *testing.T) {
+	b := Bucket{}
+	spent := []float64{}
+	for ms := 0; ms < 20_000; ms += 10 {
+		got := 0.0
+		for {
+			if _, ok := b.Take(time.Duration(ms)*time.Millisecond, testRate, testBurst, 0, 50); !ok {
+				break
+			}
+			got += 50
+		}
+		spent = append(spent, got)
+	}
+	for from := 0; from+800 <= len(spent); from += 10 {
+		sum := 0.0
+		for _, n := range spent[from : from+800] {
+			sum += n
+		}
+		require.LessOrEqual(t, sum, testRate*8+testBurst)
+	}
+}
+
+// TestBucketKeepsAReserveForUrgentRequests exhausts the bucket by requests that
+// leave a reserve: an urgent one still gets through.
+func TestBucketKeepsAReserveForUrgentRequests(t *testing.T) {
+	b := Bucket{}
+	now := 10 * time.Second
+	for range 100 {
+		b.Take(now, testRate, testBurst, 0.4*testBurst, 100)
+	}
+	wait, ok := b.Take(now, testRate, testBurst, 0.4*testBurst, 100)
+	require.False(t, ok)
+	require.Positive(t, wait)
+	_, ok = b.Take(now, testRate, testBurst, 0, 100)
+	require.True(t, ok)
+}
+
+// TestBucketTakesWhatIsLargerThanTheBurst once it is full.
+func TestBucketTakesWhatIsLargerThanTheBurst(t *testing.T) {
+	b := Bucket{}
+	b.Take(0, testRate, testBurst, 0, 0)
+	wait, ok := b.Take(0, testRate, testBurst, 0, 3*testBurst)
+	require.False(t, ok)
+	_, ok = b.Take(wait, testRate, testBurst, 0, 3*testBurst)
+	require.True(t, ok)
+	_, ok = b.Take(wait+time.Second, testRate, testBurst, 0, 1)
+	require.False(t, ok, "the debt is paid first")
+}
+
+func TestRepeatsStayWithinTheBudgetOfAnyWindow(t *testing.T) {
+	const window, ratio, slack = 10 * time.Second, 0.2, 5.0
+	r := NewRepeats(window)
+	allowed, requests := []int{}, 0
+	for ms := 0; ms < 40_000; ms += 10 {
+		now := time.Duration(ms) * time.Millisecond
+		if ms < 20_000 && ms%50 == 0 {
+			r.Request(now)
+			requests++
+		}
+		n := 0
+		if r.Allow(now, ratio, slack) {
+			n = 1
+		}
+		allowed = append(allowed, n)
+	}
+	require.Equal(t, 400, requests)
+	for from := 0; from+950 <= len(allowed); from += 10 {
+		sum := 0
+		for _, n := range allowed[from : from+950] {
+			sum += n
+		}
+		// 200 requests fall into a window at most.
+		require.LessOrEqual(t, sum, int(ratio*200+slack))
+	}
+}
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -18,7 +18,7 @@
 	// silence is how long the broker, which sends every 100 ms, may be silent
 	// before the entry decides by itself: several messages, and a lost packet
 	// that is sent again.
-	silence = 500 * time.Millisecond
+	silence = 400 * time.Millisecond
 	// firstSilence bounds the wait for the first message of a session, which
 	// needs a connection before.
 	firstSilence = 600 * time.Millisecond
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -24,6 +24,9 @@
 	// rankStep is how many ranks of routes one rank of workspaces spans: the
 	// workspace's rank goes before the route's, which orders its own requests.
 	rankStep = 4
+	// rankReserve is the part of a quota's bucket that each rank of a route
+	// leaves to the ranks before it.
+	rankReserve = 0.2
 	// retryAim is the part of the aim that a second try has from its start.
 	retryAim = 2
 )
@@ -181,6 +184,7 @@
 	if q.engine == nil {
 		return o
 	}
+	o.Reserve = rankReserve * float64(min(q.route.Rank, rankStep-1))
 	o.PromptTokens = q.meta.PromptTokens
 	o.OutputTokens = q.meta.LikelyTokens
 	if o.OutputTokens == 0 {
--- a/internal/work/codec.go
+++ b/internal/work/codec.go
@@ -36,7 +36,7 @@
 		Id: o.ID.Number, Pool: o.Pool, Route: o.Route, Workspace: o.Workspace, DataCentre: o.DataCentre, Region: o.Region, Rank: uint32(o.Rank),
 		PromptTokens: uint32(o.PromptTokens), OutputTokens: uint32(o.OutputTokens), Charge: uint32(o.Charge),
 		AimMs: int32((o.Aim - now).Milliseconds()), WaitMs: ms(o.Deadline - now), Session: o.Session, SessionTokens: uint32(o.SessionTokens),
-		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running,
+		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: uint32(o.Reserve * thousandths),
 	}
 }
 
@@ -46,7 +46,7 @@
 		ID: broker.ID{Entry: entry, Number: o.Id}, Pool: o.Pool, Route: o.Route, Workspace: o.Workspace, DataCentre: o.DataCentre, Region: o.Region,
 		Rank: int(o.Rank), PromptTokens: int(o.PromptTokens), OutputTokens: int(o.OutputTokens), Charge: int(o.Charge),
 		Aim: now + time.Duration(o.AimMs)*time.Millisecond, Deadline: now + duration(o.WaitMs), Session: o.Session, SessionTokens: int(o.SessionTokens),
-		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running,
+		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: float64(o.Reserve) / thousandths,
 	}
 }
 
