Hold the first elections sooner, and requests until the first table

Ruled out: the watch's own retry (100 ms) and the brokers' sessions. Change: the first election's spread is halved, a role change asks pending reads again, an entry without a table holds a request for up to 1.5 s.

--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -62,10 +62,15 @@
 	n := &Node{opt: opt, now: now, heard: now, hard: saved.Hard, handedHard: saved.Hard, log: newLog(saved)}
 	n.conf.reset(saved.Meta)
 	n.conf.take(n.log.entries)
-	n.resetDeadline()
+	// Nobody leads where all begin at once: the first election comes early, and
+	// a leader that lives is heard of before it.
+	n.deadline = now + opt.ElectionTicks + settleTicks + opt.Random(opt.ElectionTicks/firstSpread)
 	return n
 }
 
+// firstSpread divides the spread of the first election after a start.
+const firstSpread = 2
+
 // settleTicks is added to each election timeout, so that the others' promises
 // to the lost leader have ended when they are asked.
 const settleTicks = 2
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -38,9 +38,10 @@
 	// noTableRetry is when a caller may come back to an entry that knows no
 	// route table yet: a watch brings it within a round trip of starting.
 	noTableRetry = 300 * time.Millisecond
-	// tableWait is how long a request waits at an entry that knows none: most of
-	// the shortest aim of a stream.
-	tableWait = 500 * time.Millisecond
+	// tableWait is how long a request waits at an entry that knows none. It
+	// outlasts the election after a start of all daemons; a caller that is
+	// refused would be back later than that.
+	tableWait = 1500 * time.Millisecond
 	// sweepEvery is the pause between two looks at idle connections.
 	sweepEvery = time.Second
 )
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -246,6 +246,9 @@
 // read waits until the machine here has all that was committed before the call.
 func (g *group) read(ctx context.Context) error {
 	for {
+		g.mu.Lock()
+		changed := g.changed
+		g.mu.Unlock()
 		done := make(chan struct{})
 		if err := g.do(ctx, func(e *engine) { e.read(done) }); err != nil {
 			return err
@@ -254,6 +257,8 @@
 		case <-done:
 			return nil
 		case <-time.After(readRetry):
+		case <-changed:
+			// A new leader, or a commit that the read may have waited for.
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-g.stop:
