--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -30,8 +30,6 @@
 	*request
 	w   http.ResponseWriter
 	ctx context.Context
-	// ran says that an upstream may have run the request.
-	ran bool
 	// runs counts upstreams that may have run it, rejects those that did not.
 	runs    int
 	rejects int
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -10,36 +10,35 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/core/roster"
+	"github.com/verbenastep/verbenastep/internal/wal"
 )
 
 const (
 	// rosterFile is where the roster is kept below the data folder.
 	rosterFile = "roster.json"
 	// keepPause is the least time between two writes.
-	keepPause = 300 * time.Millisecond
+	keepPause = time.Second
 )
 
 // store keeps the roster on disk, so that a daemon that comes back knows the
-// upstreams before their next heartbeats. It is a hint, written without a sync:
-// an upstream is used only if its process answers under its id.
+// upstreams before their next heartbeats. It is a hint: an upstream is used only
+// if its process answers under its id.
 type store struct{ folder string }
 
-func (s *store) path() string { return filepath.Join(s.folder, rosterFile) }
-
 func (s *store) save(list []roster.Entry) error {
 	data, err := json.Marshal(list)
 	if err != nil {
 		return err
 	}
-	next := s.path() + ".new"
-	if err := os.WriteFile(next, data, 0o600); err != nil {
+	disk, err := wal.OpenFolder(s.folder)
+	if err != nil {
 		return err
 	}
-	return os.Rename(next, s.path())
+	return wal.WriteFile(disk, rosterFile, data)
 }
 
 func (s *store) load() ([]roster.Entry, error) {
-	data, err := os.ReadFile(s.path())
+	data, err := os.ReadFile(filepath.Join(s.folder, rosterFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
@@ -71,8 +70,14 @@
 // keep writes the roster after changes.
 func (s *Service) keep() {
 	failing := false
-	for s.ctx.Err() == nil {
-		changed := s.Changed()
+	changed := s.Changed()
+	for {
+		select {
+		case <-changed:
+		case <-s.ctx.Done():
+			return
+		}
+		changed = s.Changed()
 		list := []roster.Entry{}
 		for _, e := range s.All() {
 			list = append(list, e.Entry)
@@ -83,9 +88,5 @@
 			s.log.Info("keeping the roster failed or works again", zap.Bool("failing", failing), zap.Error(err))
 		}
 		s.pause(keepPause)
-		select {
-		case <-changed:
-		case <-s.ctx.Done():
-		}
 	}
 }
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
@@ -43,9 +44,11 @@
 	return configurationText
 }
 
-var compiled = map[Kind]*jsonschema.Schema{
-	Settings:      compile(Settings),
-	Configuration: compile(Configuration),
+// compiled holds the schemas, each compiled at its first use: a daemon starts
+// faster without the one that it does not need.
+var compiled = map[Kind]func() *jsonschema.Schema{
+	Settings:      sync.OnceValue(func() *jsonschema.Schema { return compile(Settings) }),
+	Configuration: sync.OnceValue(func() *jsonschema.Schema { return compile(Configuration) }),
 }
 
 // compile panics on an embedded schema that is not one, which the package's
@@ -77,7 +80,7 @@
 	if err != nil {
 		return []Fault{{Path: "$", Message: "the file is not JSON: " + err.Error(), Remedy: "write it as one JSON object"}}
 	}
-	err = compiled[k].Validate(doc)
+	err = compiled[k]().Validate(doc)
 	found := (*jsonschema.ValidationError)(nil)
 	if !errors.As(err, &found) {
 		return nil
