Let requests that can no longer be on time wait behind those that can

Ruled out: that late ones delay punctual ones (the pattern test bounds it). Change: within a rank such a request goes behind those that can be on time and is refused only past twice its aim.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -166,6 +166,9 @@
 	// alone says that the upstream read no other prompt when it was granted.
 	alone bool
 	paid  int
+	// late says that it can no longer be on time: it waits behind the requests
+	// of its rank that can.
+	late bool
 	// orphaned is when it is forgotten without its entry; zero for never.
 	orphaned time.Duration
 }
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -127,35 +127,58 @@
 	return cost + time.Duration(u.health.fails*float64(troublePenalty))
 }
 
-// refuseLate refuses the requests that would not be answered on time, as soon
-// as that shows.
+// refuseLate refuses the requests that would wait for too long, as soon as that
+// shows. One that can't be on time any more but would be served soon after goes
+// behind those that can.
 func (b *Broker) refuseLate(now time.Duration, p *pool) {
 	slots := p.slots(now, b.share)
 	if slots > 0 || !p.begun {
 		p.begun = true
 		p.lastLive = now
 	}
+	if slots == 0 {
+		b.refuseUnserved(now, p)
+		return
+	}
 	ahead := 0.0
+	late := []*work{}
 	for i := 0; i < len(p.queue); {
 		w := p.queue[i]
-		if slots == 0 {
-			if now-p.lastLive < noUpstreamGrace && now < w.Aim {
-				i++
-				continue
-			}
-			p.queue = append(p.queue[:i], p.queue[i+1:]...)
-			b.refuse(w, NoUpstream, shortestReturn, "no upstream serves the pool")
-			continue
-		}
 		wait := p.wait(now, w, ahead, float64(slots))
-		if now+wait+p.leastFirst(w) <= w.Aim {
+		first := now + wait + p.leastFirst(w)
+		switch {
+		case first <= w.Aim, w.late && first <= w.Aim+w.tolerance():
 			ahead += p.slotTime(w)
 			i++
 			continue
+		case !w.late && first <= w.Aim+w.tolerance():
+			late = append(late, w)
+		default:
+			why := fmt.Sprintf("%d ms of waiting behind %.1f s of work on %d slots would be too late", wait.Milliseconds(), ahead, slots)
+			b.refuse(w, Overload, p.comeBack(w, wait), why)
+		}
+		p.queue = append(p.queue[:i], p.queue[i+1:]...)
+	}
+	for _, w := range late {
+		w.late = true
+		p.insert(w)
+	}
+}
+
+// tolerance is how much later than its aim a request is still served rather
+// than refused: a caller that is refused would be served later than that.
+func (w *work) tolerance() time.Duration { return max(0, w.Aim-w.arrived) }
+
+// refuseUnserved refuses the requests of a pool that no upstream serves.
+func (b *Broker) refuseUnserved(now time.Duration, p *pool) {
+	for i := 0; i < len(p.queue); {
+		w := p.queue[i]
+		if now-p.lastLive < noUpstreamGrace && now < w.Aim {
+			i++
+			continue
 		}
 		p.queue = append(p.queue[:i], p.queue[i+1:]...)
-		why := fmt.Sprintf("%d ms of waiting behind %.1f s of work on %d slots would miss the aim", wait.Milliseconds(), ahead, slots)
-		b.refuse(w, Overload, p.comeBack(w, wait), why)
+		b.refuse(w, NoUpstream, shortestReturn, "no upstream serves the pool")
 	}
 }
 
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -72,15 +72,25 @@
 // enqueue inserts a request behind those that go before it.
 func (p *pool) enqueue(now time.Duration, w *work) {
 	p.load.arrived(now, w.Rank, p.slotTime(w))
+	p.insert(w)
+}
+
+func (p *pool) insert(w *work) {
 	at, _ := slices.BinarySearchFunc(p.queue, w, compare)
 	p.queue = slices.Insert(p.queue, at, w)
 }
 
-// compare orders the queue: by rank, then by arrival.
+// compare orders the queue: by rank, those that can still be on time first,
+// then by arrival.
 func compare(a, b *work) int {
 	switch {
 	case a.Rank != b.Rank:
 		return a.Rank - b.Rank
+	case a.late != b.late:
+		if b.late {
+			return -1
+		}
+		return 1
 	case a.arrived < b.arrived:
 		return -1
 	case a.arrived > b.arrived:
