--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,7 +28,7 @@
 	// DataFolder is where a replica keeps its files.
 	DataFolder string `json:"data_folder,omitempty"`
 	// Replicas lists the daemons that hold the durable state.
-	Replicas []Peer `json:"replicas"`
+	Replicas []Peer `json:"replicas,omitempty"`
 	// Seeds are peer addresses of daemons to join through.
 	Seeds []string `json:"seeds,omitempty"`
 	// OperatorKeys are hashes of keys that may apply configuration even before
@@ -57,13 +57,13 @@
 // Addresses are where the daemon listens, each IP:port.
 type Addresses struct {
 	// Callers is for requests.
-	Callers string `json:"callers"`
+	Callers string `json:"callers,omitempty"`
 	// Peers is for other daemons.
 	Peers string `json:"peers"`
 	// Upstreams is for announcements.
-	Upstreams string `json:"upstreams"`
+	Upstreams string `json:"upstreams,omitempty"`
 	// Admin is for metrics, state dumps and operators.
-	Admin string `json:"admin"`
+	Admin string `json:"admin,omitempty"`
 }
 
 // Limits bound what callers may send.
