--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -46,6 +46,14 @@
 	first   time.Duration
 }
 
+// Outcomes of requests, besides the codes of refusals.
+const (
+	answered       = "answered"
+	upstreamFailed = "upstream_failed"
+	callerGone     = "caller_gone"
+	cut            = "cut"
+)
+
 // verdict says what follows a try.
 type verdict uint8
 
@@ -120,7 +128,7 @@
 		}
 		x.answer(&refusal{status: status, code: string(f.Kind), why: f.Message, after: time.Duration(f.RetryAfterMS) * time.Millisecond})
 	case x.gone():
-		x.outcome = "caller_gone"
+		x.outcome = callerGone
 	default:
 		x.why = err.Error()
 		x.giveUp()
@@ -136,7 +144,7 @@
 func (x *exchange) giveUp() {
 	switch {
 	case x.gone():
-		x.outcome = "caller_gone"
+		x.outcome = callerGone
 	case x.stream.begun:
 		x.abort()
 	case x.failure != nil:
@@ -157,7 +165,7 @@
 
 // abort cuts a stream that has begun, so that it does not look complete.
 func (x *exchange) abort() {
-	x.outcome = "cut"
+	x.outcome = cut
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 
 	"github.com/verbenastep/verbenastep/core/limits"
 	"github.com/verbenastep/verbenastep/internal/kernel"
+	"github.com/verbenastep/verbenastep/internal/logging"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
@@ -241,7 +242,11 @@
 	if x.first > 0 {
 		s.metrics.first.WithLabelValues(x.pool).Observe(x.first.Seconds())
 	}
-	s.log.Info("request ended", x.fields(zap.String("outcome", x.outcome), zap.Int("status", x.status), zap.String("why", x.why),
+	importance := zap.Skip()
+	if x.outcome != answered {
+		importance = logging.Important()
+	}
+	s.log.Info("request ended", x.fields(importance, zap.String("outcome", x.outcome), zap.Int("status", x.status), zap.String("why", x.why),
 		zap.Int("runs", x.runs), zap.Int("rejects", x.rejects), zap.Int("charge", x.charge), zap.Duration("waited", x.waited), zap.Duration("first", x.first),
 		zap.Int("events", x.stream.events), zap.Duration("longest_pause", x.stream.longest), zap.Duration("took", took))...)
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -127,7 +127,7 @@
 			_ = a.conn.Close()
 			a.runs++
 			a.end.Outcome = broker.Canceled
-			a.outcome = "caller_gone"
+			a.outcome = callerGone
 			return finished
 		}
 	}
@@ -192,7 +192,7 @@
 	if a.engine != nil {
 		a.end.OutputTokens = max(0, count-1) * max(1, a.engine.EventTokens)
 	}
-	a.outcome = "answered"
+	a.outcome = answered
 	a.release(resp, nil)
 	a.s.log.Debug("stream complete", a.fields(zap.Int("events", a.stream.events))...)
 	return finished
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -280,9 +280,9 @@
 	if x.stream.begun {
 		x.abort()
 	}
-	x.status, x.outcome = r.status, "answered"
+	x.status, x.outcome = r.status, answered
 	if r.status >= http.StatusInternalServerError {
-		x.outcome = "upstream_failed"
+		x.outcome = upstreamFailed
 	}
 	h := x.w.Header()
 	for name, values := range r.header {
@@ -292,6 +292,6 @@
 	x.s.closing(h)
 	x.w.WriteHeader(r.status)
 	if _, err := x.w.Write(r.body); err != nil {
-		x.outcome = "caller_gone"
+		x.outcome = callerGone
 	}
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,6 +3,8 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -10,26 +12,30 @@
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
-// New returns a logger that writes to standard error.
+// New returns a logger that writes to standard error or, where the settings say
+// so, to standard output. It never waits for who reads: see sink.
 func New(s settings.Log) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
-	cfg.Encoding = "console"
-	if s.Format == "json" {
-		cfg.Encoding = "json"
+	out := io.Writer(os.Stderr)
+	if s.Stdout {
+		out = os.Stdout
 	}
-	cfg.Sampling = nil
-	cfg.DisableCaller = true
-	cfg.DisableStacktrace = true
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return newLogger(s, newSink(out, bufferBytes, bytesPerSecond))
+}
+
+func newLogger(s settings.Log, to *sink) (*zap.Logger, error) {
+	level := zapcore.InfoLevel
 	if s.Level != "" {
-		level, err := zapcore.ParseLevel(s.Level)
+		parsed, err := zapcore.ParseLevel(s.Level)
 		if err != nil {
 			return nil, fmt.Errorf("log level %q is not known; write debug, info, warn or error", s.Level)
 		}
-		cfg.Level = zap.NewAtomicLevelAt(level)
+		level = parsed
 	}
-	if s.Stdout {
-		cfg.OutputPaths = []string{"stdout"}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoder := zapcore.NewConsoleEncoder(config)
+	if s.Format == "json" {
+		encoder = zapcore.NewJSONEncoder(config)
 	}
-	return cfg.Build()
+	return zap.New(&core{Core: zapcore.NewCore(encoder, to, level), sink: to}), nil
 }
