Serve late what was held through an outage

Change: an offer says until when a late answer is worth waiting for, twice the route's aim from arrival. Test: TestPatternPileAfterAnOutageIsServedLate.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -48,6 +48,9 @@
 	// the caller stops waiting.
 	Aim      time.Duration
 	Deadline time.Duration
+	// Latest is when a late first event is not worth waiting for any more; zero
+	// counts as the aim.
+	Latest time.Duration
 	// Fingerprint identifies the content, for requests that crash upstreams.
 	Fingerprint uint64
 	// Avoid lists upstreams that it must not be sent to.
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -147,11 +147,11 @@
 		wait := p.wait(now, w, ahead, float64(slots))
 		first := now + wait + p.leastFirst(w)
 		switch {
-		case first <= w.Aim, w.late && first <= w.Aim+w.tolerance():
+		case first <= w.Aim, w.late && first <= w.Latest:
 			ahead += p.slotTime(w)
 			i++
 			continue
-		case !w.late && first <= w.Aim+w.tolerance():
+		case !w.late && first <= w.Latest:
 			late = append(late, w)
 		default:
 			why := fmt.Sprintf("%d ms of waiting behind %.1f s of work on %d slots would be too late", wait.Milliseconds(), ahead, slots)
@@ -165,10 +165,6 @@
 	}
 }
 
-// tolerance is how much later than its aim a request is still served rather
-// than refused: a caller that is refused would be served later than that.
-func (w *work) tolerance() time.Duration { return max(0, w.Aim-w.arrived) }
-
 // refuseUnserved refuses the requests of a pool that no upstream serves.
 func (b *Broker) refuseUnserved(now time.Duration, p *pool) {
 	for i := 0; i < len(p.queue); {
--- a/core/broker/pattern_test.go
+++ b/core/broker/pattern_test.go
@@ -138,7 +138,7 @@
 	size := func(mean int) int { return max(1, int(float64(mean)*math.Exp(s.rng.NormFloat64()*0.8-0.32))) }
 	s.broker.Offer(s.now, Offer{
 		ID: id, Pool: simPool, DataCentre: "dc", Region: "r", Rank: k.rank, PromptTokens: size(k.prompt), OutputTokens: size(k.output),
-		Aim: s.now + k.aim, Deadline: s.now + 10*time.Second,
+		Aim: s.now + k.aim, Latest: s.now + 2*k.aim, Deadline: s.now + 10*time.Second,
 	})
 	s.decide()
 }
@@ -272,3 +272,25 @@
 	}
 	require.LessOrEqual(t, total, simSlots+2, "rounding up gives each entry at least one slot")
 }
+
+// TestPatternPileAfterAnOutageIsServedLate offers at once what entries held
+// while no broker answered: most of it can't be on time any more.
+func TestPatternPileAfterAnOutageIsServedLate(t *testing.T) {
+	s := newSim(uneven...)
+	s.now = 10 * time.Second
+	k := kinds[0]
+	for range 80 {
+		s.next++
+		id := ID{Entry: "entry", Number: s.next}
+		s.open[id], s.offered[id] = k, s.now-900*time.Millisecond
+		s.of(k).offered++
+		aim := s.offered[id] + k.aim
+		s.broker.Offer(s.now, Offer{
+			ID: id, Pool: simPool, DataCentre: "dc", Region: "r", Rank: k.rank, PromptTokens: k.prompt, OutputTokens: k.output,
+			Aim: aim, Latest: aim + k.aim, Deadline: aim + 10*time.Second,
+		})
+	}
+	s.decide()
+	s.run()
+	require.Greater(t, s.of(k).share(), 0.95)
+}
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -134,6 +134,7 @@
 	w := &waiter{offer: o.Offer, settled: make(chan struct{})}
 	w.offer.ID = broker.ID{Entry: s.self, Number: s.next}
 	w.offer.Aim = o.AimAt.Sub(s.began)
+	w.offer.Latest = w.offer.Aim + o.Late
 	w.offer.Deadline = o.DeadlineAt.Sub(s.began)
 	s.waiting[s.next] = w
 	if s.attached {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -176,7 +176,8 @@
 
 // offer is what the broker sees of the request.
 func (q *request) offer(s *Service) port.WorkOffer {
-	o := port.WorkOffer{AimAt: q.aim, DeadlineAt: q.deadline}
+	// A caller that is refused would be served later than twice the aim.
+	o := port.WorkOffer{AimAt: q.aim, DeadlineAt: q.deadline, Late: q.route.Aim()}
 	o.Offer = broker.Offer{
 		Pool: q.pool, Route: q.route.Name, Workspace: q.workspace, DataCentre: s.set.DataCentre, Region: s.set.Region, Rank: q.rank,
 		Charge: q.charge, Fingerprint: q.fingerprint,
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -332,6 +332,9 @@
 	// when the caller stops waiting.
 	AimAt      time.Time
 	DeadlineAt time.Time
+	// Late is how long after the aim the request is still served rather than
+	// refused.
+	Late time.Duration
 }
 
 // WorkTicket is a granted slot. End must be called exactly once.
--- a/internal/work/codec.go
+++ b/internal/work/codec.go
@@ -36,16 +36,17 @@
 		Id: o.ID.Number, Pool: o.Pool, Route: o.Route, Workspace: o.Workspace, DataCentre: o.DataCentre, Region: o.Region, Rank: uint32(o.Rank),
 		PromptTokens: uint32(o.PromptTokens), OutputTokens: uint32(o.OutputTokens), Charge: uint32(o.Charge),
 		AimMs: int32((o.Aim - now).Milliseconds()), WaitMs: ms(o.Deadline - now), Session: o.Session, SessionTokens: uint32(o.SessionTokens),
-		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: uint32(o.Reserve * thousandths),
+		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: uint32(o.Reserve * thousandths), LateMs: ms(o.Latest - o.Aim),
 	}
 }
 
 // DecodeOffer reads an offer's wire form.
 func DecodeOffer(now time.Duration, entry string, o *rpc.WorkOffer) broker.Offer {
+	aim := now + time.Duration(o.AimMs)*time.Millisecond
 	return broker.Offer{
 		ID: broker.ID{Entry: entry, Number: o.Id}, Pool: o.Pool, Route: o.Route, Workspace: o.Workspace, DataCentre: o.DataCentre, Region: o.Region,
 		Rank: int(o.Rank), PromptTokens: int(o.PromptTokens), OutputTokens: int(o.OutputTokens), Charge: int(o.Charge),
-		Aim: now + time.Duration(o.AimMs)*time.Millisecond, Deadline: now + duration(o.WaitMs), Session: o.Session, SessionTokens: int(o.SessionTokens),
+		Aim: aim, Latest: aim + duration(o.LateMs), Deadline: now + duration(o.WaitMs), Session: o.Session, SessionTokens: int(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: float64(o.Reserve) / thousandths,
 	}
 }
