Explain a request from the daemons' logs

verbenastep explain -logs FILES ID gives a timeline over all processes, with what the entry lost or found around it, and the deciding cause in the last line.

--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"maps"
+	"os"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/verbenastep/verbenastep/api/client"
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/operator"
+	logs "github.com/verbenastep/verbenastep/internal/explain"
 )
 
 func getCommand() *Command {
@@ -103,13 +107,20 @@
 
 func explainCommand() *Command {
 	t := &target{}
+	files := ""
 	return &Command{
 		Name: "explain", Summary: "show why a request went where it did, waited, or was refused", Args: "KEY", Example: "verbenastep explain -daemon 127.0.0.1:7401,127.0.0.1:7402,127.0.0.1:7403 transfer-17",
-		Flags: t.flags,
+		Flags: func(f *flag.FlagSet) {
+			t.flags(f)
+			f.StringVar(&files, "logs", "", "read the daemons' logs from these `FILES`, with commas between, or - for standard input, instead of asking")
+		},
 		Run: func(ctx context.Context, std IO, args []string) error {
 			if len(args) != 1 {
 				return &usageError{problem: "give the request's key"}
 			}
+			if files != "" {
+				return explainLogs(std, files, args[0])
+			}
 			found, err := explain(ctx, t, args[0])
 			if err != nil {
 				return err
@@ -119,6 +130,38 @@
 	}
 }
 
+// explainLogs tells from logs what became of a request.
+func explainLogs(std IO, files, request string) error {
+	lines := []logs.Line{}
+	for _, name := range strings.Split(files, ",") {
+		more, err := readLog(std, name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	report, found := logs.Explain(lines, request)
+	if !found {
+		return fault.New(fault.NotFound, "give the logs of all daemons, from before the request on", "no line names the request %q", request)
+	}
+	if std.JSON {
+		return printJSON(std.Out, report)
+	}
+	return report.Write(std.Out)
+}
+
+func readLog(std IO, name string) ([]logs.Line, error) {
+	if name == "-" {
+		return logs.Read(std.In)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return logs.Read(f)
+}
+
 // explain asks all daemons: each knows what it saw itself.
 func explain(ctx context.Context, t *target, key string) ([]explained, error) {
 	found := []explained{}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,56 @@
+package explain
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const logs = `noise
+   1.0 front-1 {"level":"info","ts":"2026-01-01T00:00:01Z","logger":"work","msg":"broker found","daemon":"front-1","address":"a"}
+{"level":"info","ts":"2026-01-01T00:00:01.5Z","logger":"forward","msg":"granted","daemon":"front-1","request":"r1","upstream":"u1","by":"broker"}
+{"level":"info","ts":"2026-01-01T00:00:01.6Z","logger":"roster","msg":"upstream changed","daemon":"core-1","upstream":"u1","leaving":true}
+{"level":"info","ts":"2026-01-01T00:00:01.6Z","logger":"roster","msg":"upstream changed","daemon":"core-1","upstream":"u2","leaving":true}
+{"level":"info","ts":"2026-01-01T00:00:01.7Z","logger":"forward","msg":"try failed","daemon":"front-1","request":"r1","upstream":"u1","outcome":"broken","error":"EOF"}
+{"level":"info","ts":"2026-01-01T00:00:01.8Z","logger":"forward","msg":"request ended","daemon":"front-1","request":"r1","outcome":"outcome_unknown","why":"EOF"}
+{"level":"info","ts":"2026-01-01T00:00:02Z","logger":"forward","msg":"request ended","daemon":"front-1","request":"r2","outcome":"limit_exceeded","workspace":"w","charge":4000}
+{"level":"info","ts":"2026-01-01T00:00:03Z","logger":"forward","msg":"granted","daemon":"front-1","request":"r3","upstream":"u2"}
+{"level":"info","ts":"2026-01-01T00:00:04Z","msg":"daemon started","daemon":"front-1"}
+{"level":"info","ts":"2026-01-01T00:00:05Z","logger":"forward","msg":"request refused","daemon":"front-1","request":"r4","status":404,"outcome":"no_route","why":"no route matches","table":7}
+{"level":"info","ts":"2026-01-01T00:00:06Z","logger":"forward","msg":"request ended","daemon":"front-1","request":"r5","outcome":"cut","events":3}
+`
+
+func TestCauseStandsInTheLastLine(t *testing.T) {
+	lines, err := Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	for request, want := range map[string]string{
+		"r1": "cause: outcome_unknown: EOF; upstream u1: broken (EOF)",
+		"r2": "cause: workspace w had used up its quota when the request asked for 4000 tokens",
+		"r3": "cause: entry front-1 ended while it served the request; it started again at 2026-01-01T00:00:04Z",
+		"r4": "cause: refused with 404 (no_route): no route matches; route table version 7",
+	} {
+		r, ok := Explain(lines, request)
+		require.True(t, ok)
+		out := bytes.Buffer{}
+		require.NoError(t, r.Write(&out))
+		text := strings.Split(strings.TrimSpace(out.String()), "\n")
+		require.Equal(t, want, text[len(text)-1])
+	}
+	r, _ := Explain(lines, "r5")
+	require.Contains(t, r.Cause, "broke after 3 events")
+	_, ok := Explain(lines, "r9")
+	require.False(t, ok)
+}
+
+func TestTimelineShowsWhatChangedAround(t *testing.T) {
+	lines, err := Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	r, _ := Explain(lines, "r1")
+	messages := []string{}
+	for _, l := range r.Lines {
+		messages = append(messages, l.Message+l.text("upstream"))
+	}
+	require.Equal(t, []string{"broker found", "grantedu1", "upstream changedu1", "try failedu1", "request ended"}, messages)
+}
