Keep long answers off engines that can't end them in time

Ruled out: silent upstreams (the engine listed the run). Change: an engine is not chosen on which 1.6 times the estimated answer would end after the deadline, while another one is fast enough. Test: TestPatternLongAnswersStayOffSlowEngines, failing before.

--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -88,8 +88,9 @@
 // event is expected there, or nil where none has room.
 func (p *pool) choose(now time.Duration, w *work, share float64) (*upstream, time.Duration) {
 	best, bestCost, bestFirst := (*upstream)(nil), time.Duration(0), time.Duration(0)
+	tooSlow := p.tooSlow(now, w)
 	for _, u := range p.order {
-		if !p.room(now, u, w, share) {
+		if !p.room(now, u, w, share) || (tooSlow > 0 && p.tokenTime(u) >= tooSlow) {
 			continue
 		}
 		first := p.firstAt(now, w, u)
@@ -101,6 +102,27 @@
 	return best, bestFirst
 }
 
+// lengthMargin is how much longer than estimated an answer may be and still has
+// to end in time: estimates are right at the median and often far off.
+const lengthMargin = 1.6
+
+// tooSlow is the time per output token, in seconds, from which an upstream can't
+// end a request's answer in time; zero where none could, or where it does not
+// matter: then it may go anywhere.
+func (p *pool) tooSlow(now time.Duration, w *work) float64 {
+	units := p.cost.overhead + p.cost.read*float64(w.PromptTokens) + lengthMargin*float64(w.OutputTokens)
+	if p.engine == nil || w.Deadline <= now || units <= 0 {
+		return 0
+	}
+	limit := (w.Deadline - now).Seconds() / units
+	for _, u := range p.order {
+		if !u.Leaving && !u.health.down(now) && p.tokenTime(u) < limit {
+			return limit
+		}
+	}
+	return 0
+}
+
 // firstAt is how long the first event of a request takes on an upstream.
 func (p *pool) firstAt(now time.Duration, w *work, u *upstream) time.Duration {
 	return max(0, u.readUntil-now) + p.readTime(w, u) + p.firstTime(u) + u.Cold/2
--- a/core/broker/pattern_test.go
+++ b/core/broker/pattern_test.go
@@ -294,3 +294,29 @@
 	s.run()
 	require.Greater(t, s.of(k).share(), 0.95)
 }
+
+// TestPatternLongAnswersStayOffSlowEngines fills the fast engines, then offers
+// answers that only a fast engine can end within their deadline.
+func TestPatternLongAnswersStayOffSlowEngines(t *testing.T) {
+	s := newSim(0.68, 0.68, 3, 3)
+	teach := []Learned{}
+	for id, e := range s.engines {
+		teach = append(teach, Learned{ID: id, Token: simTokenTime * e.slow})
+	}
+	s.broker.Teach(teach)
+	long := kinds[2]
+	long.output = 700
+	slow := 0
+	for range 20 {
+		s.next++
+		id := ID{Entry: "entry", Number: s.next}
+		s.open[id] = long
+		s.broker.Offer(0, Offer{ID: id, Pool: simPool, PromptTokens: 1000, OutputTokens: long.output, Aim: time.Second, Latest: 2 * time.Second, Deadline: 15 * time.Second})
+	}
+	for _, g := range s.broker.Decide(0).Grants {
+		if s.engines[g.Upstream].slow > 1 {
+			slow++
+		}
+	}
+	require.Zero(t, slow, "700 tokens at 20 ms each and what the estimate may lack take longer than 15 s")
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -144,7 +144,10 @@
 	case "overloaded":
 		return "the pool was overloaded: " + end.text("why")
 	case "caller_gone":
-		return fmt.Sprintf("the caller went away after %s s", end.text("took"))
+		if l, ok := last(own, "granted"); ok && tried == "" {
+			tried = fmt.Sprintf("upstream %s had not answered", l.text("upstream"))
+		}
+		return strings.TrimSuffix(fmt.Sprintf("the caller went away after %s s; %s", end.text("took"), tried), "; ")
 	case "timeout":
 		return fmt.Sprintf("no answer within %s s; %s", end.text("took"), tried)
 	case "upstream_failed":
