--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -67,6 +67,8 @@
 	tries  int
 	leader string
 	lost   string
+	// lostUntil is until when the lost one is not asked again.
+	lostUntil time.Duration
 }
 
 // New returns the service.
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -27,6 +27,9 @@
 	// idleLimit is how long a session with a daemon that does not lead is kept,
 	// for its roster, while no leader is known.
 	idleLimit = 300 * time.Millisecond
+	// shunTime is how long a daemon is not asked again after a session with it
+	// failed: the others need as long to elect another leader.
+	shunTime = 1500 * time.Millisecond
 )
 
 var (
@@ -61,27 +64,33 @@
 	heard := s.leader
 	s.leader = ""
 	for _, address := range []string{heard, viewed} {
-		if address != "" && address != s.lost {
+		if address != "" && !s.shunned(address) {
 			return address
 		}
 	}
 	known := s.set.KnownReplicas()
 	for range known {
 		s.tries++
-		if address := known[s.tries%len(known)].Address; address != s.lost {
+		if address := known[s.tries%len(known)].Address; !s.shunned(address) {
 			return address
 		}
 	}
 	return s.lost
 }
 
+// shunned tells whether a session with a daemon failed a moment ago: others may
+// go on naming it as the leader until they have elected another.
+func (s *Service) shunned(address string) bool {
+	return address == s.lost && s.now() < s.lostUntil
+}
+
 // detach ends granting by the broker: what waits goes to the entry's own books.
 func (s *Service) detach(address string, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lost = address
-	if errors.Is(err, errMoved) {
-		s.lost = ""
+	if !errors.Is(err, errMoved) {
+		s.lost = address
+		s.lostUntil = s.now() + shunTime
 	}
 	was := s.attached
 	s.attached = false
@@ -186,7 +195,8 @@
 	}
 	if !r.Leads {
 		s.leader = r.Leader
-		if s.attached || (r.Leader != "" && r.Leader != address) || (settled && r.Leader == "") {
+		moved := r.Leader != "" && r.Leader != address && !s.shunned(r.Leader)
+		if s.attached || moved || (settled && r.Leader == "") {
 			return errMoved
 		}
 		return nil
@@ -207,7 +217,7 @@
 // has just begun to lead; the lock is held.
 func (s *Service) attach(address string) {
 	s.attached = true
-	s.lost = ""
+	s.lostUntil = 0
 	now := s.now()
 	for _, w := range s.running {
 		s.pending.Offers = append(s.pending.Offers, work.EncodeOffer(now, w.offer))
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -198,3 +198,21 @@
 	s.mu.Unlock()
 	require.Equal(t, 1, ends)
 }
+
+// TestLostLeaderIsNotAskedAgainWhileOthersNameIt has the leader freeze while
+// the other daemon goes on naming it until it leads itself.
+func TestLostLeaderIsNotAskedAgainWhileOthersNameIt(t *testing.T) {
+	s, c := newEntry(t, 2)
+	for _, x := range c {
+		x.set(func(x *control) { x.leader = c[0].address })
+	}
+	c[0].set(func(x *control) { x.leads = true })
+	require.Eventually(t, s.isAttached, patience, time.Millisecond)
+	sessions := 0
+	c[0].set(func(x *control) { x.silent, sessions = true, x.sessions })
+	require.Eventually(t, func() bool { return c[1].see(func(x *control) bool { return x.sessions > 0 }) }, patience, time.Millisecond)
+	time.Sleep(shunTime / 2)
+	require.True(t, c[0].see(func(x *control) bool { return x.sessions == sessions }), "the frozen daemon was asked again")
+	c[1].set(func(x *control) { x.leads, x.leader = true, x.address })
+	require.Eventually(t, s.isAttached, patience, time.Millisecond)
+}
