--- a/internal/view/watch.go
+++ b/internal/view/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sort"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +32,9 @@
 // run watches one replica after the other, the near ones first.
 func (s *Service) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if s.set.Routing != nil && s.Routes() == nil {
+			s.race(ctx)
+		}
 		for _, p := range s.order() {
 			err := s.watch(ctx, p)
 			s.log.Debug("watch ended", zap.String("replica", p.Name), zap.Error(err))
@@ -43,6 +47,35 @@
 	}
 }
 
+// race watches all replicas at once until any has brought the first route table:
+// callers wait for it, and which replica is near is not known yet.
+func (s *Service) race(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	racers := sync.WaitGroup{}
+	for _, p := range s.order() {
+		racers.Go(func() {
+			for ctx.Err() == nil {
+				err := s.watch(ctx, p)
+				s.log.Debug("watch ended", zap.String("replica", p.Name), zap.Error(err))
+				select {
+				case <-ctx.Done():
+				case <-time.After(retryPause):
+				}
+			}
+		})
+	}
+	for ctx.Err() == nil && s.Routes() == nil {
+		select {
+		case <-s.Changed():
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+	cancel()
+	racers.Wait()
+}
+
 // order lists the replicas: this daemon, its data centre, its region, others.
 func (s *Service) order() []settings.Peer {
 	members, _ := kernel.Find[port.Members](s.kernel, port.NameMembers)
