--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -140,7 +140,13 @@
 	table := s.view.Routes()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.address = address
+	if address != s.address {
+		// Entries that are connected here look for the new leader at once.
+		s.address = address
+		for _, x := range s.sessions {
+			x.send(s.reply())
+		}
+	}
 	if leads != s.leads {
 		s.lead(leads)
 	}
