--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -22,7 +22,6 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
-	"github.com/verbenastep/verbenastep/core/limits"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/logging"
 	"github.com/verbenastep/verbenastep/internal/port"
@@ -61,18 +60,14 @@
 	ln      net.Listener
 	ctx     context.Context
 	cancel  context.CancelFunc
-	began   time.Time
 	leaving atomic.Bool
 	running sync.WaitGroup
-
-	mu sync.Mutex
-	// repeats are the retry budgets by pool.
-	repeats map[string]*limits.Repeats
+	budgets *budgets
 }
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
-	return &Service{set: set, log: log.Named("forward"), began: time.Now(), repeats: map[string]*limits.Repeats{}}
+	return &Service{set: set, log: log.Named("forward"), budgets: newBudgets(set.Routing.Retry)}
 }
 
 // Name returns the service's name.
@@ -152,53 +147,13 @@
 	defer cancel()
 	x := &exchange{s: s, request: q, w: w, ctx: ctx}
 	defer s.finished(x)
-	s.budget(q.pool).Request(time.Since(s.began))
+	s.budgets.request(q.pool)
 	x.run()
 	return nil
 }
 
-// budget returns a pool's retry budget; the lock is taken by its methods'
-// callers through allowRepeat.
-func (s *Service) budget(pool string) *lockedRepeats {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := s.repeats[pool]
-	if r == nil {
-		r = limits.NewRepeats(time.Duration(s.set.Routing.Retry.WindowMS) * time.Millisecond)
-		s.repeats[pool] = r
-	}
-	return &lockedRepeats{mu: &s.mu, repeats: r}
-}
-
-// lockedRepeats guards a budget.
-type lockedRepeats struct {
-	mu      *sync.Mutex
-	repeats *limits.Repeats
-}
-
-// Request counts a first send.
-func (l *lockedRepeats) Request(now time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.repeats.Request(now)
-}
-
-// Allow counts a repeat where the budget has room.
-func (l *lockedRepeats) Allow(now time.Duration, ratio, slack float64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.repeats.Allow(now, ratio, slack)
-}
-
-// retryShare is the part of the budget that is used, since windows of the
-// entries and of those who count don't begin at the same moment.
-const retryShare = 0.8
-
-func (s *Service) allowRepeat(pool string) bool {
-	retry := s.set.Routing.Retry
-	slack := retryShare * float64(retry.Slack) / float64(s.work.Entries())
-	return s.budget(pool).Allow(time.Since(s.began), retryShare*retry.Ratio, slack)
-}
+// allowRepeat tells whether a pool's retry budget has room, and takes one.
+func (s *Service) allowRepeat(pool string) bool { return s.budgets.allow(pool, s.work.Entries()) }
 
 // errorBody is the JSON form of a refusal.
 type errorBody struct {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -249,9 +249,9 @@
 }
 
 func TestRetryBudgetEndsRepeats(t *testing.T) {
-	set := 3
+	const slack = 3
 	r := newRig(t)
-	r.service.set.Routing.Retry.Slack = int64(set)
+	r.service.budgets.retry.Slack = slack
 	failing := newUpstream(t, reset)
 	for range 40 {
 		r.work.addresses = append(r.work.addresses, failing.ln.Addr().String())
@@ -260,6 +260,6 @@
 		r.call("idempotent", "b")
 	}
 	repeats := failing.requests() - 20
-	require.LessOrEqual(t, float64(repeats), 0.2*20+float64(set))
+	require.LessOrEqual(t, float64(repeats), 0.2*20+slack)
 	require.Positive(t, repeats)
 }
--- a/internal/settings/routing.go
+++ b/internal/settings/routing.go
@@ -24,8 +24,6 @@
 	HeartbeatMS int64 `json:"heartbeat_ms,omitempty"`
 	// GraceMS is the time from the signal to stop until the process is killed.
 	GraceMS int64 `json:"grace_ms,omitempty"`
-	// ApplyMS is the time within which a published table must be in force.
-	ApplyMS int64 `json:"apply_ms,omitempty"`
 	// AnswerLifeMS is how long callers may keep a directory answer.
 	AnswerLifeMS int64 `json:"answer_life_ms,omitempty"`
 	// Retry bounds what is sent again.
@@ -56,7 +54,6 @@
 const (
 	DefaultHeartbeatMS  = 1000
 	DefaultGraceMS      = 8000
-	DefaultApplyMS      = 2500
 	DefaultAnswerLifeMS = 2000
 	DefaultRetryRatio   = 0.1
 	DefaultRetryMS      = 10_000
@@ -65,7 +62,6 @@
 func (r *Routing) fill() {
 	r.HeartbeatMS = orDefault(r.HeartbeatMS, DefaultHeartbeatMS)
 	r.GraceMS = orDefault(r.GraceMS, DefaultGraceMS)
-	r.ApplyMS = orDefault(r.ApplyMS, DefaultApplyMS)
 	r.AnswerLifeMS = orDefault(r.AnswerLifeMS, DefaultAnswerLifeMS)
 	r.Retry.WindowMS = orDefault(r.Retry.WindowMS, DefaultRetryMS)
 	if r.Retry.Ratio == 0 {
