--- /dev/null
+++ b/core/broker/decide_bench_test.go
@@ -0,0 +1,29 @@
+package broker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkGrant measures an offer, its grant and its end, by upstreams.
+func BenchmarkGrant(b *testing.B) {
+	for _, n := range []int{12, 66, 660} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			slow := make([]float64, n)
+			for i := range slow {
+				slow[i] = 1
+			}
+			s := newSim(slow...)
+			number := uint64(0)
+			for b.Loop() {
+				number++
+				now := time.Duration(number) * time.Millisecond
+				id := ID{Entry: "entry", Number: number}
+				s.broker.Offer(now, Offer{ID: id, Pool: simPool, PromptTokens: 3000, OutputTokens: 100, Aim: now + time.Second, Latest: now + 2*time.Second, Deadline: now + 10*time.Second})
+				s.broker.Decide(now)
+				s.broker.End(now, End{ID: id, Outcome: Done, First: 100 * time.Millisecond, Decode: 700 * time.Millisecond, OutputTokens: 100})
+			}
+		})
+	}
+}
