Look up what a round of decisions needs once

Change: a round looks up the engines with room and the fastest times once and ends when no engine has room; the broker rests 2 ms after a round, so that what comes in shares the next one.

--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -37,8 +38,16 @@
 func (b *Broker) Decide(now time.Duration) Decisions {
 	b.freeOrphans(now)
 	for _, p := range b.pools {
-		b.grantAll(now, p)
-		b.refuseLate(now, p)
+		r := p.round(now, b.share)
+		if r.slots > 0 || !p.begun {
+			p.begun = true
+			p.lastLive = now
+		}
+		if len(p.queue) == 0 {
+			continue
+		}
+		b.grantAll(p, r)
+		b.refuseLate(p, r)
 	}
 	out := b.out
 	b.out = Decisions{}
@@ -64,37 +73,84 @@
 	}
 }
 
+// round is what a round of decisions on a pool looks up once.
+type round struct {
+	now   time.Duration
+	share float64
+	// open are the upstreams with a free slot, in their order.
+	open []*upstream
+	// slots counts the slots of all upstreams that take work.
+	slots int
+	// token and call are the shortest times of any of them, in seconds.
+	token float64
+	call  float64
+}
+
+func (p *pool) round(now time.Duration, share float64) *round {
+	r := &round{now: now, share: share, open: p.open[:0]}
+	for _, u := range p.order {
+		if u.Leaving || u.health.down(now) {
+			continue
+		}
+		capacity := u.capacity(now, share)
+		r.slots += capacity
+		if len(u.inFlight) < capacity {
+			r.open = append(r.open, u)
+		}
+		r.token = shortest(r.token, p.tokenTime(u))
+		r.call = shortest(r.call, p.callTime(u))
+	}
+	return r
+}
+
+func shortest(known, other float64) float64 {
+	if known == 0 {
+		return other
+	}
+	return min(known, other)
+}
+
+// taken notes that an upstream got a request.
+func (r *round) taken(u *upstream) {
+	if len(u.inFlight) < u.capacity(r.now, r.share) {
+		return
+	}
+	r.open = slices.DeleteFunc(r.open, func(o *upstream) bool { return o == u })
+}
+
 // grantAll grants in the queue's order while any upstream has room.
-func (b *Broker) grantAll(now time.Duration, p *pool) {
+func (b *Broker) grantAll(p *pool, r *round) {
 	passed := 0
-	for i := 0; i < len(p.queue) && passed < setAside; {
+	for i := 0; i < len(p.queue) && passed < setAside && len(r.open) > 0; {
 		w := p.queue[i]
-		u, first := p.choose(now, w, b.share)
+		u, first := p.choose(r, w)
 		if u == nil {
 			passed++
 			i++
 			continue
 		}
-		p.queue = append(p.queue[:i], p.queue[i+1:]...)
-		p.place(now, w, u)
+		p.queue = slices.Delete(p.queue, i, i+1)
+		p.place(r.now, w, u)
+		r.taken(u)
 		b.out.Grants = append(b.out.Grants, Grant{
-			ID: w.ID, Upstream: u.ID, Address: u.Address, Expected: first, Waited: now - w.arrived,
-			Free: u.capacity(now, b.share) - len(u.inFlight), Queued: len(p.queue),
+			ID: w.ID, Upstream: u.ID, Address: u.Address, Expected: first, Waited: r.now - w.arrived,
+			Free: u.capacity(r.now, b.share) - len(u.inFlight), Queued: len(p.queue),
 		})
 	}
+	p.open = r.open
 }
 
 // choose returns the upstream that serves a request best and when its first
 // event is expected there, or nil where none has room.
-func (p *pool) choose(now time.Duration, w *work, share float64) (*upstream, time.Duration) {
+func (p *pool) choose(r *round, w *work) (*upstream, time.Duration) {
 	best, bestCost, bestFirst := (*upstream)(nil), time.Duration(0), time.Duration(0)
-	tooSlow := p.tooSlow(now, w)
-	for _, u := range p.order {
-		if !p.room(now, u, w, share) || (tooSlow > 0 && p.tokenTime(u) >= tooSlow) {
+	tooSlow := p.tooSlow(r, w)
+	for _, u := range r.open {
+		if !p.fits(u, w) || (tooSlow > 0 && p.tokenTime(u) >= tooSlow) {
 			continue
 		}
-		first := p.firstAt(now, w, u)
-		cost := p.costAt(now, w, u, first)
+		first := p.firstAt(r.now, w, u)
+		cost := p.costAt(r.now, w, u, first)
 		if best == nil || cost < bestCost {
 			best, bestCost, bestFirst = u, cost, first
 		}
@@ -109,18 +165,16 @@
 // tooSlow is the time per output token, in seconds, from which an upstream can't
 // end a request's answer in time; zero where none could, or where it does not
 // matter: then it may go anywhere.
-func (p *pool) tooSlow(now time.Duration, w *work) float64 {
+func (p *pool) tooSlow(r *round, w *work) float64 {
 	units := p.cost.overhead + p.cost.read*float64(w.PromptTokens) + lengthMargin*float64(w.OutputTokens)
-	if p.engine == nil || w.Deadline <= now || units <= 0 {
+	if p.engine == nil || w.Deadline <= r.now || units <= 0 {
 		return 0
 	}
-	limit := (w.Deadline - now).Seconds() / units
-	for _, u := range p.order {
-		if !u.Leaving && !u.health.down(now) && p.tokenTime(u) < limit {
-			return limit
-		}
+	limit := (w.Deadline - r.now).Seconds() / units
+	if r.token >= limit {
+		return 0
 	}
-	return 0
+	return limit
 }
 
 // firstAt is how long the first event of a request takes on an upstream.
@@ -152,22 +206,17 @@
 // refuseLate refuses the requests that would wait for too long, as soon as that
 // shows. One that can't be on time any more but would be served soon after goes
 // behind those that can.
-func (b *Broker) refuseLate(now time.Duration, p *pool) {
-	slots := p.slots(now, b.share)
-	if slots > 0 || !p.begun {
-		p.begun = true
-		p.lastLive = now
-	}
-	if slots == 0 {
-		b.refuseUnserved(now, p)
+func (b *Broker) refuseLate(p *pool, r *round) {
+	if r.slots == 0 {
+		b.refuseUnserved(r.now, p)
 		return
 	}
 	ahead := 0.0
 	late := []*work{}
 	for i := 0; i < len(p.queue); {
 		w := p.queue[i]
-		wait := p.wait(now, w, ahead, float64(slots))
-		first := now + wait + p.leastFirst(w)
+		wait := p.wait(r.now, w, ahead, float64(r.slots))
+		first := r.now + wait + p.leastFirst(r, w)
 		switch {
 		case first <= w.Aim, w.late && first <= w.Latest:
 			ahead += p.slotTime(w)
@@ -176,10 +225,10 @@
 		case !w.late && first <= w.Latest:
 			late = append(late, w)
 		default:
-			why := fmt.Sprintf("%d ms of waiting behind %.1f s of work on %d slots would be too late", wait.Milliseconds(), ahead, slots)
+			why := fmt.Sprintf("%d ms of waiting behind %.1f s of work on %d slots would be too late", wait.Milliseconds(), ahead, r.slots)
 			b.refuse(w, Overload, p.comeBack(w, wait), why)
 		}
-		p.queue = append(p.queue[:i], p.queue[i+1:]...)
+		p.queue = slices.Delete(p.queue, i, i+1)
 	}
 	for _, w := range late {
 		w.late = true
@@ -195,7 +244,7 @@
 			i++
 			continue
 		}
-		p.queue = append(p.queue[:i], p.queue[i+1:]...)
+		p.queue = slices.Delete(p.queue, i, i+1)
 		b.refuse(w, NoUpstream, shortestReturn, "no upstream serves the pool")
 	}
 }
@@ -211,29 +260,11 @@
 }
 
 // leastFirst is the shortest time to a request's first event on any upstream.
-func (p *pool) leastFirst(w *work) time.Duration {
-	least := time.Duration(0)
-	for _, u := range p.order {
-		if u.Leaving {
-			continue
-		}
-		first := p.readTime(w, u) + p.firstTime(u)
-		if least == 0 || first < least {
-			least = first
-		}
-	}
-	return least
-}
-
-// slots counts the slots of all upstreams that take work.
-func (p *pool) slots(now time.Duration, share float64) int {
-	n := 0
-	for _, u := range p.order {
-		if !u.Leaving && !u.health.down(now) {
-			n += u.capacity(now, share)
-		}
+func (p *pool) leastFirst(r *round, w *work) time.Duration {
+	if p.engine == nil {
+		return seconds(r.call)
 	}
-	return n
+	return seconds(r.token * (p.cost.overhead + p.cost.read*float64(w.PromptTokens)))
 }
 
 // comeBack is when a refused caller is asked to come back: once the work ahead
--- a/core/broker/decide_bench_test.go
+++ b/core/broker/decide_bench_test.go
@@ -27,3 +27,20 @@
 		})
 	}
 }
+
+// BenchmarkDecideBehindFullEngines measures a round in which 300 requests wait
+// and no engine has room.
+func BenchmarkDecideBehindFullEngines(b *testing.B) {
+	slow := make([]float64, 60)
+	for i := range slow {
+		slow[i] = 1
+	}
+	s := newSim(slow...)
+	for number := range uint64(60*simSlots + 300) {
+		id := ID{Entry: "entry", Number: number}
+		s.broker.Offer(0, Offer{ID: id, Pool: simPool, PromptTokens: 3000, OutputTokens: 100, Aim: time.Hour, Latest: time.Hour, Deadline: time.Hour})
+	}
+	for b.Loop() {
+		s.broker.Decide(0)
+	}
+}
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -14,6 +14,8 @@
 	upstreams map[string]*upstream
 	// order lists the upstreams by id, so that ties fall the same way each time.
 	order []*upstream
+	// open is scratch space of a round.
+	open  []*upstream
 	queue []*work
 	cost  costs
 	load  load
@@ -153,11 +155,8 @@
 	return slots
 }
 
-// room tells whether an upstream may take a request now.
-func (p *pool) room(now time.Duration, u *upstream, w *work, share float64) bool {
-	if u.Leaving || u.health.down(now) || len(u.inFlight) >= u.capacity(now, share) {
-		return false
-	}
+// fits tells whether an upstream with a free slot may take a request.
+func (p *pool) fits(u *upstream, w *work) bool {
 	if p.engine != nil && p.engine.MemoryTokens > 0 && len(u.inFlight) > 0 && u.tokens+w.tokens() > p.engine.MemoryTokens {
 		return false
 	}
--- a/core/broker/speed.go
+++ b/core/broker/speed.go
@@ -66,6 +66,14 @@
 	return u.speed.token
 }
 
+// callTime is how long a plain call takes on an upstream, in seconds.
+func (p *pool) callTime(u *upstream) float64 {
+	if u.speed.call == 0 {
+		return p.cost.call
+	}
+	return u.speed.call
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // readTime is how long an upstream takes to read a request's prompt.
@@ -83,10 +91,7 @@
 // firstTime is how long the first event takes after the prompt is read.
 func (p *pool) firstTime(u *upstream) time.Duration {
 	if p.engine == nil {
-		if u.speed.call > 0 {
-			return seconds(u.speed.call)
-		}
-		return seconds(p.cost.call)
+		return seconds(p.callTime(u))
 	}
 	return seconds(p.tokenTime(u) * p.cost.overhead)
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -30,6 +30,9 @@
 	// sessionSilence ends an entry's session that carries nothing; entries send
 	// every 200 ms.
 	sessionSilence = 1200 * time.Millisecond
+	// restTime is the pause after a round of decisions: what comes in meanwhile
+	// shares the next one. It is small beside the way between data centres.
+	restTime = 2 * time.Millisecond
 	// outboxSize is how many messages may wait for a slow entry.
 	outboxSize = 64
 )
@@ -125,6 +128,7 @@
 		timer.Reset(s.decide())
 		select {
 		case <-s.wake:
+			time.Sleep(restTime)
 		case <-roster:
 			s.refresh(true)
 		case <-tables:
