--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -31,6 +31,7 @@
 	if !b.begun {
 		b.begun = true
 		b.level = burst / 2
+		b.at = now
 	}
 	b.level = min(burst, b.level+rate*max(0, now-b.at).Seconds())
 	b.at = now
