Take over what is left of quotas at a change of broker

Change: the broker tells entries every 0.3 s what is left where it is not nearly all; an entry alone goes on from its share of that, and tells the next broker.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -269,25 +269,79 @@
 
 // charge takes the request's tokens from its workspace's bucket.
 func (b *Broker) charge(now time.Duration, w *work) (time.Duration, bool) {
-	if w.Charge == 0 || b.table == nil {
+	space := b.space(w.Workspace)
+	if w.Charge == 0 || space == nil {
 		return 0, true
 	}
-	space := b.table.WorkspaceNamed(w.Workspace)
-	if space == nil || space.TokensPerSecond == 0 {
-		return 0, true
+	rate, burst := b.quota(space)
+	wait, ok := b.bucket(w.Workspace).Take(now, rate, burst, w.Reserve*burst, float64(w.Charge))
+	if ok {
+		w.paid = w.Charge
 	}
-	bucket := b.buckets[w.Workspace]
+	return wait, ok
+}
+
+// quota is what this broker may grant a workspace: tokens a second, and at once.
+func (b *Broker) quota(space *routes.Workspace) (rate, burst float64) {
+	rate = float64(space.TokensPerSecond) * min(1, b.share*aloneRate)
+	burst = (float64(space.TokenBurst) + b.slack*slackPart) * b.share
+	return rate, burst
+}
+
+func (b *Broker) bucket(workspace string) *limits.Bucket {
+	bucket := b.buckets[workspace]
 	if bucket == nil {
 		bucket = &limits.Bucket{}
-		b.buckets[w.Workspace] = bucket
+		b.buckets[workspace] = bucket
 	}
-	rate := float64(space.TokensPerSecond) * min(1, b.share*aloneRate)
-	burst := (float64(space.TokenBurst) + b.slack*slackPart) * b.share
-	wait, ok := bucket.Take(now, rate, burst, w.Reserve*burst, float64(w.Charge))
-	if ok {
-		w.paid = w.Charge
+	return bucket
+}
+
+// nearlyFull is the part of a bucket from which on its level is not worth
+// passing on.
+const nearlyFull = 0.95
+
+// Levels lists the part that is left of each workspace's quota where that is
+// not nearly all.
+func (b *Broker) Levels(now time.Duration) map[string]float64 {
+	out := map[string]float64{}
+	for name, bucket := range b.buckets {
+		space := b.space(name)
+		if space == nil {
+			continue
+		}
+		rate, burst := b.quota(space)
+		if part := bucket.Level(now, rate, burst) / burst; part < nearlyFull {
+			out[name] = part
+		}
 	}
-	return wait, ok
+	return out
+}
+
+// Lower takes over how much another broker had left of the workspaces' quotas,
+// so that a change of broker grants no second burst.
+func (b *Broker) Lower(now time.Duration, levels map[string]float64) {
+	for name, part := range levels {
+		if space := b.space(name); space != nil {
+			rate, burst := b.quota(space)
+			b.bucket(name).Lower(now, rate, burst, part*burst)
+		}
+	}
+}
+
+// ForgetQuotas begins all buckets anew: full, until Lower says otherwise.
+func (b *Broker) ForgetQuotas() { clear(b.buckets) }
+
+// space returns a workspace that has a quota, or nil.
+func (b *Broker) space(name string) *routes.Workspace {
+	if b.table == nil {
+		return nil
+	}
+	space := b.table.WorkspaceNamed(name)
+	if space == nil || space.TokensPerSecond == 0 {
+		return nil
+	}
+	return space
 }
 
 func (b *Broker) refund(w *work) {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -27,6 +27,9 @@
 	rosterEvery = 500 * time.Millisecond
 	// teachEvery is how often what is learned of upstreams is passed on.
 	teachEvery = 3 * time.Second
+	// levelsEvery is how often what is left of quotas is passed on: a small part
+	// of the window in which they count.
+	levelsEvery = 300 * time.Millisecond
 	// sessionSilence ends an entry's session that carries nothing; entries send
 	// every 200 ms.
 	sessionSilence = 1200 * time.Millisecond
@@ -64,7 +67,9 @@
 	version  uint64
 	sessions map[string]*session
 	taught   time.Time
-	read     time.Time
+	// levels are what is left of quotas, as last told to the entries.
+	levels time.Time
+	read   time.Time
 }
 
 // New returns the service.
@@ -220,12 +225,28 @@
 			x.send(r)
 		}
 	}
+	s.tellLevels()
 	if pause, waits := s.core.Next(); waits {
 		return pause
 	}
 	return heartbeat
 }
 
+// tellLevels tells the entries what is left of the workspaces' quotas, for the
+// time without a broker and for the next one; the lock is held.
+func (s *Service) tellLevels() {
+	if time.Since(s.levels) < levelsEvery {
+		return
+	}
+	s.levels = time.Now()
+	r := s.reply()
+	r.QuotasSet = true
+	r.Quotas = work.EncodeLevels(s.core.Levels(s.now()))
+	for _, x := range s.sessions {
+		x.send(r)
+	}
+}
+
 func (s *Service) reply() *rpc.BrokerReply {
 	return &rpc.BrokerReply{Leads: s.leads, Entries: uint32(len(s.sessions)), Leader: s.address}
 }
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -136,6 +136,7 @@
 	for _, id := range ask.Cancels {
 		s.core.Cancel(broker.ID{Entry: entry, Number: id})
 	}
+	s.core.Lower(now, work.DecodeLevels(ask.Quotas))
 	for _, o := range ask.Offers {
 		s.core.Offer(now, work.DecodeOffer(now, entry, o))
 	}
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -61,7 +61,9 @@
 	version  uint64
 	// aloneFrom is when the entry may first decide by itself.
 	aloneFrom time.Duration
-	roster    []port.RosterEntry
+	// levels are what the last broker had left of quotas.
+	levels map[string]float64
+	roster []port.RosterEntry
 	// tries counts sessions without a broker in a row; leader is where the last
 	// daemon that answered says it is, lost where the last session ended.
 	tries  int
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -96,6 +96,10 @@
 	s.attached = false
 	s.pending.Offers = nil
 	now := s.now()
+	if was {
+		s.core.ForgetQuotas()
+		s.core.Lower(now, s.levels)
+	}
 	for _, w := range s.waiting {
 		s.core.Offer(now, w.offer)
 	}
@@ -178,7 +182,7 @@
 // send passes on what is pending, or a heartbeat.
 func (s *Service) send(stream rpc.DRPCBroker_SessionClient) error {
 	s.mu.Lock()
-	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels}
+	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels, Quotas: s.pending.Quotas}
 	s.pending = rpc.BrokerAsk{}
 	s.mu.Unlock()
 	return stream.Send(ask)
@@ -193,6 +197,9 @@
 	if r.RosterSet {
 		s.takeRoster(r)
 	}
+	if r.QuotasSet {
+		s.levels = work.DecodeLevels(r.Quotas)
+	}
 	if !r.Leads {
 		s.leader = r.Leader
 		moved := r.Leader != "" && r.Leader != address && !s.shunned(r.Leader)
@@ -219,6 +226,7 @@
 	s.attached = true
 	s.lostUntil = 0
 	now := s.now()
+	s.pending.Quotas = work.EncodeLevels(s.levels)
 	for _, w := range s.running {
 		s.pending.Offers = append(s.pending.Offers, work.EncodeOffer(now, w.offer))
 	}
--- a/internal/work/codec.go
+++ b/internal/work/codec.go
@@ -113,3 +113,21 @@
 	}
 	return entry, broker.Learned{ID: e.Id, Token: float64(e.TokenUs) / microseconds, Call: float64(e.CallUs) / microseconds, Fails: float64(e.Trouble) / thousandths}
 }
+
+// EncodeLevels gives the wire form of what is left of quotas.
+func EncodeLevels(levels map[string]float64) []*rpc.QuotaLevel {
+	out := []*rpc.QuotaLevel{}
+	for name, left := range levels {
+		out = append(out, &rpc.QuotaLevel{Workspace: name, Left: int32(left * thousandths)})
+	}
+	return out
+}
+
+// DecodeLevels reads the wire form of what is left of quotas.
+func DecodeLevels(list []*rpc.QuotaLevel) map[string]float64 {
+	out := map[string]float64{}
+	for _, q := range list {
+		out[q.Workspace] = float64(q.Left) / thousandths
+	}
+	return out
+}
