Share the engines among entries that decide alone

Change: an entry alone uses 1.5 times its even share of the slots; a part of a slot is a whole one on that part of the engines, others for each entry.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -186,6 +186,8 @@
 	// Share is this broker's part of all capacity and quotas: 1 for the one
 	// that serves all entries, less for an entry that decides by itself.
 	share float64
+	// name tells brokers apart that share the upstreams.
+	name string
 	// slack is how many tokens a workspace may use beyond its quota.
 	slack float64
 	out   Decisions
@@ -208,6 +210,10 @@
 // Configure takes over a route table.
 func (b *Broker) Configure(x *routes.Index) { b.table = x }
 
+// SetName names the broker among those that share the upstreams; it must be set
+// before Upstreams.
+func (b *Broker) SetName(name string) { b.name = name }
+
 // SetSlack sets how many tokens a workspace may use beyond its quota.
 func (b *Broker) SetSlack(tokens int64) { b.slack = float64(tokens) }
 
@@ -448,7 +454,7 @@
 		byPool[u.Pool] = append(byPool[u.Pool], u)
 	}
 	for name, part := range byPool {
-		b.pool(name).take(part, b.engine(name))
+		b.pool(name).take(part, b.engine(name), b.name)
 	}
 }
 
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -79,6 +79,9 @@
 	share float64
 	// open are the upstreams with a free slot, in their order.
 	open []*upstream
+	// only is the upstream that is used though the broker's share of it is
+	// nothing; nil where it has slots.
+	only *upstream
 	// slots counts the slots of all upstreams that take work.
 	slots int
 	// token and call are the shortest times of any of them, in seconds.
@@ -88,6 +91,7 @@
 
 func (p *pool) round(now time.Duration, share float64) *round {
 	r := &round{now: now, share: share, open: p.open[:0]}
+	least := (*upstream)(nil)
 	for _, u := range p.order {
 		if u.Leaving || u.health.down(now) {
 			continue
@@ -99,6 +103,16 @@
 		}
 		r.token = shortest(r.token, p.tokenTime(u))
 		r.call = shortest(r.call, p.callTime(u))
+		if least == nil || u.lot < least.lot {
+			least = u
+		}
+	}
+	if r.slots == 0 && least != nil {
+		// A broker whose share of every upstream is nothing uses one of them.
+		r.only, r.slots = least, 1
+		if len(least.inFlight) == 0 {
+			r.open = append(r.open, least)
+		}
 	}
 	return r
 }
@@ -112,7 +126,7 @@
 
 // taken notes that an upstream got a request.
 func (r *round) taken(u *upstream) {
-	if len(u.inFlight) < u.capacity(r.now, r.share) {
+	if u != r.only && len(u.inFlight) < u.capacity(r.now, r.share) {
 		return
 	}
 	r.open = slices.DeleteFunc(r.open, func(o *upstream) bool { return o == u })
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -38,18 +39,20 @@
 	readUntil time.Duration
 	speed     speed
 	health    health
-	sessions  sessions
+	// lot decides on parts of slots; see capacity.
+	lot      float64
+	sessions sessions
 }
 
 // take replaces the upstreams. What is learned of those that stay is kept.
-func (p *pool) take(list []Upstream, engine *routes.Engine) {
+func (p *pool) take(list []Upstream, engine *routes.Engine, broker string) {
 	p.engine = engine
 	p.order = p.order[:0]
 	seen := map[string]bool{}
 	for _, x := range list {
 		u := p.upstreams[x.ID]
 		if u == nil {
-			u = &upstream{inFlight: map[ID]*work{}, sessions: newSessions()}
+			u = &upstream{inFlight: map[ID]*work{}, sessions: newSessions(), lot: lotOf(broker, x.ID)}
 			p.upstreams[x.ID] = u
 		}
 		u.Upstream = x
@@ -145,14 +148,41 @@
 	}
 }
 
+// aloneSlots is how much more than its even share of the slots an entry that
+// decides by itself may use: its own requests don't come evenly, and engines
+// queue a few.
+const aloneSlots = 1.5
+
 // capacity is how many requests an upstream may hold of a broker that has a
-// share of it.
+// share of it. A part of a slot is a whole one on that part of the upstreams,
+// others for each broker, so that all brokers together don't swamp any.
 func (u *upstream) capacity(now time.Duration, share float64) int {
-	slots := max(1, int(float64(u.Slots)*share+0.999))
+	slots := float64(u.Slots)
+	if share < 1 {
+		slots *= min(1, share*aloneSlots)
+	}
+	whole := int(slots)
+	if u.lot < slots-float64(whole) {
+		whole++
+	}
 	if u.health.trial(now) {
-		return 1
+		return min(1, whole)
 	}
-	return slots
+	return whole
+}
+
+// lotOf draws a number in [0, 1) for a broker and an upstream, the same each
+// time.
+func lotOf(broker, upstream string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(broker + "\x00" + upstream))
+	// FNV's high bits change little with the last bytes; a multiplication and
+	// shifts spread them.
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
 }
 
 // fits tells whether an upstream with a free slot may take a request.
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -76,6 +76,7 @@
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger, self port.Holder) *Service {
 	core := broker.New(1)
+	core.SetName(self.String())
 	core.SetSlack(set.Routing.Quota.SlackTokens)
 	return &Service{
 		set: set, log: log.Named("work"), self: self.String(), began: time.Now(), wake: make(chan struct{}, 1), local: make(chan struct{}, 1),
