--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -148,19 +148,11 @@
 	}
 }
 
-// aloneSlots is how much more than its even share of the slots an entry that
-// decides by itself may use: its own requests don't come evenly, and engines
-// queue a few.
-const aloneSlots = 1.5
-
 // capacity is how many requests an upstream may hold of a broker that has a
 // share of it. A part of a slot is a whole one on that part of the upstreams,
 // others for each broker, so that all brokers together don't swamp any.
 func (u *upstream) capacity(now time.Duration, share float64) int {
-	slots := float64(u.Slots)
-	if share < 1 {
-		slots *= min(1, share*aloneSlots)
-	}
+	slots := float64(u.Slots) * share
 	whole := int(slots)
 	if u.lot < slots-float64(whole) {
 		whole++
