--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -53,6 +53,7 @@
 	view   port.TableView
 	roster port.Roster
 	leader leadership
+	meters *metrics
 	began  time.Time
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -91,7 +92,7 @@
 
 // Needs returns what decisions rest on.
 func (s *Service) Needs() []string {
-	return []string{port.NameLink, port.NameView, port.NameRoster, port.NameReplica}
+	return []string{port.NameLink, port.NameView, port.NameRoster, port.NameReplica, port.NameMetrics}
 }
 
 // Start begins to serve.
@@ -109,6 +110,13 @@
 	if s.leader, err = kernel.Find[leadership](k, port.NameReplica); err != nil {
 		return err
 	}
+	collect, err := kernel.Find[port.Metrics](k, port.NameMetrics)
+	if err != nil {
+		return err
+	}
+	if s.meters, err = newMetrics(collect.Registerer()); err != nil {
+		return err
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.done.Go(s.run)
 	return rpc.DRPCRegisterBroker(link.Mux(), s)
@@ -179,6 +187,7 @@
 // lead begins or ends granting; the lock is held.
 func (s *Service) lead(leads bool) {
 	s.leads = leads
+	s.meters.leads.Set(map[bool]float64{true: 1}[leads])
 	s.log.Info("broker changed", zap.Bool("leads", leads), zap.Int("entries", len(s.sessions)))
 	learned := s.core.Learned()
 	s.core = newCore(s.set)
@@ -205,6 +214,7 @@
 		return heartbeat
 	}
 	decided := s.core.Decide(s.now())
+	s.meters.decided(decided)
 	replies := map[string]*rpc.BrokerReply{}
 	of := func(entry string) *rpc.BrokerReply {
 		if replies[entry] == nil {
--- /dev/null
+++ b/internal/broker/metrics.go
@@ -0,0 +1,50 @@
+package broker
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/verbenastep/verbenastep/core/broker"
+)
+
+// waitBuckets are in seconds, up to the longest that a request may wait.
+var waitBuckets = []float64{.001, .005, .02, .05, .1, .2, .5, 1, 2}
+
+// metrics count what the broker decided.
+type metrics struct {
+	grants   prometheus.Counter
+	refusals *prometheus.CounterVec
+	waited   prometheus.Histogram
+	leads    prometheus.Gauge
+	entries  prometheus.Gauge
+}
+
+func newMetrics(r prometheus.Registerer) (*metrics, error) {
+	m := &metrics{
+		grants: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "grants_total", Help: "Upstreams granted to requests."}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "verbenastep", Subsystem: "broker", Name: "refusals_total", Help: "Requests refused, none of which ran, by reason.",
+		}, []string{"code"}),
+		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "verbenastep", Subsystem: "broker", Name: "wait_seconds", Help: "Time from offer to grant.", Buckets: waitBuckets,
+		}),
+		leads:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "leads", Help: "1 while this daemon grants."}),
+		entries: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "entries", Help: "Entries that are connected."}),
+	}
+	for _, c := range []prometheus.Collector{m.grants, m.refusals, m.waited, m.leads, m.entries} {
+		if err := r.Register(c); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+// decided counts a round of decisions.
+func (m *metrics) decided(d broker.Decisions) {
+	for _, g := range d.Grants {
+		m.grants.Inc()
+		m.waited.Observe(g.Waited.Seconds())
+	}
+	for _, r := range d.Refusals {
+		m.refusals.WithLabelValues(string(r.Code)).Inc()
+	}
+}
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -97,6 +97,7 @@
 		old.end()
 	}
 	s.sessions[first.Entry] = x
+	s.meters.entries.Set(float64(len(s.sessions)))
 	s.log.Info("entry joined", zap.String("entry", first.Entry), zap.Int("offers", len(first.Offers)), zap.Bool("leads", s.leads))
 	x.send(s.rosterReply())
 	if !s.leads {
@@ -118,6 +119,7 @@
 		return
 	}
 	delete(s.sessions, entry)
+	s.meters.entries.Set(float64(len(s.sessions)))
 	s.core.LoseEntry(s.now(), entry)
 	s.log.Info("entry lost", zap.String("entry", entry))
 }
