Tell entries what changes of the roster, not the whole of it

Change: entries get the whole at the start of a session, then what changed; their own books follow once a second while a broker grants.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -25,8 +25,9 @@
 	// rosterEvery is how often the roster is read again where nothing changed:
 	// upstreams fall silent without a change.
 	rosterEvery = 500 * time.Millisecond
-	// teachEvery is how often what is learned of upstreams is passed on.
-	teachEvery = 3 * time.Second
+	// newsPause is how long changes of the roster are collected before they are
+	// told; small beside the time within which a leaving upstream must be known.
+	newsPause = 50 * time.Millisecond
 	// levelsEvery is how often what is left of quotas is passed on: a small part
 	// of the window in which they count.
 	levelsEvery = 300 * time.Millisecond
@@ -67,7 +68,8 @@
 	address  string
 	version  uint64
 	sessions map[string]*session
-	taught   time.Time
+	// told is what the entries know of each upstream.
+	told map[string]*rpc.RosterEntry
 	// levels are what is left of quotas, as last told to the entries.
 	levels time.Time
 	read   time.Time
@@ -77,7 +79,7 @@
 func New(set *settings.Settings, log *zap.Logger) *Service {
 	return &Service{
 		set: set, log: log.Named("broker"), began: time.Now(), wake: make(chan struct{}, 1),
-		core: newCore(set), sessions: map[string]*session{},
+		core: newCore(set), sessions: map[string]*session{}, told: map[string]*rpc.RosterEntry{},
 	}
 }
 
@@ -143,6 +145,7 @@
 		case <-s.wake:
 			time.Sleep(restTime)
 		case <-roster:
+			time.Sleep(newsPause)
 			s.refresh(true)
 		case <-tables:
 		case <-timer.C:
@@ -177,11 +180,7 @@
 	}
 	s.read = time.Now()
 	s.core.Upstreams(work.Upstreams(s.roster.All(), s.set.Routing.DataCentres))
-	teach := time.Since(s.taught) > teachEvery
-	if changed || teach {
-		s.taught = time.Now()
-		s.tellRoster(s.rosterReply())
-	}
+	s.tellNews()
 }
 
 // lead begins or ends granting; the lock is held.
@@ -272,12 +271,6 @@
 	return r
 }
 
-func (s *Service) tellRoster(r *rpc.BrokerReply) {
-	for _, x := range s.sessions {
-		x.send(r)
-	}
-}
-
 // Stop ends all sessions.
 func (s *Service) Stop(context.Context) error {
 	s.cancel()
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -63,7 +63,11 @@
 	aloneFrom time.Duration
 	// levels are what the last broker had left of quotas.
 	levels map[string]float64
-	roster []port.RosterEntry
+	// roster are the upstreams as the broker told them; stale says that the own
+	// books lack a part of it since booked.
+	roster map[string]*rpc.RosterEntry
+	stale  bool
+	booked time.Duration
 	// tries counts sessions without a broker in a row; leader is where the last
 	// daemon that answered says it is, lost where the last session ended.
 	tries  int
@@ -80,7 +84,7 @@
 	core.SetSlack(set.Routing.Quota.SlackTokens)
 	return &Service{
 		set: set, log: log.Named("work"), self: self.String(), began: time.Now(), wake: make(chan struct{}, 1), local: make(chan struct{}, 1),
-		waiting: map[uint64]*waiter{}, running: map[uint64]*waiter{}, core: core, entries: 1,
+		waiting: map[uint64]*waiter{}, running: map[uint64]*waiter{}, core: core, entries: 1, roster: map[string]*rpc.RosterEntry{},
 	}
 }
 
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -9,6 +9,7 @@
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/work"
 )
 
@@ -96,6 +97,9 @@
 	s.attached = false
 	s.pending.Offers = nil
 	now := s.now()
+	if s.stale {
+		s.book()
+	}
 	if was {
 		s.core.ForgetQuotas()
 		s.core.Lower(now, s.levels)
@@ -194,9 +198,7 @@
 	defer s.mu.Unlock()
 	s.entries = max(1, int(r.Entries))
 	s.core.SetShare(1 / float64(s.entries))
-	if r.RosterSet {
-		s.takeRoster(r)
-	}
+	s.takeRoster(r)
 	if r.QuotasSet {
 		s.levels = work.DecodeLevels(r.Quotas)
 	}
@@ -250,14 +252,39 @@
 	s.core.Offer(s.now(), w.offer)
 }
 
+// takeRoster takes in the whole roster, or what has changed of it. The entry's
+// own books need it only once no broker answers, so they follow at a distance.
 func (s *Service) takeRoster(r *rpc.BrokerReply) {
-	s.roster = s.roster[:0]
-	learned := []broker.Learned{}
+	if r.RosterSet {
+		clear(s.roster)
+	}
 	for _, e := range r.Roster {
+		if e.Gone {
+			delete(s.roster, e.Id)
+		} else {
+			s.roster[e.Id] = e
+		}
+	}
+	s.stale = s.stale || r.RosterSet || len(r.Roster) > 0
+	if s.stale && (!s.attached || s.now()-s.booked > bookPause) {
+		s.book()
+	}
+}
+
+// bookPause is the least time between two updates of the entry's own books while
+// a broker grants.
+const bookPause = time.Second
+
+// book brings the entry's own books up to date with the roster; the lock is held.
+func (s *Service) book() {
+	list := make([]port.RosterEntry, 0, len(s.roster))
+	learned := make([]broker.Learned, 0, len(s.roster))
+	for _, e := range s.roster {
 		entry, l := work.DecodeEntry(e)
-		s.roster = append(s.roster, entry)
+		list = append(list, entry)
 		learned = append(learned, l)
 	}
-	s.core.Upstreams(work.Upstreams(s.roster, s.set.Routing.DataCentres))
+	s.core.Upstreams(work.Upstreams(list, s.set.Routing.DataCentres))
 	s.core.Teach(learned)
+	s.stale, s.booked = false, s.now()
 }
