--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -103,7 +103,7 @@
 		}
 		r.token = shortest(r.token, p.tokenTime(u))
 		r.call = shortest(r.call, p.callTime(u))
-		if least == nil || u.lot < least.lot {
+		if least == nil || u.point < least.point {
 			least = u
 		}
 	}
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -1,10 +1,10 @@
 package broker
 
 import (
-	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/verbenastep/verbenastep/core/rendezvous"
 	"github.com/verbenastep/verbenastep/core/routes"
 )
 
@@ -39,8 +39,8 @@
 	readUntil time.Duration
 	speed     speed
 	health    health
-	// lot decides on parts of slots; see capacity.
-	lot      float64
+	// point in [0, 1) decides on fractions of slots; see capacity.
+	point    float64
 	sessions sessions
 }
 
@@ -52,7 +52,7 @@
 	for _, x := range list {
 		u := p.upstreams[x.ID]
 		if u == nil {
-			u = &upstream{inFlight: map[ID]*work{}, sessions: newSessions(), lot: lotOf(broker, x.ID)}
+			u = &upstream{inFlight: map[ID]*work{}, sessions: newSessions(), point: rendezvous.Point(x.ID, broker)}
 			p.upstreams[x.ID] = u
 		}
 		u.Upstream = x
@@ -149,12 +149,12 @@
 }
 
 // capacity is how many requests an upstream may hold of a broker that has a
-// share of it. A part of a slot is a whole one on that part of the upstreams,
-// others for each broker, so that all brokers together don't swamp any.
+// share of it. A fraction of a slot is a whole one on that fraction of upstreams,
+// others for each broker, so that all brokers together overload none.
 func (u *upstream) capacity(now time.Duration, share float64) int {
 	slots := float64(u.Slots) * share
 	whole := int(slots)
-	if u.lot < slots-float64(whole) {
+	if u.point < slots-float64(whole) {
 		whole++
 	}
 	if u.health.trial(now) {
@@ -163,20 +163,6 @@
 	return whole
 }
 
-// lotOf draws a number in [0, 1) for a broker and an upstream, the same each
-// time.
-func lotOf(broker, upstream string) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(broker + "\x00" + upstream))
-	// FNV's high bits change little with the last bytes; a multiplication and
-	// shifts spread them.
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
-}
-
 // fits tells whether an upstream with a free slot may take a request.
 func (p *pool) fits(u *upstream, w *work) bool {
 	if p.engine != nil && p.engine.MemoryTokens > 0 && len(u.inFlight) > 0 && u.tokens+w.tokens() > p.engine.MemoryTokens {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -198,8 +198,7 @@
 	}
 	s.core.Upstreams(work.Upstreams(s.roster.All(), s.set.Routing.DataCentres))
 	s.core.Teach(known)
-	// The entries that are connected hear of it at once; on a broker's first
-	// word they offer all that waits or runs.
+	// Connected entries hear of it at once and offer all that waits or runs.
 	for _, x := range s.sessions {
 		x.send(s.reply())
 	}
--- a/internal/brokerclient/alone.go
+++ b/internal/brokerclient/alone.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// alonePause is the longest pause between two looks at the entry's own books.
+// alonePause is the longest pause between two looks at the local broker.
 const alonePause = time.Second
 
 // brokerPatience is how long an entry that has just got its first route table
@@ -10,7 +10,7 @@
 // has a leader, which an entry finds within a few round trips.
 const brokerPatience = 300 * time.Millisecond
 
-// decideAlone grants from the entry's own books while no broker does.
+// decideAlone grants from the local broker while no broker does.
 func (s *Service) decideAlone() {
 	timer := time.NewTimer(alonePause)
 	defer timer.Stop()
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -63,11 +63,11 @@
 	aloneFrom time.Duration
 	// levels are what the last broker had left of quotas.
 	levels map[string]float64
-	// roster are the upstreams as the broker told them; stale says that the own
-	// books lack a part of it since booked.
-	roster map[string]*rpc.RosterEntry
-	stale  bool
-	booked time.Duration
+	// roster are the upstreams as the broker told them; stale says that the local
+	// broker lacks a part of it, refreshed when it last had all.
+	roster    map[string]*rpc.RosterEntry
+	stale     bool
+	refreshed time.Duration
 	// tries counts sessions without a broker in a row; leader is where the last
 	// daemon that answered says it is, lost where the last session ended.
 	tries  int
@@ -171,7 +171,7 @@
 	return true
 }
 
-// end frees the slot; both the broker and the own books learn from it.
+// end frees the slot; the leading and the local broker both learn from it.
 func (s *Service) end(w *waiter, e broker.End) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -28,9 +28,9 @@
 	// idleLimit is how long a session with a daemon that does not lead is kept,
 	// for its roster, while no leader is known.
 	idleLimit = 300 * time.Millisecond
-	// shunTime is how long a daemon is not asked again after a session with it
+	// backOffTime is how long a daemon is not asked again after a session with it
 	// failed: the others need as long to elect another leader.
-	shunTime = 1500 * time.Millisecond
+	backOffTime = 1500 * time.Millisecond
 )
 
 var (
@@ -65,40 +65,40 @@
 	heard := s.leader
 	s.leader = ""
 	for _, address := range []string{heard, viewed} {
-		if address != "" && !s.shunned(address) {
+		if address != "" && !s.backedOff(address) {
 			return address
 		}
 	}
 	known := s.set.KnownReplicas()
 	for range known {
 		s.tries++
-		if address := known[s.tries%len(known)].Address; !s.shunned(address) {
+		if address := known[s.tries%len(known)].Address; !s.backedOff(address) {
 			return address
 		}
 	}
 	return s.lost
 }
 
-// shunned tells whether a session with a daemon failed a moment ago: others may
+// backedOff tells whether a session with a daemon failed a moment ago: others may
 // go on naming it as the leader until they have elected another.
-func (s *Service) shunned(address string) bool {
+func (s *Service) backedOff(address string) bool {
 	return address == s.lost && s.now() < s.lostUntil
 }
 
-// detach ends granting by the broker: what waits goes to the entry's own books.
+// detach ends granting by the broker: what waits goes to the local broker.
 func (s *Service) detach(address string, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !errors.Is(err, errMoved) {
 		s.lost = address
-		s.lostUntil = s.now() + shunTime
+		s.lostUntil = s.now() + backOffTime
 	}
 	was := s.attached
 	s.attached = false
 	s.pending.Offers = nil
 	now := s.now()
 	if s.stale {
-		s.book()
+		s.refreshLocal()
 	}
 	if was {
 		s.core.ForgetQuotas()
@@ -204,7 +204,7 @@
 	}
 	if !r.Leads {
 		s.leader = r.Leader
-		moved := r.Leader != "" && r.Leader != address && !s.shunned(r.Leader)
+		moved := r.Leader != "" && r.Leader != address && !s.backedOff(r.Leader)
 		if s.attached || moved || (settled && r.Leader == "") {
 			return errMoved
 		}
@@ -253,7 +253,7 @@
 }
 
 // takeRoster takes in the whole roster, or what has changed of it. The entry's
-// own books need it only once no broker answers, so they follow at a distance.
+// local broker needs it only once no other answers, so it is updated less often.
 func (s *Service) takeRoster(r *rpc.BrokerReply) {
 	if r.RosterSet {
 		clear(s.roster)
@@ -266,17 +266,17 @@
 		}
 	}
 	s.stale = s.stale || r.RosterSet || len(r.Roster) > 0
-	if s.stale && (!s.attached || s.now()-s.booked > bookPause) {
-		s.book()
+	if s.stale && (!s.attached || s.now()-s.refreshed > localRefresh) {
+		s.refreshLocal()
 	}
 }
 
-// bookPause is the least time between two updates of the entry's own books while
+// localRefresh is the least time between two updates of the local broker while
 // a broker grants.
-const bookPause = time.Second
+const localRefresh = time.Second
 
-// book brings the entry's own books up to date with the roster; the lock is held.
-func (s *Service) book() {
+// refreshLocal brings the local broker up to date with the roster; the lock is held.
+func (s *Service) refreshLocal() {
 	list := make([]port.RosterEntry, 0, len(s.roster))
 	learned := make([]broker.Learned, 0, len(s.roster))
 	for _, e := range s.roster {
@@ -286,5 +286,5 @@
 	}
 	s.core.Upstreams(work.Upstreams(list, s.set.Routing.DataCentres))
 	s.core.Teach(learned)
-	s.stale, s.booked = false, s.now()
+	s.stale, s.refreshed = false, s.now()
 }
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -211,7 +211,7 @@
 	sessions := 0
 	c[0].set(func(x *control) { x.silent, sessions = true, x.sessions })
 	require.Eventually(t, func() bool { return c[1].see(func(x *control) bool { return x.sessions > 0 }) }, patience, time.Millisecond)
-	time.Sleep(shunTime / 2)
+	time.Sleep(backOffTime / 2)
 	require.True(t, c[0].see(func(x *control) bool { return x.sessions == sessions }), "the frozen daemon was asked again")
 	c[1].set(func(x *control) { x.leads, x.leader = true, x.address })
 	require.Eventually(t, s.isAttached, patience, time.Millisecond)
--- a/internal/dispatch/keeper.go
+++ b/internal/dispatch/keeper.go
@@ -3,13 +3,13 @@
 import (
 	"cmp"
 	"context"
-	"hash/fnv"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/core/quarantine"
+	"github.com/verbenastep/verbenastep/core/rendezvous"
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
@@ -76,22 +76,11 @@
 		}
 	}
 	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(weight(pool, b), weight(pool, a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(rendezvous.Weight(pool, b), rendezvous.Weight(pool, a)), cmp.Compare(a, b))
 	})
 	return max(0, slices.Index(names, self))
 }
 
-func weight(pool, daemon string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(daemon + "\x00" + pool))
-	// FNV's high bits change little with the last bytes; a multiplication and
-	// a shift spread them.
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
-
 // renew acquires or renews the lease. Its end counts from before the call, on
 // the monotonic clock.
 func (s *Service) renew(ctx context.Context, name, lease string) {
