Retire a connection after a failure said to a long body

Ruled out: the load itself (the first request was always answered). Change: after a failure to a body of more than 4 KB the connection is closed.

--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -20,6 +20,9 @@
 const (
 	// mostAnswer bounds a plain answer, in bytes.
 	mostAnswer = 16 << 20
+	// longBody is the length in bytes from which an upstream may answer before it
+	// has read the body; shorter ones arrive with the header.
+	longBody = 4 << 10
 	// strayAnswers is how many answers to other requests are skipped on a
 	// connection before it is given up.
 	strayAnswers = 2
@@ -240,8 +243,11 @@
 		sent = wrong == nil
 	default:
 	}
+	// A failure may be said before a long body is read, though the kernel has
+	// taken all of it: the next request would wait behind the rest.
+	early := resp.StatusCode >= http.StatusBadRequest && len(a.body) > longBody
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if err != nil || !sent || resp.Close || !framed || a.conn.reader.Buffered() > 0 || !a.unhook() {
+	if err != nil || !sent || resp.Close || early || !framed || a.conn.reader.Buffered() > 0 || !a.unhook() {
 		_ = a.conn.Close()
 		return
 	}
