--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -162,8 +162,7 @@
 	Offer
 	arrived time.Duration
 	// at is the upstream it is granted to; nil while it waits.
-	at      *upstream
-	granted time.Duration
+	at *upstream
 	// expected is when it should leave the upstream.
 	expected time.Duration
 	// alone says that the upstream read no other prompt when it was granted.
--- a/core/broker/health.go
+++ b/core/broker/health.go
@@ -30,7 +30,7 @@
 
 func (h *health) down(now time.Duration) bool { return now < h.until }
 
-func (h *health) trial(time.Duration) bool { return h.row >= rowToTrial }
+func (h *health) trial() bool { return h.row >= rowToTrial }
 
 // note takes in an outcome.
 func (h *health) note(now time.Duration, o Outcome) {
@@ -44,23 +44,23 @@
 	case Misdirected:
 		h.until = max(h.until, now+movedPause)
 	case Unreachable:
-		h.failed(now, 1)
+		h.failed()
 		h.pause = min(mostDown, max(firstDown, 2*h.pause))
 		h.until = now + h.pause
 	case Broken, Silent, Spoiled:
-		h.failed(now, 1)
+		h.failed()
 		if h.row >= rowToTrial {
 			h.pause = min(mostDown, max(firstDown, 2*h.pause))
 			h.until = now + h.pause
 		}
 	case Failed:
-		h.failed(now, 1)
+		h.failed()
 		h.row = 0
 	}
 }
 
-func (h *health) failed(_ time.Duration, weight float64) {
-	h.fails += failGain * (weight - h.fails)
+func (h *health) failed() {
+	h.fails += failGain * (1 - h.fails)
 	h.row++
 }
 
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -123,7 +123,6 @@
 // place counts a request on its upstream.
 func (p *pool) place(now time.Duration, w *work, u *upstream) {
 	w.at = u
-	w.granted = now
 	w.alone = u.readUntil <= now
 	reading := p.readTime(w, u)
 	u.readUntil = max(now, u.readUntil) + reading
@@ -157,7 +156,7 @@
 	if u.point < slots-float64(whole) {
 		whole++
 	}
-	if u.health.trial(now) {
+	if u.health.trial() {
 		return min(1, whole)
 	}
 	return whole
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -190,12 +190,11 @@
 	return s.entries
 }
 
-// granted settles a request; the lock is held. It returns false where the
-// request no longer waits.
-func (s *Service) granted(g broker.Grant, by string) bool {
+// granted settles a request that still waits; the lock is held.
+func (s *Service) granted(g broker.Grant, by string) {
 	w, ok := s.waiting[g.ID.Number]
 	if !ok {
-		return false
+		return
 	}
 	delete(s.waiting, g.ID.Number)
 	w.grant, w.by = g, by
@@ -203,7 +202,6 @@
 	w.offer.Charge = 0
 	s.running[g.ID.Number] = w
 	close(w.settled)
-	return true
 }
 
 func (s *Service) refused(r broker.Refusal, by string) {
