Find the owner of an address without searching the roster

Cause: each heartbeat, also one that only renews, searched the whole roster for other processes at the same address.

Ruled out: decoding of heartbeats and what is passed on between the control daemons; both grow with the number of heartbeats only.

Change: the roster keeps which entry an address belongs to. A known process that moves to the address of one born later ends, as the invariant says; it was kept beside it.

Conclusion: the cost of a heartbeat no longer depends on the roster's size.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -50,12 +50,15 @@
 type Roster struct {
 	interval time.Duration
 	entries  map[string]Entry
+	// owners names the entry of the process born last at each address. It may
+	// have ended since.
+	owners map[string]string
 }
 
 // New returns an empty roster for upstreams that announce themselves once an
 // interval.
 func New(interval time.Duration) *Roster {
-	return &Roster{interval: interval, entries: map[string]Entry{}}
+	return &Roster{interval: interval, entries: map[string]Entry{}, owners: map[string]string{}}
 }
 
 // later tells whether a heartbeat is newer than what is held.
@@ -92,8 +95,11 @@
 	if known && !later(e, held) {
 		return Stale
 	}
-	if !known && r.ousted(e) {
-		return Stale
+	if r.ousted(e) {
+		if !known {
+			return Stale
+		}
+		e = farewell(e, e.Heard)
 	}
 	r.entries[e.ID] = e
 	r.claimAddress(e)
@@ -114,27 +120,32 @@
 	return a == b
 }
 
-// ousted tells whether an unknown process's address belongs to one that was
-// born later.
+// owner returns the live entry that an address belongs to.
+func (r *Roster) owner(address string) (Entry, bool) {
+	x, ok := r.entries[r.owners[address]]
+	return x, ok && !x.Gone && x.Address == address
+}
+
+// ousted tells whether a process's address belongs to another one that was born
+// later.
 func (r *Roster) ousted(e Entry) bool {
-	for _, x := range r.entries {
-		if x.Address == e.Address && e.Address != "" && !x.Gone && x.Born > e.Born {
-			return true
-		}
+	if e.Gone || e.Address == "" {
+		return false
 	}
-	return false
+	x, ok := r.owner(e.Address)
+	return ok && x.ID != e.ID && x.Born > e.Born
 }
 
-// claimAddress ends other processes at the address of one that was born later.
+// claimAddress makes an address that of a process that is not ousted, and ends
+// the one that had it.
 func (r *Roster) claimAddress(e Entry) {
 	if e.Gone || e.Address == "" {
 		return
 	}
-	for id, x := range r.entries {
-		if id != e.ID && x.Address == e.Address && !x.Gone && x.Born <= e.Born {
-			r.entries[id] = farewell(x, e.Heard)
-		}
+	if x, ok := r.owner(e.Address); ok && x.ID != e.ID {
+		r.entries[x.ID] = farewell(x, e.Heard)
 	}
+	r.owners[e.Address] = e.ID
 }
 
 // Leave ends an upstream by its id, as it asked itself. It returns the entry to
@@ -166,10 +177,10 @@
 // remembered, and forgets what is too old.
 func (r *Roster) All(now time.Duration) []Entry {
 	out := make([]Entry, 0, len(r.entries))
-	for id, e := range r.entries {
+	for _, e := range r.entries {
 		age := now - e.Heard
 		if (e.Gone && age > tombstoneLife) || (!e.Gone && age > forgetAfter*r.interval) {
-			delete(r.entries, id)
+			r.forget(e)
 			continue
 		}
 		out = append(out, e)
@@ -177,3 +188,10 @@
 	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
+
+func (r *Roster) forget(e Entry) {
+	delete(r.entries, e.ID)
+	if r.owners[e.Address] == e.ID {
+		delete(r.owners, e.Address)
+	}
+}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -99,3 +100,58 @@
 		require.Equal(t, one.All(0), two.All(0), "seed %d", seed)
 	}
 }
+
+// renewal returns the time of one heartbeat in a roster of a size, the best of a
+// few rounds.
+func renewal(size int) time.Duration {
+	const rounds, beats = 5, 2000
+	r := New(interval)
+	ids := make([]string, size)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("i-%d", i)
+		r.Take(Entry{ID: ids[i], Address: ids[i], Born: 1, Sequence: 1})
+	}
+	best := time.Hour
+	for round := range rounds {
+		began := time.Now()
+		for i := range beats {
+			id := ids[(round*beats+i)%size]
+			e, _ := r.Find(id)
+			e.Sequence++
+			r.Take(e)
+		}
+		best = min(best, time.Since(began)/beats)
+	}
+	return best
+}
+
+// TestCostOfAHeartbeatDoesNotGrowWithTheRoster compares 100 upstreams with the
+// target's 10,000: a search through all would cost 100 times as much.
+func TestCostOfAHeartbeatDoesNotGrowWithTheRoster(t *testing.T) {
+	const most = 20 // allows for the caches that the large roster does not fit in
+	small, large := renewal(100), renewal(10_000)
+	require.Less(t, large, most*small, "a heartbeat takes %s among 100 upstreams, %s among 10,000", small, large)
+}
+
+func TestMoveToAnAddressOfALaterProcessEndsTheEarlier(t *testing.T) {
+	r := New(interval)
+	r.Take(beat("new", 9, 1))
+	other := beat("a", 1, 1)
+	other.Address = "10.0.0.2:80"
+	require.Equal(t, Changed, r.Take(other))
+	require.Equal(t, Changed, r.Take(beat("a", 2, 1)), "born before the process at that address")
+	e, _ := r.Find("a")
+	require.True(t, e.Gone)
+	e, _ = r.Find("new")
+	require.False(t, e.Gone)
+}
+
+func TestAddressOfAForgottenProcessIsFree(t *testing.T) {
+	r := New(interval)
+	r.Take(beat("new", 9, 1))
+	r.All((forgetAfter + 1) * interval)
+	e := beat("a", 1, 1)
+	e.Heard = (forgetAfter + 1) * interval
+	require.Equal(t, Changed, r.Take(e))
+	require.Len(t, r.owners, 1)
+}
