Count and log the bytes between daemons by call

Change: the link counts what passes through the encoding of each call, sent and received, as verbenastep_link_bytes_total and in one line each ten seconds. Framing is not counted.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,13 +46,17 @@
 	log = log.With(zap.String("daemon", set.Name))
 	self := port.Holder{Name: set.Name, Incarnation: uint64(time.Now().UnixNano()), Address: set.Addresses.Peers}
 	d := &Daemon{kernel: kernel.New(), link: link.New(set, log), events: eventlog.New(self), log: log}
+	collect := metrics.New()
+	if err := collect.Registerer().Register(d.link.Collector()); err != nil {
+		return nil, err
+	}
 	services := []kernel.Service{
 		d.link,
 		logclient.New(set, log),
 		view.New(set, log),
 		member.New(set, log, self),
 		directory.New(set, log),
-		metrics.New(),
+		collect,
 		d.events,
 	}
 	if set.Addresses.Admin != "" {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -15,8 +15,10 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
@@ -51,16 +53,18 @@
 	tls    *tls.Config
 	ln     net.Listener
 	cancel context.CancelFunc
-	done   chan struct{}
+	done   sync.WaitGroup
+	bytes  *traffic
 }
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
 	return &Service{
-		set:  set,
-		log:  log.Named("link"),
-		mux:  drpcmux.New(),
-		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: keptIdle}),
+		set:   set,
+		log:   log.Named("link"),
+		mux:   drpcmux.New(),
+		bytes: newTraffic(),
+		pool:  drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: keptIdle}),
 	}
 }
 
@@ -133,20 +137,35 @@
 func (s *Service) Serve() {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.done = make(chan struct{})
-	server := drpcserver.NewWithOptions(guard{secret: s.secret, next: s.mux}, drpcserver.Options{
+	server := drpcserver.NewWithOptions(guard{secret: s.secret, next: s.mux, bytes: s.bytes}, drpcserver.Options{
 		Log: func(err error) { s.log.Debug("peer connection ended", zap.Error(err)) },
 	})
-	go func() {
-		defer close(s.done)
-		_ = server.Serve(ctx, s.ln)
-	}()
+	s.done.Go(func() { _ = server.Serve(ctx, s.ln) })
+	s.done.Go(func() { s.logTraffic(ctx) })
 }
 
+// logTraffic logs the bytes by call until the link stops.
+func (s *Service) logTraffic(ctx context.Context) {
+	every := time.NewTicker(trafficEvery)
+	defer every.Stop()
+	for {
+		select {
+		case <-every.C:
+			s.log.Info("link traffic", s.bytes.fields()...)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Collector gives the bytes by call as metrics.
+func (s *Service) Collector() prometheus.Collector { return s.bytes.total }
+
 // guard refuses calls that lack the peer secret.
 type guard struct {
 	secret string
 	next   drpc.Handler
+	bytes  *traffic
 }
 
 // HandleRPC checks the secret and passes the call on.
@@ -157,7 +176,7 @@
 	if !hmac.Equal(given[:], want[:]) {
 		return fmt.Errorf("peer secret is wrong; give all daemons the same peer_key_file")
 	}
-	return g.next.HandleRPC(stream, rpc)
+	return g.next.HandleRPC(meteredStream{Stream: stream, traffic: g.bytes, rpc: rpc}, rpc)
 }
 
 // Address returns where the link listens; it is known once it is started.
@@ -168,7 +187,7 @@
 
 // Conn returns a pooled connection to a daemon.
 func (s *Service) Conn(address string) drpc.Conn {
-	return secretConn{secret: s.secret, Conn: s.pool.Get(context.Background(), address, s.dial)}
+	return peerConn{secret: s.secret, bytes: s.bytes, Conn: s.pool.Get(context.Background(), address, s.dial)}
 }
 
 func (s *Service) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
@@ -187,20 +206,25 @@
 	return drpcconn.New(tls.Client(raw, cfg)), nil
 }
 
-// secretConn adds the peer secret to each call.
-type secretConn struct {
+// peerConn adds the peer secret to each call and counts its bytes.
+type peerConn struct {
 	drpc.Conn
 	secret string
+	bytes  *traffic
 }
 
 // Invoke makes a unary call.
-func (c secretConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
-	return c.Conn.Invoke(drpcmetadata.Add(ctx, secretKey, c.secret), rpc, enc, in, out)
+func (c peerConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	return c.Conn.Invoke(drpcmetadata.Add(ctx, secretKey, c.secret), rpc, c.bytes.encoding(rpc, enc), in, out)
 }
 
 // NewStream opens a stream.
-func (c secretConn) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
-	return c.Conn.NewStream(drpcmetadata.Add(ctx, secretKey, c.secret), rpc, enc)
+func (c peerConn) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
+	stream, err := c.Conn.NewStream(drpcmetadata.Add(ctx, secretKey, c.secret), rpc, enc)
+	if err != nil {
+		return nil, err
+	}
+	return meteredStream{Stream: stream, traffic: c.bytes, rpc: rpc}, nil
 }
 
 // Stop closes the listener and all connections.
@@ -208,7 +232,7 @@
 	_ = s.ln.Close()
 	if s.cancel != nil {
 		s.cancel()
-		<-s.done
+		s.done.Wait()
 	}
 	return s.pool.Close()
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -125,3 +126,17 @@
 	require.NoError(t, fetch(t, a, b))
 	require.Error(t, fetch(t, newLink(t, settings.TLS{}, "two"), b))
 }
+
+func TestBytesAreCountedByCall(t *testing.T) {
+	a, b := newLink(t, settings.TLS{}, ""), newLink(t, settings.TLS{}, "")
+	require.NoError(t, fetch(t, a, b))
+	const rpcName = "/verbenastep.v1.Answers/Fetch"
+	asked := testutil.ToFloat64(a.bytes.total.WithLabelValues(rpcName, "sent"))
+	require.Positive(t, asked)
+	require.InDelta(t, asked, testutil.ToFloat64(b.bytes.total.WithLabelValues(rpcName, "received")), 0)
+	answered := testutil.ToFloat64(b.bytes.total.WithLabelValues(rpcName, "sent"))
+	require.Positive(t, answered)
+	require.InDelta(t, answered, testutil.ToFloat64(a.bytes.total.WithLabelValues(rpcName, "received")), 0)
+	require.Equal(t, zap.Any("sent_bytes", map[string]int{rpcName: int(asked)}), a.bytes.fields()[0])
+	require.Equal(t, zap.Any("sent_bytes", map[string]int{}), a.bytes.fields()[0], "counted since the last line")
+}
