Let a leader that starts again be elected at once

Ruled out: the vote itself (15 ms), the watch of the route table (10 ms), the broker's sessions (20 ms). A shorter election timeout would shorten the lease and move the broker more often.

Change: the hard state names the leader of its term once it was heard of, synced before its lease is confirmed. Whoever asks for votes in a newer term does not lead, so the promise to that one ends; a node that led last asks for pre-votes every two ticks for one election timeout after its start. Promises to a leader hold against all others as before.

Conclusion: a whole restart costs what starting costs. Where the last leader does not come back, the others wait as before.

--- a/core/consensus/codec.go
+++ b/core/consensus/codec.go
@@ -137,6 +137,7 @@
 	w := writer{}
 	w.num(h.Term)
 	w.num(uint64(h.Vote))
+	w.num(uint64(h.Leader))
 	return w.b
 }
 
@@ -144,6 +145,10 @@
 func DecodeHard(b []byte) (Hard, error) {
 	r := reader{b: b}
 	h := Hard{Term: r.num(), Vote: ID(r.num())}
+	if len(r.b) > 0 {
+		// Records of the version before end here: no leader is known.
+		h.Leader = ID(r.num())
+	}
 	return h, r.finish()
 }
 
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -1,9 +1,15 @@
 package consensus
 
-// promised tells whether this node may not help to replace a leader: it is
-// one, or it heard from one less than an election timeout ago.
-func (n *Node) promised() bool {
-	return n.role == Leader || n.now < n.heard+n.opt.ElectionTicks
+// bound tells whether this node may not help to replace a leader: it is one, or
+// it heard from one less than an election timeout ago.
+func (n *Node) bound() bool { return n.role == Leader || n.now < n.promised }
+
+// release ends the promise to a leader that asks for votes in a newer term: it
+// leads no more, and its lease ended when it stepped down or stopped.
+func (n *Node) release(m Message) {
+	if (m.Kind == PreVote || m.Kind == Vote) && m.From == n.hard.Leader && n.role != Leader {
+		n.promised = n.now
+	}
 }
 
 // campaign starts an election. Unless the leader asked for it, a round of
@@ -29,6 +35,7 @@
 	n.preVote = false
 	n.votes = map[ID]bool{}
 	n.hard = Hard{Term: n.hard.Term + 1, Vote: n.opt.ID}
+	n.resetDeadline()
 	n.ask(Message{Kind: Vote, Force: force})
 }
 
@@ -47,7 +54,7 @@
 func (n *Node) onVote(m Message) {
 	reply := Message{Kind: VoteReply, To: m.From}
 	free := n.hard.Vote == 0 || n.hard.Vote == m.From
-	if n.promised() && !m.Force {
+	if n.bound() && !m.Force {
 		return
 	}
 	if m.Kind == PreVote {
--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -70,6 +70,7 @@
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.leader = n.opt.ID
+	n.hard.Leader = n.opt.ID
 	n.lead = leading{peers: map[ID]*peer{}, first: n.log.last() + 1, beatAt: n.now}
 	n.syncPeers()
 	n.appendOwn(EntryEmpty, [][]byte{nil})
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -39,12 +39,15 @@
 
 	role   Role
 	leader ID
-	// heard is when a leader was last heard, for the promise not to vote.
-	heard uint64
+	// promised is until when this node may not help to replace a leader.
+	promised uint64
 	// deadline is when the next election starts.
 	deadline uint64
 	votes    map[ID]bool
 	preVote  bool
+	// returning is until when a leader that has started again asks for votes
+	// more often.
+	returning uint64
 
 	lead leading
 
@@ -57,17 +60,30 @@
 
 // New returns a node that continues from what its disk holds. As it may have
 // promised a leader not to vote just before it stopped, it keeps that promise
-// for a whole election timeout.
+// for a whole election timeout. One that led itself has nothing to keep, and
+// asks for votes at once: nobody else can be elected as early.
 func New(opt Options, saved Saved, now uint64) *Node {
-	n := &Node{opt: opt, now: now, heard: now, hard: saved.Hard, handedHard: saved.Hard, log: newLog(saved)}
+	n := &Node{opt: opt, now: now, promised: now + opt.ElectionTicks, hard: saved.Hard, handedHard: saved.Hard, log: newLog(saved)}
 	n.conf.reset(saved.Meta)
 	n.conf.take(n.log.entries)
 	// Nobody leads where all begin at once: the first election comes early, and
 	// a leader that lives is heard of before it.
 	n.deadline = now + opt.ElectionTicks + settleTicks + opt.Random(opt.ElectionTicks/firstSpread)
+	if n.ledLast() {
+		n.promised = now
+		n.returning = now + opt.ElectionTicks
+		n.deadline = now + returnTicks
+	}
 	return n
 }
 
+// ledLast tells whether this node was the last leader that it knows of.
+func (n *Node) ledLast() bool { return n.hard.Leader != 0 && n.hard.Leader == n.opt.ID }
+
+// returnTicks is the pause between the requests for votes of a leader that has
+// started again: the others may be starting, too.
+const returnTicks = 2
+
 // firstSpread divides the spread of the first election after a start.
 const firstSpread = 2
 
@@ -77,6 +93,9 @@
 
 func (n *Node) resetDeadline() {
 	n.deadline = n.now + n.opt.ElectionTicks + settleTicks + n.opt.Random(n.opt.ElectionTicks)
+	if n.now < n.returning && n.ledLast() {
+		n.deadline = n.now + returnTicks
+	}
 }
 
 // Advance tells the time in ticks of a monotonic clock. It must be called with
@@ -142,6 +161,7 @@
 // higherTerm follows a newer term; it returns false where the message is done
 // with.
 func (n *Node) higherTerm(m Message) bool {
+	n.release(m)
 	switch m.Kind {
 	case PreVote:
 		n.onVote(m)
@@ -152,7 +172,7 @@
 			return false
 		}
 	case Vote:
-		if n.promised() && !m.Force {
+		if n.bound() && !m.Force {
 			return false
 		}
 	}
@@ -176,6 +196,9 @@
 	if term > n.hard.Term {
 		n.hard = Hard{Term: term}
 	}
+	if leader != 0 {
+		n.hard.Leader = leader
+	}
 	n.role = Follower
 	n.leader = leader
 	n.votes = nil
@@ -188,7 +211,7 @@
 	if n.role != Follower || n.leader != m.From {
 		n.follow(m.Term, m.From)
 	}
-	n.heard = n.now
+	n.promised = n.now + n.opt.ElectionTicks
 	n.resetDeadline()
 	switch m.Kind {
 	case Append:
--- a/core/consensus/node_test.go
+++ b/core/consensus/node_test.go
@@ -79,6 +79,89 @@
 	require.Len(t, drain(n), 1)
 }
 
+// led returns a node that starts again and last heard of a leader.
+func led(id, leader ID) *Node {
+	n := testNode(id, three()...)
+	n.hard.Leader = leader
+	return New(n.opt, Saved{Hard: n.hard, Meta: Meta{Index: 1, Term: 1, Members: three()}}, 0)
+}
+
+// TestAllStartAgainAndTheLeaderReturnsAtOnce stops all replicas at the same
+// moment: nobody waits for the lease of a leader that asks for votes itself.
+func TestAllStartAgainAndTheLeaderReturnsAtOnce(t *testing.T) {
+	nodes := map[ID]*Node{1: led(1, 1), 2: led(2, 1), 3: led(3, 1)}
+	const most = 5 // ticks: two pauses between its requests, and the way to the others
+	for now := uint64(1); now <= most; now++ {
+		for _, n := range nodes {
+			n.Advance(now)
+		}
+		for moved := true; moved; {
+			moved = false
+			for _, n := range nodes {
+				for _, m := range drain(n) {
+					moved = true
+					nodes[m.To].Step(m)
+				}
+			}
+		}
+	}
+	require.Equal(t, Leader, nodes[1].role)
+	require.Equal(t, ID(1), nodes[2].leader)
+	require.Equal(t, ID(1), nodes[3].hard.Leader)
+}
+
+func TestPromiseHoldsAgainstOthersThanTheLeaderItself(t *testing.T) {
+	n := led(1, 2)
+	n.Advance(3)
+	n.Step(Message{Kind: PreVote, From: 3, To: 1, Term: 2, Index: 1, LogTerm: 1})
+	n.Step(Message{Kind: Vote, From: 3, To: 1, Term: 2, Index: 1, LogTerm: 1})
+	require.Empty(t, drain(n), "the leader may be alive and hold a lease")
+	n.Step(Message{Kind: Vote, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1})
+	replies := drain(n)
+	require.Len(t, replies, 1)
+	require.False(t, replies[0].Reject)
+
+	n = led(1, 2)
+	n.Step(Message{Kind: Heartbeat, From: 2, To: 1, Term: 1})
+	drain(n)
+	n.Step(Message{Kind: PreVote, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1})
+	require.Len(t, drain(n), 1, "it stepped down or started again since")
+}
+
+// TestReturningLeaderDoesNotDisturbItsSuccessor has it come back after another
+// was elected.
+func TestReturningLeaderDoesNotDisturbItsSuccessor(t *testing.T) {
+	n := led(2, 1)
+	n.Step(Message{Kind: Heartbeat, From: 3, To: 2, Term: 2})
+	drain(n)
+	n.Step(Message{Kind: PreVote, From: 1, To: 2, Term: 2, Index: 1, LogTerm: 1})
+	n.Step(Message{Kind: Vote, From: 1, To: 2, Term: 3, Index: 1, LogTerm: 1})
+	drain(n)
+	require.Equal(t, Follower, n.role)
+	require.Equal(t, ID(3), n.leader)
+	require.Equal(t, uint64(2), n.hard.Term)
+}
+
+// TestLeaderIsOnDiskBeforeItsLeaseIsConfirmed: what a restart must know.
+func TestLeaderIsOnDiskBeforeItsLeaseIsConfirmed(t *testing.T) {
+	n := testNode(1, three()...)
+	n.Step(Message{Kind: Heartbeat, From: 2, To: 1, Term: 1, Sequence: 4})
+	e := n.Effects()
+	require.Equal(t, &Hard{Term: 1, Leader: 2}, e.Hard)
+	require.Empty(t, e.Early)
+	require.Len(t, e.Late, 1)
+}
+
+func TestHardStateOfTheVersionBeforeIsRead(t *testing.T) {
+	data := EncodeHard(Hard{Term: 7, Vote: 3, Leader: 2})
+	h, err := DecodeHard(data)
+	require.NoError(t, err)
+	require.Equal(t, Hard{Term: 7, Vote: 3, Leader: 2}, h)
+	h, err = DecodeHard(data[:len(data)-1])
+	require.NoError(t, err)
+	require.Equal(t, Hard{Term: 7, Vote: 3}, h)
+}
+
 func TestLeaseEndsBeforeAnotherLeaderCanBe(t *testing.T) {
 	n := testNode(1, three()...)
 	elect(t, n)
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -51,6 +51,9 @@
 type Hard struct {
 	Term uint64
 	Vote ID
+	// Leader is the leader of Term once it was heard of: the one whose lease this
+	// node may have confirmed.
+	Leader ID
 }
 
 // Meta describes a snapshot: it holds the state after the entry at Index.
