Pass heartbeats on as renewals, and the roster to entries in parts

Cause: at 300 machines control daemons ran out of processor time and memory. By the bytes a call (trial, 94 entries and 990 upstreams), whole heartbeats passed on between control daemons are most of it: 45 to 58 kB/s each way on every one. By the logs of a trial with 286 entries and 3,000 upstreams, while no leader was known each entry changed its session three times a second and was given the whole roster each time, 255 kB: 12,574 sessions and 1.0 GB in 16 s, which kept the control daemons from electing a leader.

Ruled out: log, watches and membership, 10 kB/s together; heartbeats' own HTTP calls, which no change of ours makes fewer.

Change: - A heartbeat that changes nothing is passed on as id, sequence, age and a digest of what it renews, collected for 250 ms; a daemon that holds another entry asks for all of it, one that has started again is given all. - The roster goes to an entry in parts of 400 upstreams; not at all to one that is sent on to the leader at once; while nobody leads, one that comes from a leader is told what has changed since. - An entry that finds no leader stays twice as long with each daemon, up to 2.4 s: whoever it is with names the leader as soon as there is one. - What is left of quotas is told where it changed by 2 % of the quota. - A daemon that does not lead no longer updates a broker that decides nothing; reading the roster takes a tenth of the processor at most. - Counters of upstreams by state, the broker's moves, and who granted.

Conclusion: what control daemons say grows with what changes.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -25,9 +25,15 @@
 	// rosterEvery is how often the roster is read again where nothing changed:
 	// upstreams fall silent without a change.
 	rosterEvery = 500 * time.Millisecond
-	// newsPause is how long changes of the roster are collected before they are
-	// told; small beside the time within which a leaving upstream must be known.
-	newsPause = 50 * time.Millisecond
+	// newsPause is the least time for which changes of the roster are collected
+	// before they are told, newsPauseMost the longest; both are small beside the
+	// time within which a leaving upstream must be known.
+	newsPause     = 50 * time.Millisecond
+	newsPauseMost = 500 * time.Millisecond
+	// newsRest is how many times as long as reading the roster takes the pause
+	// is, so that a large roster that changes all the time takes a tenth of the
+	// processor at most.
+	newsRest = 9
 	// levelsEvery is how often what is left of quotas is passed on: a small part
 	// of the window in which they count.
 	levelsEvery = 300 * time.Millisecond
@@ -68,11 +74,16 @@
 	address  string
 	version  uint64
 	sessions map[string]*session
-	// told is what the entries know of each upstream.
-	told map[string]*rpc.RosterEntry
-	// levels are what is left of quotas, as last told to the entries.
-	levels time.Time
-	read   time.Time
+	// told is what the entries know of each upstream, toldAt since when.
+	told   map[string]*rpc.RosterEntry
+	toldAt map[string]time.Time
+	// levels is when the entries were last told what is left of quotas, toldLevels
+	// what they know of it.
+	levels     time.Time
+	toldLevels map[string]float64
+	read       time.Time
+	// reading is how long the roster took to read.
+	reading time.Duration
 }
 
 // New returns the service.
@@ -80,6 +91,7 @@
 	return &Service{
 		set: set, log: log.Named("broker"), began: time.Now(), wake: make(chan struct{}, 1),
 		core: newCore(set), sessions: map[string]*session{}, told: map[string]*rpc.RosterEntry{},
+		toldAt: map[string]time.Time{}, toldLevels: map[string]float64{},
 	}
 }
 
@@ -145,7 +157,7 @@
 		case <-s.wake:
 			time.Sleep(restTime)
 		case <-roster:
-			time.Sleep(newsPause)
+			time.Sleep(s.newsPause())
 			s.refresh(true)
 		case <-tables:
 		case <-timer.C:
@@ -179,14 +191,28 @@
 		return
 	}
 	s.read = time.Now()
-	s.core.Upstreams(work.Upstreams(s.roster.All(), s.set.Routing.DataCentres))
-	s.tellNews()
+	list := s.roster.All()
+	if s.leads {
+		s.core.Upstreams(work.Upstreams(list, s.set.Routing.DataCentres))
+	}
+	s.tellNews(list)
+	s.reading = time.Since(s.read)
+}
+
+// newsPause is how long changes of the roster are collected.
+func (s *Service) newsPause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(newsPauseMost, max(newsPause, newsRest*s.reading))
 }
 
 // lead begins or ends granting; the lock is held.
 func (s *Service) lead(leads bool) {
 	s.leads = leads
 	s.meters.leads.Set(map[bool]float64{true: 1}[leads])
+	if leads {
+		s.meters.moves.Inc()
+	}
 	s.log.Info("broker changed", zap.Bool("leads", leads), zap.Int("entries", len(s.sessions)))
 	learned := s.core.Learned()
 	s.core = newCore(s.set)
@@ -199,7 +225,11 @@
 	s.core.Upstreams(work.Upstreams(s.roster.All(), s.set.Routing.DataCentres))
 	s.core.Teach(known)
 	// Connected entries hear of it at once and offer all that waits or runs.
+	s.levels, s.toldLevels = time.Now(), map[string]float64{}
 	for _, x := range s.sessions {
+		x.told = x.whole
+		s.tellRoster(x)
+		x.levels = false
 		x.send(s.reply())
 	}
 }
@@ -240,36 +270,10 @@
 	return heartbeat
 }
 
-// tellLevels tells the entries what is left of the workspaces' quotas, for the
-// time without a broker and for the next one; the lock is held.
-func (s *Service) tellLevels() {
-	if time.Since(s.levels) < levelsEvery {
-		return
-	}
-	s.levels = time.Now()
-	r := s.reply()
-	r.QuotasSet = true
-	r.Quotas = work.EncodeLevels(s.core.Levels(s.now()))
-	for _, x := range s.sessions {
-		x.send(r)
-	}
-}
-
 func (s *Service) reply() *rpc.BrokerReply {
 	return &rpc.BrokerReply{Leads: s.leads, Entries: uint32(len(s.sessions)), Leader: s.address}
 }
 
-// rosterReply lists all upstreams with what is learned of them.
-func (s *Service) rosterReply() *rpc.BrokerReply {
-	r := s.reply()
-	r.RosterSet = true
-	learned := s.core.Learned()
-	for _, e := range s.roster.All() {
-		r.Roster = append(r.Roster, work.EncodeEntry(e, learned[e.ID]))
-	}
-	return r
-}
-
 // Stop ends all sessions.
 func (s *Service) Stop(context.Context) error {
 	s.cancel()
--- a/internal/broker/metrics.go
+++ b/internal/broker/metrics.go
@@ -16,6 +16,7 @@
 	waited   prometheus.Histogram
 	leads    prometheus.Gauge
 	entries  prometheus.Gauge
+	moves    prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) (*metrics, error) {
@@ -29,8 +30,9 @@
 		}),
 		leads:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "leads", Help: "1 while this daemon grants."}),
 		entries: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "entries", Help: "Entries that are connected."}),
+		moves:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "moves_total", Help: "Times that this daemon began to grant."}),
 	}
-	for _, c := range []prometheus.Collector{m.grants, m.refusals, m.waited, m.leads, m.entries} {
+	for _, c := range []prometheus.Collector{m.grants, m.refusals, m.waited, m.leads, m.entries, m.moves} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/broker/news_test.go
+++ b/internal/broker/news_test.go
@@ -1,15 +1,21 @@
 package broker
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/roster"
+	"github.com/verbenastep/verbenastep/core/routes"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
 // heard is a roster that the test sets.
@@ -27,10 +33,10 @@
 // TestOnlyChangesAreTold keeps the bytes to an entry a matter of what changes.
 func TestOnlyChangesAreTold(t *testing.T) {
 	h := &heard{list: []port.RosterEntry{upstream("a"), upstream("b")}}
-	x := &session{out: make(chan *rpc.BrokerReply, outboxSize), end: func() {}}
-	s := &Service{core: broker.New(1), roster: h, told: map[string]*rpc.RosterEntry{}, sessions: map[string]*session{"e": x}}
+	x := &session{out: make(chan *rpc.BrokerReply, outboxSize), end: func() {}, told: true}
+	s := &Service{core: broker.New(1), roster: h, told: map[string]*rpc.RosterEntry{}, toldAt: map[string]time.Time{}, sessions: map[string]*session{"e": x}}
 	told := func() []string {
-		s.tellNews()
+		s.tellNews(h.list)
 		select {
 		case r := <-x.out:
 			out := []string{}
@@ -51,3 +57,105 @@
 	require.Equal(t, []string{"b"}, told(), "one that is forgotten is gone")
 	require.Nil(t, told())
 }
+
+// TestRosterIsToldInParts keeps the memory that a session takes small however
+// large the roster is, and the parts few enough for its queue.
+func TestRosterIsToldInParts(t *testing.T) {
+	const upstreams = 10_000 // the target's
+	x := &session{out: make(chan *rpc.BrokerReply, outboxSize), end: func() { require.Fail(t, "the session's queue is too short") }}
+	s := &Service{core: broker.New(1), told: map[string]*rpc.RosterEntry{}, toldAt: map[string]time.Time{}, sessions: map[string]*session{"e": x}}
+	list := []port.RosterEntry{}
+	for i := range upstreams {
+		list = append(list, upstream(fmt.Sprintf("i-%08x", i)))
+	}
+	s.tellNews(list)
+	require.Empty(t, x.out, "news are for entries that have the roster")
+	s.tellRoster(x)
+	s.tellRoster(x)
+	seen, first := map[string]bool{}, true
+	for len(x.out) > 0 {
+		r := <-x.out
+		require.Equal(t, first, r.RosterSet)
+		require.LessOrEqual(t, proto.Size(r), 64<<10)
+		for _, e := range r.Roster {
+			seen[e.Id] = true
+		}
+		first = false
+	}
+	require.Len(t, seen, upstreams)
+}
+
+// TestEntryThatIsSentToTheLeaderGetsNoRoster spares it on the way there, and
+// gives it to one that stays.
+func TestEntryThatIsSentToTheLeaderGetsNoRoster(t *testing.T) {
+	h := &heard{list: []port.RosterEntry{upstream("a")}}
+	s := newFollower(t, h, "leader")
+	x := &session{out: make(chan *rpc.BrokerReply, outboxSize), end: func() {}}
+	s.join(&rpc.BrokerAsk{Entry: "e", First: true}, x)
+	r := <-x.out
+	require.Equal(t, "leader", r.Leader)
+	require.False(t, r.RosterSet)
+	s.take("e", x, &rpc.BrokerAsk{})
+	require.True(t, (<-x.out).RosterSet)
+
+	s = newFollower(t, h, "")
+	x = &session{out: make(chan *rpc.BrokerReply, outboxSize), end: func() {}}
+	s.join(&rpc.BrokerAsk{Entry: "e", First: true}, x)
+	require.True(t, (<-x.out).RosterSet, "nobody leads: the entry decides by itself")
+}
+
+// TestEntryFromALeaderIsToldWhatChangedSince spares the daemons most of the
+// roster while entries look for a leader, and gives all of it once there is one.
+func TestEntryFromALeaderIsToldWhatChangedSince(t *testing.T) {
+	h := &heard{list: []port.RosterEntry{upstream("old"), upstream("left")}}
+	s := newFollower(t, h, "")
+	s.refresh(true)
+	for id := range s.told {
+		s.toldAt[id] = time.Now().Add(-time.Minute)
+	}
+	h.list[1].Gone, h.list[1].Leaving = true, true
+	h.list = append(h.list, upstream("new"))
+	s.refresh(true)
+	join := func(age time.Duration) (*session, []string) {
+		x := &session{out: make(chan *rpc.BrokerReply, outboxSize), end: func() {}}
+		s.join(&rpc.BrokerAsk{Entry: "e", First: true, RosterAgeMs: uint32(age.Milliseconds())}, x)
+		r := <-x.out
+		ids := []string{}
+		for _, e := range r.Roster {
+			ids = append(ids, e.Id)
+		}
+		return x, ids
+	}
+	x, ids := join(3 * time.Second)
+	require.ElementsMatch(t, []string{"left", "new"}, ids)
+	_, ids = join(0)
+	require.ElementsMatch(t, []string{"old", "new"}, ids, "it has none")
+	_, ids = join(2 * rosterLife)
+	require.ElementsMatch(t, []string{"old", "new"}, ids, "too old")
+	s.leads = true
+	x.told = x.whole
+	s.tellRoster(x)
+	r := <-x.out
+	require.True(t, r.RosterSet)
+	require.Len(t, r.Roster, 2)
+}
+
+// newFollower returns the service of a daemon that does not lead.
+func newFollower(t *testing.T, h *heard, leader string) *Service {
+	t.Helper()
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop())
+	meters, err := newMetrics(prometheus.NewRegistry())
+	require.NoError(t, err)
+	s.meters, s.roster, s.view, s.leader = meters, h, noTable{}, follows(leader)
+	return s
+}
+
+type noTable struct{}
+
+func (noTable) Routes() *routes.Index    { return nil }
+func (noTable) Leader() string           { return "" }
+func (noTable) Changed() <-chan struct{} { return nil }
+
+type follows string
+
+func (f follows) Leadership() (leads bool, address string) { return false, string(f) }
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -15,6 +15,14 @@
 type session struct {
 	out chan *rpc.BrokerReply
 	end context.CancelFunc
+	// told says that the entry has the roster, whole that all of it came from
+	// this daemon; since is from when on it may lack changes, zero where it
+	// lacks all.
+	told  bool
+	whole bool
+	since time.Time
+	// levels says that it has what is left of quotas.
+	levels bool
 }
 
 // send queues a message. A session that can't keep up is ended; the entry then
@@ -97,9 +105,15 @@
 		old.end()
 	}
 	s.sessions[first.Entry] = x
+	x.since = lacksSince(first)
 	s.meters.entries.Set(float64(len(s.sessions)))
 	s.log.Info("entry joined", zap.String("entry", first.Entry), zap.Int("offers", len(first.Offers)), zap.Bool("leads", s.leads))
-	x.send(s.rosterReply())
+	if !s.leads && s.address != "" {
+		// The entry moves on to the daemon that leads, or stays and asks again.
+		x.send(s.reply())
+		return
+	}
+	s.tellRoster(x)
 	if !s.leads {
 		return
 	}
@@ -128,7 +142,11 @@
 func (s *Service) take(entry string, x *session, ask *rpc.BrokerAsk) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.sessions[entry] != x || !s.leads {
+	if s.sessions[entry] != x {
+		return
+	}
+	s.tellRoster(x)
+	if !s.leads {
 		return
 	}
 	now := s.now()
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -41,6 +41,7 @@
 	self   string
 	link   port.Link
 	view   port.TableView
+	meters *metrics
 	began  time.Time
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -68,6 +69,10 @@
 	roster    map[string]*rpc.RosterEntry
 	stale     bool
 	refreshed time.Duration
+	// rosterAt is when a daemon that leads last spoke of the roster.
+	rosterAt time.Duration
+	// leaderless counts sessions since the last broker granted.
+	leaderless int
 	// tries counts sessions without a broker in a row; leader is where the last
 	// daemon that answered says it is, lost where the last session ended.
 	tries  int
@@ -83,16 +88,17 @@
 	core.SetName(self.String())
 	core.SetSlack(set.Routing.Quota.SlackTokens)
 	return &Service{
-		set: set, log: log.Named("work"), self: self.String(), began: time.Now(), wake: make(chan struct{}, 1), local: make(chan struct{}, 1),
+		set: set, log: log.Named("work"), meters: newMetrics(), self: self.String(), began: time.Now(), wake: make(chan struct{}, 1), local: make(chan struct{}, 1),
 		waiting: map[uint64]*waiter{}, running: map[uint64]*waiter{}, core: core, entries: 1, roster: map[string]*rpc.RosterEntry{},
+		levels: map[string]float64{},
 	}
 }
 
 // Name returns the service's name.
 func (s *Service) Name() string { return port.NameWork }
 
-// Needs returns the link and the view, which knows who leads.
-func (s *Service) Needs() []string { return []string{port.NameLink, port.NameView} }
+// Needs returns the link, the view, which knows who leads, and who takes metrics.
+func (s *Service) Needs() []string { return []string{port.NameLink, port.NameView, port.NameMetrics} }
 
 // Start begins to look for a broker.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
@@ -103,6 +109,13 @@
 	if s.view, err = kernel.Find[port.TableView](k, port.NameView); err != nil {
 		return err
 	}
+	collect, err := kernel.Find[port.Metrics](k, port.NameMetrics)
+	if err != nil {
+		return err
+	}
+	if err := s.meters.register(collect.Registerer()); err != nil {
+		return err
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.done.Go(s.follow)
 	s.done.Go(s.decideAlone)
@@ -197,6 +210,7 @@
 		return
 	}
 	delete(s.waiting, g.ID.Number)
+	s.meters.grants.WithLabelValues(by).Inc()
 	w.grant, w.by = g, by
 	w.offer.Running = g.Upstream
 	w.offer.Charge = 0
@@ -210,6 +224,7 @@
 		return
 	}
 	delete(s.waiting, r.ID.Number)
+	s.meters.refusals.WithLabelValues(by, string(r.Code)).Inc()
 	w.by = by
 	w.failure = fault.New(fault.Kind(r.Code), "send the request again after the stated time", "%s", r.Why).After(r.RetryAfter)
 	close(w.settled)
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -25,9 +25,12 @@
 	firstSilence = 600 * time.Millisecond
 	// retryPause is the wait before the next daemon is tried.
 	retryPause = 50 * time.Millisecond
-	// idleLimit is how long a session with a daemon that does not lead is kept,
-	// for its roster, while no leader is known.
+	// idleLimit is how long the first session with a daemon that does not lead is
+	// kept, for its roster, while no leader is known. Each further one is kept
+	// twice as long, up to idleMost: a daemon that is not cut off names the leader
+	// as soon as there is one, and looking elsewhere costs daemons that are busy.
 	idleLimit = 300 * time.Millisecond
+	idleMost  = 8 * idleLimit
 	// backOffTime is how long a daemon is not asked again after a session with it
 	// failed: the others need as long to elect another leader.
 	backOffTime = 1500 * time.Millisecond
@@ -95,6 +98,10 @@
 	}
 	was := s.attached
 	s.attached = false
+	s.meters.attached.Set(0)
+	if was {
+		s.meters.lost.Inc()
+	}
 	s.pending.Offers = nil
 	now := s.now()
 	if s.stale {
@@ -134,6 +141,7 @@
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	began := time.Now()
+	limit := s.idle()
 	for {
 		err := error(nil)
 		select {
@@ -143,7 +151,7 @@
 			err = s.send(stream)
 		case r := <-in:
 			quiet.Reset(silence)
-			err = s.take(address, r, time.Since(began) > idleLimit)
+			err = s.take(address, r, time.Since(began) > limit)
 		case err = <-failed:
 		case <-ctx.Done():
 			err = errSilent
@@ -154,6 +162,15 @@
 	}
 }
 
+// idle is how long the next session without a leader is kept.
+func (s *Service) idle() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := min(idleMost, idleLimit<<min(s.leaderless, 8))
+	s.leaderless++
+	return limit
+}
+
 func receive(ctx context.Context, stream rpc.DRPCBroker_SessionClient, in chan<- *rpc.BrokerReply, failed chan<- error) {
 	for {
 		r, err := stream.Recv()
@@ -176,13 +193,22 @@
 	defer s.mu.Unlock()
 	s.pending = rpc.BrokerAsk{}
 	now := s.now()
-	ask := &rpc.BrokerAsk{Entry: s.self, First: true}
+	ask := &rpc.BrokerAsk{Entry: s.self, First: true, RosterAgeMs: s.rosterAge()}
 	for _, w := range s.running {
 		ask.Offers = append(ask.Offers, work.EncodeOffer(now, w.offer))
 	}
 	return ask
 }
 
+// rosterAge is how long ago a daemon that leads last spoke of the roster, in
+// milliseconds; zero where none has. The lock is held.
+func (s *Service) rosterAge() uint32 {
+	if s.rosterAt == 0 {
+		return 0
+	}
+	return uint32(max(1, (s.now() - s.rosterAt).Milliseconds()))
+}
+
 // send passes on what is pending, or a heartbeat.
 func (s *Service) send(stream rpc.DRPCBroker_SessionClient) error {
 	s.mu.Lock()
@@ -199,9 +225,7 @@
 	s.entries = max(1, int(r.Entries))
 	s.core.SetShare(1 / float64(s.entries))
 	s.takeRoster(r)
-	if r.QuotasSet {
-		s.levels = work.DecodeLevels(r.Quotas)
-	}
+	s.takeLevels(r)
 	if !r.Leads {
 		s.leader = r.Leader
 		moved := r.Leader != "" && r.Leader != address && !s.backedOff(r.Leader)
@@ -213,6 +237,10 @@
 	if !s.attached {
 		s.attach(address)
 	}
+	if len(r.Roster) == 0 {
+		// What was to be told of the roster has arrived.
+		s.rosterAt = s.now()
+	}
 	for _, g := range r.Grants {
 		s.takeGrant(work.DecodeGrant(s.self, g))
 	}
@@ -222,10 +250,26 @@
 	return nil
 }
 
+// takeLevels takes in what is left of all quotas, or what has changed of it.
+func (s *Service) takeLevels(r *rpc.BrokerReply) {
+	if r.QuotasSet {
+		clear(s.levels)
+	}
+	for name, left := range work.DecodeLevels(r.Quotas) {
+		if left < 1 {
+			s.levels[name] = left
+		} else {
+			delete(s.levels, name)
+		}
+	}
+}
+
 // attach gives all that waits or runs to a broker that has just been found, or
 // has just begun to lead; the lock is held.
 func (s *Service) attach(address string) {
 	s.attached = true
+	s.meters.attached.Set(1)
+	s.leaderless = 0
 	s.lostUntil = 0
 	now := s.now()
 	s.pending.Quotas = work.EncodeLevels(s.levels)
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -16,6 +16,7 @@
 	"github.com/verbenastep/verbenastep/internal/link"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/internal/work"
 )
 
 const patience = 10 * time.Second
@@ -216,3 +217,46 @@
 	c[1].set(func(x *control) { x.leads, x.leader = true, x.address })
 	require.Eventually(t, s.isAttached, patience, time.Millisecond)
 }
+
+func TestLevelsAreReplacedOrBroughtUpToDate(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
+	tell := func(set bool, levels map[string]float64) map[string]float64 {
+		s.takeLevels(&rpc.BrokerReply{QuotasSet: set, Quotas: work.EncodeLevels(levels)})
+		return s.levels
+	}
+	require.Equal(t, map[string]float64{"a": 0.5, "b": 0.25}, tell(true, map[string]float64{"a": 0.5, "b": 0.25}))
+	require.Equal(t, map[string]float64{"a": 0.125, "b": 0.25}, tell(false, map[string]float64{"a": 0.125}))
+	require.Equal(t, map[string]float64{"b": 0.25}, tell(false, map[string]float64{"a": 1}), "its whole quota again")
+	require.Equal(t, map[string]float64{"c": 0.5}, tell(true, map[string]float64{"c": 0.5}))
+	require.Equal(t, map[string]float64{"c": 0.5}, tell(false, nil), "a heartbeat")
+}
+
+// TestEntryThatFindsNoLeaderLooksElsewhereLessAndLess: entries that go from
+// daemon to daemon all the time keep a large fleet from electing a leader.
+func TestEntryThatFindsNoLeaderLooksElsewhereLessAndLess(t *testing.T) {
+	s, c := newEntry(t, 2)
+	sessions := func() int {
+		sum := 0
+		for _, x := range c {
+			x.set(func(x *control) { sum += x.sessions })
+		}
+		return sum
+	}
+	time.Sleep(8 * idleLimit)
+	require.LessOrEqual(t, sessions(), 4, "300, 600 and 1,200 ms fill the time")
+	c[0].set(func(x *control) { x.leads, x.leader = true, x.address })
+	c[1].set(func(x *control) { x.leader = c[0].address })
+	require.Eventually(t, s.isAttached, patience, time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Zero(t, s.leaderless)
+}
+
+func TestEntrySaysHowOldItsRosterIs(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
+	require.Zero(t, s.hello().RosterAgeMs, "it has none")
+	require.NoError(t, s.take("a", &rpc.BrokerReply{RosterSet: true, Roster: []*rpc.RosterEntry{{Id: "u", Pool: "p"}}}, false))
+	require.Zero(t, s.hello().RosterAgeMs, "a daemon that does not lead may lack some of it")
+	require.NoError(t, s.take("a", &rpc.BrokerReply{Leads: true}, false))
+	require.Positive(t, s.hello().RosterAgeMs)
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -54,8 +54,11 @@
 // Name returns the service's name.
 func (s *Service) Name() string { return port.NameRoster }
 
-// Needs returns the link and the replica, which knows the control daemons.
-func (s *Service) Needs() []string { return []string{port.NameLink, port.NameReplica} }
+// Needs returns the link, the replica, which knows the control daemons, and who
+// takes metrics.
+func (s *Service) Needs() []string {
+	return []string{port.NameLink, port.NameReplica, port.NameMetrics}
+}
 
 // Start begins to pass heartbeats on.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
@@ -66,6 +69,13 @@
 	if s.replicas, err = kernel.Find[replicas](k, port.NameReplica); err != nil {
 		return err
 	}
+	collect, err := kernel.Find[port.Metrics](k, port.NameMetrics)
+	if err != nil {
+		return err
+	}
+	if err := collect.Registerer().Register(newStates(s)); err != nil {
+		return err
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.recall()
 	s.done.Go(s.keep)
@@ -83,8 +93,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.Heard = s.now()
-	if s.take(e, "heartbeat") != roster.Stale {
-		s.spread(e)
+	if verdict := s.take(e, "heartbeat"); verdict != roster.Stale {
+		s.spread(e, verdict)
 	}
 	return nil
 }
--- a/internal/roster/spread.go
+++ b/internal/roster/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,10 +12,13 @@
 )
 
 const (
-	// spreadPause is how long heartbeats are collected before they are passed
-	// on; a small part of the time within which a leaving upstream must be known
+	// changePause is how long changes are collected before they are passed on; a
+	// small part of the time within which a leaving upstream must be known
 	// everywhere.
-	spreadPause = 40 * time.Millisecond
+	changePause = 40 * time.Millisecond
+	// renewalPause is the same for renewals; a small part of the heartbeats'
+	// interval.
+	renewalPause = 250 * time.Millisecond
 	// spreadTimeout bounds one call, and with it the wait for a daemon that is
 	// cut off.
 	spreadTimeout = 600 * time.Millisecond
@@ -24,86 +28,166 @@
 
 // peer is another control daemon and what it has not been told yet.
 type peer struct {
-	pending map[string]roster.Entry
-	wake    chan struct{}
+	// changes are entries that it needs in full, renewals those that it knows to
+	// be otherwise unchanged.
+	changes  map[string]roster.Entry
+	renewals map[string]roster.Entry
+	// changed and renewed hold a token while there is something of their kind.
+	changed chan struct{}
+	renewed chan struct{}
 	lost    bool
+	// incarnation is that of its process which was given the whole roster.
+	incarnation uint64
+}
+
+func newPeer() *peer {
+	return &peer{
+		changes: map[string]roster.Entry{}, renewals: map[string]roster.Entry{},
+		changed: make(chan struct{}, 1), renewed: make(chan struct{}, 1),
+	}
+}
+
+// queue adds an entry in full, or its renewal.
+func (p *peer) queue(e roster.Entry, verdict roster.Verdict) {
+	_, waits := p.changes[e.ID]
+	kind, wake := p.renewals, p.renewed
+	if waits || verdict == roster.Changed {
+		kind, wake = p.changes, p.changed
+		delete(p.renewals, e.ID)
+	}
+	kind[e.ID] = e
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// drain takes all that is queued.
+func (p *peer) drain() (changes, renewals map[string]roster.Entry) {
+	changes, renewals = p.changes, p.renewals
+	p.changes, p.renewals = map[string]roster.Entry{}, map[string]roster.Entry{}
+	return changes, renewals
+}
+
+// requeue puts back what could not be told unless newer news came meanwhile.
+func (p *peer) requeue(changes, renewals map[string]roster.Entry) {
+	for id, e := range changes {
+		if newer, ok := p.renewals[id]; ok {
+			e = newer
+		}
+		if _, newer := p.changes[id]; !newer {
+			p.queue(e, roster.Changed)
+		}
+	}
+	for id, e := range renewals {
+		_, renewed := p.renewals[id]
+		_, changed := p.changes[id]
+		if !renewed && !changed {
+			p.queue(e, roster.Renewed)
+		}
+	}
 }
 
 // spread queues an entry for the other control daemons; the lock is held.
-func (s *Service) spread(e roster.Entry) {
+func (s *Service) spread(e roster.Entry, verdict roster.Verdict) {
 	for _, address := range s.replicas.MemberAddresses() {
 		if address == s.set.Addresses.Peers {
 			continue
 		}
 		p := s.peers[address]
 		if p == nil {
-			p = &peer{pending: map[string]roster.Entry{}, wake: make(chan struct{}, 1)}
+			p = newPeer()
 			s.peers[address] = p
 			s.done.Go(func() { s.feed(address, p) })
 		}
-		p.pending[e.ID] = e
-		select {
-		case p.wake <- struct{}{}:
-		default:
-		}
+		p.queue(e, verdict)
 	}
 }
 
 // feed passes on what is queued for one daemon until the service stops.
 func (s *Service) feed(address string, p *peer) {
-	for {
+	for s.ctx.Err() == nil {
 		select {
 		case <-s.ctx.Done():
-			return
-		case <-p.wake:
+		case <-p.changed:
+			s.pause(changePause)
+		case <-p.renewed:
+			s.pauseUnless(p.changed, renewalPause)
 		}
-		s.pause(spreadPause)
 		for s.ctx.Err() == nil && !s.tell(address, p) {
+			if !slices.Contains(s.replicas.MemberAddresses(), address) {
+				s.drop(address)
+				return
+			}
 			s.pause(spreadRetry)
 		}
 	}
 }
 
-func (s *Service) pause(d time.Duration) {
+// drop forgets a daemon that can't be reached and is no member any more.
+func (s *Service) drop(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.peers, address)
+	s.log.Info("control daemon dropped", zap.String("address", address))
+}
+
+func (s *Service) pause(d time.Duration) { s.pauseUnless(nil, d) }
+
+// pauseUnless waits until a time has passed or a token is there.
+func (s *Service) pauseUnless(token <-chan struct{}, d time.Duration) {
 	select {
 	case <-s.ctx.Done():
+	case <-token:
 	case <-time.After(d):
 	}
 }
 
-// tell makes one call with all that is queued; what fails is queued again
-// unless newer news of the same upstream came meanwhile.
+// tell makes one call with all that is queued. It returns false where that
+// failed and is queued again.
 func (s *Service) tell(address string, p *peer) bool {
 	s.mu.Lock()
-	batch := p.pending
-	p.pending = map[string]roster.Entry{}
+	changes, renewals := p.drain()
 	now := s.now()
 	s.mu.Unlock()
-	news := &rpc.RosterNews{}
-	for _, e := range batch {
-		news.Entries = append(news.Entries, Encode(e, now))
-	}
-	if len(news.Entries) == 0 {
+	news := encodeNews(changes, renewals, now)
+	if len(news.Entries)+len(news.Renewals) == 0 {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, spreadTimeout)
 	defer cancel()
-	_, err := rpc.NewDRPCRosterClient(s.link.Conn(address)).Spread(ctx, news)
+	ack, err := rpc.NewDRPCRosterClient(s.link.Conn(address)).Spread(ctx, news)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if lost := err != nil; lost != p.lost {
 		p.lost = lost
 		s.log.Info("control daemon lost or regained", zap.String("address", address), zap.Bool("lost", lost), zap.Error(err))
 	}
-	if err == nil {
-		return true
+	if err != nil {
+		p.requeue(changes, renewals)
+		return false
 	}
-	for id, e := range batch {
-		if _, newer := p.pending[id]; !newer {
-			p.pending[id] = e
+	s.supply(address, p, ack)
+	return true
+}
+
+// supply queues what a daemon lacks: single entries, or the whole roster where
+// its process is a new one; the lock is held.
+func (s *Service) supply(address string, p *peer, ack *rpc.RosterAck) {
+	lacks := []roster.Entry{}
+	for _, id := range ack.Unknown {
+		if e, ok := s.core.Find(id); ok {
+			lacks = append(lacks, e)
 		}
 	}
-	return false
+	if ack.Incarnation != p.incarnation {
+		p.incarnation = ack.Incarnation
+		lacks = s.core.All(s.now())
+		s.log.Info("whole roster passed on", zap.String("address", address), zap.Int("upstreams", len(lacks)), zap.Uint64("incarnation", ack.Incarnation))
+	}
+	for _, e := range lacks {
+		p.queue(e, roster.Changed)
+	}
 }
 
 // Spread takes in what another control daemon heard.
@@ -112,23 +196,13 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	for _, e := range news.Entries {
-		s.take(Decode(e, now), "control daemon")
+		s.take(decode(e, now), "control daemon")
 	}
-	return &rpc.RosterAck{}, nil
-}
-
-// Encode gives an entry's wire form.
-func Encode(e roster.Entry, now time.Duration) *rpc.RosterEntry {
-	return &rpc.RosterEntry{
-		Id: e.ID, Pool: e.Pool, Address: e.Address, DataCentre: e.DataCentre, Slots: uint32(e.Slots), Born: e.Born, Sequence: e.Sequence,
-		Leaving: e.Leaving, Gone: e.Gone, ColdMs: uint32(e.Cold.Milliseconds()), AgeMs: uint32(max(0, now-e.Heard).Milliseconds()),
-	}
-}
-
-// Decode reads an entry's wire form.
-func Decode(e *rpc.RosterEntry, now time.Duration) roster.Entry {
-	return roster.Entry{
-		ID: e.Id, Pool: e.Pool, Address: e.Address, DataCentre: e.DataCentre, Slots: int(e.Slots), Born: e.Born, Sequence: e.Sequence,
-		Leaving: e.Leaving, Gone: e.Gone, Cold: time.Duration(e.ColdMs) * time.Millisecond, Heard: now - time.Duration(e.AgeMs)*time.Millisecond,
+	ack := &rpc.RosterAck{Incarnation: uint64(s.began.UnixNano())}
+	for _, n := range news.Renewals {
+		if !s.core.Renew(decodeRenewal(n, now)) {
+			ack.Unknown = append(ack.Unknown, n.Id)
+		}
 	}
+	return ack, nil
 }
--- /dev/null
+++ b/internal/roster/spread_test.go
@@ -0,0 +1,174 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/verbenastep/verbenastep/core/roster"
+	"github.com/verbenastep/verbenastep/internal/freeport"
+	"github.com/verbenastep/verbenastep/internal/kernel"
+	"github.com/verbenastep/verbenastep/internal/link"
+	"github.com/verbenastep/verbenastep/internal/metrics"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+)
+
+// members is a replica's list of control daemons.
+type members struct {
+	kernel.Service
+	list []string
+}
+
+func (m members) Name() string                                { return port.NameReplica }
+func (m members) Needs() []string                             { return nil }
+func (m members) Start(context.Context, *kernel.Kernel) error { return nil }
+func (m members) Stop(context.Context) error                  { return nil }
+func (m members) Leadership() (leads bool, address string)    { return false, m.list[0] }
+func (m members) MemberAddresses() []string                   { return m.list }
+
+// startControl runs one control daemon's roster.
+func startControl(t *testing.T, address string, all []string) (s *Service, stop func()) {
+	t.Helper()
+	set := &settings.Settings{
+		Addresses: settings.Addresses{Peers: address}, DataFolder: t.TempDir(), Routing: &settings.Routing{HeartbeatMS: 1000},
+	}
+	l := link.New(set, zap.NewNop())
+	s = New(set, zap.NewNop())
+	k := kernel.New()
+	for _, x := range []kernel.Service{l, metrics.New(), members{list: all}, s} {
+		require.NoError(t, k.Register(x))
+	}
+	require.NoError(t, k.Start(t.Context()))
+	l.Serve()
+	once := false
+	stop = func() {
+		if !once {
+			once = true
+			_ = k.Stop(context.Background())
+		}
+	}
+	t.Cleanup(stop)
+	return s, stop
+}
+
+func beatOf(id string, seq uint64) roster.Entry {
+	return roster.Entry{ID: id, Pool: "p", Address: id, Slots: 2, Born: 1, Sequence: seq}
+}
+
+// sequence is that of the newest heartbeat known of an upstream.
+func sequence(s *Service, id string) uint64 {
+	for _, e := range s.All() {
+		if e.ID == id {
+			return e.Sequence
+		}
+	}
+	return 0
+}
+
+const soon = 5 * time.Second
+
+func knows(t *testing.T, s *Service, id string, seq uint64) {
+	t.Helper()
+	require.Eventually(t, func() bool { return sequence(s, id) == seq }, soon, 10*time.Millisecond)
+}
+
+func TestHeartbeatsReachTheOtherControlDaemon(t *testing.T) {
+	addresses, err := freeport.Addresses(2)
+	require.NoError(t, err)
+	a, _ := startControl(t, addresses[0], addresses)
+	b, _ := startControl(t, addresses[1], addresses)
+	require.NoError(t, a.Take(beatOf("u", 1)))
+	knows(t, b, "u", 1)
+	require.NoError(t, a.Take(beatOf("u", 2)))
+	knows(t, b, "u", 2)
+	leaving := beatOf("u", 3)
+	leaving.Leaving = true
+	require.NoError(t, a.Take(leaving))
+	knows(t, b, "u", 3)
+	require.True(t, b.All()[0].Leaving)
+	require.NoError(t, a.Leave("u"))
+	require.Eventually(t, func() bool { return b.All()[0].Gone }, soon, 10*time.Millisecond)
+}
+
+// TestRestartedControlDaemonIsGivenTheWholeRoster restarts one without its disk.
+func TestRestartedControlDaemonIsGivenTheWholeRoster(t *testing.T) {
+	addresses, err := freeport.Addresses(2)
+	require.NoError(t, err)
+	a, _ := startControl(t, addresses[0], addresses)
+	b, stop := startControl(t, addresses[1], addresses)
+	for i := range 20 {
+		require.NoError(t, a.Take(beatOf(fmt.Sprint(i), 1)))
+	}
+	knows(t, b, "19", 1)
+	stop()
+	b, _ = startControl(t, addresses[1], addresses)
+	require.NoError(t, a.Take(beatOf("0", 2)))
+	knows(t, b, "0", 2)
+	require.Eventually(t, func() bool { return len(b.All()) == 20 }, soon, 10*time.Millisecond, "those whose heartbeats are still to come")
+}
+
+// TestRenewalOfWhatTheOtherMissedBringsAllOfIt loses one entry on the way.
+func TestRenewalOfWhatTheOtherMissedBringsAllOfIt(t *testing.T) {
+	addresses, err := freeport.Addresses(2)
+	require.NoError(t, err)
+	a, _ := startControl(t, addresses[0], addresses)
+	b, _ := startControl(t, addresses[1], addresses)
+	require.NoError(t, a.Take(beatOf("u", 1)))
+	knows(t, b, "u", 1)
+	a.mu.Lock()
+	other := beatOf("v", 1)
+	other.Heard = a.now()
+	a.core.Take(other)
+	a.mu.Unlock()
+	require.NoError(t, a.Take(beatOf("v", 2)))
+	knows(t, b, "v", 2)
+}
+
+// TestRenewalsAreSmall holds what most heartbeats cost between control daemons
+// to half of the whole entry.
+func TestRenewalsAreSmall(t *testing.T) {
+	e := roster.Entry{ID: "i-0071ab4e87", Pool: "logbook-model", Address: "10.3.64.7:8348", DataCentre: "jhb-north", Slots: 7, Born: 1781142393038, Sequence: 4000}
+	queued := map[string]roster.Entry{e.ID: e}
+	whole := proto.Size(encodeNews(queued, nil, time.Second))
+	renewal := proto.Size(encodeNews(nil, queued, time.Second))
+	require.Less(t, 2*renewal, whole, "a renewal takes %d bytes, an entry %d", renewal, whole)
+}
+
+func TestUpstreamsAreCountedByState(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{HeartbeatMS: 1000}}, zap.NewNop())
+	for i, change := range []func(*roster.Entry){func(*roster.Entry) {}, func(e *roster.Entry) { e.Leaving = true }, func(e *roster.Entry) { e.Gone = true }, func(e *roster.Entry) { e.Heard = -time.Minute / 6 }} {
+		e := beatOf(fmt.Sprint(i), 1)
+		e.Heard = s.now()
+		change(&e)
+		s.core.Take(e)
+	}
+	require.NoError(t, testutil.CollectAndCompare(newStates(s), strings.NewReader(`
+# HELP verbenastep_roster_upstreams Upstreams by state: ready, leaving, silent for several heartbeats, or gone and remembered.
+# TYPE verbenastep_roster_upstreams gauge
+verbenastep_roster_upstreams{pool="p",state="gone"} 1
+verbenastep_roster_upstreams{pool="p",state="leaving"} 1
+verbenastep_roster_upstreams{pool="p",state="ready"} 1
+verbenastep_roster_upstreams{pool="p",state="silent"} 1
+`)))
+}
+
+func TestWhatCouldNotBeToldIsQueuedAgainUnlessOutdated(t *testing.T) {
+	p := newPeer()
+	p.queue(beatOf("a", 1), roster.Changed)
+	p.queue(beatOf("b", 1), roster.Renewed)
+	p.queue(beatOf("c", 1), roster.Renewed)
+	changes, renewals := p.drain()
+	p.queue(beatOf("a", 2), roster.Renewed)
+	p.queue(beatOf("b", 2), roster.Changed)
+	p.requeue(changes, renewals)
+	require.Equal(t, map[string]roster.Entry{"a": beatOf("a", 2), "b": beatOf("b", 2)}, p.changes, "the other never got a in full")
+	require.Equal(t, map[string]roster.Entry{"c": beatOf("c", 1)}, p.renewals)
+}
