--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -186,17 +186,14 @@
 	if q != nil {
 		id, version = q.meta.Attempt, q.version
 	}
-	s.metrics.requests.WithLabelValues("", r.code).Inc()
+	s.metrics.requests.WithLabelValues("", "", r.code).Inc()
 	s.log.Info("request refused", zap.String("request", id), zap.Uint64("table", version), zap.Int("status", r.status), zap.String("outcome", r.code), zap.String("why", r.why))
 }
 
 // finished logs and counts a request that ended, also one that was cut.
 func (s *Service) finished(x *exchange) {
 	took := time.Since(x.arrived)
-	s.metrics.requests.WithLabelValues(x.pool, x.outcome).Inc()
-	if x.first > 0 {
-		s.metrics.first.WithLabelValues(x.pool).Observe(x.first.Seconds())
-	}
+	s.metrics.finished(x)
 	importance := zap.Skip()
 	if x.outcome != answered {
 		importance = logging.Important()
--- a/internal/logging/vocabulary_test.go
+++ b/internal/logging/vocabulary_test.go
@@ -11,7 +11,7 @@
 )
 
 // logged are the packages whose lines docs/OPERATIONS.md explains.
-var logged = []string{"forward", "broker", "brokerclient", "roster", "tables", "view", "replica", "member"}
+var logged = []string{"forward", "broker", "brokerclient", "roster", "tables", "view", "replica", "member", "link"}
 
 var field = regexp.MustCompile(`zap\.[A-Z]\w*\("([a-z_]+)"`)
 
--- a/internal/view/table.go
+++ b/internal/view/table.go
@@ -17,6 +17,7 @@
 		return err
 	}
 	s.routes = routes.NewIndex(t)
+	s.tableInForce.Set(float64(t.Version))
 	s.log.Info("route table in force", zap.Uint64("version", t.Version), zap.Int("routes", len(t.Routes)), zap.Uint64("index", u.Index))
 	return nil
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -29,10 +30,13 @@
 	link   port.Link
 	kernel *kernel.Kernel
 	events port.Events
-	// inForce is the gauge of the version in force.
-	inForce prometheus.Gauge
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	// inForce and tableInForce are the gauges of the versions in force, age that
+	// of the last word from a replica.
+	inForce      prometheus.Gauge
+	tableInForce prometheus.Gauge
+	age          prometheus.GaugeFunc
+	cancel       context.CancelFunc
+	done         sync.WaitGroup
 
 	mu      sync.Mutex
 	files   config.Files
@@ -44,6 +48,8 @@
 	// source is the replica that is watched, index the log position reached.
 	source string
 	index  uint64
+	// heard is when the last update or keepalive came.
+	heard time.Time
 	// routes is the route table in force, leader the log leader's address.
 	routes *routes.Index
 	leader string
@@ -51,14 +57,27 @@
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
-	return &Service{
+	s := &Service{
 		set: set, log: log.Named("view"), files: config.Files{},
 		current: port.Snapshot{Digest: config.Files{}.Digest(), Config: &config.Config{}},
-		leases:  map[string]state.Lease{}, changed: make(chan struct{}),
+		leases:  map[string]state.Lease{}, changed: make(chan struct{}), heard: time.Now(),
 		inForce: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "verbenastep", Subsystem: "config", Name: "version_in_force", Help: "Configuration version in force on this daemon.",
 		}),
+		tableInForce: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "verbenastep", Subsystem: "routes", Name: "version_in_force", Help: "Route table version in force on this daemon.",
+		}),
 	}
+	s.age = prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "verbenastep", Subsystem: "config", Name: "age_seconds", Help: "Time since a replica last confirmed what is in force.",
+	}, s.sinceHeard)
+	return s
+}
+
+func (s *Service) sinceHeard() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.heard).Seconds()
 }
 
 // Name returns the service's name.
@@ -82,8 +101,10 @@
 	if err != nil {
 		return err
 	}
-	if err := metrics.Registerer().Register(s.inForce); err != nil {
-		return err
+	for _, c := range []prometheus.Collector{s.inForce, s.tableInForce, s.age} {
+		if err := metrics.Registerer().Register(c); err != nil {
+			return err
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
--- a/internal/view/watch.go
+++ b/internal/view/watch.go
@@ -153,5 +153,5 @@
 func (s *Service) note(source string, index uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.source, s.index = source, index
+	s.source, s.index, s.heard = source, index, time.Now()
 }
