Attempt a connection to a daemon again after 250 ms

Ruled out: the watch itself, 10 ms where the connection exists; the election.

Change: while an attempt has brought nothing, another one is made beside it each 250 ms, within the same second in all; the first connection is used and the others are closed. A refusal ends the dial at once as before.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -33,8 +33,6 @@
 )
 
 const (
-	// dialTimeout bounds making a connection.
-	dialTimeout = time.Second
 	// idleTimeout closes pooled connections that nobody uses.
 	idleTimeout = 30 * time.Second
 	// keptIdle is the most idle connections to one daemon.
@@ -191,10 +189,8 @@
 }
 
 func (s *Service) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	d := net.Dialer{}
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := dialRepeatedly(ctx, func(ctx context.Context) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }, dialAgain)
 	if err != nil {
 		return nil, err
 	}
