Ask a leader that has come back at once

Cause: an entry whose session failed does not ask that daemon again for 1.5 s, since others go on naming it until they have elected another. Others waited up to 0.6 s for the first message of a daemon that did not answer.

Ruled out: a shorter pause for all: it exists for a leader that is frozen, which would be tried again and again.

Change: the leader's term goes with its address; a daemon that leads in a newer term than any heard of when its session failed is asked at once. A session in which no broker grants is left as soon as the view hears of a newer leader. Only sessions that ended for want of a leader lengthen the next one, not those with daemons that are down. A leader that starts again asks for votes often for three election timeouts, as machines come back up to a second apart.

--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -71,7 +71,7 @@
 	n.deadline = now + opt.ElectionTicks + settleTicks + opt.Random(opt.ElectionTicks/firstSpread)
 	if n.ledLast() {
 		n.promised = now
-		n.returning = now + opt.ElectionTicks
+		n.returning = now + returnSpan*opt.ElectionTicks
 		n.deadline = now + returnTicks
 	}
 	return n
@@ -80,9 +80,14 @@
 // ledLast tells whether this node was the last leader that it knows of.
 func (n *Node) ledLast() bool { return n.hard.Leader != 0 && n.hard.Leader == n.opt.ID }
 
-// returnTicks is the pause between the requests for votes of a leader that has
-// started again: the others may be starting, too.
-const returnTicks = 2
+const (
+	// returnTicks is the pause between the requests for votes of a leader that
+	// has started again: the others may be starting, too.
+	returnTicks = 2
+	// returnSpan is for how many election timeouts it asks that often: machines
+	// that lost power together come back within about a second.
+	returnSpan = 3
+)
 
 // firstSpread divides the spread of the first election after a start.
 const firstSpread = 2
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -49,7 +49,7 @@
 
 // leadership is what the replica offers besides.
 type leadership interface {
-	Leadership() (leads bool, address string)
+	Leadership() (leads bool, leader port.Leader)
 }
 
 // Service is the "broker.server" service.
@@ -70,8 +70,8 @@
 	mu    sync.Mutex
 	core  *broker.Broker
 	leads bool
-	// address is where the daemon that leads is; empty where unknown.
-	address  string
+	// leading is the daemon that leads.
+	leading  port.Leader
 	version  uint64
 	sessions map[string]*session
 	// told is what the entries know of each upstream, toldAt since when.
@@ -168,13 +168,13 @@
 
 // refresh takes over leadership, table and roster.
 func (s *Service) refresh(changed bool) {
-	leads, address := s.leader.Leadership()
+	leads, leading := s.leader.Leadership()
 	table := s.view.Routes()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if address != s.address {
+	if leading != s.leading {
 		// Entries that are connected here look for the new leader at once.
-		s.address = address
+		s.leading = leading
 		for _, x := range s.sessions {
 			x.send(s.reply())
 		}
@@ -271,7 +271,7 @@
 }
 
 func (s *Service) reply() *rpc.BrokerReply {
-	return &rpc.BrokerReply{Leads: s.leads, Entries: uint32(len(s.sessions)), Leader: s.address}
+	return &rpc.BrokerReply{Leads: s.leads, Entries: uint32(len(s.sessions)), Leader: s.leading.Address, LeaderTerm: s.leading.Term}
 }
 
 // Stop ends all sessions.
--- a/internal/broker/news_test.go
+++ b/internal/broker/news_test.go
@@ -153,9 +153,11 @@
 type noTable struct{}
 
 func (noTable) Routes() *routes.Index    { return nil }
-func (noTable) Leader() string           { return "" }
+func (noTable) Leader() port.Leader      { return port.Leader{} }
 func (noTable) Changed() <-chan struct{} { return nil }
 
 type follows string
 
-func (f follows) Leadership() (leads bool, address string) { return false, string(f) }
+func (f follows) Leadership() (leads bool, leader port.Leader) {
+	return false, port.Leader{Address: string(f)}
+}
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -108,7 +108,7 @@
 	x.since = lacksSince(first)
 	s.meters.entries.Set(float64(len(s.sessions)))
 	s.log.Info("entry joined", zap.String("entry", first.Entry), zap.Int("offers", len(first.Offers)), zap.Bool("leads", s.leads))
-	if !s.leads && s.address != "" {
+	if !s.leads && s.leading.Address != "" {
 		// The entry moves on to the daemon that leads, or stays and asks again.
 		x.send(s.reply())
 		return
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -71,15 +71,19 @@
 	refreshed time.Duration
 	// rosterAt is when a daemon that leads last spoke of the roster.
 	rosterAt time.Duration
-	// leaderless counts sessions since the last broker granted.
+	// leaderless counts sessions that were left, since the last broker granted,
+	// because the daemon knew no leader.
 	leaderless int
 	// tries counts sessions without a broker in a row; leader is where the last
 	// daemon that answered says it is, lost where the last session ended.
 	tries  int
-	leader string
+	leader port.Leader
 	lost   string
-	// lostUntil is until when the lost one is not asked again.
+	// lostUntil is until when the lost one is not asked again unless it leads in
+	// a term after lostTerm; term is the newest that was heard of.
 	lostUntil time.Duration
+	lostTerm  uint64
+	term      uint64
 }
 
 // New returns the service.
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -58,24 +58,27 @@
 	}
 }
 
-// target is where the broker is most likely: where the last daemon that
-// answered says, or the view; but not where the last session failed, as long
+// target is where the broker is most likely: where the newest term that the last
+// daemon or the view told of says; but not where the last session failed, as long
 // as another daemon is left to ask.
 func (s *Service) target() string {
 	viewed := s.view.Leader()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	heard := s.leader
-	s.leader = ""
-	for _, address := range []string{heard, viewed} {
-		if address != "" && !s.backedOff(address) {
-			return address
+	told := []port.Leader{s.leader, viewed}
+	if viewed.Term > s.leader.Term {
+		told = []port.Leader{viewed, s.leader}
+	}
+	s.leader = port.Leader{}
+	for _, l := range told {
+		if l.Address != "" && !s.backedOff(l) {
+			return l.Address
 		}
 	}
 	known := s.set.KnownReplicas()
 	for range known {
 		s.tries++
-		if address := known[s.tries%len(known)].Address; !s.backedOff(address) {
+		if address := known[s.tries%len(known)].Address; !s.backedOff(port.Leader{Address: address}) {
 			return address
 		}
 	}
@@ -83,9 +86,11 @@
 }
 
 // backedOff tells whether a session with a daemon failed a moment ago: others may
-// go on naming it as the leader until they have elected another.
-func (s *Service) backedOff(address string) bool {
-	return address == s.lost && s.now() < s.lostUntil
+// go on naming it as the leader until they have elected another. One that leads
+// in a newer term has come back since.
+func (s *Service) backedOff(l port.Leader) bool {
+	s.term = max(s.term, l.Term)
+	return l.Address == s.lost && l.Term <= s.lostTerm && s.now() < s.lostUntil
 }
 
 // detach ends granting by the broker: what waits goes to the local broker.
@@ -93,7 +98,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !errors.Is(err, errMoved) {
-		s.lost = address
+		s.lost, s.lostTerm = address, s.term
 		s.lostUntil = s.now() + backOffTime
 	}
 	was := s.attached
@@ -123,13 +128,14 @@
 	if address == "" {
 		return errMoved
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	quiet := time.AfterFunc(firstSilence, cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	quiet := time.AfterFunc(firstSilence, func() { cancel(errSilent) })
 	defer quiet.Stop()
+	go s.leaveForLeader(ctx, address, s.view.Leader(), cancel)
 	stream, err := rpc.NewDRPCBrokerClient(s.link.Conn(address)).Session(ctx)
 	if err != nil {
-		return err
+		return errors.Join(err, context.Cause(ctx))
 	}
 	defer stream.Close()
 	if err := stream.Send(s.hello()); err != nil {
@@ -154,7 +160,7 @@
 			err = s.take(address, r, time.Since(began) > limit)
 		case err = <-failed:
 		case <-ctx.Done():
-			err = errSilent
+			err = context.Cause(ctx)
 		}
 		if err != nil {
 			return err
@@ -162,13 +168,32 @@
 	}
 }
 
+// leaveForLeader ends a session in which no broker grants as soon as the view
+// hears of a new leader: the daemon may be one that does not answer.
+func (s *Service) leaveForLeader(ctx context.Context, address string, known port.Leader, leave context.CancelCauseFunc) {
+	for {
+		changed := s.view.Changed()
+		viewed := s.view.Leader()
+		s.mu.Lock()
+		better := !s.attached && viewed.Address != "" && viewed.Term > known.Term && viewed.Address != address && !s.backedOff(viewed)
+		s.mu.Unlock()
+		if better {
+			leave(errMoved)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // idle is how long the next session without a leader is kept.
 func (s *Service) idle() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	limit := min(idleMost, idleLimit<<min(s.leaderless, 8))
-	s.leaderless++
-	return limit
+	return min(idleMost, idleLimit<<min(s.leaderless, 8))
 }
 
 func receive(ctx context.Context, stream rpc.DRPCBroker_SessionClient, in chan<- *rpc.BrokerReply, failed chan<- error) {
@@ -226,10 +251,16 @@
 	s.core.SetShare(1 / float64(s.entries))
 	s.takeRoster(r)
 	s.takeLevels(r)
+	leader := port.Leader{Address: r.Leader, Term: r.LeaderTerm}
+	s.term = max(s.term, leader.Term)
 	if !r.Leads {
-		s.leader = r.Leader
-		moved := r.Leader != "" && r.Leader != address && !s.backedOff(r.Leader)
-		if s.attached || moved || (settled && r.Leader == "") {
+		s.leader = leader
+		moved := r.Leader != "" && r.Leader != address && !s.backedOff(leader)
+		idle := settled && r.Leader == ""
+		if idle {
+			s.leaderless++
+		}
+		if s.attached || moved || idle {
 			return errMoved
 		}
 		return nil
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	leads   bool
 	leader  string
+	term    uint64
 	silent  bool
 	// sessions counts those that began; offered are the requests of the present
 	// one, true where they run.
@@ -56,7 +57,7 @@
 	}()
 	for stream.Context().Err() == nil {
 		c.mu.Lock()
-		r := &rpc.BrokerReply{Leads: c.leads, Leader: c.leader, Entries: 3, Grants: c.grants, RosterSet: true, Roster: []*rpc.RosterEntry{{Id: "u", Pool: "p", Address: "a", Slots: 6}}}
+		r := &rpc.BrokerReply{Leads: c.leads, Leader: c.leader, LeaderTerm: c.term, Entries: 3, Grants: c.grants, RosterSet: true, Roster: []*rpc.RosterEntry{{Id: "u", Pool: "p", Address: "a", Slots: 6}}}
 		c.grants = nil
 		silent := c.silent
 		c.mu.Unlock()
@@ -82,11 +83,36 @@
 	return look(c)
 }
 
-type view struct{ index *routes.Index }
+type view struct {
+	index *routes.Index
 
-func (v view) Routes() *routes.Index    { return v.index }
-func (v view) Leader() string           { return "" }
-func (v view) Changed() <-chan struct{} { return nil }
+	mu      sync.Mutex
+	leader  port.Leader
+	changed chan struct{}
+}
+
+func (v *view) Routes() *routes.Index { return v.index }
+
+func (v *view) Leader() port.Leader {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.leader
+}
+
+func (v *view) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// hear has the view learn of a leader.
+func (v *view) hear(leader port.Leader) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leader = leader
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
 
 func newLink(t *testing.T, address string) *link.Service {
 	t.Helper()
@@ -115,7 +141,7 @@
 	own := newLink(t, addresses[n])
 	own.Serve()
 	s.link = own
-	s.view = view{routes.NewIndex(&routes.Table{Version: 1, Pools: []routes.Pool{{Name: "p"}}})}
+	s.view = &view{index: routes.NewIndex(&routes.Table{Version: 1, Pools: []routes.Pool{{Name: "p"}}}), changed: make(chan struct{})}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.done.Go(s.follow)
 	s.done.Go(s.decideAlone)
@@ -252,6 +278,55 @@
 	require.Zero(t, s.leaderless)
 }
 
+// TestDaemonThatDoesNotAnswerIsLeftForALeader does not wait for its first
+// message once the view names the leader.
+func TestDaemonThatDoesNotAnswerIsLeftForALeader(t *testing.T) {
+	s, c := newEntry(t, 2)
+	for _, x := range c {
+		x.set(func(x *control) { x.silent = true })
+	}
+	asked := func(x *control) bool { return x.sessions > 0 }
+	require.Eventually(t, func() bool { return c[0].see(asked) || c[1].see(asked) }, patience, time.Millisecond)
+	leader := c[0]
+	if leader.see(asked) {
+		leader = c[1]
+	}
+	leader.set(func(x *control) { x.leads, x.leader, x.silent = true, x.address, false })
+	began := time.Now()
+	s.view.(*view).hear(port.Leader{Address: leader.address, Term: 1})
+	require.Eventually(t, s.isAttached, patience, time.Millisecond)
+	require.Less(t, time.Since(began), firstSilence/2)
+}
+
+// TestLeaderThatComesBackIsAskedAtOnce has the leader's sessions fail for a
+// moment; another daemon then names it again, in a newer term.
+func TestLeaderThatComesBackIsAskedAtOnce(t *testing.T) {
+	s, c := newEntry(t, 2)
+	for _, x := range c {
+		x.set(func(x *control) { x.leader, x.term = c[0].address, 1 })
+	}
+	c[0].set(func(x *control) { x.leads = true })
+	require.Eventually(t, s.isAttached, patience, time.Millisecond)
+	c[0].set(func(x *control) { x.silent = true })
+	require.Eventually(t, func() bool { return !s.isAttached() }, patience, time.Millisecond)
+	began := time.Now()
+	c[0].set(func(x *control) { x.silent, x.term = false, 2 })
+	c[1].set(func(x *control) { x.term = 2 })
+	require.Eventually(t, s.isAttached, patience, time.Millisecond)
+	require.Less(t, time.Since(began), backOffTime/2)
+}
+
+// TestDaemonsThatAreDownDoNotLengthenTheStay: an entry that starts before the
+// control daemons fails with them many times.
+func TestDaemonsThatAreDownDoNotLengthenTheStay(t *testing.T) {
+	s, _ := newEntry(t, 0)
+	s.mu.Lock()
+	s.set.Replicas = append(s.set.Replicas, settings.Peer{Name: "down", Address: "127.0.0.1:1"})
+	s.mu.Unlock()
+	time.Sleep(10 * retryPause)
+	require.Equal(t, idleLimit, s.idle())
+}
+
 func TestEntrySaysHowOldItsRosterIs(t *testing.T) {
 	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
 	require.Zero(t, s.hello().RosterAgeMs, "it has none")
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -189,7 +189,7 @@
 type testView struct{ index *routes.Index }
 
 func (v testView) Routes() *routes.Index    { return v.index }
-func (v testView) Leader() string           { return "" }
+func (v testView) Leader() port.Leader      { return port.Leader{} }
 func (v testView) Changed() <-chan struct{} { return nil }
 
 // rig is an entry before upstreams, and the address at which it is called.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -288,13 +288,20 @@
 	// Routes returns the table in force, nil where none is known yet. Its
 	// version never falls.
 	Routes() *routes.Index
-	// Leader returns the peers' address of the log's leader as last heard;
-	// empty where none is known.
-	Leader() string
+	// Leader returns the log's leader as last heard.
+	Leader() Leader
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
 }
 
+// Leader is the daemon that leads the log.
+type Leader struct {
+	// Address is its peers' address; empty where none is known.
+	Address string
+	// Term orders leaderships, also of the same daemon.
+	Term uint64
+}
+
 // Roster keeps the upstreams that send heartbeats.
 type Roster interface {
 	// Take takes in a heartbeat and passes it on. An error says that this
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -25,19 +25,19 @@
 
 // Leadership tells whether this replica leads the main group, and where the
 // leader is; the address is empty where none is known.
-func (s *Service) Leadership() (leads bool, address string) {
+func (s *Service) Leadership() (leads bool, leader port.Leader) {
 	g, err := s.group(port.GroupMain)
 	if err != nil {
-		return false, ""
+		return false, port.Leader{}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range g.status.Members {
 		if m.ID == g.status.Leader {
-			address = m.Address
+			leader = port.Leader{Address: m.Address, Term: g.status.Term}
 		}
 	}
-	return g.status.Role == consensus.Leader, address
+	return g.status.Role == consensus.Leader, leader
 }
 
 // MemberAddresses lists the peers' addresses of the group's members, learners included.
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -112,7 +112,7 @@
 	u := &rpc.WatchUpdate{Full: !w.begun, Index: g.applied, SuspectsFull: c.allSuspects}
 	for _, m := range g.status.Members {
 		if m.ID == g.status.Leader {
-			u.Leader, u.LeaderAddress = m.Name, m.Address
+			u.Leader, u.LeaderAddress, u.LeaderTerm = m.Name, m.Address, g.status.Term
 		}
 	}
 	if c.table != nil {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -19,7 +19,7 @@
 
 // replicas is what the replica offers besides.
 type replicas interface {
-	Leadership() (leads bool, address string)
+	Leadership() (leads bool, leader port.Leader)
 	MemberAddresses() []string
 }
 
@@ -87,7 +87,7 @@
 // Take takes in a heartbeat from an upstream. A daemon that has lost the other
 // control daemons refuses it: what it alone knows helps nobody.
 func (s *Service) Take(e roster.Entry) error {
-	if _, leader := s.replicas.Leadership(); leader == "" {
+	if _, leader := s.replicas.Leadership(); leader.Address == "" {
 		return fault.New(fault.Unavailable, "send the heartbeat to another control daemon", "this daemon has lost the log's leader")
 	}
 	s.mu.Lock()
--- a/internal/roster/spread_test.go
+++ b/internal/roster/spread_test.go
@@ -31,8 +31,10 @@
 func (m members) Needs() []string                             { return nil }
 func (m members) Start(context.Context, *kernel.Kernel) error { return nil }
 func (m members) Stop(context.Context) error                  { return nil }
-func (m members) Leadership() (leads bool, address string)    { return false, m.list[0] }
-func (m members) MemberAddresses() []string                   { return m.list }
+func (m members) Leadership() (leads bool, leader port.Leader) {
+	return false, port.Leader{Address: m.list[0]}
+}
+func (m members) MemberAddresses() []string { return m.list }
 
 // startControl runs one control daemon's roster.
 func startControl(t *testing.T, address string, all []string) (s *Service, stop func()) {
--- a/internal/view/table.go
+++ b/internal/view/table.go
@@ -5,6 +5,7 @@
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/internal/port"
 )
 
 // takeTable puts a newer route table in force; the lock is held.
@@ -36,8 +37,8 @@
 	return s.routes
 }
 
-// Leader returns the peers' address of the log's leader as last heard.
-func (s *Service) Leader() string {
+// Leader returns the log's leader as last heard.
+func (s *Service) Leader() port.Leader {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.leader
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -50,9 +50,9 @@
 	index  uint64
 	// heard is when the last update or keepalive came.
 	heard time.Time
-	// routes is the route table in force, leader the log leader's address.
+	// routes is the route table in force.
 	routes *routes.Index
-	leader string
+	leader port.Leader
 }
 
 // New returns the service.
@@ -139,8 +139,9 @@
 	if err := s.takeTable(u); err != nil {
 		return err
 	}
-	moved := s.leader != u.LeaderAddress
-	s.leader = u.LeaderAddress
+	leader := port.Leader{Address: u.LeaderAddress, Term: u.LeaderTerm}
+	moved := s.leader != leader
+	s.leader = leader
 	if len(u.Config) == 0 && len(u.Leases) == 0 && !u.SuspectsFull && len(u.Table) == 0 && !moved {
 		return nil
 	}
