--- a/internal/roster/spread_test.go
+++ b/internal/roster/spread_test.go
@@ -61,6 +61,16 @@
 	return s, stop
 }
 
+// startTwo runs the rosters of two control daemons.
+func startTwo(t *testing.T) (a, b *Service) {
+	t.Helper()
+	addresses, err := freeport.Addresses(2)
+	require.NoError(t, err)
+	a, _ = startControl(t, addresses[0], addresses)
+	b, _ = startControl(t, addresses[1], addresses)
+	return a, b
+}
+
 func beatOf(id string, seq uint64) roster.Entry {
 	return roster.Entry{ID: id, Pool: "p", Address: id, Slots: 2, Born: 1, Sequence: seq}
 }
@@ -83,10 +93,7 @@
 }
 
 func TestHeartbeatsReachTheOtherControlDaemon(t *testing.T) {
-	addresses, err := freeport.Addresses(2)
-	require.NoError(t, err)
-	a, _ := startControl(t, addresses[0], addresses)
-	b, _ := startControl(t, addresses[1], addresses)
+	a, b := startTwo(t)
 	require.NoError(t, a.Take(beatOf("u", 1)))
 	knows(t, b, "u", 1)
 	require.NoError(t, a.Take(beatOf("u", 2)))
@@ -119,10 +126,7 @@
 
 // TestRenewalOfWhatTheOtherMissedBringsAllOfIt loses one entry on the way.
 func TestRenewalOfWhatTheOtherMissedBringsAllOfIt(t *testing.T) {
-	addresses, err := freeport.Addresses(2)
-	require.NoError(t, err)
-	a, _ := startControl(t, addresses[0], addresses)
-	b, _ := startControl(t, addresses[1], addresses)
+	a, b := startTwo(t)
 	require.NoError(t, a.Take(beatOf("u", 1)))
 	knows(t, b, "u", 1)
 	a.mu.Lock()
