One piece of code for sessions, signals and waits

Cause: internal/broker repeated the session loop of internal/dispatch (outbox, heartbeat, silence, receiving) and internal/brokerclient the receiving of internal/schedclient; the signal to a waiting loop stood in five places, the wait that a context ends in five, a watch and its pause in two.

Ruled out: sharing the sessions' joins, takes and outboxes: what they hold and when they give up differ.

Change: internal/duplex runs the granting side and receives for both sides; internal/wait has the signal and the wait; internal/view has watchOnce. backedOff no longer changes the newest term as a side effect. Behaviour is as before.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -140,13 +140,6 @@
 
 func (s *Service) now() time.Duration { return time.Since(s.began) }
 
-func (s *Service) nudge() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
 // run decides whenever something came in.
 func (s *Service) run() {
 	timer := time.NewTimer(heartbeat)
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -8,6 +8,8 @@
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/duplex"
+	"github.com/verbenastep/verbenastep/internal/wait"
 	"github.com/verbenastep/verbenastep/internal/work"
 )
 
@@ -48,31 +50,10 @@
 	x := &session{out: make(chan *rpc.BrokerReply, outboxSize), end: cancel}
 	s.join(first, x)
 	defer s.leave(first.Entry, x)
-	in := make(chan *rpc.BrokerAsk)
-	go receive(ctx, stream, in, cancel)
-	silence := time.NewTimer(sessionSilence)
-	defer silence.Stop()
-	beat := time.NewTicker(heartbeat)
-	defer beat.Stop()
-	for {
-		err := error(nil)
-		select {
-		case ask := <-in:
-			silence.Reset(sessionSilence)
-			s.take(first.Entry, x, ask)
-		case r := <-x.out:
-			err = stream.Send(r)
-		case <-beat.C:
-			err = stream.Send(s.heartbeat())
-		case <-silence.C:
-			return nil
-		case <-ctx.Done():
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
+	return duplex.Server[*rpc.BrokerAsk, *rpc.BrokerReply]{
+		Recv: stream.Recv, Send: stream.Send, Out: x.out, Heartbeat: heartbeat, Silence: sessionSilence, Beat: s.heartbeat,
+		Take: func(ask *rpc.BrokerAsk) { s.take(first.Entry, x, ask) },
+	}.Run(ctx)
 }
 
 func (s *Service) heartbeat() *rpc.BrokerReply {
@@ -81,21 +62,6 @@
 	return s.reply()
 }
 
-func receive(ctx context.Context, stream rpc.DRPCBroker_SessionStream, in chan<- *rpc.BrokerAsk, cancel context.CancelFunc) {
-	defer cancel()
-	for {
-		ask, err := stream.Recv()
-		if err != nil {
-			return
-		}
-		select {
-		case in <- ask:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // join replaces all that is known of an entry by what it offers now.
 func (s *Service) join(first *rpc.BrokerAsk, x *session) {
 	s.refresh(false)
@@ -123,7 +89,7 @@
 		offers = append(offers, work.DecodeOffer(now, first.Entry, o))
 	}
 	s.core.Resync(now, first.Entry, offers)
-	s.nudge()
+	wait.Signal(s.wake)
 }
 
 func (s *Service) leave(entry string, x *session) {
@@ -161,6 +127,6 @@
 		s.core.Offer(now, work.DecodeOffer(now, entry, o))
 	}
 	if len(ask.Ends)+len(ask.Cancels)+len(ask.Offers) > 0 {
-		s.nudge()
+		wait.Signal(s.wake)
 	}
 }
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -16,6 +16,7 @@
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/internal/wait"
 	"github.com/verbenastep/verbenastep/internal/work"
 )
 
@@ -131,13 +132,6 @@
 
 func (s *Service) now() time.Duration { return time.Since(s.began) }
 
-func poke(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // Acquire waits for a grant.
 func (s *Service) Acquire(ctx context.Context, o port.WorkOffer) (port.WorkTicket, error) {
 	w := s.offer(o)
@@ -168,11 +162,11 @@
 	s.waiting[s.next] = w
 	if s.attached {
 		s.pending.Offers = append(s.pending.Offers, work.EncodeOffer(s.now(), w.offer))
-		poke(s.wake)
+		wait.Signal(s.wake)
 		return w
 	}
 	s.core.Offer(s.now(), w.offer)
-	poke(s.local)
+	wait.Signal(s.local)
 	return w
 }
 
@@ -187,7 +181,7 @@
 	delete(s.waiting, id.Number)
 	s.core.Cancel(id)
 	s.pending.Cancels = append(s.pending.Cancels, id.Number)
-	poke(s.wake)
+	wait.Signal(s.wake)
 	return true
 }
 
@@ -199,8 +193,8 @@
 	delete(s.running, e.ID.Number)
 	s.core.End(s.now(), e)
 	s.pending.Ends = append(s.pending.Ends, work.EncodeEnd(e))
-	poke(s.wake)
-	poke(s.local)
+	wait.Signal(s.wake)
+	wait.Signal(s.local)
 }
 
 // Entries is how many entries share the system's limits.
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -9,7 +9,9 @@
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/duplex"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/wait"
 	"github.com/verbenastep/verbenastep/internal/work"
 )
 
@@ -51,10 +53,7 @@
 		if lost && s.ctx.Err() == nil {
 			s.log.Warn("broker lost", zap.String("address", address), zap.Error(err))
 		}
-		select {
-		case <-s.ctx.Done():
-		case <-time.After(retryPause):
-		}
+		wait.For(s.ctx, retryPause)
 	}
 }
 
@@ -65,6 +64,7 @@
 	viewed := s.view.Leader()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.term = max(s.term, viewed.Term)
 	told := []port.Leader{s.leader, viewed}
 	if viewed.Term > s.leader.Term {
 		told = []port.Leader{viewed, s.leader}
@@ -89,7 +89,6 @@
 // go on naming it as the leader until they have elected another. One that leads
 // in a newer term has come back since.
 func (s *Service) backedOff(l port.Leader) bool {
-	s.term = max(s.term, l.Term)
 	return l.Address == s.lost && l.Term <= s.lostTerm && s.now() < s.lostUntil
 }
 
@@ -119,7 +118,7 @@
 	for _, w := range s.waiting {
 		s.core.Offer(now, w.offer)
 	}
-	poke(s.local)
+	wait.Signal(s.local)
 	return was
 }
 
@@ -143,7 +142,7 @@
 	}
 	in := make(chan *rpc.BrokerReply)
 	failed := make(chan error, 1)
-	go receive(ctx, stream, in, failed)
+	go func() { failed <- duplex.Receive(ctx, stream.Recv, in) }()
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	began := time.Now()
@@ -175,6 +174,7 @@
 		changed := s.view.Changed()
 		viewed := s.view.Leader()
 		s.mu.Lock()
+		s.term = max(s.term, viewed.Term)
 		better := !s.attached && viewed.Address != "" && viewed.Term > known.Term && viewed.Address != address && !s.backedOff(viewed)
 		s.mu.Unlock()
 		if better {
@@ -196,21 +196,6 @@
 	return min(idleMost, idleLimit<<min(s.leaderless, 8))
 }
 
-func receive(ctx context.Context, stream rpc.DRPCBroker_SessionClient, in chan<- *rpc.BrokerReply, failed chan<- error) {
-	for {
-		r, err := stream.Recv()
-		if err != nil {
-			failed <- err
-			return
-		}
-		select {
-		case in <- r:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // hello lists all that runs; what waits follows once the daemon says that it
 // leads.
 func (s *Service) hello() *rpc.BrokerAsk {
@@ -312,7 +297,7 @@
 		s.core.Cancel(w.offer.ID)
 		s.pending.Offers = append(s.pending.Offers, work.EncodeOffer(now, w.offer))
 	}
-	poke(s.wake)
+	wait.Signal(s.wake)
 	s.log.Info("broker found", zap.String("address", address), zap.Int("waiting", len(s.waiting)), zap.Int("running", len(s.running)), zap.Int("entries", s.entries))
 }
 
@@ -321,7 +306,7 @@
 	w := s.waiting[g.ID.Number]
 	if w == nil {
 		s.pending.Ends = append(s.pending.Ends, work.EncodeEnd(broker.End{ID: g.ID, Outcome: broker.NotSent}))
-		poke(s.wake)
+		wait.Signal(s.wake)
 		return
 	}
 	s.granted(g, byBroker)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -21,6 +21,7 @@
 	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/promise"
 	"github.com/verbenastep/verbenastep/internal/localsite"
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 const (
@@ -229,7 +230,7 @@
 }
 
 func (r *run) kill(ctx context.Context, began time.Time, report *Report) {
-	sleep(ctx, time.Duration(killAt*float64(loadTime)))
+	wait.For(ctx, time.Duration(killAt*float64(loadTime)))
 	r.back.kill(victim)
 	r.rec.lose(victim)
 	r.rec.record(promise.Event{Kind: promise.Leave, Upstream: victim, Pool: modelName})
@@ -238,7 +239,7 @@
 }
 
 func (r *run) drain(ctx context.Context, began time.Time, report *Report) error {
-	sleep(ctx, time.Duration(drainAt*float64(loadTime)))
+	wait.For(ctx, time.Duration(drainAt*float64(loadTime)))
 	report.Drained = Step{Name: localsite.Name(drained), At: time.Since(began).Seconds()}
 	r.say("%s drains", localsite.Name(drained))
 	err := r.site.Stop(drained)
@@ -247,13 +248,6 @@
 	return err
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (r *run) sumUp(calls *callers, report *Report) {
 	whole := map[requestID]bool{}
 	for _, o := range calls.outcomes {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -82,13 +82,6 @@
 	return time.Now().Before(p.until)
 }
 
-func (p *pool) nudge() {
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
-}
-
 // run decides whenever something came in, and now and then by itself, until
 // the lease runs out.
 func (p *pool) run() {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -9,6 +9,8 @@
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/promise"
 	"github.com/verbenastep/verbenastep/core/sched"
+	"github.com/verbenastep/verbenastep/internal/duplex"
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 const (
@@ -53,31 +55,11 @@
 	s := &session{out: make(chan *rpc.GrantBatch, outboxSize), end: cancel}
 	p.join(first, s)
 	defer p.leave(first.Entry, s)
-	in := make(chan *rpc.EntryBatch)
-	go receive(ctx, stream, in, cancel)
-	silence := time.NewTimer(sessionSilence)
-	defer silence.Stop()
-	beat := time.NewTicker(heartbeat)
-	defer beat.Stop()
-	for {
-		err := error(nil)
-		select {
-		case b := <-in:
-			silence.Reset(sessionSilence)
-			p.take(first.Entry, s, b)
-		case b := <-s.out:
-			err = p.pass(stream, b)
-		case <-beat.C:
-			err = p.pass(stream, &rpc.GrantBatch{Epoch: p.epoch})
-		case <-silence.C:
-			return nil
-		case <-ctx.Done():
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
+	return duplex.Server[*rpc.EntryBatch, *rpc.GrantBatch]{
+		Recv: stream.Recv, Send: func(b *rpc.GrantBatch) error { return p.pass(stream, b) }, Out: s.out,
+		Heartbeat: heartbeat, Silence: sessionSilence, Beat: func() *rpc.GrantBatch { return &rpc.GrantBatch{Epoch: p.epoch} },
+		Take: func(b *rpc.EntryBatch) { p.take(first.Entry, s, b) },
+	}.Run(ctx)
 }
 
 // pass sends a batch while the lease holds: what a cut-off dispatcher decided
@@ -89,21 +71,6 @@
 	return stream.Send(b)
 }
 
-func receive(ctx context.Context, stream stream, in chan<- *rpc.EntryBatch, cancel context.CancelFunc) {
-	defer cancel()
-	for {
-		b, err := stream.Recv()
-		if err != nil {
-			return
-		}
-		select {
-		case in <- b:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // join replaces all that is known of an entry by what it offers now.
 func (p *pool) join(first *rpc.EntryBatch, s *session) {
 	p.mu.Lock()
@@ -130,7 +97,7 @@
 	p.ended(p.core.TakeEnded())
 	p.queueEvents(offers, refusals)
 	p.refuse(refusals)
-	p.nudge()
+	wait.Signal(p.wake)
 }
 
 // queueEvents records the offers of a first batch that now wait.
@@ -185,7 +152,7 @@
 	for _, id := range b.Cancels {
 		p.core.Cancel(sched.ID{Entry: entry, Number: id})
 	}
-	p.nudge()
+	wait.Signal(p.wake)
 }
 
 func (p *pool) takeUpstream(now time.Duration, u *rpc.UpstreamState) {
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -14,6 +14,7 @@
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/answer"
 	"github.com/verbenastep/verbenastep/internal/engine"
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 // act does one thing that nothing waits for.
@@ -96,7 +97,7 @@
 			return
 		}
 		s.log.Warn("end of a request is not recorded yet", zap.String("key", f.Key), zap.Error(err))
-		sleep(ctx, retryPause)
+		wait.For(ctx, retryPause)
 	}
 }
 
@@ -109,7 +110,7 @@
 	for ctx.Err() == nil {
 		result, err := s.logs.Propose(ctx, s.group(c.Workspace), state.Command{Claim: &c})
 		if err != nil {
-			sleep(ctx, retryPause)
+			wait.For(ctx, retryPause)
 			continue
 		}
 		if result.Status == state.OK {
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -17,6 +17,7 @@
 	"github.com/verbenastep/verbenastep/internal/answer"
 	"github.com/verbenastep/verbenastep/internal/engine"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 const (
@@ -114,7 +115,7 @@
 			return
 		}
 		if awaited.Pause {
-			sleep(x.ctx, retryPause)
+			wait.For(x.ctx, retryPause)
 		}
 		e = x.await(*awaited)
 	}
@@ -142,13 +143,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // await does one thing and returns what came of it.
 func (x *execution) await(e claims.Effect) claims.Event {
 	switch e.Kind {
--- a/internal/entry/pickup.go
+++ b/internal/entry/pickup.go
@@ -15,6 +15,7 @@
 	"github.com/verbenastep/verbenastep/core/claims"
 	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/internal/answer"
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 // pickUp gives the rest of an answer from an offset, in bytes.
@@ -146,7 +147,7 @@
 			a.Fail(noAnswer(a.Meta().Key))
 			return
 		}
-		sleep(ctx, retryPause)
+		wait.For(ctx, retryPause)
 	}
 	e := fault.New(fault.Unavailable, "ask again", "the entry that holds the answer does not answer").WithRan(fault.MayHaveRun)
 	a.Fail(e.After(logRetryAfter))
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 const (
@@ -31,7 +33,7 @@
 	began := time.Now()
 	open := min(answerLives*life+spreadTime, grace*acceptPart/tenths)
 	s.log.Info("left the directory; serving callers that hold an older answer", zap.Duration("for", open), zap.Duration("grace", grace))
-	wait(ctx, open)
+	wait.For(ctx, open)
 	s.server.SetKeepAlivesEnabled(false)
 	_ = s.ln.Close()
 	done := make(chan struct{})
@@ -49,10 +51,3 @@
 	}
 	return nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/roster/spread.go
+++ b/internal/roster/spread.go
@@ -9,6 +9,7 @@
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/roster"
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 const (
@@ -49,17 +50,14 @@
 
 // queue adds an entry in full, or its renewal.
 func (p *peer) queue(e roster.Entry, verdict roster.Verdict) {
-	_, waits := p.changes[e.ID]
+	_, inFull := p.changes[e.ID]
 	kind, wake := p.renewals, p.renewed
-	if waits || verdict == roster.Changed {
+	if inFull || verdict == roster.Changed {
 		kind, wake = p.changes, p.changed
 		delete(p.renewals, e.ID)
 	}
 	kind[e.ID] = e
-	select {
-	case wake <- struct{}{}:
-	default:
-	}
+	wait.Signal(wake)
 }
 
 // drain takes all that is queued.
@@ -110,16 +108,16 @@
 		select {
 		case <-s.ctx.Done():
 		case <-p.changed:
-			s.pause(changePause)
+			wait.For(s.ctx, changePause)
 		case <-p.renewed:
-			s.pauseUnless(p.changed, renewalPause)
+			s.untilChange(p, renewalPause)
 		}
 		for s.ctx.Err() == nil && !s.tell(address, p) {
 			if !slices.Contains(s.replicas.MemberAddresses(), address) {
 				s.drop(address)
 				return
 			}
-			s.pause(spreadRetry)
+			wait.For(s.ctx, spreadRetry)
 		}
 	}
 }
@@ -132,13 +130,12 @@
 	s.log.Info("control daemon dropped", zap.String("address", address))
 }
 
-func (s *Service) pause(d time.Duration) { s.pauseUnless(nil, d) }
-
-// pauseUnless waits until a time has passed or a token is there.
-func (s *Service) pauseUnless(token <-chan struct{}, d time.Duration) {
+// untilChange waits until a time has passed or the daemon needs to hear of a
+// change.
+func (s *Service) untilChange(p *peer, d time.Duration) {
 	select {
 	case <-s.ctx.Done():
-	case <-token:
+	case <-p.changed:
 	case <-time.After(d):
 	}
 }
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/core/roster"
+	"github.com/verbenastep/verbenastep/internal/wait"
 	"github.com/verbenastep/verbenastep/internal/wal"
 )
 
@@ -87,6 +88,6 @@
 			failing = failed
 			s.log.Info("keeping the roster failed or works again", zap.Bool("failing", failing), zap.Error(err))
 		}
-		s.pause(keepPause)
+		wait.For(s.ctx, keepPause)
 	}
 }
--- a/internal/schedclient/session.go
+++ b/internal/schedclient/session.go
@@ -12,6 +12,7 @@
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/sched"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 // waiter is a request on its way to a grant and through it.
@@ -61,19 +62,12 @@
 	}
 }
 
-func (s *session) nudge() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
 func (s *session) offer(w *waiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting[w.id] = w
 	s.pending.Offers = append(s.pending.Offers, encodeOffer(w))
-	s.nudge()
+	wait.Signal(s.wake)
 }
 
 func encodeOffer(w *waiter) *rpc.Offer {
@@ -101,7 +95,7 @@
 	}
 	delete(s.waiting, w.id)
 	s.pending.Cancels = append(s.pending.Cancels, w.id)
-	s.nudge()
+	wait.Signal(s.wake)
 	return true
 }
 
@@ -113,7 +107,7 @@
 		Id: w.id, Outcome: uint32(r.Outcome), PrefillMs: uint32(r.Prefill.Milliseconds()), DecodeMs: uint32(r.Decode.Milliseconds()),
 		OutputTokens: uint32(r.OutputTokens), CachedTokens: uint32(r.CachedTokens),
 	})
-	s.nudge()
+	wait.Signal(s.wake)
 }
 
 // maxPendingEvents bounds the cache events of one upstream that wait for a
@@ -126,7 +120,7 @@
 func (s *session) announce(u *rpc.UpstreamState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	defer s.nudge()
+	defer wait.Signal(s.wake)
 	for i, old := range s.pending.Upstreams {
 		if old.Name != u.Name || old.Incarnation != u.Incarnation || len(old.CacheEvents) == 0 {
 			continue
@@ -194,7 +188,7 @@
 		w, ok := s.waiting[g.Id]
 		if !ok {
 			s.pending.Releases = append(s.pending.Releases, &rpc.Release{Id: g.Id, Outcome: uint32(sched.NotSent)})
-			s.nudge()
+			wait.Signal(s.wake)
 			continue
 		}
 		delete(s.waiting, g.Id)
--- a/internal/schedclient/speak.go
+++ b/internal/schedclient/speak.go
@@ -9,6 +9,7 @@
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/state"
+	"github.com/verbenastep/verbenastep/internal/duplex"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
@@ -74,7 +75,7 @@
 	}
 	in := make(chan *rpc.GrantBatch)
 	failed := make(chan error, 1)
-	go receive(ctx, stream, in, failed)
+	go func() { failed <- duplex.Receive(ctx, stream.Recv, in) }()
 	quiet := time.NewTimer(silence)
 	defer quiet.Stop()
 	beat := time.NewTicker(heartbeat)
@@ -132,18 +133,3 @@
 		s.down = nil
 	}
 }
-
-func receive(ctx context.Context, stream stream, in chan<- *rpc.GrantBatch, failed chan<- error) {
-	for {
-		b, err := stream.Recv()
-		if err != nil {
-			failed <- err
-			return
-		}
-		select {
-		case in <- b:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/internal/view/watch.go
+++ b/internal/view/watch.go
@@ -14,6 +14,7 @@
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 const (
@@ -36,17 +37,21 @@
 			s.race(ctx)
 		}
 		for _, p := range s.order() {
-			err := s.watch(ctx, p)
-			s.log.Debug("watch ended", zap.String("replica", p.Name), zap.Error(err))
-			select {
-			case <-ctx.Done():
+			if ctx.Err() != nil {
 				return
-			case <-time.After(retryPause):
 			}
+			s.watchOnce(ctx, p)
 		}
 	}
 }
 
+// watchOnce watches a replica until that ends, and waits before the next try.
+func (s *Service) watchOnce(ctx context.Context, p settings.Peer) {
+	err := s.watch(ctx, p)
+	s.log.Debug("watch ended", zap.String("replica", p.Name), zap.Error(err))
+	wait.For(ctx, retryPause)
+}
+
 // race watches all replicas at once until any has brought the first route table:
 // callers wait for it, and which replica is near is not known yet.
 func (s *Service) race(ctx context.Context) {
@@ -56,12 +61,7 @@
 	for _, p := range s.order() {
 		racers.Go(func() {
 			for ctx.Err() == nil {
-				err := s.watch(ctx, p)
-				s.log.Debug("watch ended", zap.String("replica", p.Name), zap.Error(err))
-				select {
-				case <-ctx.Done():
-				case <-time.After(retryPause):
-				}
+				s.watchOnce(ctx, p)
 			}
 		})
 	}
