Read an answer's header once, count bytes without a lock, read the roster once

Cause, read in the change: try.go evaluated the dialect's Answer twice for each answer; the link looked up a call's counters under a lock for each message and counted a second time under it; a change of the broker's leadership read and sorted the whole roster twice; stream.began, BrokerAsk.first and the route of an offer were written and never read; what makes a heartbeat a change stands in sameUse and in the digest of renewals with nothing to hold them together.

Ruled out: one definition for sameUse and the digest: comparing structs and hashing bytes that two processes agree on differ, so a test ties them, field by field. Sending what runs again at attach stays: a daemon that begins to lead later has a new core.

Behaviour is as before and the tests keep their assertions.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -27,7 +27,6 @@
 type Offer struct {
 	ID         ID
 	Pool       string
-	Route      string
 	Workspace  string
 	DataCentre string
 	Region     string
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/verbenastep/verbenastep/core/rendezvous"
@@ -66,12 +67,7 @@
 			u.Leaving = true
 		}
 	}
-	slices.SortFunc(p.order, func(a, b *upstream) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(p.order, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
 }
 
 // enqueue inserts a request behind those that go before it.
--- a/core/roster/renewal_test.go
+++ b/core/roster/renewal_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -49,3 +50,25 @@
 	r.Leave(0, "a")
 	require.False(t, r.Renew(beat("a", 1, 2).Renewal()), "it has left")
 }
+
+// TestDigestAndSameUseSeeTheSameFields: a field that one of them overlooks would
+// be a change that renewals hide.
+func TestDigestAndSameUseSeeTheSameFields(t *testing.T) {
+	fields := reflect.TypeFor[Entry]()
+	for i := range fields.NumField() {
+		e := beat("a", 1, 1)
+		switch f := reflect.ValueOf(&e).Elem().Field(i); f.Kind() {
+		case reflect.String:
+			f.SetString(f.String() + "x")
+		case reflect.Bool:
+			f.SetBool(!f.Bool())
+		case reflect.Int, reflect.Int64:
+			f.SetInt(f.Int() + 1)
+		case reflect.Uint64:
+			f.SetUint(f.Uint() + 1)
+		default:
+			require.Fail(t, "a field of another kind", fields.Field(i).Name)
+		}
+		require.Equal(t, sameUse(beat("a", 1, 1), e), beat("a", 1, 1).digest() == e.digest(), fields.Field(i).Name)
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -174,7 +176,10 @@
 			x.send(s.reply())
 		}
 	}
-	if leads != s.leads {
+	learned := map[string]broker.Learned(nil)
+	turned := leads != s.leads
+	if turned {
+		learned = s.core.Learned()
 		s.lead(leads)
 	}
 	newer := table != nil && table.Table.Version != s.version
@@ -187,9 +192,10 @@
 	}
 	s.read = time.Now()
 	list := s.roster.All()
-	if s.leads {
+	if s.leads || turned {
 		s.core.Upstreams(work.Upstreams(list, s.set.Routing.DataCentres))
 	}
+	s.core.Teach(slices.Collect(maps.Values(learned)))
 	s.tellNews(list)
 	s.reading = time.Since(s.read)
 }
@@ -201,7 +207,8 @@
 	return min(newsPauseMost, max(newsPause, newsRest*s.reading))
 }
 
-// lead begins or ends granting; the lock is held.
+// lead begins or ends granting with a new core, which refresh goes on to fill; the
+// lock is held.
 func (s *Service) lead(leads bool) {
 	s.leads = leads
 	s.meters.leads.Set(map[bool]float64{true: 1}[leads])
@@ -209,16 +216,9 @@
 		s.meters.moves.Inc()
 	}
 	s.log.Info("broker changed", zap.Bool("leads", leads), zap.Int("entries", len(s.sessions)))
-	learned := s.core.Learned()
 	s.core = newCore(s.set)
 	s.version = 0
 	s.read = time.Time{}
-	known := make([]broker.Learned, 0, len(learned))
-	for _, l := range learned {
-		known = append(known, l)
-	}
-	s.core.Upstreams(work.Upstreams(s.roster.All(), s.set.Routing.DataCentres))
-	s.core.Teach(known)
 	// Connected entries hear of it at once and offer all that waits or runs.
 	s.levels, s.toldLevels = time.Now(), map[string]float64{}
 	for _, x := range s.sessions {
--- a/internal/broker/news_test.go
+++ b/internal/broker/news_test.go
@@ -121,7 +121,7 @@
 	h := &heard{list: []port.RosterEntry{upstream("a")}}
 	s := newFollower(t, h, "leader")
 	x := &session{out: make(chan *rpc.BrokerReply, outboxSize), end: func() {}}
-	s.join(&rpc.BrokerAsk{Entry: "e", First: true}, x)
+	s.join(&rpc.BrokerAsk{Entry: "e"}, x)
 	r := <-x.out
 	require.Equal(t, "leader", r.Leader)
 	require.False(t, r.RosterSet)
@@ -130,7 +130,7 @@
 
 	s = newFollower(t, h, "")
 	x = &session{out: make(chan *rpc.BrokerReply, outboxSize), end: func() {}}
-	s.join(&rpc.BrokerAsk{Entry: "e", First: true}, x)
+	s.join(&rpc.BrokerAsk{Entry: "e"}, x)
 	require.True(t, (<-x.out).RosterSet, "nobody leads: the entry decides by itself")
 }
 
@@ -148,7 +148,7 @@
 	s.refresh(true)
 	join := func(age time.Duration) (*session, []string) {
 		x := &session{out: make(chan *rpc.BrokerReply, outboxSize), end: func() {}}
-		s.join(&rpc.BrokerAsk{Entry: "e", First: true, RosterAgeMs: uint32(age.Milliseconds())}, x)
+		s.join(&rpc.BrokerAsk{Entry: "e", RosterAgeMs: uint32(age.Milliseconds())}, x)
 		r := <-x.out
 		ids := []string{}
 		for _, e := range r.Roster {
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -203,7 +203,7 @@
 	defer s.mu.Unlock()
 	s.pending = rpc.BrokerAsk{}
 	now := s.now()
-	ask := &rpc.BrokerAsk{Entry: s.self, First: true, RosterAgeMs: s.rosterAge()}
+	ask := &rpc.BrokerAsk{Entry: s.self, RosterAgeMs: s.rosterAge()}
 	s.current = ask.RosterAgeMs > 0
 	for _, w := range s.running {
 		ask.Offers = append(ask.Offers, work.EncodeOffer(now, w.offer))
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -179,7 +179,7 @@
 	// A caller that is refused would be served later than twice the aim.
 	o := port.WorkOffer{AimAt: q.aim, DeadlineAt: q.deadline, Late: q.route.Aim()}
 	o.Offer = broker.Offer{
-		Pool: q.pool, Route: q.route.Name, Workspace: q.workspace, DataCentre: s.set.DataCentre, Region: s.set.Region, Rank: q.rank,
+		Pool: q.pool, Workspace: q.workspace, DataCentre: s.set.DataCentre, Region: s.set.Region, Rank: q.rank,
 		Charge: q.charge, Fingerprint: q.fingerprint,
 	}
 	if q.engine == nil {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -36,7 +36,6 @@
 	begun  bool
 	last   string
 	events int
-	began  time.Time
 	latest time.Time
 	// longest is the longest pause between two events.
 	longest time.Duration
@@ -157,7 +156,6 @@
 		a.s.closing(h)
 		a.w.WriteHeader(resp.StatusCode)
 		st.begun = true
-		st.began = now
 		a.status = resp.StatusCode
 		a.first = now.Sub(a.arrived)
 	} else {
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -86,12 +86,11 @@
 	}
 	a.sent = time.Now()
 	go a.write(a.head())
-	resp, err := a.read()
+	resp, said, err := a.read()
 	if err != nil {
 		_ = c.Close()
 		return a.lost(ctx, err)
 	}
-	said := x.s.dialect.Answer(resp.StatusCode, resp.Header)
 	switch {
 	case said.Misdirected, said.NotRun:
 		return a.rejected(resp, said)
@@ -142,28 +141,28 @@
 	a.wrote <- err
 }
 
-// read reads the header of the answer to this request; answers to others that
-// arrive late are skipped.
-func (a *attempt) read() (*http.Response, error) {
+// read reads the header of the answer to this request, and what it says of
+// itself; answers to others that arrive late are skipped.
+func (a *attempt) read() (*http.Response, Answer, error) {
 	for range strayAnswers + 1 {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.method})
 		if err != nil {
-			return nil, err
+			return nil, Answer{}, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		id := a.s.dialect.Answer(resp.StatusCode, resp.Header).Attempt
-		if id == "" || id == a.meta.Attempt {
-			return resp, nil
+		said := a.s.dialect.Answer(resp.StatusCode, resp.Header)
+		if said.Attempt == "" || said.Attempt == a.meta.Attempt {
+			return resp, said, nil
 		}
-		a.s.log.Info("answer to another request skipped", a.fields(zap.String("upstream", a.ticket.Upstream), zap.String("answers", id))...)
+		a.s.log.Info("answer to another request skipped", a.fields(zap.String("upstream", a.ticket.Upstream), zap.String("answers", said.Attempt))...)
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, mostAnswer)); err != nil {
-			return nil, err
+			return nil, Answer{}, err
 		}
 		_ = resp.Body.Close()
 	}
-	return nil, errStray
+	return nil, Answer{}, errStray
 }
 
 func isStream(resp *http.Response) bool {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -174,7 +174,7 @@
 	if !hmac.Equal(given[:], want[:]) {
 		return fmt.Errorf("peer secret is wrong; give all daemons the same peer_key_file")
 	}
-	return g.next.HandleRPC(meteredStream{Stream: stream, traffic: g.bytes, rpc: rpc}, rpc)
+	return g.next.HandleRPC(meteredStream{Stream: stream, call: g.bytes.call(rpc)}, rpc)
 }
 
 // Address returns where the link listens; it is known once it is started.
@@ -211,7 +211,7 @@
 
 // Invoke makes a unary call.
 func (c peerConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
-	return c.Conn.Invoke(drpcmetadata.Add(ctx, secretKey, c.secret), rpc, c.bytes.encoding(rpc, enc), in, out)
+	return c.Conn.Invoke(drpcmetadata.Add(ctx, secretKey, c.secret), rpc, meteredEncoding{Encoding: enc, call: c.bytes.call(rpc)}, in, out)
 }
 
 // NewStream opens a stream.
@@ -220,7 +220,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return meteredStream{Stream: stream, traffic: c.bytes, rpc: rpc}, nil
+	return meteredStream{Stream: stream, call: c.bytes.call(rpc)}, nil
 }
 
 // Stop closes the listener and all connections.
--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,8 +26,8 @@
 
 // call has one call's counters, and its bytes since they were logged last.
 type call struct {
-	sent, received          prometheus.Counter
-	sentSince, arrivedSince int
+	sent, received           prometheus.Counter
+	sentSince, receivedSince atomic.Int64
 }
 
 func newTraffic() *traffic {
@@ -39,8 +40,8 @@
 	}
 }
 
-// encoding counts what passes through an encoding for a call.
-func (t *traffic) encoding(rpc string, next drpc.Encoding) drpc.Encoding {
+// call returns the counters of a call.
+func (t *traffic) call(rpc string) *call {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.calls[rpc]
@@ -48,21 +49,17 @@
 		c = &call{sent: t.total.WithLabelValues(rpc, "sent"), received: t.total.WithLabelValues(rpc, "received")}
 		t.calls[rpc] = c
 	}
-	return meteredEncoding{Encoding: next, traffic: t, call: c}
+	return c
 }
 
-func (t *traffic) sent(c *call, n int) {
+func (c *call) countSent(n int) {
 	c.sent.Add(float64(n))
-	t.mu.Lock()
-	c.sentSince += n
-	t.mu.Unlock()
+	c.sentSince.Add(int64(n))
 }
 
-func (t *traffic) arrived(c *call, n int) {
+func (c *call) countReceived(n int) {
 	c.received.Add(float64(n))
-	t.mu.Lock()
-	c.arrivedSince += n
-	t.mu.Unlock()
+	c.receivedSince.Add(int64(n))
 }
 
 // fields returns the bytes by call since the last time, and begins anew.
@@ -71,13 +68,12 @@
 	defer t.mu.Unlock()
 	sent, received := map[string]int{}, map[string]int{}
 	for rpc, c := range t.calls {
-		if c.sentSince > 0 {
-			sent[rpc] = c.sentSince
+		if n := c.sentSince.Swap(0); n > 0 {
+			sent[rpc] = int(n)
 		}
-		if c.arrivedSince > 0 {
-			received[rpc] = c.arrivedSince
+		if n := c.receivedSince.Swap(0); n > 0 {
+			received[rpc] = int(n)
 		}
-		c.sentSince, c.arrivedSince = 0, 0
 	}
 	return []zap.Field{zap.Any("sent_bytes", sent), zap.Any("received_bytes", received)}
 }
@@ -85,43 +81,41 @@
 // meteredEncoding counts the encoded bytes.
 type meteredEncoding struct {
 	drpc.Encoding
-	traffic *traffic
-	call    *call
+	call *call
 }
 
 // Marshal encodes a message that is sent.
 func (e meteredEncoding) Marshal(msg drpc.Message) ([]byte, error) {
 	data, err := e.Encoding.Marshal(msg)
-	e.traffic.sent(e.call, len(data))
+	e.call.countSent(len(data))
 	return data, err
 }
 
 // MarshalAppend encodes a message that is sent into a buffer that is used again.
 func (e meteredEncoding) MarshalAppend(buf []byte, msg drpc.Message) ([]byte, error) {
 	data, err := drpcenc.MarshalAppend(msg, e.Encoding, buf)
-	e.traffic.sent(e.call, max(0, len(data)-len(buf)))
+	e.call.countSent(max(0, len(data)-len(buf)))
 	return data, err
 }
 
 // Unmarshal decodes a message that arrived.
 func (e meteredEncoding) Unmarshal(data []byte, msg drpc.Message) error {
-	e.traffic.arrived(e.call, len(data))
+	e.call.countReceived(len(data))
 	return e.Encoding.Unmarshal(data, msg)
 }
 
 // meteredStream counts a stream that was opened here or by another daemon.
 type meteredStream struct {
 	drpc.Stream
-	traffic *traffic
-	rpc     string
+	call *call
 }
 
 // MsgSend sends a message.
 func (s meteredStream) MsgSend(msg drpc.Message, enc drpc.Encoding) error {
-	return s.Stream.MsgSend(msg, s.traffic.encoding(s.rpc, enc))
+	return s.Stream.MsgSend(msg, meteredEncoding{Encoding: enc, call: s.call})
 }
 
 // MsgRecv receives a message.
 func (s meteredStream) MsgRecv(msg drpc.Message, enc drpc.Encoding) error {
-	return s.Stream.MsgRecv(msg, s.traffic.encoding(s.rpc, enc))
+	return s.Stream.MsgRecv(msg, meteredEncoding{Encoding: enc, call: s.call})
 }
--- a/internal/work/codec.go
+++ b/internal/work/codec.go
@@ -33,7 +33,7 @@
 // EncodeOffer gives an offer's wire form at a time.
 func EncodeOffer(now time.Duration, o broker.Offer) *rpc.WorkOffer {
 	return &rpc.WorkOffer{
-		Id: o.ID.Number, Pool: o.Pool, Route: o.Route, Workspace: o.Workspace, DataCentre: o.DataCentre, Region: o.Region, Rank: uint32(o.Rank),
+		Id: o.ID.Number, Pool: o.Pool, Workspace: o.Workspace, DataCentre: o.DataCentre, Region: o.Region, Rank: uint32(o.Rank),
 		PromptTokens: uint32(o.PromptTokens), OutputTokens: uint32(o.OutputTokens), Charge: uint32(o.Charge),
 		AimMs: int32((o.Aim - now).Milliseconds()), WaitMs: ms(o.Deadline - now), Session: o.Session, SessionTokens: uint32(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: uint32(o.Reserve * thousandths), LateMs: ms(o.Latest - o.Aim),
@@ -44,7 +44,7 @@
 func DecodeOffer(now time.Duration, entry string, o *rpc.WorkOffer) broker.Offer {
 	aim := now + time.Duration(o.AimMs)*time.Millisecond
 	return broker.Offer{
-		ID: broker.ID{Entry: entry, Number: o.Id}, Pool: o.Pool, Route: o.Route, Workspace: o.Workspace, DataCentre: o.DataCentre, Region: o.Region,
+		ID: broker.ID{Entry: entry, Number: o.Id}, Pool: o.Pool, Workspace: o.Workspace, DataCentre: o.DataCentre, Region: o.Region,
 		Rank: int(o.Rank), PromptTokens: int(o.PromptTokens), OutputTokens: int(o.OutputTokens), Charge: int(o.Charge),
 		Aim: aim, Latest: aim + duration(o.LateMs), Deadline: now + duration(o.WaitMs), Session: o.Session, SessionTokens: int(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: float64(o.Reserve) / thousandths,
