Settings: accept times and amounts with fractions

A ratio of zero became the default, and an integer in exponent form was decoded as zero without a word. Change: routing times and amounts are numbers; grace_s and retry.window_s state seconds, one unit each; zero as ratio allows no retries; what Go does not decode is a fault.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -234,7 +234,7 @@
 func (b *Broker) SetName(name string) { b.name = name }
 
 // SetQuotaSlack sets the number of tokens that a workspace may use beyond its quota.
-func (b *Broker) SetQuotaSlack(tokens int64) { b.quotaSlackTokens = float64(tokens) }
+func (b *Broker) SetQuotaSlack(tokens float64) { b.quotaSlackTokens = tokens }
 
 // SetShare sets the fraction of capacity and quotas that the broker may use.
 func (b *Broker) SetShare(share float64) { b.share = share }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -66,7 +66,7 @@
 		dataCentre = s.set.DataCentre
 	}
 	if s.set.Routing != nil {
-		ttl := time.Duration(s.set.Routing.AnswerTTLMS) * time.Millisecond
+		ttl := settings.Milliseconds(s.set.Routing.AnswerTTLMS)
 		return nearest(s.members.Live(), s.set.Routing.DataCentres, dataCentre), ttl
 	}
 	return choose(s.members.Live(), dataCentre, rand.Float64), answerTTL
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -31,7 +31,7 @@
 func (b *retryBudgets) forPool(pool string) *limits.RetryBudget {
 	r := b.byPool[pool]
 	if r == nil {
-		r = limits.NewRetryBudget(time.Duration(b.retry.WindowMS) * time.Millisecond)
+		r = limits.NewRetryBudget(settings.Milliseconds(b.retry.WindowMS))
 		b.byPool[pool] = r
 	}
 	return r
@@ -49,6 +49,6 @@
 func (b *retryBudgets) allow(pool string, entries int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	slack := usedBudgetShare * float64(b.retry.Slack) / float64(entries)
-	return b.forPool(pool).AllowRetry(time.Since(b.began), usedBudgetShare*b.retry.Ratio, slack)
+	slack := usedBudgetShare * b.retry.Slack / float64(entries)
+	return b.forPool(pool).AllowRetry(time.Since(b.began), usedBudgetShare*b.retry.RatioOrDefault(), slack)
 }
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/verbenastep/verbenastep/internal/settings"
 	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
@@ -29,8 +30,8 @@
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	s.drainAnnouncer.AnnounceDrain()
-	grace := time.Duration(s.set.Routing.GraceMS) * time.Millisecond
-	ttl := time.Duration(s.set.Routing.AnswerTTLMS) * time.Millisecond
+	grace := settings.Milliseconds(s.set.Routing.GraceMS)
+	ttl := settings.Milliseconds(s.set.Routing.AnswerTTLMS)
 	began := time.Now()
 	acceptTime := min(directoryTTLs*ttl+announceDelay, grace*acceptTenths/tenths)
 	s.log.Info("left the directory; serving callers that hold an older answer", zap.Duration("for", acceptTime), zap.Duration("grace", grace))
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -223,7 +223,8 @@
 
 func newTestEntry(t *testing.T, upstreams ...*scriptedUpstream) *testEntry {
 	t.Helper()
-	set := &settings.Settings{Routing: &settings.Routing{Retry: settings.Retry{Ratio: 0.2, WindowMS: 10_000, Slack: 20}, GraceMS: 1000, AnswerTTLMS: 50}}
+	retryRatio := 0.2
+	set := &settings.Settings{Routing: &settings.Routing{Retry: settings.Retry{Ratio: &retryRatio, WindowMS: 10_000, Slack: 20}, GraceMS: 1000, AnswerTTLMS: 50}}
 	s := New(set, zap.NewNop())
 	client := &testBrokerClient{}
 	for _, u := range upstreams {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -49,7 +49,7 @@
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
-	interval := time.Duration(set.Routing.HeartbeatMS) * time.Millisecond
+	interval := settings.Milliseconds(set.Routing.HeartbeatMS)
 	return &Service{
 		set: set, log: log.Named("roster"), startedAt: time.Now(), core: roster.New(interval),
 		changed: make(chan struct{}), peers: map[string]*peer{}, store: &store{folder: set.DataFolder},
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/core/roster"
+	"github.com/verbenastep/verbenastep/internal/settings"
 	"github.com/verbenastep/verbenastep/internal/wait"
 	"github.com/verbenastep/verbenastep/internal/wal"
 )
@@ -60,7 +61,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	silentSince := s.now() - time.Duration(s.set.Routing.HeartbeatMS)*time.Millisecond*(roster.SilentAfter+1)
+	silentSince := s.now() - settings.Milliseconds(s.set.Routing.HeartbeatMS)*(roster.SilentAfter+1)
 	for _, e := range list {
 		e.Heard = silentSince
 		s.core.Merge(e)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -22,12 +22,31 @@
 	k.replicas(s)
 	k.role(s)
 	k.tls(s.TLS)
+	k.times(s.Routing)
 	for i, seed := range s.Seeds {
 		k.address(fmt.Sprintf("$.seeds[%d]", i), seed)
 	}
 	return k.faults
 }
 
+// times checks that no time is stated in two units.
+func (k *checker) times(r *Routing) {
+	if r == nil {
+		return
+	}
+	for _, t := range []struct {
+		path        string
+		ms, seconds float64
+	}{
+		{"$.routing.grace_s", r.GraceMS, r.GraceSeconds},
+		{"$.routing.retry.window_s", r.Retry.WindowMS, r.Retry.WindowSeconds},
+	} {
+		if t.ms != 0 && t.seconds != 0 {
+			k.add(t.path, "the time is given in milliseconds too", "give it in one unit")
+		}
+	}
+}
+
 func (k *checker) address(path, value string) {
 	a, err := netip.ParseAddrPort(value)
 	if err != nil {
--- a/internal/settings/routing.go
+++ b/internal/settings/routing.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // Routing holds the settings of a daemon that serves a published route table.
@@ -21,12 +22,13 @@
 	// BootstrapLog allows the replicas listed as seeds to bootstrap a new log.
 	BootstrapLog bool `json:"found,omitempty"`
 	// HeartbeatMS is the interval between two heartbeats of an upstream.
-	HeartbeatMS int64 `json:"heartbeat_ms,omitempty"`
+	HeartbeatMS float64 `json:"heartbeat_ms,omitempty"`
 	// GraceMS is the time between the stop signal and the kill of the process by the
-	// platform.
-	GraceMS int64 `json:"grace_ms,omitempty"`
+	// platform. A file may state GraceSeconds instead, which Parse converts.
+	GraceMS      float64 `json:"grace_ms,omitempty"`
+	GraceSeconds float64 `json:"grace_s,omitempty"`
 	// AnswerTTLMS is how long callers may cache a directory answer.
-	AnswerTTLMS int64 `json:"answer_life_ms,omitempty"`
+	AnswerTTLMS float64 `json:"answer_life_ms,omitempty"`
 	// Retry bounds how many requests are sent again.
 	Retry Retry `json:"retry,omitempty"`
 	// Quota is the tolerance in the enforcement of workspaces' quotas.
@@ -37,48 +39,64 @@
 
 // Retry is the retry budget of all daemons together.
 type Retry struct {
-	// Ratio is the number of retries allowed per request.
-	Ratio float64 `json:"ratio,omitempty"`
-	// WindowMS is the window in which requests and retries are counted.
-	WindowMS int64 `json:"window_ms,omitempty"`
+	// Ratio is the number of retries allowed per request; nil means
+	// DefaultRetryRatio, zero allows none.
+	Ratio *float64 `json:"ratio,omitempty"`
+	// WindowMS is the window in which requests and retries are counted. A file may
+	// state WindowSeconds instead, which Parse converts.
+	WindowMS      float64 `json:"window_ms,omitempty"`
+	WindowSeconds float64 `json:"window_s,omitempty"`
 	// Slack is the number of retries allowed in addition to those of Ratio.
-	Slack int64 `json:"slack,omitempty"`
+	Slack float64 `json:"slack,omitempty"`
+}
+
+// RatioOrDefault returns Ratio, or its default if it is not set.
+func (r Retry) RatioOrDefault() float64 {
+	if r.Ratio == nil {
+		return DefaultRetryRatio
+	}
+	return *r.Ratio
 }
 
 // Quota is how far a workspace may exceed its quota.
 type Quota struct {
 	// SlackTokens is the number of tokens beyond the quota that are tolerated within
 	// some seconds.
-	SlackTokens int64 `json:"slack_tokens,omitempty"`
+	SlackTokens float64 `json:"slack_tokens,omitempty"`
 }
 
-// Defaults for Routing, in milliseconds except for DefaultRetryRatio.
+// Defaults for Routing, in milliseconds except for DefaultRetryRatio. A time of zero
+// is replaced by its default as well.
 const (
-	DefaultHeartbeatMS = 1000
-	DefaultGraceMS     = 8000
-	DefaultAnswerTTLMS = 2000
+	DefaultHeartbeatMS = 1000.0
+	DefaultGraceMS     = 8000.0
+	DefaultAnswerTTLMS = 2000.0
 	DefaultRetryRatio  = 0.1
-	DefaultRetryMS     = 10_000
+	DefaultRetryMS     = 10_000.0
 )
 
 // applyDefaults sets the defaults of unset values.
 func (r *Routing) applyDefaults() {
 	r.HeartbeatMS = orDefault(r.HeartbeatMS, DefaultHeartbeatMS)
-	r.GraceMS = orDefault(r.GraceMS, DefaultGraceMS)
+	r.GraceMS = orDefault(r.GraceMS+r.GraceSeconds*msPerSecond, DefaultGraceMS)
+	r.GraceSeconds = 0
 	r.AnswerTTLMS = orDefault(r.AnswerTTLMS, DefaultAnswerTTLMS)
-	r.Retry.WindowMS = orDefault(r.Retry.WindowMS, DefaultRetryMS)
-	if r.Retry.Ratio == 0 {
-		r.Retry.Ratio = DefaultRetryRatio
-	}
+	r.Retry.WindowMS = orDefault(r.Retry.WindowMS+r.Retry.WindowSeconds*msPerSecond, DefaultRetryMS)
+	r.Retry.WindowSeconds = 0
 }
 
-func orDefault(v, def int64) int64 {
+func orDefault(v, def float64) float64 {
 	if v == 0 {
 		return def
 	}
 	return v
 }
 
+const msPerSecond = 1000
+
+// Milliseconds converts a setting in milliseconds, which may have a fraction.
+func Milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // applySeeds applies SeedPort and, if no replicas are listed, uses the seeds as
 // the replicas to bootstrap or join the log with. Their names are not known yet,
 // so that each is named by its address.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -157,9 +157,11 @@
 		e.Faults = append(e.Faults, Fault(f))
 		paths = append(paths, f.Path)
 	}
-	// The error is ignored: a value of the wrong type leaves its field empty, all
-	// others are decoded, and the schema has reported the wrong type already.
-	_ = json.Unmarshal(data, s)
+	// A value of the wrong type leaves its field empty, and all others are decoded. The
+	// schema reports it except for an integer in a form that Go does not decode, such as 1e3.
+	if err := json.Unmarshal(data, s); err != nil && len(e.Faults) == 0 {
+		e.Faults = append(e.Faults, Fault{Path: "$", Message: err.Error(), Remedy: "write integers without fraction or exponent"})
+	}
 	for _, f := range s.check() {
 		if !schema.Covers(paths, f.Path) {
 			e.Faults = append(e.Faults, f)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -60,6 +61,19 @@
 		{"unknown format", func(s *settings.Settings) { s.Log.Format = "xml" }, "$.log.format"},
 		{"negative limit", func(s *settings.Settings) { s.Limits.Connections = -1 }, "$.limits.connections"},
 	}
+	cases = append(cases, []struct {
+		name   string
+		change func(s *settings.Settings)
+		path   string
+	}{
+		{"grace in two units", func(s *settings.Settings) {
+			s.Routing = &settings.Routing{GraceMS: 8000, GraceSeconds: 8}
+		}, "$.routing.grace_s"},
+		{"window in two units", func(s *settings.Settings) {
+			s.Routing = &settings.Routing{Retry: settings.Retry{WindowMS: 1, WindowSeconds: 1}}
+		}, "$.routing.retry.window_s"},
+		{"negative grace", func(s *settings.Settings) { s.Routing = &settings.Routing{GraceSeconds: -1} }, "$.routing.grace_s"},
+	}...)
 	require.Empty(t, faultsOf(t, valid()))
 	for _, c := range cases {
 		s := valid()
@@ -98,3 +112,14 @@
 		require.NoError(t, err)
 	}
 }
+
+// TestIntegerThatIsNotDecodedIsReported covers numbers that JSON Schema accepts as integers but
+// Go does not decode into one: without a fault the field would silently stay zero.
+func TestIntegerThatIsNotDecodedIsReported(t *testing.T) {
+	s := valid()
+	s.Limits.Connections = 12345
+	data, err := json.Marshal(s)
+	require.NoError(t, err)
+	_, err = settings.Parse("d1.json", bytes.Replace(data, []byte("12345"), []byte("1e3"), 1))
+	require.ErrorContains(t, err, "write integers without fraction or exponent")
+}
