Broker: grant plain calls by their time at the upstream, not on the wire

Cause: a slot of a plain service counted from grant to release. Between regions that is 73 ms or more for 30 ms of work, so that half of the slots stood idle while calls were refused. Change: an upstream of a plain service gets as many grants per slot as keep its slots busy (Little's law, at most four); the transit of grants and the round trip between regions are learned and count in estimates.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -10,7 +10,8 @@
 // time, prefills prompts one after another, and decodes all running requests at
 // a common speed, which the broker learns from completed requests.
 //
-// Invariants: an upstream never has more grants than slots; each offer is
+// Invariants: an engine never has more grants than slots, and the upstream of a plain
+// service no more than keep its slots busy (see transitFactor); each offer is
 // granted at most once; a refused request was never granted.
 package broker
 
@@ -175,8 +176,10 @@
 type request struct {
 	Offer
 	arrived time.Duration
-	// assigned is the upstream that was granted; nil while the request waits.
+	// assigned is the upstream that was granted, and granted the time of the grant; nil
+	// while the request waits.
 	assigned *upstream
+	granted  time.Duration
 	// expectedEnd is when the upstream should have completed the request.
 	expectedEnd time.Duration
 	// prefilledAlone is true if the upstream had no other prompt to prefill when the
@@ -527,7 +530,7 @@
 	for _, l := range list {
 		for _, p := range b.pools {
 			if u := p.upstreams[l.ID]; u != nil {
-				u.times = upstreamTimes{tokenTime: l.TokenTime, callTime: l.CallTime}
+				u.times.tokenTime, u.times.callTime = l.TokenTime, l.CallTime
 				u.health.failureRate = l.FailureRate
 			}
 		}
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -87,14 +87,15 @@
 	fallback *upstream
 	// slots is the number of this broker's slots on all available upstreams.
 	slots int
-	// minTokenTime and minCallTime are the times of the fastest upstream, in seconds.
+	// minTokenTime is the time per token of the fastest upstream, in seconds;
+	// minCallTimes holds the call times of the fastest upstream of each region.
 	minTokenTime float64
-	minCallTime  float64
+	minCallTimes map[string]float64
 }
 
 // newRound collects the available upstreams of the pool.
 func (p *pool) newRound(now time.Duration, share float64) *round {
-	r := &round{now: now, share: share, open: p.open[:0]}
+	r := &round{now: now, share: share, open: p.open[:0], minCallTimes: map[string]float64{}}
 	lowest := (*upstream)(nil)
 	for _, u := range p.order {
 		if u.Leaving || u.health.isUnavailable(now) {
@@ -106,7 +107,7 @@
 			r.open = append(r.open, u)
 		}
 		r.minTokenTime = shortest(r.minTokenTime, p.tokenTime(u))
-		r.minCallTime = shortest(r.minCallTime, p.callTime(u))
+		r.minCallTimes[u.Region] = shortest(r.minCallTimes[u.Region], p.callTime(u))
 		if lowest == nil || u.roundingPoint < lowest.roundingPoint {
 			lowest = u
 		}
@@ -170,7 +171,7 @@
 			continue
 		}
 		first := p.timeToFirstEvent(r.now, req, u)
-		cost := p.placementCost(r.now, req, u, first)
+		cost := p.placementCost(r.now+p.transits.grant(req), req, u, first)
 		if best == nil || cost < bestCost {
 			best, bestCost, bestFirst = u, cost, first
 		}
@@ -203,7 +204,7 @@
 // prefill of the prompts ahead and of its own, the overhead, and half of the warm-up
 // time that remains.
 func (p *pool) timeToFirstEvent(now time.Duration, req *request, u *upstream) time.Duration {
-	return max(0, u.prefillUntil-now) + p.prefillTime(req, u) + p.overheadTime(u) + u.WarmUpTime/2
+	return max(0, u.prefillUntil-now) + p.prefillTime(req, u) + p.overheadTime(req, u) + u.WarmUpTime/2
 }
 
 // placementCost returns the estimated time of a request on an upstream with all
@@ -243,7 +244,7 @@
 	for i := 0; i < len(p.queue); {
 		req := p.queue[i]
 		wait := p.queueWait(r.now, req, ahead, float64(r.slots))
-		first := r.now + wait + p.minTimeToFirstEvent(r, req)
+		first := r.now + wait + p.transits.grant(req) + p.minTimeToFirstEvent(r, req)
 		switch {
 		case first <= req.LatencyTarget, req.late && first <= req.LatestUseful:
 			ahead += p.slotTime(req)
@@ -292,7 +293,11 @@
 // upstream.
 func (p *pool) minTimeToFirstEvent(r *round, req *request) time.Duration {
 	if p.engine == nil {
-		return seconds(r.minCallTime)
+		least := 0.0
+		for region, callTime := range r.minCallTimes {
+			least = shortest(least, callTime+p.transits.call(req.Region, region))
+		}
+		return seconds(least)
 	}
 	return seconds(r.minTokenTime * (p.times.overhead + p.times.prefillRatio*float64(req.PromptTokens)))
 }
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -20,9 +20,10 @@
 	// open is a buffer that rounds reuse.
 	open []*upstream
 	// queue is sorted by compare.
-	queue []*request
-	times poolTimes
-	load  load
+	queue    []*request
+	times    poolTimes
+	transits transits
+	load     load
 	// lastServed is the time of the last round that had slots, or of the first round.
 	lastServed time.Duration
 	// started is true after the first round.
@@ -30,7 +31,7 @@
 }
 
 func newPool(name string) *pool {
-	return &pool{name: name, upstreams: map[string]*upstream{}, times: newPoolTimes()}
+	return &pool{name: name, upstreams: map[string]*upstream{}, times: newPoolTimes(), transits: newTransits()}
 }
 
 // upstream is an upstream with its running requests and learned estimates.
@@ -124,7 +125,7 @@
 
 // assign adds a request to an upstream's running ones and estimates its end.
 func (p *pool) assign(now time.Duration, req *request, u *upstream) {
-	req.assigned = u
+	req.assigned, req.granted = u, now
 	req.prefilledAlone = u.prefillUntil <= now
 	prefill := p.prefillTime(req, u)
 	u.prefillUntil = max(now, u.prefillUntil) + prefill
@@ -151,11 +152,11 @@
 }
 
 // capacity returns how many requests a broker with the given share may run on the
-// upstream. A fractional slot is rounded up on that fraction of the upstreams and
+// upstream or have in transit to and from a plain service. A fractional slot is rounded up on that fraction of the upstreams and
 // down on the others; the choice differs between brokers, so that together they
 // overload no upstream.
 func (u *upstream) capacity(now time.Duration, share float64) int {
-	slots := float64(u.Slots) * share
+	slots := float64(u.Slots) * share * u.times.transitFactor()
 	whole := int(slots)
 	if u.roundingPoint < slots-float64(whole) {
 		whole++
--- a/core/broker/speed.go
+++ b/core/broker/speed.go
@@ -32,9 +32,11 @@
 // poolTimes are moving averages over all upstreams of a pool.
 type poolTimes struct {
 	// tokenTime is the time per output token and callTime the time of a service
-	// call, in seconds.
+	// call at its upstream, in seconds.
 	tokenTime float64
 	callTime  float64
+	// holdTime is the time from the grant of a service call to its release.
+	holdTime float64
 	// prefillRatio is the time per prompt token and overhead the time to the first
 	// event of an empty prompt, both in multiples of the time per output token.
 	prefillRatio float64
@@ -42,7 +44,7 @@
 }
 
 func newPoolTimes() poolTimes {
-	return poolTimes{tokenTime: initialTokenTime, callTime: initialCallTime, prefillRatio: initialPrefillRatio, overhead: initialOverhead}
+	return poolTimes{tokenTime: initialTokenTime, callTime: initialCallTime, holdTime: initialCallTime, prefillRatio: initialPrefillRatio, overhead: initialOverhead}
 }
 
 // upstreamTimes holds the moving averages of one upstream, in seconds; zero before the
@@ -50,6 +52,9 @@
 type upstreamTimes struct {
 	tokenTime float64
 	callTime  float64
+	// holdTime is the time from the grant of a service call to its release; callTime is
+	// the part of it at the upstream.
+	holdTime float64
 }
 
 // movingAverage returns the moving average after an observation with the given weight;
@@ -69,7 +74,7 @@
 	return u.times.tokenTime
 }
 
-// callTime returns the time of a service call on an upstream, in seconds.
+// callTime returns the time of a service call at an upstream, in seconds.
 func (p *pool) callTime(u *upstream) float64 {
 	if u.times.callTime == 0 {
 		return p.times.callTime
@@ -93,10 +98,10 @@
 }
 
 // overheadTime estimates the time from the end of the prefill to the first event,
-// or the time of a service call.
-func (p *pool) overheadTime(u *upstream) time.Duration {
+// or the time of a service call with its round trip.
+func (p *pool) overheadTime(req *request, u *upstream) time.Duration {
 	if p.engine == nil {
-		return seconds(p.callTime(u))
+		return seconds(p.callTime(u) + p.transits.call(req.Region, u.Region))
 	}
 	return seconds(p.tokenTime(u) * p.times.overhead)
 }
@@ -105,7 +110,7 @@
 // answer.
 func (p *pool) decodeTime(req *request, u *upstream) time.Duration {
 	if p.engine == nil {
-		return p.overheadTime(u)
+		return p.overheadTime(req, u)
 	}
 	return seconds(p.tokenTime(u) * (p.times.overhead + float64(req.OutputTokens)))
 }
@@ -114,7 +119,7 @@
 // seconds.
 func (p *pool) slotTime(req *request) float64 {
 	if p.engine == nil {
-		return p.times.callTime
+		return p.times.holdTime
 	}
 	return p.times.tokenTime * (p.times.overhead + p.times.prefillRatio*float64(req.PromptTokens) + float64(req.OutputTokens))
 }
@@ -126,9 +131,15 @@
 	if e.Outcome != Completed {
 		return
 	}
+	hold := now - req.granted
+	if req.Running == "" {
+		// The time of a grant by another broker is not known.
+		p.transits.learnGrant(hold, req, e)
+	}
 	if p.engine == nil {
-		u.times.callTime = movingAverage(u.times.callTime, e.TimeToFirstEvent.Seconds(), upstreamWeight)
-		p.times.callTime = movingAverage(p.times.callTime, e.TimeToFirstEvent.Seconds(), poolWeight)
+		if req.Running == "" {
+			p.learnCall(req, hold, e)
+		}
 		return
 	}
 	if e.OutputTokens >= minOutputTokens && e.DecodeTime > 0 {
