Broker: a request waits for an upstream where it will be on time

Cause: the first request of the queue took any free slot, also where it would miss its latency target by the round trip to another region, while a later request would have been on time there. Change: a request that can still be on time skips slots where it can't be; a round examines up to 64 such requests.

--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -23,7 +23,7 @@
 	missedTargetPenalty = 10 * time.Second
 	// maxSkippedRequests is how many requests without a suitable upstream a round
 	// skips before it ends.
-	maxSkippedRequests = 16
+	maxSkippedRequests = 64
 	// noUpstreamTimeout is how long a pool may have no upstream before its requests
 	// are refused. A restarted upstream, or the roster of a new broker, arrives
 	// within this time.
@@ -139,13 +139,14 @@
 	r.open = slices.DeleteFunc(r.open, func(o *upstream) bool { return o == u })
 }
 
-// grantWaiting grants requests in queue order while any upstream has room.
+// grantWaiting grants requests in queue order while any upstream has room. A request
+// that can still be on time waits for an upstream where it will be.
 func (b *Broker) grantWaiting(p *pool, r *round) {
 	skipped := 0
 	for i := 0; i < len(p.queue) && skipped < maxSkippedRequests && len(r.open) > 0; {
 		req := p.queue[i]
 		u, first := p.choose(r, req)
-		if u == nil {
+		if u == nil || p.shouldWait(r, req, first) {
 			skipped++
 			i++
 			continue
@@ -161,6 +162,13 @@
 	p.open = r.open
 }
 
+// shouldWait reports whether a request would miss its latency target if its first event
+// took the given time, but can meet it on a faster upstream that is occupied now.
+func (p *pool) shouldWait(r *round, req *request, first time.Duration) bool {
+	left := req.LatencyTarget - r.now - p.transits.grant(req)
+	return !req.late && first > left && p.minTimeToFirstEvent(r, req) <= left
+}
+
 // choose returns the open upstream with the lowest cost for a request and the
 // estimated time to its first event there, or nil if no open upstream is suitable.
 func (p *pool) choose(r *round, req *request) (*upstream, time.Duration) {
--- a/core/broker/transit_test.go
+++ b/core/broker/transit_test.go
@@ -137,3 +137,20 @@
 	require.Less(t, float64(s.refused), 0.01*float64(s.offers))
 	require.Less(t, float64(s.rejected), 0.01*float64(s.offers))
 }
+
+// TestPatternOverloadedCallsAreNotRejectedByUpstreams offers three times what a plain service
+// can run. The broker refuses the surplus, so that the upstreams' queues do not overflow.
+func TestPatternOverloadedCallsAreNotRejectedByUpstreams(t *testing.T) {
+	s := newCallSim(3)
+	capacity := float64(2*3*callSlots) / callWork.Seconds()
+	for _, region := range []string{"r0", "r1"} {
+		for at := time.Duration(0); at < 4*time.Second; {
+			at += seconds(s.rng.ExpFloat64() / (3 * capacity / 2))
+			s.at(at, func() { s.call(region) })
+		}
+	}
+	s.run()
+	t.Logf("%d of %d on time, %d refused, %d rejected", s.onTime, s.offers, s.refused, s.rejected)
+	require.Less(t, float64(s.rejected), 0.01*float64(s.offers))
+	require.Greater(t, float64(s.onTime), 0.85*capacity*4, "the service stays busy and its answers on time")
+}
