Quotas: keep them through a change of broker with many entries

Cause: three ways to a second helping while no broker grants. An entry took its share from the sessions of whichever daemon it reached, one of a few at a follower or new leader instead of one of all (and its part of the retry budget and of the slots with it). Entries used one and a half times their share for as long as the outage lasted. What they granted meanwhile was not told to the next broker. Change: the share follows from the last leader's count or the member list, whichever is higher; the surplus ends after 1.5 s; a new broker is told the tokens used and takes them from the quota, again if it ends before its levels include them.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -208,6 +208,8 @@
 	share float64
 	// name distinguishes brokers that share the upstreams.
 	name string
+	// quotasResetAt is when ResetQuotas was last called.
+	quotasResetAt time.Duration
 	// quotaSlackTokens is how many tokens a workspace may use beyond its quota.
 	quotaSlackTokens float64
 	// pending collects the decisions that the next Decide returns.
@@ -297,6 +299,10 @@
 // entries, and the next broker compensates for what was used.
 const localQuotaFactor = 1.5
 
+// localQuotaFactorDuration is how long an entry without a broker uses localQuotaFactor.
+// Over a longer outage the surplus would exceed what quotas tolerate.
+const localQuotaFactorDuration = 1500 * time.Millisecond
+
 // charge takes the request's tokens from its workspace's bucket. If the bucket
 // holds too few, it returns how long it takes to refill and false.
 func (b *Broker) charge(now time.Duration, req *request) (time.Duration, bool) {
@@ -304,7 +310,7 @@
 	if req.QuotaCharge == 0 || workspace == nil {
 		return 0, true
 	}
-	rate, burst := b.quota(workspace)
+	rate, burst := b.quota(now, workspace)
 	wait, ok := b.bucket(req.Workspace).Take(now, rate, burst, req.QuotaReserve*burst, float64(req.QuotaCharge))
 	if ok {
 		req.chargedTokens = req.QuotaCharge
@@ -314,8 +320,12 @@
 
 // quota returns this broker's part of a workspace's quota: the rate in tokens per
 // second and the burst in tokens.
-func (b *Broker) quota(workspace *routes.Workspace) (rate, burst float64) {
-	rate = float64(workspace.TokensPerSecond) * min(1, b.share*localQuotaFactor)
+func (b *Broker) quota(now time.Duration, workspace *routes.Workspace) (rate, burst float64) {
+	factor := 1.0
+	if now-b.quotasResetAt < localQuotaFactorDuration {
+		factor = localQuotaFactor
+	}
+	rate = float64(workspace.TokensPerSecond) * min(1, b.share*factor)
 	burst = (float64(workspace.TokenBurst) + b.quotaSlackTokens*burstSlackFraction) * b.share
 	return rate, burst
 }
@@ -343,7 +353,7 @@
 		if workspace == nil {
 			continue
 		}
-		rate, burst := b.quota(workspace)
+		rate, burst := b.quota(now, workspace)
 		if left := bucket.Level(now, rate, burst) / burst; left < nearlyFullLevel {
 			out[name] = left
 		}
@@ -356,14 +366,28 @@
 func (b *Broker) LowerQuotas(now time.Duration, levels map[string]float64) {
 	for name, left := range levels {
 		if workspace := b.workspace(name); workspace != nil {
-			rate, burst := b.quota(workspace)
+			rate, burst := b.quota(now, workspace)
 			b.bucket(name).Lower(now, rate, burst, left*burst)
 		}
 	}
 }
 
+// SpendQuotas takes the tokens, by workspace, that an entry granted by itself while it had
+// no broker.
+func (b *Broker) SpendQuotas(now time.Duration, used map[string]int64) {
+	for name, tokens := range used {
+		if workspace := b.workspace(name); workspace != nil {
+			rate, burst := b.quota(now, workspace)
+			b.bucket(name).Spend(now, rate, burst, float64(tokens))
+		}
+	}
+}
+
 // ResetQuotas resets all quotas to full; LowerQuotas may reduce them afterwards.
-func (b *Broker) ResetQuotas() { clear(b.buckets) }
+func (b *Broker) ResetQuotas(now time.Duration) {
+	clear(b.buckets)
+	b.quotasResetAt = now
+}
 
 // workspace returns the named workspace, or nil if it is unknown or has no quota.
 func (b *Broker) workspace(name string) *routes.Workspace {
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -182,6 +182,79 @@
 	require.Empty(t, b.Decide(now).Refusals)
 }
 
+// TestLongOutageKeepsQuota lets a saturated workspace use the local brokers of all entries
+// evenly during an outage, and then a new broker. Over any window of eight seconds it may
+// use a tenth more than its rate and burst.
+func TestLongOutageKeepsQuota(t *testing.T) {
+	const rate, burst, entries, request = 10_000, 10_000, 50, 40
+	const step, windowSteps = 100 * time.Millisecond, 80
+	table := routes.NewIndex(&routes.Table{Workspaces: []routes.Workspace{{Name: "w", TokensPerSecond: rate, TokenBurst: burst}}})
+	number := uint64(0)
+	// use offers as many requests as a broker accepts and returns the granted tokens.
+	use := func(b *Broker, now time.Duration) int64 {
+		granted := int64(0)
+		for {
+			number++
+			o := newOffer(number)
+			o.Workspace, o.QuotaCharge = "w", request
+			b.Offer(now, o)
+			d := b.Decide(now)
+			if len(d.Grants) == 0 {
+				return granted
+			}
+			granted += request
+		}
+	}
+	broker := func(share float64) *Broker {
+		b := New(share)
+		b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Address: "a", Slots: 1 << 20}})
+		b.SetTable(table)
+		return b
+	}
+	usedBySteps := []int64{}
+	now := time.Minute
+	run := func(steps int, brokers ...*Broker) []int64 {
+		byBroker := make([]int64, len(brokers))
+		for range steps {
+			sum := int64(0)
+			for i, b := range brokers {
+				n := use(b, now)
+				byBroker[i] += n
+				sum += n
+			}
+			usedBySteps = append(usedBySteps, sum)
+			now += step
+		}
+		return byBroker
+	}
+	first := broker(1)
+	run(20, first)
+	levels := first.QuotaLevels(now)
+	locals := []*Broker{}
+	for range entries {
+		b := broker(1.0 / entries)
+		b.ResetQuotas(now)
+		b.LowerQuotas(now, levels)
+		locals = append(locals, b)
+	}
+	byEntry := run(50, locals...)
+	next := broker(1)
+	for _, tokens := range byEntry {
+		next.LowerQuotas(now, levels)
+		next.SpendQuotas(now, map[string]int64{"w": tokens})
+	}
+	run(100, next)
+	most := int64(0)
+	for i := range usedBySteps {
+		sum := int64(0)
+		for _, n := range usedBySteps[i:min(len(usedBySteps), i+windowSteps)] {
+			sum += n
+		}
+		most = max(most, sum)
+	}
+	require.LessOrEqual(t, float64(most), 1.1*(burst+rate*(windowSteps*step).Seconds()))
+}
+
 // TestBrokerChangeGrantsNoSecondBurst guards against a quota that starts full at
 // each broker: it uses up a quota at one broker, then at nine local brokers and at
 // the next broker, all of which received the first broker's quota levels.
--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -37,6 +37,12 @@
 	b.level = min(b.level, level)
 }
 
+// Spend takes n tokens that were used already; the level may become negative.
+func (b *Bucket) Spend(now time.Duration, rate, burst, n float64) {
+	b.refill(now, rate, burst)
+	b.level -= n
+}
+
 // Refund adds tokens that were taken but not used.
 func (b *Bucket) Refund(n float64) { b.level += n }
 
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -129,6 +129,7 @@
 		s.core.Cancel(broker.ID{Entry: entry, Number: id})
 	}
 	s.core.LowerQuotas(now, brokerwire.DecodeQuotaLevels(ask.Quotas))
+	s.core.SpendQuotas(now, brokerwire.DecodeQuotaUse(ask.Quotas))
 	for _, o := range ask.Offers {
 		s.core.Offer(now, brokerwire.DecodeOffer(now, entry, o))
 	}
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -48,6 +48,7 @@
 	self    string
 	link    port.Link
 	view    port.TableView
+	members port.Members
 	metrics *metrics
 	started time.Time
 	ctx     context.Context
@@ -63,10 +64,15 @@
 	lastNumber uint64
 	// attached is true while a broker grants in the session.
 	attached bool
-	// entries is the number of entries that share the upstreams.
-	entries int
-	waiting map[uint64]*acquisition
-	running map[uint64]*acquisition
+	// brokerEntries is the number of entries that the last broker served, and
+	// liveEntries the number in the member list, counted at membersCountedAt. entries is
+	// the number of entries that share the upstreams; see updateShare.
+	brokerEntries    int
+	liveEntries      int
+	membersCountedAt time.Duration
+	entries          int
+	waiting          map[uint64]*acquisition
+	running          map[uint64]*acquisition
 	// pending collects what the next message to the broker carries.
 	pending rpc.BrokerAsk
 	// local is the local broker and tableVersion the version of its route table.
@@ -77,6 +83,11 @@
 	// quotaLevels holds, by workspace, the fraction of the quota that is left, as the
 	// last broker sent it. It omits full quotas.
 	quotaLevels map[string]float64
+	// localUse holds, by workspace, the tokens that the entry granted by itself and that
+	// no broker has accounted for yet; reportedUse is the part of it that the broker of
+	// the session was told.
+	localUse    map[string]int64
+	reportedUse map[string]int64
 	// roster holds the upstreams as the control daemon sent them. localStale is true if
 	// the local broker lacks changes of it; localUpdated is when it last had all.
 	roster       map[string]*rpc.RosterEntry
@@ -110,7 +121,7 @@
 	return &Service{
 		set: set, log: log.Named("work"), metrics: newMetrics(), self: self.String(), started: time.Now(), wakeSession: make(chan struct{}, 1), wakeLocal: make(chan struct{}, 1),
 		waiting: map[uint64]*acquisition{}, running: map[uint64]*acquisition{}, local: local, entries: 1, roster: map[string]*rpc.RosterEntry{},
-		quotaLevels: map[string]float64{},
+		quotaLevels: map[string]float64{}, localUse: map[string]int64{}, reportedUse: map[string]int64{},
 	}
 }
 
@@ -118,7 +129,9 @@
 func (s *Service) Name() string { return port.NameBrokerClient }
 
 // Needs returns the services that Start looks up; the view knows the leader.
-func (s *Service) Needs() []string { return []string{port.NameLink, port.NameView, port.NameMetrics} }
+func (s *Service) Needs() []string {
+	return []string{port.NameLink, port.NameView, port.NameMembers, port.NameMetrics}
+}
 
 // Start starts the session loop and the local broker.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
@@ -129,6 +142,9 @@
 	if s.view, err = kernel.Find[port.TableView](k, port.NameView); err != nil {
 		return err
 	}
+	if s.members, err = kernel.Find[port.Members](k, port.NameMembers); err != nil {
+		return err
+	}
 	registry, err := kernel.Find[port.Metrics](k, port.NameMetrics)
 	if err != nil {
 		return err
@@ -230,6 +246,9 @@
 	delete(s.waiting, g.ID.Number)
 	s.metrics.grants.WithLabelValues(by).Inc()
 	a.grant, a.decidedBy = g, by
+	if by == byEntry && a.offer.QuotaCharge > 0 {
+		s.localUse[a.offer.Workspace] += int64(a.offer.QuotaCharge)
+	}
 	a.offer.Running = g.Upstream
 	a.offer.QuotaCharge = 0
 	s.running[g.ID.Number] = a
--- a/internal/brokerclient/local.go
+++ b/internal/brokerclient/local.go
@@ -43,6 +43,7 @@
 	if left := s.localAllowedFrom - s.now(); left > 0 {
 		return left
 	}
+	s.updateShare()
 	decisions := s.local.Decide(s.now())
 	for _, g := range decisions.Grants {
 		s.settleGrant(g, byEntry)
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,6 +37,8 @@
 	// backOffDelay is how long a daemon is avoided after a session with it failed: the
 	// others need that long to elect another leader.
 	backOffDelay = 1500 * time.Millisecond
+	// memberCountInterval is how often the entries in the member list are counted.
+	memberCountInterval = 500 * time.Millisecond
 )
 
 var (
@@ -103,6 +106,7 @@
 	}
 	wasAttached := s.attached
 	s.attached = false
+	clear(s.reportedUse)
 	s.metrics.attached.Set(0)
 	if wasAttached {
 		s.metrics.brokerLost.Inc()
@@ -113,7 +117,7 @@
 		s.updateLocalBroker()
 	}
 	if wasAttached {
-		s.local.ResetQuotas()
+		s.local.ResetQuotas(now)
 		s.local.LowerQuotas(now, s.quotaLevels)
 	}
 	for _, a := range s.waiting {
@@ -237,8 +241,10 @@
 func (s *Service) handle(address string, r *rpc.BrokerReply, timedOut bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries = max(1, int(r.Entries))
-	s.local.SetShare(1 / float64(s.entries))
+	if r.Leads {
+		s.brokerEntries = int(r.Entries)
+	}
+	s.updateShare()
 	s.updateRoster(r)
 	s.updateQuotaLevels(r)
 	leader := port.Leader{Address: r.Leader, Term: r.LeaderTerm}
@@ -276,6 +282,7 @@
 func (s *Service) updateQuotaLevels(r *rpc.BrokerReply) {
 	if r.QuotasSet {
 		clear(s.quotaLevels)
+		s.forgetReportedUse()
 	}
 	for name, left := range brokerwire.DecodeQuotaLevels(r.Quotas) {
 		if left < 1 {
@@ -286,6 +293,36 @@
 	}
 }
 
+// forgetReportedUse drops the local use that the broker of the session was told: the levels
+// that it sends from now on include it. The caller holds the lock.
+func (s *Service) forgetReportedUse() {
+	for name, tokens := range s.reportedUse {
+		if s.localUse[name] -= tokens; s.localUse[name] <= 0 {
+			delete(s.localUse, name)
+		}
+	}
+	clear(s.reportedUse)
+}
+
+// updateShare sets this entry's share of upstreams, quotas and the retry budget. A new
+// broker does not serve all entries yet, a follower serves only some of them, and the
+// member list of a new entry is incomplete, so the share follows from the highest count.
+// The caller holds the lock.
+func (s *Service) updateShare() {
+	now := s.now()
+	if s.members != nil && (s.membersCountedAt == 0 || now-s.membersCountedAt >= memberCountInterval) {
+		s.membersCountedAt = now
+		s.liveEntries = 0
+		for _, m := range s.members.Live() {
+			if m.Callers != "" {
+				s.liveEntries++
+			}
+		}
+	}
+	s.entries = max(1, s.brokerEntries, s.liveEntries)
+	s.local.SetShare(1 / float64(s.entries))
+}
+
 // attach offers all waiting and running requests to the broker of the session, which has
 // just been found to lead. The caller holds the lock.
 func (s *Service) attach(address string) {
@@ -294,7 +331,8 @@
 	s.leaderlessSessions = 0
 	s.backOffUntil = 0
 	now := s.now()
-	s.pending.Quotas = brokerwire.EncodeQuotaLevels(s.quotaLevels)
+	s.pending.Quotas = brokerwire.EncodeQuotaReport(s.quotaLevels, s.localUse)
+	s.reportedUse = maps.Clone(s.localUse)
 	for _, a := range s.running {
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(now, a.offer))
 	}
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -343,3 +343,58 @@
 	require.NoError(t, s.handle("a", &rpc.BrokerReply{Leads: true}, false))
 	require.Positive(t, s.firstMessage().RosterAgeMs)
 }
+
+// memberList is a member list with a number of entries and two control daemons.
+type memberList struct {
+	port.Members
+	entries int
+}
+
+func (m memberList) Live() []port.Member {
+	out := make([]port.Member, m.entries+2)
+	for i := range m.entries {
+		out[i].Callers = "a"
+	}
+	return out
+}
+
+// TestShareCountsAllEntries guards against an entry that takes the whole capacity and quota,
+// since the daemon of its session serves few entries: a follower, or a new leader.
+func TestShareCountsAllEntries(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
+	s.view = &view{changed: make(chan struct{})}
+	s.members = memberList{entries: 200}
+	require.NoError(t, s.handle("a", &rpc.BrokerReply{Entries: 1}, false))
+	require.Equal(t, 200, s.Entries())
+	require.NoError(t, s.handle("b", &rpc.BrokerReply{Leads: true, Entries: 300}, false))
+	require.Equal(t, 300, s.Entries(), "the member list is not complete yet")
+	require.ErrorIs(t, s.handle("b", &rpc.BrokerReply{Entries: 4}, false), errNotLeader)
+	require.Equal(t, 300, s.Entries(), "a follower does not know all entries")
+}
+
+// TestNewBrokerLearnsLocalUse checks that tokens granted without a broker are reported to the
+// next one, and again to its successor if its levels did not include them yet.
+func TestNewBrokerLearnsLocalUse(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
+	s.view = &view{changed: make(chan struct{})}
+	grant := func(number uint64) {
+		s.waiting[number] = &acquisition{offer: broker.Offer{ID: broker.ID{Entry: "e", Number: number}, Workspace: "w", QuotaCharge: 40}, settled: make(chan struct{})}
+		s.settleGrant(broker.Grant{ID: broker.ID{Entry: "e", Number: number}, Upstream: "u"}, byEntry)
+	}
+	leads := &rpc.BrokerReply{Leads: true, Entries: 3}
+	reported := func() map[string]int64 { return brokerwire.DecodeQuotaUse(s.pending.Quotas) }
+	grant(1)
+	grant(2)
+	require.NoError(t, s.handle("a", leads, false))
+	require.Equal(t, map[string]int64{"w": 80}, reported())
+	s.detach("a", errBrokerTimeout)
+	grant(3)
+	s.pending = rpc.BrokerAsk{}
+	require.NoError(t, s.handle("b", leads, false))
+	require.Equal(t, map[string]int64{"w": 120}, reported(), "the first broker ended before it sent levels")
+	require.NoError(t, s.handle("b", &rpc.BrokerReply{Leads: true, QuotasSet: true}, false))
+	s.detach("b", errBrokerTimeout)
+	s.pending = rpc.BrokerAsk{}
+	require.NoError(t, s.handle("c", leads, false))
+	require.Empty(t, reported())
+}
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -6,6 +6,7 @@
 package brokerwire
 
 import (
+	"math"
 	"time"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
@@ -129,6 +130,37 @@
 	return out
 }
 
+// EncodeQuotaReport encodes what an entry reports to a new broker: the fractions of quotas
+// that the last broker left and the tokens used since, both by workspace. A workspace
+// without a level has its full quota.
+func EncodeQuotaReport(levels map[string]float64, used map[string]int64) []*rpc.QuotaLevel {
+	out := EncodeQuotaLevels(levels)
+	listed := map[string]*rpc.QuotaLevel{}
+	for _, q := range out {
+		listed[q.Workspace] = q
+	}
+	for name, tokens := range used {
+		q := listed[name]
+		if q == nil {
+			q = &rpc.QuotaLevel{Workspace: name, Left: permille}
+			out = append(out, q)
+		}
+		q.Used = uint64(tokens)
+	}
+	return out
+}
+
+// DecodeQuotaUse decodes the tokens used without a broker, by workspace.
+func DecodeQuotaUse(list []*rpc.QuotaLevel) map[string]int64 {
+	out := map[string]int64{}
+	for _, q := range list {
+		if q.Used > 0 {
+			out[q.Workspace] = int64(min(q.Used, math.MaxInt64))
+		}
+	}
+	return out
+}
+
 // DecodeQuotaLevels decodes the fractions of quotas that are left, by workspace.
 func DecodeQuotaLevels(list []*rpc.QuotaLevel) map[string]float64 {
 	out := map[string]float64{}
