forward: reuse a connection whose writer reports after the response

TestEarlyResponseClosesConnection counted connections that its own acceptor had answered but not yet pushed. Change: a completed response waits up to 50 ms for the report; the test pushes the connection before it answers, and so counts each one.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -33,6 +33,9 @@
 	minServiceResponseTimeout = 200 * time.Millisecond
 	minEngineResponseTimeout  = 600 * time.Millisecond
 	responseTimeoutFactor     = 3
+	// writeResultTimeout is how long a completed response waits for the result of
+	// writing its request before the connection is closed.
+	writeResultTimeout = 50 * time.Millisecond
 )
 
 // These texts are part of error responses to callers.
@@ -245,24 +248,30 @@
 // releaseConn returns the connection to the pool after a response, or closes it if
 // it can't carry another request.
 func (a *upstreamAttempt) releaseConn(resp *http.Response, err error) {
-	sent := false
-	select {
-	case writeErr := <-a.writeResult:
-		sent = writeErr == nil
-	default:
-	}
 	// An upstream may report a failure before it reads a long body, even if the
-	// kernel has accepted all of it: the upstream would read the rest as the
-	// next request.
+	// kernel has accepted all of it: the next request would wait behind the rest.
 	early := resp.StatusCode >= http.StatusBadRequest && len(a.body) > minEarlyResponseBodyBytes
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if err != nil || !sent || resp.Close || early || !framed || a.conn.reader.Buffered() > 0 || !a.detachConn() {
+	if err != nil || early || !a.requestSent() || resp.Close || !framed || a.conn.reader.Buffered() > 0 || !a.detachConn() {
 		_ = a.conn.Close()
 		return
 	}
 	a.s.conns.put(a.ticket.Address, a.conn, resp.Header)
 }
 
+// requestSent reports whether the whole request was written. The goroutine that wrote it
+// may report that later than the upstream responds.
+func (a *upstreamAttempt) requestSent() bool {
+	timeout := time.NewTimer(writeResultTimeout)
+	defer timeout.Stop()
+	select {
+	case err := <-a.writeResult:
+		return err == nil
+	case <-timeout.C:
+		return false
+	}
+}
+
 // relayBody reads a whole response and relays it. A server error is kept and
 // relayed only if no other attempt succeeds.
 func (a *upstreamAttempt) relayBody(ctx context.Context, resp *http.Response) nextStep {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -165,8 +165,8 @@
 				return
 			}
 			// Respond before the long body is read, and keep the connection open.
-			_, _ = io.WriteString(c, "HTTP/1.1 413 x\r\nId: attempt-1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n")
 			conns <- c
+			_, _ = io.WriteString(c, "HTTP/1.1 413 x\r\nId: attempt-1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n")
 		}
 	}()
 	r := newTestEntry(t)
