Broker: send learned estimates to entries at intervals

Cause: each change of a learned time by a quarter went to all entries at once, the same message encoded for each of 291 sessions, twice a second while times are still being learned; entries need estimates only while they have no broker. Each round also searched all requests for orphans. Change: a change of estimates alone is sent at most every 4 s an upstream; the search runs when an orphan is due. Measured: TestEstimatesAreAnnouncedAtIntervals fails before (sent after 1 s) and holds.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -208,6 +208,8 @@
 	share float64
 	// name distinguishes brokers that share the upstreams.
 	name string
+	// nextOrphanEnd is the earliest time at which an orphaned request is dropped.
+	nextOrphanEnd time.Duration
 	// quotasResetAt is when ResetQuotas was last called.
 	quotasResetAt time.Duration
 	// quotaSlackTokens is how many tokens a workspace may use beyond its quota.
@@ -497,6 +499,7 @@
 			continue
 		}
 		req.orphanedUntil = max(now, req.expectedEnd) + orphanTimeout
+		b.nextOrphanEnd = min(b.nextOrphanEnd, req.orphanedUntil)
 	}
 }
 
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -69,9 +70,17 @@
 }
 
 func (b *Broker) dropOrphans(now time.Duration) {
+	if now < b.nextOrphanEnd {
+		return
+	}
+	b.nextOrphanEnd = math.MaxInt64
 	for _, req := range b.requests {
-		if req.orphanedUntil != 0 && req.orphanedUntil <= now {
+		switch {
+		case req.orphanedUntil == 0:
+		case req.orphanedUntil <= now:
 			b.drop(req)
+		default:
+			b.nextOrphanEnd = min(b.nextOrphanEnd, req.orphanedUntil)
 		}
 	}
 }
--- a/internal/broker/rosterupdates.go
+++ b/internal/broker/rosterupdates.go
@@ -15,6 +15,9 @@
 	// changes do not affect the choice of an upstream.
 	minTimeChange        = 0.25
 	minFailureRateChange = 100
+	// estimatesInterval is the shortest time between two messages to all entries for
+	// the same upstream, if only its learned estimates changed.
+	estimatesInterval = 4 * time.Second
 )
 
 // maxRosterPart is the largest number of upstreams in one message. At 100 bytes each, a
@@ -93,7 +96,7 @@
 	for _, e := range list {
 		current := brokerwire.EncodeUpstream(e, learned[e.ID])
 		listed[e.ID] = true
-		if old := s.announced[e.ID]; old != nil && !significantChange(old, current) {
+		if old := s.announced[e.ID]; old != nil && !rosterChanged(old, current) && !(estimatesChanged(old, current) && s.rosterReadAt.Sub(s.announcedAt[e.ID]) >= estimatesInterval) {
 			continue
 		}
 		s.announced[e.ID], s.announcedAt[e.ID] = current, s.rosterReadAt
@@ -116,11 +119,17 @@
 	}
 }
 
-// significantChange reports whether a change of an upstream is sent to entries.
-func significantChange(old, current *rpc.RosterEntry) bool {
-	equal := old.Address == current.Address && old.Pool == current.Pool && old.Slots == current.Slots && old.Leaving == current.Leaving &&
-		old.Gone == current.Gone && old.Silent == current.Silent && old.DataCentre == current.DataCentre
-	return !equal || timeChanged(old.TokenUs, current.TokenUs) || timeChanged(old.CallUs, current.CallUs) ||
+// rosterChanged reports whether an upstream changed in what its heartbeats say, which is
+// sent to entries at once.
+func rosterChanged(old, current *rpc.RosterEntry) bool {
+	return old.Address != current.Address || old.Pool != current.Pool || old.Slots != current.Slots || old.Leaving != current.Leaving ||
+		old.Gone != current.Gone || old.Silent != current.Silent || old.DataCentre != current.DataCentre
+}
+
+// estimatesChanged reports whether what the broker learned about an upstream changed so much
+// that entries need it. They use it only while they have no broker.
+func estimatesChanged(old, current *rpc.RosterEntry) bool {
+	return timeChanged(old.TokenUs, current.TokenUs) || timeChanged(old.CallUs, current.CallUs) ||
 		math.Abs(float64(old.Trouble)-float64(current.Trouble)) > minFailureRateChange
 }
 
--- a/internal/broker/rosterupdates_test.go
+++ b/internal/broker/rosterupdates_test.go
@@ -59,6 +59,29 @@
 	require.Nil(t, announced())
 }
 
+// TestEstimatesAreAnnouncedAtIntervals guards against messages to all entries whenever a
+// learned time changes, which for hundreds of upstreams is all the time.
+func TestEstimatesAreAnnouncedAtIntervals(t *testing.T) {
+	h := &fakeRoster{list: []port.RosterEntry{upstream("a")}}
+	x := &session{out: make(chan *rpc.BrokerReply, sendQueueLength), end: func() {}, hasRoster: true}
+	core := broker.New(1)
+	core.SetUpstreams([]broker.Upstream{{ID: "a", Pool: "p", Slots: 2}})
+	s := &Service{core: core, roster: h, announced: map[string]*rpc.RosterEntry{}, announcedAt: map[string]time.Time{}, sessions: map[string]*session{"e": x}}
+	began := time.Now()
+	announcedAfter := func(elapsed time.Duration, callTime float64) bool {
+		core.SetEstimates([]broker.Estimates{{ID: "a", CallTime: callTime}})
+		s.rosterReadAt = began.Add(elapsed)
+		s.announceChanges(h.list)
+		return len(x.out) > 0 && (<-x.out).Roster[0].CallUs == uint32(callTime*1e6)
+	}
+	require.True(t, announcedAfter(0, 0.5))
+	require.False(t, announcedAfter(time.Second, 2))
+	require.False(t, announcedAfter(estimatesInterval, 0.5), "the same as before")
+	require.True(t, announcedAfter(estimatesInterval, 2))
+	h.list[0].Leaving = true
+	require.True(t, announcedAfter(estimatesInterval+time.Millisecond, 4), "a leaving upstream is announced at once")
+}
+
 // TestFullRosterIsSentInParts guards against messages of a size that grows with the
 // roster, and against more parts than a session's queue holds.
 func TestFullRosterIsSentInParts(t *testing.T) {
