--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -10,7 +10,8 @@
 // time, prefills prompts one after another, and decodes all running requests at
 // a common speed, which the broker learns from completed requests.
 //
-// Invariants: an upstream never has more grants than slots; each offer is
+// Invariants: an engine never has more grants than slots, and the upstream of a plain
+// service no more than keep its slots busy (see transitFactor); each offer is
 // granted at most once; a refused request was never granted.
 package broker
 
@@ -175,8 +176,10 @@
 type request struct {
 	Offer
 	arrived time.Duration
-	// assigned is the upstream that was granted; nil while the request waits.
+	// assigned is the upstream that was granted, and granted the time of the grant; nil
+	// while the request waits.
 	assigned *upstream
+	granted  time.Duration
 	// expectedEnd is when the upstream should have completed the request.
 	expectedEnd time.Duration
 	// prefilledAlone is true if the upstream had no other prompt to prefill when the
@@ -205,6 +208,10 @@
 	share float64
 	// name distinguishes brokers that share the upstreams.
 	name string
+	// nextOrphanEnd is the earliest time at which an orphaned request is dropped.
+	nextOrphanEnd time.Duration
+	// quotasResetAt is when ResetQuotas was last called.
+	quotasResetAt time.Duration
 	// quotaSlackTokens is how many tokens a workspace may use beyond its quota.
 	quotaSlackTokens float64
 	// pending collects the decisions that the next Decide returns.
@@ -234,7 +241,7 @@
 func (b *Broker) SetName(name string) { b.name = name }
 
 // SetQuotaSlack sets the number of tokens that a workspace may use beyond its quota.
-func (b *Broker) SetQuotaSlack(tokens int64) { b.quotaSlackTokens = float64(tokens) }
+func (b *Broker) SetQuotaSlack(tokens float64) { b.quotaSlackTokens = tokens }
 
 // SetShare sets the fraction of capacity and quotas that the broker may use.
 func (b *Broker) SetShare(share float64) { b.share = share }
@@ -294,6 +301,10 @@
 // entries, and the next broker compensates for what was used.
 const localQuotaFactor = 1.5
 
+// localQuotaFactorDuration is how long an entry without a broker uses localQuotaFactor.
+// Over a longer outage the surplus would exceed what quotas tolerate.
+const localQuotaFactorDuration = 1500 * time.Millisecond
+
 // charge takes the request's tokens from its workspace's bucket. If the bucket
 // holds too few, it returns how long it takes to refill and false.
 func (b *Broker) charge(now time.Duration, req *request) (time.Duration, bool) {
@@ -301,7 +312,7 @@
 	if req.QuotaCharge == 0 || workspace == nil {
 		return 0, true
 	}
-	rate, burst := b.quota(workspace)
+	rate, burst := b.quota(now, workspace)
 	wait, ok := b.bucket(req.Workspace).Take(now, rate, burst, req.QuotaReserve*burst, float64(req.QuotaCharge))
 	if ok {
 		req.chargedTokens = req.QuotaCharge
@@ -311,8 +322,12 @@
 
 // quota returns this broker's part of a workspace's quota: the rate in tokens per
 // second and the burst in tokens.
-func (b *Broker) quota(workspace *routes.Workspace) (rate, burst float64) {
-	rate = float64(workspace.TokensPerSecond) * min(1, b.share*localQuotaFactor)
+func (b *Broker) quota(now time.Duration, workspace *routes.Workspace) (rate, burst float64) {
+	factor := 1.0
+	if now-b.quotasResetAt < localQuotaFactorDuration {
+		factor = localQuotaFactor
+	}
+	rate = float64(workspace.TokensPerSecond) * min(1, b.share*factor)
 	burst = (float64(workspace.TokenBurst) + b.quotaSlackTokens*burstSlackFraction) * b.share
 	return rate, burst
 }
@@ -340,7 +355,7 @@
 		if workspace == nil {
 			continue
 		}
-		rate, burst := b.quota(workspace)
+		rate, burst := b.quota(now, workspace)
 		if left := bucket.Level(now, rate, burst) / burst; left < nearlyFullLevel {
 			out[name] = left
 		}
@@ -353,14 +368,28 @@
 func (b *Broker) LowerQuotas(now time.Duration, levels map[string]float64) {
 	for name, left := range levels {
 		if workspace := b.workspace(name); workspace != nil {
-			rate, burst := b.quota(workspace)
+			rate, burst := b.quota(now, workspace)
 			b.bucket(name).Lower(now, rate, burst, left*burst)
 		}
 	}
 }
 
+// SpendQuotas takes the tokens, by workspace, that an entry granted by itself while it had
+// no broker.
+func (b *Broker) SpendQuotas(now time.Duration, used map[string]int64) {
+	for name, tokens := range used {
+		if workspace := b.workspace(name); workspace != nil {
+			rate, burst := b.quota(now, workspace)
+			b.bucket(name).Spend(now, rate, burst, float64(tokens))
+		}
+	}
+}
+
 // ResetQuotas resets all quotas to full; LowerQuotas may reduce them afterwards.
-func (b *Broker) ResetQuotas() { clear(b.buckets) }
+func (b *Broker) ResetQuotas(now time.Duration) {
+	clear(b.buckets)
+	b.quotasResetAt = now
+}
 
 // workspace returns the named workspace, or nil if it is unknown or has no quota.
 func (b *Broker) workspace(name string) *routes.Workspace {
@@ -470,6 +499,7 @@
 			continue
 		}
 		req.orphanedUntil = max(now, req.expectedEnd) + orphanTimeout
+		b.nextOrphanEnd = min(b.nextOrphanEnd, req.orphanedUntil)
 	}
 }
 
@@ -527,7 +557,7 @@
 	for _, l := range list {
 		for _, p := range b.pools {
 			if u := p.upstreams[l.ID]; u != nil {
-				u.times = upstreamTimes{tokenTime: l.TokenTime, callTime: l.CallTime}
+				u.times.tokenTime, u.times.callTime = l.TokenTime, l.CallTime
 				u.health.failureRate = l.FailureRate
 			}
 		}
