--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -374,6 +374,23 @@
 	}
 }
 
+// RefillLevels returns what quota levels that a broker of all entries reported have become
+// after a time in which nothing was used. It omits full quotas.
+func (b *Broker) RefillLevels(levels map[string]float64, elapsed time.Duration) map[string]float64 {
+	out := map[string]float64{}
+	for name, left := range levels {
+		workspace := b.workspace(name)
+		if workspace == nil {
+			continue
+		}
+		burst := float64(workspace.TokenBurst) + b.quotaSlackTokens*burstSlackFraction
+		if left += float64(workspace.TokensPerSecond) * elapsed.Seconds() / max(1, burst); left < 1 {
+			out[name] = left
+		}
+	}
+	return out
+}
+
 // SpendQuotas takes the tokens, by workspace, that an entry granted by itself while it had
 // no broker.
 func (b *Broker) SpendQuotas(now time.Duration, used map[string]int64) {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -1,8 +1,9 @@
 // Package broker runs the broker service of a control daemon.
 //
-// Entries hold a session with one control daemon each. Every control daemon sends its
-// entries the roster of upstreams; the daemon that leads the log also grants upstreams
-// to their requests. A daemon that does not lead grants nothing.
+// Entries hold a session with one control daemon each, mostly the nearest. Every control
+// daemon sends its entries the roster of upstreams. The daemon that leads the log grants
+// upstreams to requests: those of its own entries, and those that the other control daemons
+// relay in batches. A daemon that neither leads nor relays grants nothing.
 package broker
 
 import (
@@ -62,6 +63,7 @@
 	set     *settings.Settings
 	log     *zap.Logger
 	view    port.TableView
+	link    port.Link
 	roster  port.Roster
 	replica leadership
 	metrics *metrics
@@ -79,7 +81,13 @@
 	leader port.Leader
 	// tableVersion is that of the route table in use.
 	tableVersion uint64
-	sessions     map[string]*session
+	// sessions holds the sessions of entries, direct or relayed, by entry. listeners
+	// holds those that get the state of this daemon: the direct ones and one per
+	// follower that relays.
+	sessions  map[string]*session
+	listeners map[*session]struct{}
+	// relay is this daemon's connection to the leader while another daemon leads.
+	relay relay
 	// announced is the last state of each upstream that was sent to the entries, and
 	// announcedAt when it was sent. nextFullRoster is when the next full roster may be
 	// sent.
@@ -100,7 +108,8 @@
 	return &Service{
 		set: set, log: log.Named("broker"), started: time.Now(), wake: make(chan struct{}, 1),
 		core: newCore(set), sessions: map[string]*session{}, announced: map[string]*rpc.RosterEntry{},
-		announcedAt: map[string]time.Time{}, sentLevels: map[string]float64{},
+		announcedAt: map[string]time.Time{}, sentLevels: map[string]float64{}, listeners: map[*session]struct{}{},
+		relay: relay{wake: make(chan struct{}, 1), estimates: map[string]broker.Estimates{}},
 	}
 }
 
@@ -120,8 +129,8 @@
 
 // Start registers the service with the link and starts to decide.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
-	link, err := kernel.Find[port.Link](k, port.NameLink)
-	if err != nil {
+	err := error(nil)
+	if s.link, err = kernel.Find[port.Link](k, port.NameLink); err != nil {
 		return err
 	}
 	if s.view, err = kernel.Find[port.TableView](k, port.NameView); err != nil {
@@ -142,7 +151,8 @@
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.done.Go(s.run)
-	return rpc.DRPCRegisterBroker(link.Mux(), s)
+	s.done.Go(s.runRelay)
+	return rpc.DRPCRegisterBroker(s.link.Mux(), s)
 }
 
 func (s *Service) now() time.Duration { return time.Since(s.started) }
@@ -178,8 +188,11 @@
 	if leader != s.leader {
 		// Let connected entries look for the new leader at once.
 		s.leader = leader
-		for _, x := range s.sessions {
-			x.send(s.reply())
+		if s.relay.up && leader.Address != "" && leader.Address != s.relay.leader {
+			s.relay.end(errRelayNotLeader)
+		}
+		for x := range s.listeners {
+			x.send(s.reply(x))
 		}
 	}
 	learned := map[string]broker.Estimates(nil)
@@ -216,6 +229,11 @@
 // setLeads starts or stops granting. It replaces the core by an empty one, which refresh
 // then fills. The caller holds the lock.
 func (s *Service) setLeads(leads bool) {
+	if s.relay.up {
+		// The entries must offer their requests anew, so they leave the relay first.
+		s.relay.up = false
+		s.replyToListeners()
+	}
 	s.leads = leads
 	s.metrics.leads.Set(map[bool]float64{true: 1}[leads])
 	if leads {
@@ -228,10 +246,9 @@
 	// Send the entries the new state at once, so that they offer all waiting and
 	// running requests to a new broker.
 	s.levelsSentAt, s.sentLevels = time.Now(), map[string]float64{}
-	for _, x := range s.sessions {
+	s.replyToListeners()
+	for x := range s.listeners {
 		s.sendRoster(x)
-		x.hasLevels = false
-		x.send(s.reply())
 	}
 }
 
@@ -248,7 +265,7 @@
 	replies := map[string]*rpc.BrokerReply{}
 	replyTo := func(entry string) *rpc.BrokerReply {
 		if replies[entry] == nil {
-			replies[entry] = s.reply()
+			replies[entry] = &rpc.BrokerReply{}
 		}
 		return replies[entry]
 	}
@@ -262,7 +279,9 @@
 	}
 	for entry, r := range replies {
 		if x := s.sessions[entry]; x != nil {
-			x.send(r)
+			state := s.reply(x)
+			state.Grants, state.Refusals = r.Grants, r.Refusals
+			x.send(state)
 		}
 	}
 	s.sendLevels()
@@ -272,10 +291,20 @@
 	return heartbeatInterval
 }
 
-// reply returns a message with the state that every message carries; without anything
-// else it is a heartbeat. The caller holds the lock.
-func (s *Service) reply() *rpc.BrokerReply {
-	return &rpc.BrokerReply{Leads: s.leads, Entries: uint32(len(s.sessions)), Leader: s.leader.Address, LeaderTerm: s.leader.Term}
+// reply returns a message with the state that every message to a session carries; without
+// anything else it is a heartbeat. A follower that relays, or will once it reaches the
+// leader, does not name the leader to its entries, so that they stay. The caller holds the
+// lock.
+func (s *Service) reply(x *session) *rpc.BrokerReply {
+	r := &rpc.BrokerReply{Leads: s.leads, Entries: uint32(len(s.sessions)), Leader: s.leader.Address, LeaderTerm: s.leader.Term}
+	if s.leads || !x.relayable {
+		return r
+	}
+	r.Leader = ""
+	if s.relay.up {
+		r.Leads, r.Entries, r.Leader = true, s.relay.entries, s.set.Addresses.Peers
+	}
+	return r
 }
 
 // Stop ends all sessions and the rounds of decisions.
@@ -294,7 +323,8 @@
 	defer s.mu.Unlock()
 	return struct {
 		Leads    bool              `json:"leads"`
+		Relays   bool              `json:"relays"`
 		Sessions int               `json:"sessions"`
 		Pools    []broker.PoolDump `json:"pools"`
-	}{s.leads, len(s.sessions), s.core.Dump()}
+	}{s.leads, s.relay.up, len(s.sessions), s.core.Dump()}
 }
--- a/internal/broker/quotalevels.go
+++ b/internal/broker/quotalevels.go
@@ -19,18 +19,23 @@
 		return
 	}
 	s.levelsSentAt = time.Now()
-	changed := s.reply()
-	changed.Quotas = brokerwire.EncodeQuotaLevels(levelChanges(s.sentLevels, s.core.QuotaLevels(s.now())))
-	all := s.reply()
-	all.QuotasSet = true
-	all.Quotas = brokerwire.EncodeQuotaLevels(s.sentLevels)
-	for _, x := range s.sessions {
+	s.queueLevels(levelChanges(s.sentLevels, s.core.QuotaLevels(s.now())))
+}
+
+// queueLevels sends changed levels to the sessions, or all of them to those that have none
+// yet. The caller holds the lock.
+func (s *Service) queueLevels(changes map[string]float64) {
+	for x := range s.listeners {
 		switch {
 		case !x.hasLevels:
 			x.hasLevels = true
-			x.send(all)
-		case len(changed.Quotas) > 0:
-			x.send(changed)
+			r := s.reply(x)
+			r.QuotasSet, r.Quotas = true, brokerwire.EncodeQuotaLevels(s.sentLevels)
+			x.send(r)
+		case len(changes) > 0:
+			r := s.reply(x)
+			r.Quotas = brokerwire.EncodeQuotaLevels(changes)
+			x.send(r)
 		}
 	}
 }
--- /dev/null
+++ b/internal/broker/relay.go
@@ -0,0 +1,235 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/brokerwire"
+	"github.com/verbenastep/verbenastep/internal/duplex"
+	"github.com/verbenastep/verbenastep/internal/wait"
+)
+
+const (
+	// relayRetryInterval is how often a follower without a relay looks for a leader.
+	relayRetryInterval = 25 * time.Millisecond
+	// relayBatchDelay is the shortest time between two messages to the leader. It is
+	// short compared with the round trip between data centres.
+	relayBatchDelay = 3 * time.Millisecond
+	// relayHeartbeatInterval is the longest time between two messages to the leader.
+	relayHeartbeatInterval = 200 * time.Millisecond
+	// relayConnectTimeout bounds the time to the leader's first message, relayTimeout
+	// the time between two of its messages.
+	relayConnectTimeout = 600 * time.Millisecond
+	relayTimeout        = 350 * time.Millisecond
+	// maxRelayedAsks bounds the messages that wait for the leader; with more, the relay
+	// ends and the entries decide by themselves.
+	maxRelayedAsks = 10_000
+)
+
+var (
+	errRelayTimeout   = errors.New("no message from the leader before the timeout")
+	errRelayNotLeader = errors.New("the daemon does not lead any more")
+	errRelayOverrun   = errors.New("too many messages wait for the leader")
+)
+
+// relay is a follower's connection to the leader, which carries the sessions of its
+// entries. Its fields are guarded by the service's lock.
+type relay struct {
+	// up is true once the daemon at the address leader has confirmed that it leads.
+	up     bool
+	leader string
+	// entries is the number of entries that the leader serves.
+	entries uint32
+	// asks and lost collect the next message to the leader.
+	asks []*rpc.BrokerAsk
+	lost []string
+	// wake notifies the sender, end ends the stream to the leader.
+	wake chan struct{}
+	end  context.CancelCauseFunc
+	// estimates holds what the leader learned, by upstream.
+	estimates map[string]broker.Estimates
+}
+
+// runRelay keeps a relay to the leader while another daemon leads.
+func (s *Service) runRelay() {
+	for s.ctx.Err() == nil {
+		leads, leader := s.replica.Leadership()
+		if leads || leader.Address == "" || leader.Address == s.set.Addresses.Peers {
+			wait.Sleep(s.ctx, relayRetryInterval)
+			continue
+		}
+		err := s.relayTo(leader.Address)
+		if s.relayDown() && s.ctx.Err() == nil {
+			s.log.Warn("relay lost", zap.String("leader", leader.Address), zap.Error(err))
+		}
+		wait.Sleep(s.ctx, relayRetryInterval)
+	}
+}
+
+// relayTo runs a relay to the leader at an address until it fails or another daemon leads.
+func (s *Service) relayTo(address string) error {
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	defer cancel(nil)
+	timeout := time.AfterFunc(relayConnectTimeout, func() { cancel(errRelayTimeout) })
+	defer timeout.Stop()
+	s.mu.Lock()
+	s.relay.end = cancel
+	s.relay.asks, s.relay.lost = nil, nil
+	s.mu.Unlock()
+	stream, err := rpc.NewDRPCBrokerClient(s.link.Conn(address)).Relay(ctx)
+	if err != nil {
+		return errors.Join(err, context.Cause(ctx))
+	}
+	defer stream.Close()
+	if err := stream.Send(&rpc.RelayAsk{Relay: s.set.Name}); err != nil {
+		return err
+	}
+	in := make(chan *rpc.RelayReply)
+	failed := make(chan error, 1)
+	go func() { failed <- duplex.Receive(ctx, stream.Recv, in) }()
+	heartbeat := time.NewTimer(relayHeartbeatInterval)
+	defer heartbeat.Stop()
+	batch := time.NewTimer(0)
+	defer batch.Stop()
+	wake := (chan struct{})(nil)
+	for {
+		err := error(nil)
+		select {
+		case <-batch.C:
+			wake = s.relay.wake
+		case <-wake:
+			err = stream.Send(s.takeRelayAsk())
+			heartbeat.Reset(relayHeartbeatInterval)
+			batch.Reset(relayBatchDelay)
+			wake = nil
+		case <-heartbeat.C:
+			err = stream.Send(s.takeRelayAsk())
+			heartbeat.Reset(relayHeartbeatInterval)
+		case r := <-in:
+			timeout.Reset(relayTimeout)
+			err = s.handleRelayReply(address, r)
+		case err = <-failed:
+		case <-ctx.Done():
+			err = context.Cause(ctx)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// takeRelayAsk returns what waits for the leader; an empty message is a heartbeat.
+func (s *Service) takeRelayAsk() *rpc.RelayAsk {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ask := &rpc.RelayAsk{Asks: s.relay.asks, Lost: s.relay.lost}
+	s.relay.asks, s.relay.lost = nil, nil
+	return ask
+}
+
+// handleRelayReply passes the leader's decisions on to the entries.
+func (s *Service) handleRelayReply(address string, r *rpc.RelayReply) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.State == nil || !r.State.Leads || s.leads {
+		return errRelayNotLeader
+	}
+	s.relay.entries = r.State.Entries
+	if !s.relay.up {
+		s.relay.up, s.relay.leader = true, address
+		s.levelsSentAt, s.sentLevels = time.Time{}, map[string]float64{}
+		s.log.Info("relaying to the leader", zap.String("leader", address), zap.Int("entries", len(s.sessions)))
+		s.replyToListeners()
+	}
+	for _, e := range r.State.Roster {
+		if _, l := brokerwire.DecodeUpstream(e); e.Gone {
+			delete(s.relay.estimates, e.Id)
+		} else {
+			s.relay.estimates[e.Id] = l
+		}
+	}
+	s.relayLevels(r.State)
+	for _, d := range r.Replies {
+		x := s.sessions[d.Entry]
+		if x == nil || !x.complete {
+			continue
+		}
+		reply := s.reply(x)
+		reply.Grants, reply.Refusals = d.Grants, d.Refusals
+		x.send(reply)
+	}
+	return nil
+}
+
+// relayLevels passes the leader's quota levels on to the entries. The caller holds the lock.
+func (s *Service) relayLevels(state *rpc.BrokerReply) {
+	if len(state.Quotas) == 0 && !state.QuotasSet {
+		return
+	}
+	levels := brokerwire.DecodeQuotaLevels(state.Quotas)
+	if state.QuotasSet {
+		clear(s.sentLevels)
+		for x := range s.listeners {
+			x.hasLevels = false
+		}
+	}
+	for name, left := range levels {
+		if left < 1 {
+			s.sentLevels[name] = left
+		} else {
+			delete(s.sentLevels, name)
+		}
+	}
+	s.queueLevels(levels)
+}
+
+// forward queues an entry's message for the leader. Messages before the first complete one
+// are of no use to a leader that does not know the entry yet. The caller holds the lock.
+func (s *Service) forward(entry string, x *session, ask *rpc.BrokerAsk) {
+	x.complete = x.complete || ask.Complete
+	if !x.complete || len(ask.Offers)+len(ask.Ends)+len(ask.Cancels)+len(ask.Quotas) == 0 && !ask.Complete {
+		return
+	}
+	if len(s.relay.asks) >= maxRelayedAsks {
+		s.relay.end(errRelayOverrun)
+		return
+	}
+	ask.Entry = entry
+	s.relay.asks = append(s.relay.asks, ask)
+	wait.Notify(s.relay.wake)
+}
+
+// forwardLoss tells the leader that the session of an entry has ended. The caller holds the
+// lock.
+func (s *Service) forwardLoss(entry string, x *session) {
+	if s.relay.up && x.complete {
+		s.relay.lost = append(s.relay.lost, entry)
+		wait.Notify(s.relay.wake)
+	}
+}
+
+// relayDown makes the entries decide by themselves. It returns true if the relay was up.
+func (s *Service) relayDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.relay.up {
+		return false
+	}
+	s.relay.up = false
+	s.replyToListeners()
+	return true
+}
+
+// replyToListeners sends the state of this daemon to all entries, which connect to its
+// broker or leave it accordingly. The caller holds the lock.
+func (s *Service) replyToListeners() {
+	for x := range s.listeners {
+		x.complete, x.hasLevels = false, false
+		x.send(s.reply(x))
+	}
+}
--- /dev/null
+++ b/internal/broker/relay_test.go
@@ -0,0 +1,210 @@
+package broker
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/internal/freeport"
+	"github.com/verbenastep/verbenastep/internal/link"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+)
+
+const (
+	relayTestTimeout = 10 * time.Second
+	relayTestPoll    = 5 * time.Millisecond
+)
+
+// fakeView is a view with a fixed route table.
+type fakeView struct{ index *routes.Index }
+
+func (v fakeView) Routes() *routes.Index    { return v.index }
+func (v fakeView) Leader() port.Leader      { return port.Leader{} }
+func (v fakeView) Changed() <-chan struct{} { return nil }
+
+// fakeElection tells all daemons of a test which of them leads.
+type fakeElection struct {
+	mu     sync.Mutex
+	leader port.Leader
+}
+
+func (e *fakeElection) elect(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leader = port.Leader{Address: address, Term: e.leader.Term + 1}
+}
+
+// electedReplica is the replica of one daemon.
+type electedReplica struct {
+	*fakeElection
+	address string
+}
+
+func (r electedReplica) Leadership() (bool, port.Leader) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leader.Address == r.address, r.leader
+}
+
+// startControls returns the started broker services of n control daemons, which share a
+// roster of one upstream, and their addresses.
+func startControls(t *testing.T, n int) ([]*Service, []string, *fakeElection) {
+	t.Helper()
+	addresses, err := freeport.Addresses(n)
+	require.NoError(t, err)
+	election := &fakeElection{}
+	index := routes.NewIndex(&routes.Table{Version: 1, Pools: []routes.Pool{{Name: "p"}}})
+	out := []*Service{}
+	for _, address := range addresses {
+		set := &settings.Settings{Name: address, Addresses: settings.Addresses{Peers: address}, Routing: &settings.Routing{}}
+		l := link.New(set, zap.NewNop())
+		require.NoError(t, l.Start(context.Background(), nil))
+		s := New(set, zap.NewNop())
+		s.view, s.roster, s.replica, s.link = fakeView{index}, &fakeRoster{list: []port.RosterEntry{upstream("u")}}, electedReplica{election, address}, l
+		s.metrics, err = newMetrics(prometheus.NewRegistry())
+		require.NoError(t, err)
+		require.NoError(t, rpc.DRPCRegisterBroker(l.Mux(), s))
+		s.ctx, s.cancel = context.WithCancel(context.Background())
+		s.done.Go(s.run)
+		s.done.Go(s.runRelay)
+		l.Serve()
+		t.Cleanup(func() {
+			_ = s.Stop(context.Background())
+			_ = l.Stop(context.Background())
+		})
+		out = append(out, s)
+	}
+	return out, addresses, election
+}
+
+// fakeEntry is the session of an entry.
+type fakeEntry struct {
+	t      *testing.T
+	stream rpc.DRPCBroker_SessionClient
+	end    context.CancelFunc
+
+	mu      sync.Mutex
+	last    *rpc.BrokerReply
+	granted map[uint64]bool
+	// losses counts the times that the daemon ceased to grant.
+	losses int
+}
+
+func connect(t *testing.T, address string, first *rpc.BrokerAsk) *fakeEntry {
+	t.Helper()
+	l := link.New(&settings.Settings{}, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	stream, err := rpc.NewDRPCBrokerClient(l.Conn(address)).Session(ctx)
+	require.NoError(t, err)
+	e := &fakeEntry{t: t, stream: stream, end: cancel, granted: map[uint64]bool{}}
+	e.send(first)
+	go func() {
+		for {
+			r, err := stream.Recv()
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			if e.last != nil && e.last.Leads && !r.Leads {
+				e.losses++
+			}
+			e.last = r
+			for _, g := range r.Grants {
+				e.granted[g.Id] = true
+			}
+			e.mu.Unlock()
+		}
+	}()
+	return e
+}
+
+func (e *fakeEntry) send(ask *rpc.BrokerAsk) { require.NoError(e.t, e.stream.Send(ask)) }
+
+// eventually waits until the entry's state has a property.
+func (e *fakeEntry) eventually(property func() bool, message string) {
+	e.t.Helper()
+	require.Eventually(e.t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.last != nil && property()
+	}, relayTestTimeout, relayTestPoll, message)
+}
+
+func testOffer(id uint64) *rpc.WorkOffer {
+	return &rpc.WorkOffer{Id: id, Pool: "p", AimMs: 60_000, WaitMs: 60_000}
+}
+
+func testEnd(id uint64) *rpc.WorkEnd {
+	return &rpc.WorkEnd{Id: id, Outcome: uint32(broker.Completed), FirstMs: 60_000}
+}
+
+// TestFollowerRelaysItsEntries offers, ends and cancels requests through a follower.
+func TestFollowerRelaysItsEntries(t *testing.T) {
+	s, addresses, election := startControls(t, 2)
+	election.elect(addresses[0])
+	e := connect(t, addresses[1], &rpc.BrokerAsk{Entry: "e", Relayable: true})
+	e.eventually(func() bool { return e.last.Leads }, "the follower relays")
+	e.send(&rpc.BrokerAsk{Complete: true, Offers: []*rpc.WorkOffer{testOffer(1), testOffer(2)}})
+	e.eventually(func() bool { return e.granted[1] && e.granted[2] }, "the leader grants both slots")
+	e.send(&rpc.BrokerAsk{Offers: []*rpc.WorkOffer{testOffer(3), testOffer(4)}})
+	e.send(&rpc.BrokerAsk{Ends: []*rpc.WorkEnd{testEnd(1)}})
+	e.eventually(func() bool { return e.granted[3] }, "a release reaches the leader")
+	require.False(t, e.granted[4])
+	e.eventually(func() bool { return e.last.Entries == 1 }, "the leader counts relayed entries")
+	sessions := func() int {
+		s[0].mu.Lock()
+		defer s[0].mu.Unlock()
+		return len(s[0].sessions)
+	}
+	require.Equal(t, 1, sessions())
+	e.end()
+	require.Eventually(t, func() bool { return sessions() == 0 }, relayTestTimeout, relayTestPoll, "the leader hears of the loss")
+}
+
+// TestRelayedEntryFollowsChangeOfLeader lets the follower of an entry's session become the
+// leader, and then a follower of another leader. Each must get the running request anew, so
+// that it does not grant the same slot again.
+func TestRelayedEntryFollowsChangeOfLeader(t *testing.T) {
+	_, addresses, election := startControls(t, 3)
+	election.elect(addresses[0])
+	e := connect(t, addresses[1], &rpc.BrokerAsk{Entry: "e", Relayable: true})
+	e.eventually(func() bool { return e.last.Leads }, "the follower relays")
+	running := []*rpc.WorkOffer{testOffer(1), testOffer(2)}
+	e.send(&rpc.BrokerAsk{Complete: true, Offers: running})
+	e.eventually(func() bool { return e.granted[1] && e.granted[2] }, "both slots are granted")
+	for _, o := range running {
+		o.Running = "u"
+	}
+	for i, leader := range []string{addresses[1], addresses[2]} {
+		election.elect(leader)
+		e.eventually(func() bool { return e.losses == i+1 && e.last.Leads }, "the entry leaves its broker and finds the next")
+		id := uint64(10 + i)
+		e.send(&rpc.BrokerAsk{Complete: true, Offers: append([]*rpc.WorkOffer{testOffer(id)}, running...)})
+		time.Sleep(20 * relayTestPoll)
+		e.mu.Lock()
+		require.False(t, e.granted[id], "both slots are in use")
+		e.mu.Unlock()
+		e.send(&rpc.BrokerAsk{Ends: []*rpc.WorkEnd{testEnd(uint64(i + 1))}})
+		e.eventually(func() bool { return e.granted[id] }, "the new leader knows the running requests")
+		running[i] = &rpc.WorkOffer{Id: id, Pool: "p", AimMs: 60_000, WaitMs: 60_000, Running: "u"}
+	}
+}
+
+// TestEntryOfEarlierVersionIsToldTheLeader checks that a follower does not relay for an entry
+// that would not offer its requests to it.
+func TestEntryOfEarlierVersionIsToldTheLeader(t *testing.T) {
+	_, addresses, election := startControls(t, 2)
+	election.elect(addresses[0])
+	e := connect(t, addresses[1], &rpc.BrokerAsk{Entry: "e"})
+	e.eventually(func() bool { return !e.last.Leads && e.last.Leader == addresses[0] }, "the follower names the leader")
+}
--- a/internal/broker/rosterupdates.go
+++ b/internal/broker/rosterupdates.go
@@ -70,7 +70,7 @@
 // queueRoster queues the full roster for an entry, or the changes that it lacks, in
 // messages of at most maxRosterPart upstreams. The caller holds the lock.
 func (s *Service) queueRoster(x *session, full bool) {
-	r := s.reply()
+	r := s.reply(x)
 	r.RosterSet = full
 	for id, e := range s.announced {
 		if full && e.Gone || !full && s.announcedAt[id].Before(x.outdatedSince) {
@@ -79,7 +79,7 @@
 		r.Roster = append(r.Roster, e)
 		if len(r.Roster) == maxRosterPart {
 			x.send(r)
-			r = s.reply()
+			r = s.reply(x)
 		}
 	}
 	if r.RosterSet || len(r.Roster) > 0 {
@@ -90,8 +90,11 @@
 // announceChanges sends the entries the upstreams that changed since the last call, so
 // that traffic grows with the changes and not with the roster. The caller holds the lock.
 func (s *Service) announceChanges(list []port.RosterEntry) {
-	r := s.reply()
+	changed := []*rpc.RosterEntry{}
 	learned := s.core.Estimates()
+	if !s.leads {
+		learned = s.relay.estimates
+	}
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		current := brokerwire.EncodeUpstream(e, learned[e.ID])
@@ -100,20 +103,22 @@
 			continue
 		}
 		s.announced[e.ID], s.announcedAt[e.ID] = current, s.rosterReadAt
-		r.Roster = append(r.Roster, current)
+		changed = append(changed, current)
 	}
 	for id, old := range s.announced {
 		if !listed[id] {
 			delete(s.announced, id)
 			delete(s.announcedAt, id)
-			r.Roster = append(r.Roster, &rpc.RosterEntry{Id: id, Pool: old.Pool, Gone: true})
+			changed = append(changed, &rpc.RosterEntry{Id: id, Pool: old.Pool, Gone: true})
 		}
 	}
-	if len(r.Roster) == 0 {
+	if len(changed) == 0 {
 		return
 	}
-	for _, x := range s.sessions {
+	for x := range s.listeners {
 		if x.hasRoster {
+			r := s.reply(x)
+			r.Roster = changed
 			x.send(r)
 		}
 	}
--- a/internal/broker/rosterupdates_test.go
+++ b/internal/broker/rosterupdates_test.go
@@ -35,7 +35,7 @@
 func TestOnlyChangesAreAnnounced(t *testing.T) {
 	h := &fakeRoster{list: []port.RosterEntry{upstream("a"), upstream("b")}}
 	x := &session{out: make(chan *rpc.BrokerReply, sendQueueLength), end: func() {}, hasRoster: true}
-	s := &Service{core: broker.New(1), roster: h, announced: map[string]*rpc.RosterEntry{}, announcedAt: map[string]time.Time{}, sessions: map[string]*session{"e": x}}
+	s := &Service{core: broker.New(1), roster: h, announced: map[string]*rpc.RosterEntry{}, announcedAt: map[string]time.Time{}, listeners: map[*session]struct{}{x: {}}}
 	announced := func() []string {
 		s.announceChanges(h.list)
 		select {
@@ -66,7 +66,7 @@
 	x := &session{out: make(chan *rpc.BrokerReply, sendQueueLength), end: func() {}, hasRoster: true}
 	core := broker.New(1)
 	core.SetUpstreams([]broker.Upstream{{ID: "a", Pool: "p", Slots: 2}})
-	s := &Service{core: core, roster: h, announced: map[string]*rpc.RosterEntry{}, announcedAt: map[string]time.Time{}, sessions: map[string]*session{"e": x}}
+	s := &Service{leads: true, core: core, roster: h, announced: map[string]*rpc.RosterEntry{}, announcedAt: map[string]time.Time{}, listeners: map[*session]struct{}{x: {}}}
 	began := time.Now()
 	announcedAfter := func(elapsed time.Duration, callTime float64) bool {
 		core.SetEstimates([]broker.Estimates{{ID: "a", CallTime: callTime}})
@@ -87,7 +87,7 @@
 func TestFullRosterIsSentInParts(t *testing.T) {
 	const upstreams = 10_000 // the size of the target deployment
 	x := &session{out: make(chan *rpc.BrokerReply, sendQueueLength), end: func() { require.Fail(t, "the session's queue is full") }}
-	s := &Service{core: broker.New(1), announced: map[string]*rpc.RosterEntry{}, announcedAt: map[string]time.Time{}, sessions: map[string]*session{"e": x}}
+	s := &Service{core: broker.New(1), announced: map[string]*rpc.RosterEntry{}, announcedAt: map[string]time.Time{}, listeners: map[*session]struct{}{x: {}}}
 	list := []port.RosterEntry{}
 	for i := range upstreams {
 		list = append(list, upstream(fmt.Sprintf("i-%08x", i)))
@@ -113,7 +113,7 @@
 // once, for example after a restart of the whole deployment.
 func TestFullRostersAreRateLimited(t *testing.T) {
 	const upstreams, entries = 3000, 300
-	s := &Service{core: broker.New(1), announced: map[string]*rpc.RosterEntry{}, announcedAt: map[string]time.Time{}, sessions: map[string]*session{}}
+	s := &Service{core: broker.New(1), announced: map[string]*rpc.RosterEntry{}, announcedAt: map[string]time.Time{}, listeners: map[*session]struct{}{}}
 	list := []port.RosterEntry{}
 	for i := range upstreams {
 		list = append(list, upstream(fmt.Sprintf("i-%08x", i)))
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -17,6 +17,14 @@
 type session struct {
 	out chan *rpc.BrokerReply
 	end context.CancelFunc
+	// via is the stream of the follower that relays the session; nil for a direct one.
+	// entry is then the entry's name.
+	via   *relayed
+	entry string
+	// relayable is true if the entry accepts grants from a follower. complete is true
+	// once it has sent all its requests to the present leader.
+	relayable bool
+	complete  bool
 	// hasRoster is true if the entry has a roster and gets its changes, hasFullRoster
 	// if this daemon sent the full roster. outdatedSince is the time from which on the
 	// entry's own roster may lack changes; zero if the entry has none.
@@ -30,6 +38,10 @@
 // send queues a message. It ends a session whose queue is full; the entry then connects
 // again and offers its requests anew.
 func (x *session) send(r *rpc.BrokerReply) {
+	if x.via != nil {
+		x.via.queue(x, r)
+		return
+	}
 	select {
 	case x.out <- r:
 	default:
@@ -48,20 +60,20 @@
 	defer cancel()
 	stop := context.AfterFunc(s.ctx, cancel)
 	defer stop()
-	x := &session{out: make(chan *rpc.BrokerReply, sendQueueLength), end: cancel}
+	x := &session{out: make(chan *rpc.BrokerReply, sendQueueLength), end: cancel, relayable: first.Relayable}
 	s.join(first, x)
 	defer s.leave(first.Entry, x)
 	return duplex.Server[*rpc.BrokerAsk, *rpc.BrokerReply]{
-		Recv: stream.Recv, Send: stream.Send, Outgoing: x.out, HeartbeatInterval: heartbeatInterval, IdleTimeout: sessionTimeout, NewHeartbeat: s.heartbeat,
+		Recv: stream.Recv, Send: stream.Send, Outgoing: x.out, HeartbeatInterval: heartbeatInterval, IdleTimeout: sessionTimeout, NewHeartbeat: func() *rpc.BrokerReply { return s.heartbeat(x) },
 		Handle: func(ask *rpc.BrokerAsk) { s.handle(first.Entry, x, ask) },
 	}.Run(ctx)
 }
 
 // heartbeat returns a message that carries only the state of this daemon.
-func (s *Service) heartbeat() *rpc.BrokerReply {
+func (s *Service) heartbeat(x *session) *rpc.BrokerReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reply()
+	return s.reply(x)
 }
 
 // join registers the session of an entry and replaces the state of the entry by the
@@ -70,43 +82,65 @@
 	s.refresh(false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old := s.sessions[first.Entry]; old != nil {
-		old.end()
-	}
-	s.sessions[first.Entry] = x
+	s.add(first.Entry, x)
+	s.listeners[x] = struct{}{}
 	x.outdatedSince = outdatedSince(first)
-	s.metrics.entries.Set(float64(len(s.sessions)))
 	s.log.Info("entry connected", zap.String("entry", first.Entry), zap.Int("offers", len(first.Offers)), zap.Bool("leads", s.leads))
 	if !s.leads && s.leader.Address != "" {
-		// The entry connects to the leader instead, or stays and gets the roster with
-		// its next message.
-		x.send(s.reply())
+		// The entry uses the relay, connects to the leader instead, or stays and gets
+		// the roster with its next message.
+		x.send(s.reply(x))
 		return
 	}
 	s.sendRoster(x)
 	if !s.leads {
 		return
 	}
+	s.resync(first.Entry, first.Offers)
+	wait.Notify(s.wake)
+}
+
+// add registers the session of an entry and ends an older one. The caller holds the lock.
+func (s *Service) add(entry string, x *session) {
+	if old := s.sessions[entry]; old != nil {
+		old.end()
+	}
+	s.sessions[entry] = x
+	s.metrics.entries.Set(float64(len(s.sessions)))
+}
+
+// resync replaces what the broker knows of an entry. The caller holds the lock.
+func (s *Service) resync(entry string, list []*rpc.WorkOffer) {
 	now := s.now()
-	offers := make([]broker.Offer, 0, len(first.Offers))
-	for _, o := range first.Offers {
-		offers = append(offers, brokerwire.DecodeOffer(now, first.Entry, o))
+	offers := make([]broker.Offer, 0, len(list))
+	for _, o := range list {
+		offers = append(offers, brokerwire.DecodeOffer(now, entry, o))
 	}
-	s.core.Resync(now, first.Entry, offers)
-	wait.Notify(s.wake)
+	s.core.Resync(now, entry, offers)
 }
 
 // leave removes a session, unless a newer one of the entry replaced it.
 func (s *Service) leave(entry string, x *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.listeners, x)
+	if s.sessions[entry] != x {
+		return
+	}
+	s.forwardLoss(entry, x)
+	s.remove(entry, x)
+	s.log.Info("entry disconnected", zap.String("entry", entry))
+}
+
+// remove removes a session, unless a newer one of the entry replaced it. The caller holds
+// the lock.
+func (s *Service) remove(entry string, x *session) {
 	if s.sessions[entry] != x {
 		return
 	}
 	delete(s.sessions, entry)
 	s.metrics.entries.Set(float64(len(s.sessions)))
 	s.core.LoseEntry(s.now(), entry)
-	s.log.Info("entry disconnected", zap.String("entry", entry))
 }
 
 // handle handles one message of an entry. It ignores messages of sessions that were
@@ -118,9 +152,16 @@
 		return
 	}
 	s.sendRoster(x)
-	if !s.leads {
-		return
+	switch {
+	case s.leads:
+		s.apply(entry, ask)
+	case s.relay.up && x.relayable:
+		s.forward(entry, x, ask)
 	}
+}
+
+// apply passes an entry's message to the broker. The caller holds the lock.
+func (s *Service) apply(entry string, ask *rpc.BrokerAsk) {
 	now := s.now()
 	for _, e := range ask.Ends {
 		s.core.End(now, brokerwire.DecodeEnd(entry, e))
@@ -130,8 +171,12 @@
 	}
 	s.core.LowerQuotas(now, brokerwire.DecodeQuotaLevels(ask.Quotas))
 	s.core.SpendQuotas(now, brokerwire.DecodeQuotaUse(ask.Quotas))
-	for _, o := range ask.Offers {
-		s.core.Offer(now, brokerwire.DecodeOffer(now, entry, o))
+	if ask.Complete {
+		s.resync(entry, ask.Offers)
+	} else {
+		for _, o := range ask.Offers {
+			s.core.Offer(now, brokerwire.DecodeOffer(now, entry, o))
+		}
 	}
 	if len(ask.Ends)+len(ask.Cancels)+len(ask.Offers) > 0 {
 		wait.Notify(s.wake)
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -1,7 +1,7 @@
 // Package brokerclient is the entry's client of the broker.
 //
-// It keeps a session with the control daemon that leads, offers the entry's requests
-// there and waits for grants. While no broker grants, a local broker does, within the
+// It keeps a session with the nearest control daemon, which leads or relays to the leader,
+// offers the entry's requests there and waits for grants. While no broker grants, a local broker does, within the
 // entry's share of each upstream and quota. Package forward uses it through
 // Acquire. A request is settled, that is granted or refused, at most once.
 package brokerclient
@@ -85,9 +85,12 @@
 	quotaLevels map[string]float64
 	// localUse holds, by workspace, the tokens that the entry granted by itself and that
 	// no broker has accounted for yet; reportedUse is the part of it that the broker of
-	// the session was told.
-	localUse    map[string]int64
-	reportedUse map[string]int64
+	// reportedTerm was told.
+	localUse     map[string]int64
+	reportedUse  map[string]int64
+	reportedTerm uint64
+	// brokerHeardAt is when a broker last sent a message.
+	brokerHeardAt time.Duration
 	// roster holds the upstreams as the control daemon sent them. localStale is true if
 	// the local broker lacks changes of it; localUpdated is when it last had all.
 	roster       map[string]*rpc.RosterEntry
@@ -98,6 +101,10 @@
 	// the full roster, or sends the changes of an earlier one.
 	rosterConfirmedAt time.Duration
 	rosterCurrent     bool
+	// failedSessions counts the sessions that ended since the last grant. answered is
+	// true once the daemon of the session has sent a message.
+	failedSessions int
+	answered       bool
 	// leaderlessSessions counts the sessions since the last grant that were ended
 	// because the daemon knew no leader.
 	leaderlessSessions int
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -1,15 +1,20 @@
 package brokerclient
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/core/rendezvous"
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
 	"github.com/verbenastep/verbenastep/internal/duplex"
 	"github.com/verbenastep/verbenastep/internal/port"
@@ -39,11 +44,16 @@
 	backOffDelay = 1500 * time.Millisecond
 	// memberCountInterval is how often the entries in the member list are counted.
 	memberCountInterval = 500 * time.Millisecond
+	// minPlacementDelay and maxPlacementDelay bound the time between two checks whether
+	// a nearer daemon is live. It has had time to find the leader by then.
+	minPlacementDelay = 1500 * time.Millisecond
+	maxPlacementDelay = 4500 * time.Millisecond
 )
 
 var (
 	errBrokerTimeout = errors.New("no message from the broker before the timeout")
 	errNotLeader     = errors.New("the daemon does not lead")
+	errNearerDaemon  = fmt.Errorf("a nearer daemon is live: %w", errNotLeader)
 )
 
 // runSessions keeps a session with the leader, or with another control daemon for its
@@ -60,11 +70,12 @@
 	}
 }
 
-// nextAddress returns the address of the daemon to ask next: the leader of the newest term
-// that the last session or the view named, otherwise the next known replica. It avoids a
-// daemon whose session has just failed while there is another one.
+// nextAddress returns the address of the daemon to ask next: the one that the last session
+// named, the nearest control daemon, the leader that the view names, or the next known
+// replica. It avoids a daemon whose session has just failed while there is another one.
 func (s *Service) nextAddress() string {
 	viewed := s.view.Leader()
+	nearest := s.nearestControl()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.newestTerm = max(s.newestTerm, viewed.Term)
@@ -72,6 +83,13 @@
 	if viewed.Term > s.leader.Term {
 		candidates = []port.Leader{viewed, s.leader}
 	}
+	if len(nearest) > 0 {
+		// A daemon without a relay for long is left for the next one.
+		candidates = []port.Leader{s.leader}
+		for i := range nearest {
+			candidates = append(candidates, port.Leader{Address: nearest[(i+s.failedSessions)%len(nearest)]})
+		}
+	}
 	s.leader = port.Leader{}
 	for _, l := range candidates {
 		if l.Address != "" && !s.backedOff(l) {
@@ -88,6 +106,74 @@
 	return s.failedAddress
 }
 
+// placementDelay returns the time to the next check whether a nearer daemon is live. It is
+// random, so that the entries of a data centre do not all move at once.
+func placementDelay() time.Duration {
+	return minPlacementDelay + time.Duration(rand.Int64N(int64(maxPlacementDelay-minPlacementDelay)))
+}
+
+// hasNearer reports whether a live control daemon is nearer than the one at an address.
+func (s *Service) hasNearer(address string) bool {
+	if s.members == nil {
+		return false
+	}
+	nearest, current := farthest, farthest
+	for _, m := range s.members.Live() {
+		if !m.Replica || m.Leaving {
+			continue
+		}
+		nearest = min(nearest, s.distance(m))
+		if m.Peers == address {
+			current = s.distance(m)
+		}
+	}
+	return nearest < current
+}
+
+// farthest is the distance of a daemon in another region.
+const farthest = 2
+
+// distance returns 0 for a daemon in the entry's data centre, 1 for one in its region and
+// farthest for others.
+func (s *Service) distance(m port.Member) int {
+	switch {
+	case m.DataCentre == s.set.DataCentre:
+		return 0
+	case m.Region == s.set.Region:
+		return 1
+	}
+	return farthest
+}
+
+// nearestControl returns the peer addresses of the live control daemons: those of the
+// entry's data centre first, then those of its region, then the others. Entries differ in the
+// order of daemons at the same distance.
+func (s *Service) nearestControl() []string {
+	if s.members == nil {
+		return nil
+	}
+	type candidate struct {
+		address  string
+		distance int
+		order    float64
+	}
+	list := []candidate{}
+	for _, m := range s.members.Live() {
+		if !m.Replica || m.Leaving {
+			continue
+		}
+		list = append(list, candidate{address: m.Peers, distance: s.distance(m), order: rendezvous.Point(m.Name, s.self)})
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.order, b.order))
+	})
+	out := []string{}
+	for _, c := range list {
+		out = append(out, c.address)
+	}
+	return out
+}
+
 // backedOff reports whether a session with a daemon failed recently. Other daemons may name
 // it as the leader until they elect another. A daemon that leads in a newer term has
 // recovered. The caller holds the lock.
@@ -95,8 +181,7 @@
 	return l.Address == s.failedAddress && l.Term <= s.failedTerm && s.now() < s.backOffUntil
 }
 
-// detach ends the use of the session's broker and offers waiting requests to the local
-// broker. It returns true if a broker granted in the session.
+// detach records the end of a session. It returns true if a broker granted in the session.
 func (s *Service) detach(address string, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,14 +189,23 @@
 		s.failedAddress, s.failedTerm = address, s.newestTerm
 		s.backOffUntil = s.now() + backOffDelay
 	}
+	wasAttached := s.loseBroker()
+	if !wasAttached {
+		s.failedSessions++
+	}
+	return wasAttached
+}
+
+// loseBroker ends the use of the session's broker and offers waiting requests to the local
+// broker. It returns true if a broker granted in the session. The caller holds the lock.
+func (s *Service) loseBroker() bool {
 	wasAttached := s.attached
 	s.attached = false
-	clear(s.reportedUse)
 	s.metrics.attached.Set(0)
 	if wasAttached {
 		s.metrics.brokerLost.Inc()
 	}
-	s.pending.Offers = nil
+	s.pending.Offers, s.pending.Complete = nil, false
 	now := s.now()
 	if s.localStale {
 		s.updateLocalBroker()
@@ -151,6 +245,8 @@
 	go func() { failed <- duplex.Receive(ctx, stream.Recv, in) }()
 	heartbeat := time.NewTimer(heartbeatInterval)
 	defer heartbeat.Stop()
+	placement := time.NewTimer(placementDelay())
+	defer placement.Stop()
 	started := time.Now()
 	limit := s.leaderlessTimeout()
 	for {
@@ -162,6 +258,11 @@
 		case <-heartbeat.C:
 			heartbeat.Reset(heartbeatInterval)
 			err = s.send(stream)
+		case <-placement.C:
+			placement.Reset(placementDelay())
+			if s.hasNearer(address) {
+				err = errNearerDaemon
+			}
 		case r := <-in:
 			timeout.Reset(brokerTimeout)
 			err = s.handle(address, r, time.Since(started) > limit)
@@ -175,18 +276,18 @@
 	}
 }
 
-// watchLeader ends a session without a broker as soon as the view names a new leader, since
-// the daemon of the session may not answer at all.
+// watchLeader ends a session whose daemon has not answered yet as soon as the view names a
+// new leader, since the daemon may not answer at all.
 func (s *Service) watchLeader(ctx context.Context, address string, known port.Leader, end context.CancelCauseFunc) {
 	for {
 		changed := s.view.Changed()
 		viewed := s.view.Leader()
 		s.mu.Lock()
 		s.newestTerm = max(s.newestTerm, viewed.Term)
-		newLeader := !s.attached && viewed.Address != "" && viewed.Term > known.Term && viewed.Address != address && !s.backedOff(viewed)
+		newLeader := !s.attached && !s.answered && viewed.Address != "" && viewed.Term > known.Term && viewed.Address != address && !s.backedOff(viewed)
 		s.mu.Unlock()
 		if newLeader {
-			end(errNotLeader)
+			end(errBrokerTimeout)
 			return
 		}
 		select {
@@ -210,8 +311,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pending = rpc.BrokerAsk{}
+	s.answered = false
 	now := s.now()
-	ask := &rpc.BrokerAsk{Entry: s.self, RosterAgeMs: s.rosterAge()}
+	ask := &rpc.BrokerAsk{Entry: s.self, RosterAgeMs: s.rosterAge(), Relayable: true}
 	s.rosterCurrent = ask.RosterAgeMs > 0
 	for _, a := range s.running {
 		ask.Offers = append(ask.Offers, brokerwire.EncodeOffer(now, a.offer))
@@ -231,7 +333,7 @@
 // send sends what is pending; an empty message is a heartbeat.
 func (s *Service) send(stream rpc.DRPCBroker_SessionClient) error {
 	s.mu.Lock()
-	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels, Quotas: s.pending.Quotas}
+	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels, Quotas: s.pending.Quotas, Complete: s.pending.Complete}
 	s.pending = rpc.BrokerAsk{}
 	s.mu.Unlock()
 	return stream.Send(ask)
@@ -243,6 +345,7 @@
 func (s *Service) handle(address string, r *rpc.BrokerReply, timedOut bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.answered = true
 	if r.Leads {
 		s.brokerEntries = int(r.Entries)
 	}
@@ -253,6 +356,11 @@
 	s.newestTerm = max(s.newestTerm, leader.Term)
 	if !r.Leads {
 		s.leader = leader
+		if s.attached && leader.Address == "" {
+			// The daemon looks for the leader, to lead or to relay to it.
+			s.loseBroker()
+			return nil
+		}
 		moved := r.Leader != "" && r.Leader != address && !s.backedOff(leader)
 		leaderless := timedOut && r.Leader == ""
 		if leaderless {
@@ -264,8 +372,9 @@
 		return nil
 	}
 	if !s.attached {
-		s.attach(address)
+		s.attach(address, r.LeaderTerm)
 	}
+	s.brokerHeardAt = s.now()
 	if s.rosterCurrent && len(r.Roster) == 0 {
 		// All pending parts of the roster have arrived.
 		s.rosterConfirmedAt = s.now()
@@ -295,6 +404,26 @@
 	}
 }
 
+// quotaReport returns what the broker of a term needs to know of the quotas: the levels that
+// the previous one left, refilled since, and the tokens that the entry used by itself. A
+// broker that was told before only needs what was used since. The caller holds the lock.
+func (s *Service) quotaReport(term uint64) []*rpc.QuotaLevel {
+	levels := map[string]float64{}
+	if term != s.reportedTerm {
+		s.reportedTerm = term
+		clear(s.reportedUse)
+		levels = s.local.RefillLevels(s.quotaLevels, s.now()-s.brokerHeardAt)
+	}
+	used := map[string]int64{}
+	for name, tokens := range s.localUse {
+		if tokens -= s.reportedUse[name]; tokens > 0 {
+			used[name] = tokens
+		}
+	}
+	s.reportedUse = maps.Clone(s.localUse)
+	return brokerwire.EncodeQuotaReport(levels, used)
+}
+
 // forgetReportedUse drops the local use that the broker of the session was told: the levels
 // that it sends from now on include it. The caller holds the lock.
 func (s *Service) forgetReportedUse() {
@@ -327,14 +456,15 @@
 
 // attach offers all waiting and running requests to the broker of the session, which has
 // just been found to lead. The caller holds the lock.
-func (s *Service) attach(address string) {
+func (s *Service) attach(address string, term uint64) {
 	s.attached = true
 	s.metrics.attached.Set(1)
 	s.leaderlessSessions = 0
 	s.backOffUntil = 0
+	s.failedSessions = 0
 	now := s.now()
-	s.pending.Quotas = brokerwire.EncodeQuotaReport(s.quotaLevels, s.localUse)
-	s.reportedUse = maps.Clone(s.localUse)
+	s.pending.Complete = true
+	s.pending.Quotas = s.quotaReport(term)
 	for _, a := range s.running {
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(now, a.offer))
 	}
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -368,12 +368,12 @@
 	require.Equal(t, 200, s.Entries())
 	require.NoError(t, s.handle("b", &rpc.BrokerReply{Leads: true, Entries: 300}, false))
 	require.Equal(t, 300, s.Entries(), "the member list is not complete yet")
-	require.ErrorIs(t, s.handle("b", &rpc.BrokerReply{Entries: 4}, false), errNotLeader)
+	require.ErrorIs(t, s.handle("b", &rpc.BrokerReply{Entries: 4, Leader: "c"}, false), errNotLeader)
 	require.Equal(t, 300, s.Entries(), "a follower does not know all entries")
 }
 
-// TestNewBrokerLearnsLocalUse checks that tokens granted without a broker are reported to the
-// next one, and again to its successor if its levels did not include them yet.
+// TestNewBrokerLearnsLocalUse checks that tokens granted without a broker are reported once
+// to each broker whose successor would not know of them.
 func TestNewBrokerLearnsLocalUse(t *testing.T) {
 	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
 	s.view = &view{changed: make(chan struct{})}
@@ -381,20 +381,65 @@
 		s.waiting[number] = &acquisition{offer: broker.Offer{ID: broker.ID{Entry: "e", Number: number}, Workspace: "w", QuotaCharge: 40}, settled: make(chan struct{})}
 		s.settleGrant(broker.Grant{ID: broker.ID{Entry: "e", Number: number}, Upstream: "u"}, byEntry)
 	}
-	leads := &rpc.BrokerReply{Leads: true, Entries: 3}
-	reported := func() map[string]int64 { return brokerwire.DecodeQuotaUse(s.pending.Quotas) }
+	// attach attaches to the broker of a term and returns what was reported as used.
+	attach := func(term uint64) map[string]int64 {
+		s.pending = rpc.BrokerAsk{}
+		require.NoError(t, s.handle("a", &rpc.BrokerReply{Leads: true, Entries: 3, LeaderTerm: term}, false))
+		return brokerwire.DecodeQuotaUse(s.pending.Quotas)
+	}
 	grant(1)
 	grant(2)
-	require.NoError(t, s.handle("a", leads, false))
-	require.Equal(t, map[string]int64{"w": 80}, reported())
+	require.Equal(t, map[string]int64{"w": 80}, attach(1))
 	s.detach("a", errBrokerTimeout)
 	grant(3)
-	s.pending = rpc.BrokerAsk{}
-	require.NoError(t, s.handle("b", leads, false))
-	require.Equal(t, map[string]int64{"w": 120}, reported(), "the first broker ended before it sent levels")
-	require.NoError(t, s.handle("b", &rpc.BrokerReply{Leads: true, QuotasSet: true}, false))
-	s.detach("b", errBrokerTimeout)
-	s.pending = rpc.BrokerAsk{}
-	require.NoError(t, s.handle("c", leads, false))
-	require.Empty(t, reported())
+	require.Equal(t, map[string]int64{"w": 40}, attach(1), "the same broker knows of the first two")
+	s.detach("a", errBrokerTimeout)
+	require.Equal(t, map[string]int64{"w": 120}, attach(2), "the first broker ended before it sent levels")
+	require.NoError(t, s.handle("a", &rpc.BrokerReply{Leads: true, QuotasSet: true, LeaderTerm: 2}, false))
+	s.detach("a", errBrokerTimeout)
+	require.Empty(t, attach(3), "the levels include it")
+}
+
+// TestQuotaLevelsAreRefilledWhileNoBrokerGrants guards against entries that attach late and
+// lower a quota that has refilled since to its level at the loss of the last broker.
+func TestQuotaLevelsAreRefilledWhileNoBrokerGrants(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
+	s.view = &view{changed: make(chan struct{})}
+	s.local.SetTable(routes.NewIndex(&routes.Table{Workspaces: []routes.Workspace{{Name: "w", TokensPerSecond: 1000, TokenBurst: 2000}}}))
+	s.quotaLevels = map[string]float64{"w": 0.25}
+	s.brokerHeardAt = s.now() - time.Second
+	levels := brokerwire.DecodeQuotaLevels(s.quotaReport(1))
+	require.InDelta(t, 0.75, levels["w"], 0.1)
+	require.Empty(t, s.quotaReport(1), "the same broker needs no levels")
+	s.brokerHeardAt = s.now() - 2*time.Second
+	require.Empty(t, s.quotaReport(2), "the quota is full again")
+}
+
+// fixedMembers is a member list that the test sets.
+type fixedMembers struct {
+	port.Members
+	list []port.Member
+}
+
+func (m fixedMembers) Live() []port.Member { return m.list }
+
+// TestEntryPrefersNearestDaemon covers an entry that starts with a member list of its seeds
+// only and gets to know the daemon of its data centre later.
+func TestEntryPrefersNearestDaemon(t *testing.T) {
+	s := New(&settings.Settings{DataCentre: "a", Region: "r", Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
+	s.view = &view{changed: make(chan struct{})}
+	far := port.Member{Peers: "far", DataCentre: "x", Region: "y", Replica: true}
+	list := []port.Member{far, {Peers: "entry", DataCentre: "a", Region: "r"}, {Peers: "leaving", DataCentre: "a", Region: "r", Replica: true, Leaving: true}}
+	s.members = fixedMembers{list: list}
+	require.Equal(t, "far", s.nextAddress())
+	require.False(t, s.hasNearer("far"))
+	list = append(list, port.Member{Peers: "near", DataCentre: "b", Region: "r", Replica: true}, port.Member{Peers: "own", DataCentre: "a", Region: "r", Replica: true})
+	s.members = fixedMembers{list: list}
+	require.True(t, s.hasNearer("far"))
+	require.False(t, s.hasNearer("own"))
+	require.Equal(t, "own", s.nextAddress())
+	s.detach("own", errBrokerTimeout)
+	require.Equal(t, "near", s.nextAddress(), "its session has just failed")
+	s.detach("near", errNotLeader)
+	require.Equal(t, "far", s.nextAddress(), "the second daemon knows no leader")
 }
