--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -263,7 +263,7 @@
 		wait := p.queueWait(r.now, req, ahead, float64(r.slots))
 		first := r.now + wait + p.transits.grant(req) + p.minTimeToFirstEvent(r, req)
 		switch {
-		case first <= req.LatencyTarget, req.late && first <= req.LatestUseful:
+		case first <= req.LatencyTarget-estimateMargin(req), req.late && first <= req.LatestUseful:
 			ahead += p.slotTime(req)
 			i++
 			continue
@@ -281,6 +281,17 @@
 	}
 }
 
+// estimateMarginDivisor divides a request's latency target to give the error that is
+// allowed for in the estimate of its wait.
+const estimateMarginDivisor = 10
+
+// estimateMargin returns the part of a request's latency target that is kept free: under
+// overload the requests wait for as long as the estimate allows, and an estimate that is a
+// little too low would make them all late.
+func estimateMargin(req *request) time.Duration {
+	return max(0, req.LatencyTarget-req.arrived) / estimateMarginDivisor
+}
+
 // refuseUnserved refuses the requests of a pool that has had no upstream for
 // noUpstreamTimeout, or that have missed their latency target meanwhile.
 func (b *Broker) refuseUnserved(now time.Duration, p *pool) {
