brokerclient: stay away from a near daemon that does not relay

Cause: in a rolling upgrade a near follower of the version before names the leader; an entry that is with the leader would come back to it every few seconds. A move was logged as a lost broker. Change: a daemon that named another one does not count as nearer for a minute; a move is logged as such and needs no delay. A gauge says whether a daemon relays.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -231,7 +231,7 @@
 func (s *Service) setLeads(leads bool) {
 	if s.relay.up {
 		// The entries must offer their requests anew, so they leave the relay first.
-		s.relay.up = false
+		s.setRelayUp(false)
 		s.replyToListeners()
 	}
 	s.leads = leads
--- a/internal/broker/metrics.go
+++ b/internal/broker/metrics.go
@@ -17,6 +17,7 @@
 	leads            prometheus.Gauge
 	entries          prometheus.Gauge
 	leadershipStarts prometheus.Counter
+	relays           prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer) (*metrics, error) {
@@ -32,7 +33,8 @@
 		entries:          prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "entries", Help: "Entries that are connected."}),
 		leadershipStarts: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "moves_total", Help: "Times that this daemon began to grant."}),
 	}
-	for _, c := range []prometheus.Collector{m.grants, m.refusals, m.waitTime, m.leads, m.entries, m.leadershipStarts} {
+	m.relays = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "relays", Help: "1 while this daemon relays its entries' requests to the leader."})
+	for _, c := range []prometheus.Collector{m.relays, m.grants, m.refusals, m.waitTime, m.leads, m.entries, m.leadershipStarts} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -163,7 +163,8 @@
 	}
 	s.relay.entries = r.State.Entries
 	if !s.relay.up {
-		s.relay.up, s.relay.leader = true, address
+		s.setRelayUp(true)
+		s.relay.leader = address
 		s.levelsSentAt, s.sentLevels = time.Time{}, map[string]float64{}
 		s.log.Info("relaying to the leader", zap.String("leader", address), zap.Int("entries", len(s.sessions)))
 		s.replyToListeners()
@@ -278,11 +279,17 @@
 	if !s.relay.up {
 		return false
 	}
-	s.relay.up = false
+	s.setRelayUp(false)
 	s.replyToListeners()
 	return true
 }
 
+// setRelayUp records whether the leader confirmed the relay. The caller holds the lock.
+func (s *Service) setRelayUp(up bool) {
+	s.relay.up = up
+	s.metrics.relays.Set(map[bool]float64{true: 1}[up])
+}
+
 // replyToListeners sends the state of this daemon to all entries, which connect to its
 // broker or leave it accordingly. The caller holds the lock.
 func (s *Service) replyToListeners() {
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -101,6 +101,10 @@
 	// the full roster, or sends the changes of an earlier one.
 	rosterConfirmedAt time.Duration
 	rosterCurrent     bool
+	// redirectedBy is the daemon that last named another one to connect to, which counts
+	// until redirectedUntil.
+	redirectedBy    string
+	redirectedUntil time.Duration
 	// failedSessions counts the sessions that ended since the last grant. answered is
 	// true once the daemon of the session has sent a message.
 	failedSessions int
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -48,6 +48,9 @@
 	// a nearer daemon is live. It has had time to find the leader by then.
 	minPlacementDelay = 1500 * time.Millisecond
 	maxPlacementDelay = 4500 * time.Millisecond
+	// redirectTTL is how long a daemon that does not relay, being of an earlier version,
+	// is not preferred for being near.
+	redirectTTL = time.Minute
 )
 
 var (
@@ -63,6 +66,10 @@
 		address := s.nextAddress()
 		err := s.runSession(s.ctx, address)
 		wasAttached := s.detach(address, err)
+		if errors.Is(err, errNearerDaemon) {
+			s.log.Info("moving to a nearer daemon", zap.String("address", address))
+			continue
+		}
 		if wasAttached && s.ctx.Err() == nil {
 			s.log.Warn("broker lost", zap.String("address", address), zap.Error(err))
 		}
@@ -112,14 +119,21 @@
 	return minPlacementDelay + time.Duration(rand.Int64N(int64(maxPlacementDelay-minPlacementDelay)))
 }
 
-// hasNearer reports whether a live control daemon is nearer than the one at an address.
+// hasNearer reports whether a live control daemon, other than one that sent the entry
+// elsewhere lately, is nearer than the one at an address.
 func (s *Service) hasNearer(address string) bool {
 	if s.members == nil {
 		return false
 	}
+	s.mu.Lock()
+	redirectedBy := ""
+	if s.now() < s.redirectedUntil {
+		redirectedBy = s.redirectedBy
+	}
+	s.mu.Unlock()
 	nearest, current := farthest, farthest
 	for _, m := range s.members.Live() {
-		if !m.Replica || m.Leaving {
+		if !m.Replica || m.Leaving || m.Peers == redirectedBy {
 			continue
 		}
 		nearest = min(nearest, s.distance(m))
@@ -366,6 +380,9 @@
 		if leaderless {
 			s.leaderlessSessions++
 		}
+		if moved {
+			s.redirectedBy, s.redirectedUntil = address, s.now()+redirectTTL
+		}
 		if s.attached || moved || leaderless {
 			return errNotLeader
 		}
