Broker: followers name a leader that has no call for relays

Cause: in a rolling upgrade a newer follower of a leader of the version before could not relay, and did not name the leader either; its entries would have decided by themselves until a newer daemon led. Change: where the leader does not know the call, the follower names it as before; entries remember every daemon that sent them elsewhere. Measured: TestLeaderOfEarlierVersionIsNamed fails before (no leader named) and holds.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -293,11 +293,11 @@
 
 // reply returns a message with the state that every message to a session carries; without
 // anything else it is a heartbeat. A follower that relays, or will once it reaches the
-// leader, does not name the leader to its entries, so that they stay. The caller holds the
-// lock.
+// leader, does not name the leader to its entries, so that they stay. An entry or a leader of
+// an earlier version knows no relays. The caller holds the lock.
 func (s *Service) reply(x *session) *rpc.BrokerReply {
 	r := &rpc.BrokerReply{Leads: s.leads, Entries: uint32(len(s.sessions)), Leader: s.leader.Address, LeaderTerm: s.leader.Term}
-	if s.leads || !x.relayable {
+	if s.leads || !x.relayable || s.relay.unsupportedBy != "" && s.relay.unsupportedBy == s.leader.Address {
 		return r
 	}
 	r.Leader = ""
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +32,11 @@
 	// maxRelayedAsks bounds the messages that wait for the leader; with more, the relay
 	// ends and the entries decide by themselves.
 	maxRelayedAsks = 10_000
+	// unknownCall is part of drpc's error for a call that the other daemon does not
+	// have; the error carries no code. relayUnsupportedDelay is the delay before the
+	// next attempt.
+	unknownCall           = "unknown rpc"
+	relayUnsupportedDelay = time.Second
 	// sheddingDuration is how long a follower refuses new requests of a rank after the
 	// leader said that it sheds the rank. Then it offers some again, so that a change is
 	// noticed.
@@ -49,6 +55,9 @@
 	// up is true once the daemon at the address leader has confirmed that it leads.
 	up     bool
 	leader string
+	// unsupportedBy is the address of a leader of an earlier version, which has no call
+	// for relays; empty if there is none.
+	unsupportedBy string
 	// entries is the number of entries that the leader serves.
 	entries uint32
 	// asks and lost collect the next message to the leader.
@@ -88,6 +97,13 @@
 		if s.relayDown() && s.ctx.Err() == nil {
 			s.log.Warn("relay lost", zap.String("leader", leader.Address), zap.Error(err))
 		}
+		if err != nil && strings.Contains(err.Error(), unknownCall) {
+			s.log.Info("leader has no call for relays; entries connect to it", zap.String("leader", leader.Address))
+			s.mu.Lock()
+			s.relay.unsupportedBy = leader.Address
+			s.mu.Unlock()
+			wait.Sleep(s.ctx, relayUnsupportedDelay)
+		}
 		wait.Sleep(s.ctx, relayRetryInterval)
 	}
 }
@@ -164,7 +180,7 @@
 	s.relay.entries = r.State.Entries
 	if !s.relay.up {
 		s.setRelayUp(true)
-		s.relay.leader = address
+		s.relay.leader, s.relay.unsupportedBy = address, ""
 		s.levelsSentAt, s.sentLevels = time.Time{}, map[string]float64{}
 		s.log.Info("relaying to the leader", zap.String("leader", address), zap.Int("entries", len(s.sessions)))
 		s.replyToListeners()
--- a/internal/broker/relay_test.go
+++ b/internal/broker/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -56,15 +57,16 @@
 }
 
 // startControls returns the started broker services of n control daemons, which share a
-// roster of one upstream, and their addresses.
-func startControls(t *testing.T, n int) ([]*Service, []string, *fakeElection) {
+// roster of one upstream, and their addresses. The unregistered ones do not answer calls of
+// the broker.
+func startControls(t *testing.T, n int, unregistered ...int) ([]*Service, []string, *fakeElection) {
 	t.Helper()
 	addresses, err := freeport.Addresses(n)
 	require.NoError(t, err)
 	election := &fakeElection{}
 	index := routes.NewIndex(&routes.Table{Version: 1, Pools: []routes.Pool{{Name: "p"}}})
 	out := []*Service{}
-	for _, address := range addresses {
+	for i, address := range addresses {
 		set := &settings.Settings{Name: address, Addresses: settings.Addresses{Peers: address}, Routing: &settings.Routing{}}
 		l := link.New(set, zap.NewNop())
 		require.NoError(t, l.Start(context.Background(), nil))
@@ -72,7 +74,9 @@
 		s.view, s.roster, s.replica, s.link = fakeView{index}, &fakeRoster{list: []port.RosterEntry{upstream("u")}}, electedReplica{election, address}, l
 		s.metrics, err = newMetrics(prometheus.NewRegistry())
 		require.NoError(t, err)
-		require.NoError(t, rpc.DRPCRegisterBroker(l.Mux(), s))
+		if !slices.Contains(unregistered, i) {
+			require.NoError(t, rpc.DRPCRegisterBroker(l.Mux(), s))
+		}
 		s.ctx, s.cancel = context.WithCancel(context.Background())
 		s.done.Go(s.run)
 		s.done.Go(s.runRelay)
@@ -237,3 +241,12 @@
 	s.forward("e", x, &rpc.BrokerAsk{Offers: offers()})
 	require.Len(t, s.relay.asks[1].Offers, 4)
 }
+
+// TestLeaderOfEarlierVersionIsNamed checks that entries connect to a leader that has no call for
+// relays, as during a rolling upgrade.
+func TestLeaderOfEarlierVersionIsNamed(t *testing.T) {
+	_, addresses, election := startControls(t, 2, 0)
+	election.elect(addresses[0])
+	e := connect(t, addresses[1], &rpc.BrokerAsk{Entry: "e", Relayable: true})
+	e.eventually(func() bool { return !e.last.Leads && e.last.Leader == addresses[0] }, "the follower names the leader")
+}
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -101,10 +101,9 @@
 	// the full roster, or sends the changes of an earlier one.
 	rosterConfirmedAt time.Duration
 	rosterCurrent     bool
-	// redirectedBy is the daemon that last named another one to connect to, which counts
-	// until redirectedUntil.
-	redirectedBy    string
-	redirectedUntil time.Duration
+	// redirectedUntil holds the daemons that named another one to connect to, and until
+	// when that counts.
+	redirectedUntil map[string]time.Duration
 	// failedSessions counts the sessions that ended since the last grant. answered is
 	// true once the daemon of the session has sent a message.
 	failedSessions int
@@ -132,7 +131,7 @@
 	return &Service{
 		set: set, log: log.Named("work"), metrics: newMetrics(), self: self.String(), started: time.Now(), wakeSession: make(chan struct{}, 1), wakeLocal: make(chan struct{}, 1),
 		waiting: map[uint64]*acquisition{}, running: map[uint64]*acquisition{}, local: local, entries: 1, roster: map[string]*rpc.RosterEntry{},
-		quotaLevels: map[string]float64{}, localUse: map[string]int64{}, reportedUse: map[string]int64{},
+		quotaLevels: map[string]float64{}, localUse: map[string]int64{}, redirectedUntil: map[string]time.Duration{}, reportedUse: map[string]int64{},
 	}
 }
 
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -48,8 +48,8 @@
 	// a nearer daemon is live. It has had time to find the leader by then.
 	minPlacementDelay = 1500 * time.Millisecond
 	maxPlacementDelay = 4500 * time.Millisecond
-	// redirectTTL is how long a daemon that does not relay, being of an earlier version,
-	// is not preferred for being near.
+	// redirectTTL is how long a daemon that does not relay, since it or the leader is of
+	// an earlier version, is not preferred for being near.
 	redirectTTL = time.Minute
 )
 
@@ -125,15 +125,12 @@
 	if s.members == nil {
 		return false
 	}
+	live := s.members.Live()
 	s.mu.Lock()
-	redirectedBy := ""
-	if s.now() < s.redirectedUntil {
-		redirectedBy = s.redirectedBy
-	}
-	s.mu.Unlock()
+	defer s.mu.Unlock()
 	nearest, current := farthest, farthest
-	for _, m := range s.members.Live() {
-		if !m.Replica || m.Leaving || m.Peers == redirectedBy {
+	for _, m := range live {
+		if !m.Replica || m.Leaving || s.now() < s.redirectedUntil[m.Peers] {
 			continue
 		}
 		nearest = min(nearest, s.distance(m))
@@ -381,7 +378,7 @@
 			s.leaderlessSessions++
 		}
 		if moved {
-			s.redirectedBy, s.redirectedUntil = address, s.now()+redirectTTL
+			s.redirectedUntil[address] = s.now() + redirectTTL
 		}
 		if s.attached || moved || leaderless {
 			return errNotLeader
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -439,7 +439,8 @@
 	require.False(t, s.hasNearer("own"))
 	require.ErrorIs(t, s.handle("own", &rpc.BrokerReply{Leader: "near"}, false), errNotLeader)
 	require.False(t, s.hasNearer("near"), "a daemon of an earlier version does not relay")
-	s.redirectedUntil, s.leader = 0, port.Leader{}
+	s.leader = port.Leader{}
+	clear(s.redirectedUntil)
 	require.Equal(t, "own", s.nextAddress())
 	s.detach("own", errBrokerTimeout)
 	require.Equal(t, "near", s.nextAddress(), "its session has just failed")
