Broker: a daemon outside the log relays as soon as its view names the leader

Change: without a leader of its own the relay asks the view, which hears of the leader from other daemons. Measured: TestDaemonOutsideTheLogRelays fails before and holds.

--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -89,6 +89,10 @@
 func (s *Service) runRelay() {
 	for s.ctx.Err() == nil {
 		leads, leader := s.replica.Leadership()
+		if leader.Address == "" {
+			// A daemon that lost its disk hears of the leader before it joins the log.
+			leader = s.view.Leader()
+		}
 		if leads || leader.Address == "" || leader.Address == s.set.Addresses.Peers {
 			wait.Sleep(s.ctx, relayRetryInterval)
 			continue
--- a/internal/broker/relay_test.go
+++ b/internal/broker/relay_test.go
@@ -26,16 +26,26 @@
 )
 
 // fakeView is a view with a fixed route table.
-type fakeView struct{ index *routes.Index }
+type fakeView struct {
+	index *routes.Index
+	*fakeElection
+}
 
 func (v fakeView) Routes() *routes.Index    { return v.index }
-func (v fakeView) Leader() port.Leader      { return port.Leader{} }
 func (v fakeView) Changed() <-chan struct{} { return nil }
 
+func (v fakeView) Leader() port.Leader {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.leader
+}
+
 // fakeElection tells all daemons of a test which of them leads.
 type fakeElection struct {
 	mu     sync.Mutex
 	leader port.Leader
+	// outside is the address of a daemon that is not a member of the log.
+	outside string
 }
 
 func (e *fakeElection) elect(address string) {
@@ -53,6 +63,9 @@
 func (r electedReplica) Leadership() (bool, port.Leader) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.address == r.outside {
+		return false, port.Leader{}
+	}
 	return r.leader.Address == r.address, r.leader
 }
 
@@ -71,7 +84,7 @@
 		l := link.New(set, zap.NewNop())
 		require.NoError(t, l.Start(context.Background(), nil))
 		s := New(set, zap.NewNop())
-		s.view, s.roster, s.replica, s.link = fakeView{index}, &fakeRoster{list: []port.RosterEntry{upstream("u")}}, electedReplica{election, address}, l
+		s.view, s.roster, s.replica, s.link = fakeView{index, election}, &fakeRoster{list: []port.RosterEntry{upstream("u")}}, electedReplica{election, address}, l
 		s.metrics, err = newMetrics(prometheus.NewRegistry())
 		require.NoError(t, err)
 		if !slices.Contains(unregistered, i) {
@@ -250,3 +263,15 @@
 	e := connect(t, addresses[1], &rpc.BrokerAsk{Entry: "e", Relayable: true})
 	e.eventually(func() bool { return !e.last.Leads && e.last.Leader == addresses[0] }, "the follower names the leader")
 }
+
+// TestDaemonOutsideTheLogRelays covers a daemon that lost its disk: it relays as soon as its
+// view names the leader, although it can't join the log yet.
+func TestDaemonOutsideTheLogRelays(t *testing.T) {
+	_, addresses, election := startControls(t, 2)
+	election.mu.Lock()
+	election.outside = addresses[1]
+	election.mu.Unlock()
+	election.elect(addresses[0])
+	e := connect(t, addresses[1], &rpc.BrokerAsk{Entry: "e", Relayable: true})
+	e.eventually(func() bool { return e.last.Leads }, "the daemon relays")
+}
