Broker: a new leader starts with what the last one learned

Cause: a follower that became the leader assumed the same speed of all engines, which differ fourfold, until it had learned them anew. Change: it takes over the estimates that it was sent as a follower. Measured: TestNewLeaderKnowsTheEstimatesOfTheLast fails before and holds.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -199,6 +199,10 @@
 	leadershipChanged := leads != s.leads
 	if leadershipChanged {
 		learned = s.core.Estimates()
+		if leads {
+			// A follower knows what the last leader learned.
+			maps.Copy(learned, s.relay.estimates)
+		}
 		s.setLeads(leads)
 	}
 	newTable := table != nil && table.Table.Version != s.tableVersion
--- a/internal/broker/relay_test.go
+++ b/internal/broker/relay_test.go
@@ -275,3 +275,31 @@
 	e := connect(t, addresses[1], &rpc.BrokerAsk{Entry: "e", Relayable: true})
 	e.eventually(func() bool { return e.last.Leads }, "the daemon relays")
 }
+
+// TestNewLeaderKnowsTheEstimatesOfTheLast guards against a broker that sends long requests to
+// slow upstreams after each change of leader.
+func TestNewLeaderKnowsTheEstimatesOfTheLast(t *testing.T) {
+	s, addresses, election := startControls(t, 2)
+	election.elect(addresses[0])
+	eventually := func(property func() bool) {
+		require.Eventually(t, property, relayTestTimeout, relayTestPoll)
+	}
+	callTime := func(x *Service) float64 {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		return x.core.Estimates()["u"].CallTime
+	}
+	eventually(func() bool {
+		s[0].mu.Lock()
+		defer s[0].mu.Unlock()
+		s[0].core.SetEstimates([]broker.Estimates{{ID: "u", CallTime: 2}})
+		return s[0].core.Estimates()["u"].CallTime == 2
+	})
+	eventually(func() bool {
+		s[1].mu.Lock()
+		defer s[1].mu.Unlock()
+		return s[1].relay.estimates["u"].CallTime == 2
+	})
+	election.elect(addresses[1])
+	eventually(func() bool { return callTime(s[1]) == 2 })
+}
