--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -376,8 +376,8 @@
 	}
 }
 
-// RefillLevels returns what quota levels that a broker of all entries reported have become
-// after a time in which nothing was used. It omits full quotas.
+// RefillLevels returns the quota levels, which a broker of all entries reported, after a
+// time in which nothing was used. It omits full quotas.
 func (b *Broker) RefillLevels(levels map[string]float64, elapsed time.Duration) map[string]float64 {
 	out := map[string]float64{}
 	for name, left := range levels {
@@ -404,7 +404,8 @@
 	}
 }
 
-// ResetQuotas resets all quotas to full; LowerQuotas may reduce them afterwards.
+// ResetQuotas resets all quotas to full; LowerQuotas may reduce them afterwards. An entry
+// calls it when it loses its broker.
 func (b *Broker) ResetQuotas(now time.Duration) {
 	clear(b.buckets)
 	b.quotasResetAt = now
@@ -551,8 +552,8 @@
 // Estimates holds what a broker has learned about an upstream.
 type Estimates struct {
 	ID string
-	// TokenTime is the time per output token and CallTime the time of a service call, in
-	// seconds; zero before the first observation.
+	// TokenTime is the time per output token and CallTime the time of a service call at
+	// the upstream, in seconds; zero before the first observation.
 	TokenTime float64
 	CallTime  float64
 	// FailureRate is the moving average of the failure rate, in [0, 1].
