Quotas: the refill of an outage covers what was used in it

Cause: entries report to a new broker what they granted without one. Change: an entry's report includes the refill beyond a full quota, which covers tokens used elsewhere and nothing else; an entry that never had a broker reports no level.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -16,6 +16,7 @@
 package broker
 
 import (
+	"maps"
 	"time"
 
 	"github.com/verbenastep/verbenastep/core/limits"
@@ -366,7 +367,8 @@
 }
 
 // LowerQuotas reduces the quotas to the levels that another broker reported, so that a
-// change of brokers does not grant a second burst.
+// change of brokers does not grant a second burst. A level above 1 includes the refill of a
+// full quota, which covers tokens that SpendQuotas takes.
 func (b *Broker) LowerQuotas(now time.Duration, levels map[string]float64) {
 	for name, left := range levels {
 		if workspace := b.workspace(name); workspace != nil {
@@ -377,16 +379,24 @@
 }
 
 // RefillLevels returns the quota levels, which a broker of all entries reported, after a
-// time in which nothing was used. It omits full quotas.
-func (b *Broker) RefillLevels(levels map[string]float64, elapsed time.Duration) map[string]float64 {
+// time in which nothing was used. A level may exceed 1, as LowerQuotas allows it. It omits
+// full quotas, except those of the workspaces in used.
+func (b *Broker) RefillLevels(levels map[string]float64, used map[string]int64, elapsed time.Duration) map[string]float64 {
+	reached := maps.Clone(levels)
+	for name := range used {
+		if _, listed := reached[name]; !listed {
+			reached[name] = 1
+		}
+	}
 	out := map[string]float64{}
-	for name, left := range levels {
+	for name, left := range reached {
 		workspace := b.workspace(name)
 		if workspace == nil {
 			continue
 		}
 		burst := float64(workspace.TokenBurst) + b.quotaSlackTokens*burstSlackFraction
-		if left += float64(workspace.TokensPerSecond) * elapsed.Seconds() / max(1, burst); left < 1 {
+		left += float64(workspace.TokensPerSecond) * elapsed.Seconds() / max(1, burst)
+		if left < 1 || used[name] > 0 {
 			out[name] = left
 		}
 	}
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -255,6 +255,47 @@
 	require.LessOrEqual(t, float64(most), 1.1*(burst+rate*(windowSteps*step).Seconds()))
 }
 
+// TestUseDuringOutageIsCoveredByItsRefill lets entries use four fifths of a quota during an
+// outage of seven seconds. The next broker, which is told of all these tokens, must go on
+// accepting as much. An entry that started during the outage knows no level.
+func TestUseDuringOutageIsCoveredByItsRefill(t *testing.T) {
+	const rate, burst, entries, outage = 10_000, 10_000, 50, 7 * time.Second
+	table := routes.NewIndex(&routes.Table{Workspaces: []routes.Workspace{{Name: "w", TokensPerSecond: rate, TokenBurst: burst}}})
+	next := newServiceBroker(1 << 20)
+	next.SetTable(table)
+	now := time.Minute
+	used := map[string]int64{"w": int64(0.8 * rate * outage.Seconds() / entries)}
+	for entry := range entries {
+		local := New(1.0 / entries)
+		local.SetTable(table)
+		if entry%10 != 0 {
+			next.LowerQuotas(now, local.RefillLevels(map[string]float64{"w": 0.5}, used, outage))
+		}
+		next.SpendQuotas(now, used)
+	}
+	for n := range uint64(20) {
+		o := newOffer(n)
+		o.Workspace, o.QuotaCharge = "w", 0.8*rate/10
+		next.Offer(now, o)
+		require.Empty(t, next.Decide(now).Refusals)
+		now += 100 * time.Millisecond
+	}
+}
+
+// TestUseDuringOutageBeyondItsRefillIsCharged is the same for a workspace that used more than
+// its quota was refilled by.
+func TestUseDuringOutageBeyondItsRefillIsCharged(t *testing.T) {
+	const rate, burst, outage = 10_000, 10_000, 2 * time.Second
+	table := routes.NewIndex(&routes.Table{Workspaces: []routes.Workspace{{Name: "w", TokensPerSecond: rate, TokenBurst: burst}}})
+	next := newServiceBroker(1 << 20)
+	next.SetTable(table)
+	now := time.Minute
+	next.SpendQuotas(now, map[string]int64{"w": 15_000})
+	next.LowerQuotas(now, next.RefillLevels(map[string]float64{"w": 0.2}, map[string]int64{"w": 1}, outage))
+	next.SpendQuotas(now, map[string]int64{"w": 10_000})
+	require.InDelta(t, -0.3, next.QuotaLevels(now)["w"], 0.001, "0.2 of the quota, two refills, 2.5 used")
+}
+
 // TestBrokerChangeGrantsNoSecondBurst guards against a quota that starts full at
 // each broker: it uses up a quota at one broker, then at nine local brokers and at
 // the next broker, all of which received the first broker's quota levels.
--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -8,6 +8,11 @@
 	level   float64
 	updated time.Duration
 	started bool
+	// reported is the number of tokens that were used elsewhere; see Spend. credit is
+	// the refill elsewhere, beyond a full bucket, that covers a part of them.
+	reported    float64
+	credit      float64
+	creditKnown bool
 }
 
 // Take takes n tokens if the bucket holds them above the reserve. If n and the reserve
@@ -31,16 +36,30 @@
 	return b.level
 }
 
-// Lower reduces the bucket to the given level if it holds more.
+// Lower reduces the bucket to the given level if it holds more. The level may exceed the
+// burst: it is then what the bucket would have reached while tokens were used elsewhere, and
+// the surplus only covers what Spend takes. Of several such levels the lowest counts.
 func (b *Bucket) Lower(now time.Duration, rate, burst, level float64) {
 	b.refill(now, rate, burst)
 	b.level = min(b.level, level)
+	credit := max(0, level-burst)
+	if b.creditKnown {
+		credit = min(b.credit, credit)
+	}
+	b.updateReported(b.reported, credit)
+	b.creditKnown = true
 }
 
-// Spend takes n tokens that were used already; the level may become negative.
+// Spend takes n tokens that were used elsewhere already; the level may become negative.
 func (b *Bucket) Spend(now time.Duration, rate, burst, n float64) {
 	b.refill(now, rate, burst)
-	b.level -= n
+	b.updateReported(b.reported+n, b.credit)
+}
+
+// updateReported takes the part of the reported tokens that the credit does not cover.
+func (b *Bucket) updateReported(reported, credit float64) {
+	b.level -= max(0, reported-credit) - max(0, b.reported-b.credit)
+	b.reported, b.credit = reported, credit
 }
 
 // Refund adds tokens that were taken but not used.
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -426,7 +426,9 @@
 	if term != s.reportedTerm {
 		s.reportedTerm = term
 		clear(s.reportedUse)
-		levels = s.local.RefillLevels(s.quotaLevels, s.now()-s.brokerHeardAt)
+		if s.brokerHeardAt != 0 {
+			levels = s.local.RefillLevels(s.quotaLevels, s.localUse, s.now()-s.brokerHeardAt)
+		}
 	}
 	used := map[string]int64{}
 	for name, tokens := range s.localUse {
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -413,6 +413,11 @@
 	require.Empty(t, s.quotaReport(1), "the same broker needs no levels")
 	s.brokerHeardAt = s.now() - 2*time.Second
 	require.Empty(t, s.quotaReport(2), "the quota is full again")
+	s.localUse["w"] = 40
+	levels = brokerwire.DecodeQuotaLevels(s.quotaReport(3))
+	require.InDelta(t, 1.25, levels["w"], 0.1, "the refill covers what was used")
+	s.brokerHeardAt = 0
+	require.Empty(t, brokerwire.DecodeQuotaLevels(s.quotaReport(4)), "an entry that had no broker knows no level")
 }
 
 // fixedMembers is a member list that the test sets.
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -149,8 +149,7 @@
 }
 
 // EncodeQuotaReport encodes what an entry reports to a new broker: the fractions of quotas
-// that the last broker left and the tokens used since, both by workspace. A workspace
-// without a level has its full quota.
+// that the last broker left and the tokens used since, both by workspace.
 func EncodeQuotaReport(levels map[string]float64, used map[string]int64) []*rpc.QuotaLevel {
 	out := EncodeQuotaLevels(levels)
 	listed := map[string]*rpc.QuotaLevel{}
@@ -160,7 +159,7 @@
 	for name, tokens := range used {
 		q := listed[name]
 		if q == nil {
-			q = &rpc.QuotaLevel{Workspace: name, Left: permille}
+			q = &rpc.QuotaLevel{Workspace: name, NoLevel: true}
 			out = append(out, q)
 		}
 		q.Used = uint64(tokens)
@@ -183,7 +182,9 @@
 func DecodeQuotaLevels(list []*rpc.QuotaLevel) map[string]float64 {
 	out := map[string]float64{}
 	for _, q := range list {
-		out[q.Workspace] = float64(q.Left) / permille
+		if !q.NoLevel {
+			out[q.Workspace] = float64(q.Left) / permille
+		}
 	}
 	return out
 }
