Broker: a relay names the term of the leader that it reached

Cause: a follower named the term that its own log knew, which may change after its relay is up. Change: the leader's own message says its term. Measured: TestRelayNamesTheLeadersTerm fails before (3 for 4) and holds.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -306,7 +306,7 @@
 	}
 	r.Leader = ""
 	if s.relay.up {
-		r.Leads, r.Entries, r.Leader = true, s.relay.entries, s.set.Addresses.Peers
+		r.Leads, r.Entries, r.Leader, r.LeaderTerm = true, s.relay.entries, s.set.Addresses.Peers, s.relay.term
 	}
 	return r
 }
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -52,9 +52,11 @@
 // relay is a follower's connection to the leader, which carries the sessions of its
 // entries. Its fields are guarded by the service's lock.
 type relay struct {
-	// up is true once the daemon at the address leader has confirmed that it leads.
+	// up is true once the daemon at the address leader has confirmed that it leads, in
+	// the given term. The daemon's own log may hear of the term later.
 	up     bool
 	leader string
+	term   uint64
 	// unsupportedBy is the address of a leader of an earlier version, which has no call
 	// for relays; empty if there is none.
 	unsupportedBy string
@@ -181,7 +183,7 @@
 	if r.State == nil || !r.State.Leads || s.leads {
 		return errRelayNotLeader
 	}
-	s.relay.entries = r.State.Entries
+	s.relay.entries, s.relay.term = r.State.Entries, r.State.LeaderTerm
 	if !s.relay.up {
 		s.setRelayUp(true)
 		s.relay.leader, s.relay.unsupportedBy = address, ""
--- a/internal/broker/relay_test.go
+++ b/internal/broker/relay_test.go
@@ -303,3 +303,16 @@
 	election.elect(addresses[1])
 	eventually(func() bool { return callTime(s[1]) == 2 })
 }
+
+// TestRelayNamesTheLeadersTerm covers a follower whose log hears of a new term after its relay:
+// an entry must not take the leader for a new one later, and report its use of quotas twice.
+func TestRelayNamesTheLeadersTerm(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop())
+	metrics, err := newMetrics(prometheus.NewRegistry())
+	require.NoError(t, err)
+	s.metrics, s.leader = metrics, port.Leader{Address: "old", Term: 3}
+	x := &session{out: make(chan *rpc.BrokerReply, sendQueueLength), end: func() {}, relayable: true}
+	s.listeners[x] = struct{}{}
+	require.NoError(t, s.handleRelayReply("a", &rpc.RelayReply{State: &rpc.BrokerReply{Leads: true, LeaderTerm: 4}}))
+	require.Equal(t, uint64(4), (<-x.out).LeaderTerm)
+}
