--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -44,10 +44,14 @@
 	// sessionTimeout is how long an entry may send nothing before its session ends;
 	// entries send every 200 ms.
 	sessionTimeout = 1200 * time.Millisecond
-	// decideDelay is the delay before a round of decisions, so that messages that arrive
-	// together share one round. It is short compared with the round trip between data
-	// centres.
-	decideDelay = 2 * time.Millisecond
+	// minDecideDelay is the delay before a round of decisions, so that messages that
+	// arrive together share one round. It is short compared with the round trip between
+	// data centres. A longer round is followed by a delay of decideDelayFactor times its
+	// duration, up to maxDecideDelay, so that the rounds of a long queue use at most a
+	// fifth of the processor: the log's leadership depends on it as well.
+	minDecideDelay    = 2 * time.Millisecond
+	maxDecideDelay    = 25 * time.Millisecond
+	decideDelayFactor = 4
 	// sendQueueLength is how many messages may wait for a slow entry.
 	sendQueueLength = 64
 )
@@ -97,6 +101,8 @@
 	// levelsSentAt is when quota levels were last sent, and sentLevels what was sent.
 	levelsSentAt time.Time
 	sentLevels   map[string]float64
+	// roundTime is the duration of the last round of decisions.
+	roundTime time.Duration
 	// rosterReadAt is when the roster was last read, and rosterReadTime how long the
 	// reading took.
 	rosterReadAt   time.Time
@@ -168,7 +174,7 @@
 		timer.Reset(s.decide())
 		select {
 		case <-s.wake:
-			time.Sleep(decideDelay)
+			time.Sleep(s.decideDelay())
 		case <-rosterChanged:
 			time.Sleep(s.batchDelay())
 			s.refresh(true)
@@ -223,6 +229,13 @@
 	s.rosterReadTime = time.Since(s.rosterReadAt)
 }
 
+// decideDelay returns the delay before the next round of decisions.
+func (s *Service) decideDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(maxDecideDelay, max(minDecideDelay, decideDelayFactor*s.roundTime))
+}
+
 // batchDelay returns how long changes of the roster are collected.
 func (s *Service) batchDelay() time.Duration {
 	s.mu.Lock()
@@ -264,6 +277,8 @@
 	if !s.leads {
 		return heartbeatInterval
 	}
+	started := time.Now()
+	defer func() { s.roundTime = time.Since(started) }()
 	decisions := s.core.Decide(s.now())
 	s.metrics.record(decisions)
 	replies := map[string]*rpc.BrokerReply{}
--- a/internal/broker/relay_test.go
+++ b/internal/broker/relay_test.go
@@ -316,3 +316,14 @@
 	require.NoError(t, s.handleRelayReply("a", &rpc.RelayReply{State: &rpc.BrokerReply{Leads: true, LeaderTerm: 4}}))
 	require.Equal(t, uint64(4), (<-x.out).LeaderTerm)
 }
+
+// TestLongRoundsAreFurtherApart guards against a leader whose rounds over a queue of thousands
+// take all of its processor time, so that it loses the leadership of the log.
+func TestLongRoundsAreFurtherApart(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop())
+	require.Equal(t, minDecideDelay, s.decideDelay())
+	s.roundTime = 3 * time.Millisecond
+	require.Equal(t, 12*time.Millisecond, s.decideDelay())
+	s.roundTime = time.Second
+	require.Equal(t, maxDecideDelay, s.decideDelay())
+}
