Broker: a follower reports decisions for entries that are gone

Cause, found in reading: an entry that connected and left between two messages to the leader is told as lost before its requests are added; the leader would grant them and keep the slots for good. Change: a decision for an entry without a session is answered with its loss. Measured: TestDecisionsForGoneEntryAreReported fails before and holds.

--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -204,7 +204,14 @@
 	s.relayLevels(r.State)
 	for _, d := range r.Replies {
 		x := s.sessions[d.Entry]
-		if x == nil || !x.complete {
+		if x == nil {
+			// The session ended in the same message as its first requests; the leader
+			// would keep their slots.
+			s.relay.lost = append(s.relay.lost, d.Entry)
+			wait.Notify(s.relay.wake)
+			continue
+		}
+		if !x.complete {
 			continue
 		}
 		reply := s.reply(x)
--- a/internal/broker/relay_test.go
+++ b/internal/broker/relay_test.go
@@ -327,3 +327,15 @@
 	s.roundTime = time.Second
 	require.Equal(t, maxDecideDelay, s.decideDelay())
 }
+
+// TestDecisionsForGoneEntryAreReported guards against slots that a leader keeps for an entry whose
+// first requests and end reached it in one message.
+func TestDecisionsForGoneEntryAreReported(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop())
+	metrics, err := newMetrics(prometheus.NewRegistry())
+	require.NoError(t, err)
+	s.metrics = metrics
+	reply := &rpc.RelayReply{State: &rpc.BrokerReply{Leads: true}, Replies: []*rpc.RelayedReply{{Entry: "gone", Grants: []*rpc.WorkGrant{{Id: 1}}}}}
+	require.NoError(t, s.handleRelayReply("a", reply))
+	require.Equal(t, []string{"gone"}, s.takeRelayAsk().Lost)
+}
