Logs: say how long the upstream of a failed try had been silent

Change: 'try failed' has the field 'silent', the time since the upstream last sent a part of its response.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -60,7 +60,9 @@
 	ticket port.BrokerTicket
 	conn   *conn
 	sentAt time.Time
-	end    broker.End
+	// heardAt is when the upstream last sent a part of its response, or sentAt.
+	heardAt time.Time
+	end     broker.End
 	// writeResult receives the result of writing the request, since an upstream
 	// may respond before it has read the whole request.
 	writeResult chan error
@@ -92,12 +94,14 @@
 		defer responseTimer.Stop()
 	}
 	a.sentAt = time.Now()
+	a.heardAt = a.sentAt
 	go a.sendRequest(a.encodeRequest())
 	resp, meta, err := a.readResponse()
 	if err != nil {
 		_ = c.Close()
 		return a.recordLost(ctx, err)
 	}
+	a.heardAt = time.Now()
 	switch {
 	case meta.Misdirected, meta.NotExecuted:
 		return a.recordRejected(resp, meta)
@@ -234,9 +238,13 @@
 func (a *upstreamAttempt) logFailure(err error) {
 	a.reason = err.Error()
 	reused := a.conn != nil && a.conn.reused
+	silence := time.Duration(0)
+	if !a.heardAt.IsZero() {
+		silence = time.Since(a.heardAt)
+	}
 	a.s.metrics.failedAttempts.WithLabelValues(a.pool, a.end.Outcome.String()).Inc()
 	a.s.log.Info("try failed", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("address", a.ticket.Address), zap.Stringer("outcome", a.end.Outcome),
-		zap.Int("runs", a.possibleRuns), zap.Int("rejects", a.notRunAttempts), zap.Bool("reused", reused), zap.Error(err))...)
+		zap.Int("runs", a.possibleRuns), zap.Int("rejects", a.notRunAttempts), zap.Bool("reused", reused), zap.Duration("silent", silence), zap.Error(err))...)
 }
 
 // discardBody reads the rest of a response, so that its connection can be reused.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -112,6 +112,7 @@
 			return a.recordLost(ctx, err)
 		}
 		now := time.Now()
+		a.heardAt = now
 		if first.IsZero() {
 			first = now
 			if responseTimer != nil {
