forward: keep a silent upstream until its replacement responds

What callers saw: a stream that ended in the middle, or a call that ended with 502, though its upstream was sound and had only been silent for a second (LOST). Cause: on a silence the entry closed the connection to the upstream and only then looked for another one. Where none was granted, the retry budget was used up or all others rejected the request, nothing was left to answer from. A change of the configuration takes no part: no code path ends a request on one. Change: an attempt runs in a goroutine of its own and reports to the exchange; a repeatable request whose upstream is silent gets a second attempt, which takes over with its response, or when the first one breaks off. If the first one goes on, the second is dropped.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -1,13 +1,13 @@
 package forward
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -27,15 +27,12 @@
 	// maxStrayResponses bounds the responses to other requests that are skipped
 	// on a connection before it is closed.
 	maxStrayResponses = 2
-	// minServiceResponseTimeout and minEngineResponseTimeout are lower bounds of
-	// the time after which a repeatable request is sent to another upstream;
-	// above them the timeout is responseTimeoutFactor times the expected time.
-	minServiceResponseTimeout = 200 * time.Millisecond
-	minEngineResponseTimeout  = 600 * time.Millisecond
-	responseTimeoutFactor     = 3
 	// writeResultTimeout is how long a completed response waits for the result of
 	// writing its request before the connection is closed.
 	writeResultTimeout = 50 * time.Millisecond
+	// maxPendingProgress is the number of events that an attempt reads ahead of the
+	// caller.
+	maxPendingProgress = 8
 )
 
 // These texts are part of error responses to callers.
@@ -54,90 +51,154 @@
 	body   []byte
 }
 
-// upstreamAttempt is the sending of a request to one upstream.
+// progressKind is what an attempt has reached.
+type progressKind uint8
+
+const (
+	// requestSent means that an upstream was granted and the request is being sent.
+	requestSent progressKind = iota
+	// responseStarted means that the header of a stream arrived, or another response
+	// as a whole.
+	responseStarted
+	// eventReceived means that an event of a stream arrived.
+	eventReceived
+)
+
+// progress is a report of an attempt to its exchange.
+type progress struct {
+	kind  progressKind
+	event event
+	at    time.Time
+}
+
+// upstreamAttempt is the sending of a request to one upstream. A goroutine acquires the
+// grant, sends the request and reads the response; it reports to the exchange, which
+// owns the caller's response and decides.
 type upstreamAttempt struct {
-	*exchange
-	ticket port.BrokerTicket
-	conn   *conn
-	sentAt time.Time
-	// heardAt is when the upstream last sent a part of its response, or sentAt.
-	heardAt time.Time
-	end     broker.End
+	s *Service
+	*request
+	offer port.BrokerOffer
+	// lastEvent is the id of the event after which a stream resumes; empty for none.
+	lastEvent string
+	// cancel ends the attempt and closes its connection.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// progress is closed once the attempt has ended, with err set.
+	progress chan progress
+
+	// The goroutine sets these fields; the exchange reads them after the report that
+	// follows.
+
+	ticket    port.BrokerTicket
+	granted   bool
+	queueTime time.Duration
+	// conn is nil until the request is sent. detachConn lets it outlive the attempt;
+	// it returns false if the connection is already being closed.
+	conn       *conn
+	detachConn func() bool
+	sentAt     time.Time
 	// writeResult receives the result of writing the request, since an upstream
 	// may respond before it has read the whole request.
 	writeResult chan error
-	// cancel ends the attempt and closes its connection. detachConn lets the
-	// connection outlive the attempt; it returns false if the connection is
-	// already being closed.
-	cancel     context.CancelCauseFunc
-	detachConn func() bool
+	resp        *http.Response
+	respMeta    ResponseMeta
+	// respBody is the body of a response that is not a stream, as far as it was read;
+	// respBodyErr is set if the rest is missing.
+	respBody    []byte
+	respBodyErr error
+	// err is why the attempt ended; nil if the response is complete.
+	err error
+
+	// The exchange owns these fields.
+
+	// heardAt is when the upstream last sent a part of its response, or sentAt.
+	heardAt      time.Time
+	firstEventAt time.Time
+	events       int
+	recorded     bool
+	ended        bool
+	end          broker.End
 }
 
-// attemptUpstream sends the request to the granted upstream and relays the
-// response.
-func (x *exchange) attemptUpstream(ticket port.BrokerTicket) nextStep {
-	a := &upstreamAttempt{exchange: x, ticket: ticket, writeResult: make(chan error, 1)}
-	defer func() { ticket.End(a.end) }()
-	x.triedUpstreams = append(x.triedUpstreams, ticket.Upstream)
-	c, err := x.s.conns.get(x.ctx, ticket.Address, !x.route.Repeatable())
+// startAttempt starts an attempt with the given offer.
+func (s *Service) startAttempt(ctx context.Context, q *request, offer port.BrokerOffer, lastEvent string) *upstreamAttempt {
+	a := &upstreamAttempt{
+		s: s, request: q, offer: offer, lastEvent: lastEvent,
+		progress: make(chan progress, maxPendingProgress), writeResult: make(chan error, 1),
+	}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	go func() {
+		defer close(a.progress)
+		a.err = a.perform()
+	}()
+	return a
+}
+
+// report passes progress to the exchange. It returns false if the attempt was canceled.
+func (a *upstreamAttempt) report(p progress) bool {
+	p.at = time.Now()
+	select {
+	case a.progress <- p:
+		return true
+	case <-a.ctx.Done():
+		return false
+	}
+}
+
+// perform makes the attempt. It returns nil once the response is complete.
+func (a *upstreamAttempt) perform() error {
+	if err := a.acquire(); err != nil {
+		return err
+	}
+	c, err := a.s.conns.get(a.ctx, a.ticket.Address, !a.route.Repeatable())
 	if err != nil {
-		return a.recordUnsent(broker.Unreachable, err)
+		return err
 	}
 	a.conn = c
-	ctx, cancel := context.WithCancelCause(x.ctx)
-	defer cancel(nil)
-	a.cancel = cancel
-	a.detachConn = context.AfterFunc(ctx, func() { _ = c.Close() })
-	defer a.detachConn()
-	responseTimer := a.startResponseTimer(cancel)
-	if responseTimer != nil {
-		defer responseTimer.Stop()
-	}
+	a.detachConn = context.AfterFunc(a.ctx, func() { _ = c.Close() })
 	a.sentAt = time.Now()
-	a.heardAt = a.sentAt
 	go a.sendRequest(a.encodeRequest())
-	resp, meta, err := a.readResponse()
-	if err != nil {
-		_ = c.Close()
-		return a.recordLost(ctx, err)
+	if !a.report(progress{kind: requestSent}) {
+		return context.Cause(a.ctx)
 	}
-	a.heardAt = time.Now()
-	switch {
-	case meta.Misdirected, meta.NotExecuted:
-		return a.recordRejected(resp, meta)
-	case !meta.Sealed:
-		return a.recordInvalid(errUnsealed)
-	case resp.Header.Get("Content-Encoding") != "":
-		return a.recordInvalid(errEncoded)
+	if err := a.readResponse(); err != nil {
+		return err
+	}
+	if a.isStream() {
+		if !a.report(progress{kind: responseStarted}) {
+			return context.Cause(a.ctx)
+		}
+		return a.readEvents()
 	}
-	if isStream(resp) && resp.StatusCode < http.StatusMultipleChoices {
-		return a.relayStream(ctx, resp, responseTimer)
+	a.readBody()
+	if a.respBodyErr != nil && !a.isRejected() {
+		return a.respBodyErr
 	}
-	return a.relayBody(ctx, resp)
+	if !a.report(progress{kind: responseStarted}) {
+		return context.Cause(a.ctx)
+	}
+	return nil
 }
 
-// startResponseTimer starts a timer that cancels the attempt if the upstream does
-// not respond. It returns nil if the request may not be sent elsewhere.
-func (a *upstreamAttempt) startResponseTimer(cancel context.CancelCauseFunc) *time.Timer {
-	if !a.route.Repeatable() || a.possibleRuns+1 >= a.route.MaxAttempts || a.stream.headerSent {
-		return nil
-	}
-	timeout := minServiceResponseTimeout
-	if a.engine != nil {
-		timeout = minEngineResponseTimeout
+// acquire waits for the grant of an upstream.
+func (a *upstreamAttempt) acquire() error {
+	offeredAt := time.Now()
+	ticket, err := a.s.brokerClient.Acquire(a.ctx, a.offer)
+	a.queueTime = time.Since(offeredAt)
+	if err != nil {
+		return err
 	}
-	return time.AfterFunc(max(timeout, responseTimeoutFactor*a.ticket.ExpectedTimeToFirstEvent), func() { cancel(errUpstreamTimeout) })
+	a.ticket, a.granted = ticket, true
+	a.s.log.Info("granted", a.logFields(zap.String("upstream", ticket.Upstream), zap.String("by", ticket.GrantedBy), zap.Duration("waited", a.queueTime),
+		zap.Duration("expected", ticket.ExpectedTimeToFirstEvent), zap.Int("free", ticket.FreeSlots), zap.Int("queued", ticket.Queued), zap.Int("rank", a.rank))...)
+	return nil
 }
 
 // encodeRequest returns the request as it is sent to the upstream.
 func (a *upstreamAttempt) encodeRequest() []byte {
 	b := &bytes.Buffer{}
 	h := withoutHopByHop(a.header)
-	lastEvent := a.meta.LastEvent
-	if a.stream.lastID != "" {
-		lastEvent = a.stream.lastID
-	}
-	a.s.dialect.SetUpstreamHeaders(h, UpstreamRequestMeta{Upstream: a.ticket.Upstream, Workspace: a.workspace, Timeout: time.Until(a.deadline), LastEvent: lastEvent})
+	a.s.dialect.SetUpstreamHeaders(h, UpstreamRequestMeta{Upstream: a.ticket.Upstream, Workspace: a.workspace, Timeout: time.Until(a.deadline), LastEvent: a.lastEvent})
 	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", a.method, a.requestTarget, a.host)
 	_ = h.Write(b)
 	if len(a.body) > 0 || (a.method != http.MethodGet && a.method != http.MethodHead) {
@@ -156,120 +217,115 @@
 
 // readResponse reads the response header and its metadata. It skips late responses
 // to earlier requests on the connection, which would otherwise reach the wrong
-// caller.
-func (a *upstreamAttempt) readResponse() (*http.Response, ResponseMeta, error) {
+// caller. It returns an error for a response that must not be relayed.
+func (a *upstreamAttempt) readResponse() error {
 	for range maxStrayResponses + 1 {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.method})
 		if err != nil {
-			return nil, ResponseMeta{}, err
+			return err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		meta := a.s.dialect.ParseResponse(resp.StatusCode, resp.Header)
 		if meta.RequestID == "" || meta.RequestID == a.meta.RequestID {
-			return resp, meta, nil
+			a.resp, a.respMeta = resp, meta
+			return a.checkResponse()
 		}
 		a.s.log.Info("answer to another request skipped", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("answers", meta.RequestID))...)
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
-			return nil, ResponseMeta{}, err
+			return err
 		}
 		_ = resp.Body.Close()
 	}
-	return nil, ResponseMeta{}, errStrayResponse
-}
-
-func isStream(resp *http.Response) bool {
-	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	return errStrayResponse
 }
 
-// recordUnsent records an attempt that sent nothing.
-func (a *upstreamAttempt) recordUnsent(o broker.Outcome, err error) nextStep {
-	a.end.Outcome = o
-	if a.callerDisconnected() {
-		a.end.Outcome = broker.NotSent
+// checkResponse returns an error if the response header shows that the response must
+// not be relayed.
+func (a *upstreamAttempt) checkResponse() error {
+	switch {
+	case a.isRejected():
+		return nil
+	case !a.respMeta.Sealed:
+		return errUnsealed
+	case a.resp.Header.Get("Content-Encoding") != "":
+		return errEncoded
 	}
-	a.notRunAttempts++
-	a.logFailure(err)
-	return tryNext
+	return nil
 }
 
-// recordLost records an attempt without a complete response. The request may have
-// run.
-func (a *upstreamAttempt) recordLost(ctx context.Context, err error) nextStep {
-	a.possibleRuns++
-	a.end.Outcome = broker.ConnectionLost
-	switch cause := context.Cause(ctx); {
-	case a.callerDisconnected():
-		a.end.Outcome = broker.Canceled
-	case errors.Is(cause, errUpstreamTimeout), errors.Is(cause, context.DeadlineExceeded):
-		a.end.Outcome = broker.TimedOut
-		err = cause
-	case errors.Is(err, errStrayResponse):
-		a.end.Outcome = broker.InvalidResponse
-	}
-	a.logFailure(err)
-	return tryNext
-}
+// isRejected reports whether the response states that the request did not run.
+func (a *upstreamAttempt) isRejected() bool { return a.respMeta.Misdirected || a.respMeta.NotExecuted }
 
-// recordInvalid records a response that must not be relayed. The request may have
-// run.
-func (a *upstreamAttempt) recordInvalid(err error) nextStep {
-	_ = a.conn.Close()
-	a.possibleRuns++
-	a.end.Outcome = broker.InvalidResponse
-	a.logFailure(err)
-	return tryNext
+// isStream reports whether the response is a stream of events.
+func (a *upstreamAttempt) isStream() bool {
+	return !a.isRejected() && a.resp.StatusCode < http.StatusMultipleChoices && strings.HasPrefix(a.resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
-// recordRejected records a response that states that the request did not run.
-func (a *upstreamAttempt) recordRejected(resp *http.Response, meta ResponseMeta) nextStep {
-	a.discardBody(resp)
-	a.notRunAttempts++
-	a.end.Outcome = broker.Rejected
-	if meta.Misdirected {
-		a.end.Outcome = broker.Misdirected
+// readBody reads the body of a response that is not a stream.
+func (a *upstreamAttempt) readBody() {
+	a.respBody, a.respBodyErr = io.ReadAll(io.LimitReader(a.resp.Body, maxResponseBytes+1))
+	if a.respBodyErr == nil && len(a.respBody) > maxResponseBytes {
+		a.respBodyErr = errTooLarge
 	}
-	a.logFailure(errors.New(resp.Status))
-	return tryNext
 }
 
-// logFailure logs an attempt that did not succeed and counts it by its outcome.
-func (a *upstreamAttempt) logFailure(err error) {
-	a.reason = err.Error()
-	reused := a.conn != nil && a.conn.reused
-	silence := time.Duration(0)
-	if !a.heardAt.IsZero() {
-		silence = time.Since(a.heardAt)
+// readEvents reports the events of a stream up to its end.
+func (a *upstreamAttempt) readEvents() error {
+	reader := bufio.NewReaderSize(a.resp.Body, readBufferBytes)
+	for {
+		e, err := readEvent(reader)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if !a.report(progress{kind: eventReceived, event: e}) {
+			return context.Cause(a.ctx)
+		}
 	}
-	a.s.metrics.failedAttempts.WithLabelValues(a.pool, a.end.Outcome.String()).Inc()
-	a.s.log.Info("try failed", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("address", a.ticket.Address), zap.Stringer("outcome", a.end.Outcome),
-		zap.Int("runs", a.possibleRuns), zap.Int("rejects", a.notRunAttempts), zap.Bool("reused", reused), zap.Duration("silent", silence), zap.Error(err))...)
 }
 
-// discardBody reads the rest of a response, so that its connection can be reused.
-func (a *upstreamAttempt) discardBody(resp *http.Response) {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
-	a.releaseConn(resp, err)
+// completeResponse returns the response, which is not a stream.
+func (a *upstreamAttempt) completeResponse() *response {
+	return &response{status: a.resp.StatusCode, header: withoutHopByHop(a.resp.Header), body: a.respBody}
+}
+
+// finish cancels the attempt, waits for its goroutine and ends the grant.
+func (a *upstreamAttempt) finish(o broker.Outcome) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.cancel(nil)
+	for range a.progress {
+		// Reports that nobody reads any more.
+	}
+	if a.granted {
+		a.end.Outcome = o
+		a.ticket.End(a.end)
+	}
 }
 
 // releaseConn returns the connection to the pool after a response, or closes it if
 // it can't carry another request.
-func (a *upstreamAttempt) releaseConn(resp *http.Response, err error) {
+func (a *upstreamAttempt) releaseConn(err error) {
 	// An upstream may report a failure before it reads a long body, even if the
 	// kernel has accepted all of it: the next request would wait behind the rest.
-	early := resp.StatusCode >= http.StatusBadRequest && len(a.body) > minEarlyResponseBodyBytes
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if err != nil || early || !a.requestSent() || resp.Close || !framed || a.conn.reader.Buffered() > 0 || !a.detachConn() {
+	early := a.resp.StatusCode >= http.StatusBadRequest && len(a.body) > minEarlyResponseBodyBytes
+	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+	if err != nil || early || !a.isWritten() || a.resp.Close || !framed || a.conn.reader.Buffered() > 0 || !a.detachConn() {
 		_ = a.conn.Close()
 		return
 	}
-	a.s.conns.put(a.ticket.Address, a.conn, resp.Header)
+	a.s.conns.put(a.ticket.Address, a.conn, a.resp.Header)
 }
 
-// requestSent reports whether the whole request was written. The goroutine that wrote it
+// isWritten reports whether the whole request was written. The goroutine that wrote it
 // may report that later than the upstream responds.
-func (a *upstreamAttempt) requestSent() bool {
+func (a *upstreamAttempt) isWritten() bool {
 	timeout := time.NewTimer(writeResultTimeout)
 	defer timeout.Stop()
 	select {
@@ -279,52 +335,3 @@
 		return false
 	}
 }
-
-// relayBody reads a whole response and relays it. A server error is kept and
-// relayed only if no other attempt succeeds.
-func (a *upstreamAttempt) relayBody(ctx context.Context, resp *http.Response) nextStep {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errTooLarge
-	}
-	if err != nil {
-		_ = a.conn.Close()
-		return a.recordLost(ctx, err)
-	}
-	a.end.TimeToFirstEvent = time.Since(a.sentAt)
-	a.timeToFirstEvent = a.end.TimeToFirstEvent
-	a.possibleRuns++
-	out := &response{status: resp.StatusCode, header: withoutHopByHop(resp.Header), body: body}
-	if resp.StatusCode >= http.StatusInternalServerError {
-		a.end.Outcome = broker.UpstreamError
-		a.releaseConn(resp, nil)
-		a.upstreamError = out
-		a.logFailure(errors.New(resp.Status))
-		return tryNext
-	}
-	a.end.Outcome = broker.Completed
-	a.releaseConn(resp, nil)
-	a.writeResponse(out)
-	return stop
-}
-
-// writeResponse writes an upstream's response to the caller.
-func (x *exchange) writeResponse(r *response) {
-	if x.stream.headerSent {
-		x.abortStream()
-	}
-	x.status, x.outcome = r.status, outcomeAnswered
-	if r.status >= http.StatusInternalServerError {
-		x.outcome = outcomeUpstreamError
-	}
-	h := x.w.Header()
-	for name, values := range r.header {
-		h[name] = values
-	}
-	h.Set("Content-Length", strconv.Itoa(len(r.body)))
-	x.s.setConnectionClose(h)
-	x.w.WriteHeader(r.status)
-	if _, err := x.w.Write(r.body); err != nil {
-		x.outcome = outcomeCallerGone
-	}
-}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/core/broker"
-	"github.com/verbenastep/verbenastep/internal/port"
 )
 
 const (
@@ -25,13 +25,27 @@
 
 // exchange is one request with the state of its upstream attempts and response. It
 // belongs to one goroutine.
+//
+// A repeatable request whose upstream is silent is sent to a second one. The first
+// upstream is given up only once the second has responded, since a silent upstream may
+// be sound and the second may not take the request.
 type exchange struct {
 	s *Service
 	*request
 	w   http.ResponseWriter
 	ctx context.Context
-	// possibleRuns counts attempts that may have run the request, notRunAttempts those
-	// that certainly did not run it: the upstream rejected it or could not be reached.
+	// current is the attempt whose response is relayed, replacement the attempt that
+	// takes over if it responds before current does; nil if there is none.
+	current     *upstreamAttempt
+	replacement *upstreamAttempt
+	// silence fires when current has been silent for too long. failedReplacements counts
+	// the replacements that did not take over.
+	silence            *time.Timer
+	failedReplacements int
+	// attempts counts all attempts, possibleRuns those that ended and may have run the
+	// request, notRunAttempts those that certainly did not run it: the upstream rejected
+	// it or could not be reached.
+	attempts       int
 	possibleRuns   int
 	notRunAttempts int
 	triedUpstreams []string
@@ -56,54 +70,147 @@
 	outcomeAborted       = "cut"
 )
 
-// nextStep is what follows an upstream attempt.
+// nextStep is what follows a report of an attempt.
 type nextStep uint8
 
 const (
 	// stop means that the caller has its final response or has disconnected.
 	stop nextStep = iota
-	// tryNext means that another upstream may be tried.
-	tryNext
+	// proceed means that the exchange goes on.
+	proceed
 )
 
 // run makes upstream attempts until the caller has a final response.
 func (x *exchange) run() {
-	for {
-		ticket, err := x.acquire()
-		if err != nil {
-			x.endWithoutUpstream(err)
-			return
-		}
-		if x.attemptUpstream(ticket) == stop {
-			return
-		}
-		if !x.canRetry() {
-			x.respondNoResponse()
-			return
-		}
+	x.silence = time.NewTimer(time.Hour)
+	x.silence.Stop()
+	defer x.finishAttempts()
+	x.current = x.startAttempt()
+	for x.advance() == proceed {
 	}
 }
 
-// acquire asks the broker for an upstream. A retry is charged no tokens, and its
+// advance handles one report of an attempt, or the silence of the current one.
+func (x *exchange) advance() nextStep {
+	replacement := (chan progress)(nil)
+	if x.replacement != nil {
+		replacement = x.replacement.progress
+	}
+	select {
+	case p, open := <-x.current.progress:
+		return x.handleCurrent(p, open)
+	case p, open := <-replacement:
+		return x.handleReplacement(p, open)
+	case <-x.silence.C:
+		x.replaceSilent()
+		return proceed
+	}
+}
+
+// startAttempt starts an attempt. One after the first is charged no tokens, and its
 // latency target is extended.
-func (x *exchange) acquire() (port.BrokerTicket, error) {
+func (x *exchange) startAttempt() *upstreamAttempt {
 	offer := x.offer(x.s)
-	offer.Avoid = x.triedUpstreams
-	if x.possibleRuns+x.notRunAttempts > 0 {
+	offer.Avoid = slices.Clone(x.triedUpstreams)
+	if x.attempts > 0 {
 		offer.QuotaCharge = 0
 		retryLatencyTarget := time.Now().Add(x.route.LatencyTarget() / retryTargetDivisor)
 		if retryLatencyTarget.After(offer.LatencyTargetAt) {
 			offer.LatencyTargetAt = retryLatencyTarget
 		}
 	}
-	offeredAt := time.Now()
-	ticket, err := x.s.brokerClient.Acquire(x.ctx, offer)
-	x.queueTime += time.Since(offeredAt)
+	x.attempts++
+	lastEvent := x.meta.LastEvent
+	if x.stream.lastID != "" {
+		lastEvent = x.stream.lastID
+	}
+	return x.s.startAttempt(x.ctx, x.request, offer, lastEvent)
+}
+
+// finishAttempts ends the attempts that have not ended.
+func (x *exchange) finishAttempts() {
+	x.silence.Stop()
+	x.current.finish(broker.Canceled)
+	x.dropReplacement()
+}
+
+// handleCurrent handles a report of the current attempt, or its end if open is false.
+func (x *exchange) handleCurrent(p progress, open bool) nextStep {
+	a := x.current
+	if !open {
+		return x.handleEnd(a)
+	}
+	a.heardAt = p.at
+	if p.kind == requestSent {
+		x.recordGrant(a)
+		x.watchSilence()
+		return proceed
+	}
+	if p.kind == responseStarted {
+		return x.handleResponse(a)
+	}
+	x.dropReplacement()
+	return x.relayEvent(a, p)
+}
+
+// handleEnd handles the end of the current attempt.
+func (x *exchange) handleEnd(a *upstreamAttempt) nextStep {
+	err := a.err
+	if err == nil && x.stream.headerSent {
+		x.recordStreamEnd(a)
+		return stop
+	}
 	if err == nil {
-		x.s.log.Info("granted", x.logFields(zap.String("upstream", ticket.Upstream), zap.String("by", ticket.GrantedBy), zap.Duration("waited", time.Since(offeredAt)),
-			zap.Duration("expected", ticket.ExpectedTimeToFirstEvent), zap.Int("free", ticket.FreeSlots), zap.Int("queued", ticket.Queued), zap.Int("rank", x.rank))...)
+		// A stream without any event counts as lost.
+		err = io.ErrUnexpectedEOF
+	}
+	if !a.granted {
+		x.recordGrant(a)
+		x.endWithoutUpstream(err)
+		return stop
 	}
-	return ticket, err
+	x.recordFailure(a, err)
+	return x.tryAnother()
+}
+
+// handleResponse handles the response of the current attempt: the header of a stream, or
+// another response as a whole.
+func (x *exchange) handleResponse(a *upstreamAttempt) nextStep {
+	switch {
+	case a.isRejected():
+		x.recordRejected(a)
+		return x.tryAnother()
+	case a.isStream():
+		x.dropReplacement()
+		x.watchSilence()
+		return proceed
+	case a.resp.StatusCode >= http.StatusInternalServerError:
+		x.recordUpstreamError(a)
+		return x.tryAnother()
+	}
+	x.recordTimeToResponse(a)
+	x.possibleRuns++
+	a.releaseConn(nil)
+	a.finish(broker.Completed)
+	x.writeResponse(a.completeResponse())
+	return stop
+}
+
+// tryAnother goes on with the replacement, or starts another attempt, after the current
+// one has failed.
+func (x *exchange) tryAnother() nextStep {
+	x.silence.Stop()
+	if x.replacement != nil {
+		x.current, x.replacement = x.replacement, nil
+		x.watchSilence()
+		return proceed
+	}
+	if !x.canRetry() {
+		x.respondNoResponse()
+		return stop
+	}
+	x.current = x.startAttempt()
+	return proceed
 }
 
 // canRetry reports whether the request may be sent to another upstream.
@@ -176,10 +283,23 @@
 	panic(http.ErrAbortHandler)
 }
 
-// logFields returns the fields that begin each log line about the request.
-func (x *exchange) logFields(more ...zap.Field) []zap.Field {
-	return append([]zap.Field{
-		zap.String("request", x.meta.RequestID), zap.String("route", x.route.Name), zap.String("pool", x.pool),
-		zap.String("workspace", x.workspace), zap.Uint64("table", x.tableVersion),
-	}, more...)
+// writeResponse writes an upstream's response to the caller.
+func (x *exchange) writeResponse(r *response) {
+	if x.stream.headerSent {
+		x.abortStream()
+	}
+	x.status, x.outcome = r.status, outcomeAnswered
+	if r.status >= http.StatusInternalServerError {
+		x.outcome = outcomeUpstreamError
+	}
+	h := x.w.Header()
+	for name, values := range r.header {
+		h[name] = values
+	}
+	h.Set("Content-Length", strconv.Itoa(len(r.body)))
+	x.s.setConnectionClose(h)
+	x.w.WriteHeader(r.status)
+	if _, err := x.w.Write(r.body); err != nil {
+		x.outcome = outcomeCallerGone
+	}
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/routes"
@@ -208,3 +210,11 @@
 	}
 	return o
 }
+
+// logFields returns the fields that begin each log line about the request.
+func (q *request) logFields(more ...zap.Field) []zap.Field {
+	return append([]zap.Field{
+		zap.String("request", q.meta.RequestID), zap.String("route", q.route.Name), zap.String("pool", q.pool),
+		zap.String("workspace", q.workspace), zap.Uint64("table", q.tableVersion),
+	}, more...)
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,31 +3,23 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/verbenastep/verbenastep/core/broker"
 )
 
-const (
-	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
-	// maxStreamPause is the time without an event after which a resumable stream
-	// is resumed at another upstream. It is several times the longest pause that
-	// counts as on time, and well below callers' timeouts.
-	maxStreamPause = 1200 * time.Millisecond
-)
+// maxEventBytes bounds the size of one event.
+const maxEventBytes = 1 << 20
 
 // These texts are part of error responses to callers.
 var (
 	errPartialEvent  = errors.New("the stream ended in the middle of an event")
 	errMissingEvents = errors.New("the resumed stream does not go on where the first one ended")
+	errNotResumed    = errors.New("the answer to a resumption is no stream")
 )
 
 // stream is the state of a stream as delivered to the caller.
@@ -93,86 +85,50 @@
 	return err1 != nil || err2 != nil || id == last+1
 }
 
-// relayStream relays a stream event by event. It skips events that the caller
-// already has, and fails on a gap. A stream that breaks may be resumed at another
-// upstream after the last event that was delivered.
-func (a *upstreamAttempt) relayStream(ctx context.Context, resp *http.Response, responseTimer *time.Timer) nextStep {
-	reader := bufio.NewReaderSize(resp.Body, readBufferBytes)
-	pauseTimer := a.startPauseTimer()
-	defer pauseTimer.Stop()
-	first := time.Time{}
-	count := 0
-	for {
-		e, err := readEvent(reader)
-		if err == io.EOF {
-			return a.endStream(ctx, resp, first, count)
-		}
-		if err != nil {
-			_ = a.conn.Close()
-			return a.recordLost(ctx, err)
-		}
-		now := time.Now()
-		a.heardAt = now
-		if first.IsZero() {
-			first = now
-			if responseTimer != nil {
-				responseTimer.Stop()
-			}
-		}
-		count++
-		pauseTimer.Reset(maxStreamPause)
-		if !a.stream.isAfterLast(e) {
-			continue
-		}
-		if a.stream.events > 0 && !a.stream.isNext(e) {
-			return a.recordInvalid(errMissingEvents)
+// relayEvent relays one event of the current attempt. It skips an event that the caller
+// already has, and fails on a gap.
+func (x *exchange) relayEvent(a *upstreamAttempt, p progress) nextStep {
+	if a.firstEventAt.IsZero() {
+		a.firstEventAt = p.at
+	}
+	a.events++
+	if x.stream.isAfterLast(p.event) {
+		if x.stream.events > 0 && !x.stream.isNext(p.event) {
+			x.recordFailure(a, errMissingEvents)
+			return x.tryAnother()
 		}
-		if err := a.writeEvent(resp, e, now); err != nil {
-			_ = a.conn.Close()
-			a.possibleRuns++
-			a.end.Outcome = broker.Canceled
-			a.outcome = outcomeCallerGone
+		if err := x.writeEvent(a.resp, p.event, p.at); err != nil {
+			x.possibleRuns++
+			a.finish(broker.Canceled)
+			x.outcome = outcomeCallerGone
 			return stop
 		}
 	}
-}
-
-// startPauseTimer starts a timer that cancels the attempt if a resumable stream
-// pauses for too long. Before the first event of a stream it is stopped, since the
-// response timer applies.
-func (a *upstreamAttempt) startPauseTimer() *time.Timer {
-	t := time.AfterFunc(maxStreamPause, func() {
-		if a.route.Repeatable() && a.possibleRuns+1 < a.route.MaxAttempts {
-			a.cancel(errUpstreamTimeout)
-		}
-	})
-	if !a.stream.headerSent {
-		t.Stop()
-	}
-	return t
+	x.watchSilence()
+	return proceed
 }
 
 // writeEvent writes one event to the caller, after the header if it is the first.
-func (a *upstreamAttempt) writeEvent(resp *http.Response, e event, now time.Time) error {
-	st := &a.stream
+func (x *exchange) writeEvent(resp *http.Response, e event, now time.Time) error {
+	st := &x.stream
 	if !st.headerSent {
-		h := a.w.Header()
+		h := x.w.Header()
 		for name, values := range withoutHopByHop(resp.Header) {
 			h[name] = values
 		}
-		a.s.setConnectionClose(h)
-		a.w.WriteHeader(resp.StatusCode)
+		x.s.setConnectionClose(h)
+		x.w.WriteHeader(resp.StatusCode)
 		st.headerSent = true
-		a.status = resp.StatusCode
-		a.timeToFirstEvent = now.Sub(a.arrived)
+		x.status = resp.StatusCode
+		x.timeToFirstEvent = now.Sub(x.arrived)
 	} else {
 		st.longestPause = max(st.longestPause, now.Sub(st.lastEventAt))
 	}
 	st.lastEventAt = now
-	if _, err := a.w.Write(e.raw); err != nil {
+	if _, err := x.w.Write(e.raw); err != nil {
 		return err
 	}
-	if err := http.NewResponseController(a.w).Flush(); err != nil {
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return err
 	}
 	st.events++
@@ -181,25 +137,3 @@
 	}
 	return nil
 }
-
-// endStream records the end of a stream that the upstream completed. A stream
-// without any event counts as lost.
-func (a *upstreamAttempt) endStream(ctx context.Context, resp *http.Response, first time.Time, count int) nextStep {
-	if !a.stream.headerSent {
-		_ = a.conn.Close()
-		return a.recordLost(ctx, io.ErrUnexpectedEOF)
-	}
-	a.possibleRuns++
-	a.end.Outcome = broker.Completed
-	if !first.IsZero() {
-		a.end.TimeToFirstEvent = first.Sub(a.sentAt)
-		a.end.DecodeTime = a.stream.lastEventAt.Sub(first)
-	}
-	if a.engine != nil {
-		a.end.OutputTokens = max(0, count-1) * max(1, a.engine.EventTokens)
-	}
-	a.outcome = outcomeAnswered
-	a.releaseConn(resp, nil)
-	a.s.log.Debug("stream complete", a.logFields(zap.Int("events", a.stream.events))...)
-	return stop
-}
