forward: connections to upstreams outlive a silence of three seconds

What callers could see: a request that may not be repeated ends with 502, a stream is cut, because the kernel closed the connection to a sound upstream that acknowledged nothing for two seconds (TCP_USER_TIMEOUT, keep-alive probes). Change: connections to upstreams are given up after four seconds instead of two. Repeatable requests do not depend on it, they get a second attempt earlier; for the others an earlier end is of no use to the caller. Callers' connections keep their limits.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -28,34 +28,40 @@
 	// more requests of one entry concurrently.
 	maxIdleConns = 8
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a connection that
-	// the network has dropped within about two seconds.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
-	// userTimeout bounds the time for which sent bytes may stay unacknowledged.
-	userTimeout = 2 * time.Second
+	// the network has dropped: one to a caller within about two seconds, one to an
+	// upstream, which may be silent for a second or two and go on, within four.
+	keepAliveIdle             = time.Second
+	keepAliveInterval         = 500 * time.Millisecond
+	upstreamKeepAliveInterval = time.Second
+	keepAliveCount            = 3
+	// userTimeout and upstreamUserTimeout bound the time for which sent bytes may stay
+	// unacknowledged.
+	userTimeout         = 2 * time.Second
+	upstreamUserTimeout = 4 * time.Second
 	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux.
 	tcpUserTimeout  = 0x12
 	readBufferBytes = 4 << 10
 )
 
-// keepAlive returns the TCP keep-alive settings of callers' and upstreams'
-// connections.
-func keepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+// keepAlive returns the TCP keep-alive settings of a connection that is probed at an
+// interval.
+func keepAlive(interval time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: interval, Count: keepAliveCount}
 }
 
-// setUserTimeout sets the TCP user timeout, which bounds the kernel's
-// retransmissions, on a socket.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	err := error(nil)
-	controlErr := c.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	if controlErr != nil {
-		return controlErr
+// setUserTimeout returns a function that sets the TCP user timeout, which bounds the
+// kernel's retransmissions, on a socket.
+func setUserTimeout(timeout time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		err := error(nil)
+		controlErr := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
+		})
+		if controlErr != nil {
+			return controlErr
+		}
+		return err
 	}
-	return err
 }
 
 // conn is a connection to an upstream; it carries one request at a time.
@@ -117,7 +123,7 @@
 
 func newConnPool(onDial func()) *connPool {
 	return &connPool{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(), Control: setUserTimeout},
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(upstreamKeepAliveInterval), Control: setUserTimeout(upstreamUserTimeout)},
 		idle:   map[string][]*conn{}, onDial: onDial,
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -105,7 +105,7 @@
 	}
 	s.conns = newConnPool(s.metrics.connections.Inc)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	config := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+	config := net.ListenConfig{KeepAliveConfig: keepAlive(keepAliveInterval), Control: setUserTimeout(userTimeout)}
 	if s.listener, err = config.Listen(s.ctx, "tcp", s.set.Addresses.Callers); err != nil {
 		return err
 	}
