forward: no replacement for an attempt that waits for its grant

What callers could see: 503 'overloaded', which promises that nothing ran, though an upstream ran the request; with three attempts 502 though one would have answered. Cause: a replacement that took the place of a failed attempt before its grant got the timer of silence; a second replacement was sent, and the refusal of the first one ended the request. The timer's length was read from a ticket that another goroutine still set (data race). Change: the timer runs only for an attempt whose request was sent.

--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -23,10 +23,11 @@
 )
 
 // watchSilence restarts the timer after which a replacement for the current attempt is
-// looked for, or stops it if there can be none.
+// looked for, or stops it if there can be none. An attempt that waits for its grant needs
+// none.
 func (x *exchange) watchSilence() {
 	x.silence.Stop()
-	if x.replacement == nil && x.route.Repeatable() && x.possibleRuns+1 < x.route.MaxAttempts {
+	if x.current.recorded && x.replacement == nil && x.route.Repeatable() && x.possibleRuns+1 < x.route.MaxAttempts {
 		x.silence.Reset(x.silenceTimeout())
 	}
 }
