forward: a stream's replacement takes over with its first event

What callers could see: a stream that is cut, though its upstream was sound and only silent for a moment (LOST). Found in review. The other way round, the first upstream's header or an event that does not follow dropped the replacement. Change: in both directions the first event that the caller lacks, and that follows its last one, decides. A replacement that ends with nothing to add is kept: the stream is complete if the first upstream sends nothing more. Evidence: TestStreamHeaderAloneDoesNotReplace (four cases), its twin before the first event and TestUnusableEventKeepsReplacement failed before and pass.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -117,7 +117,9 @@
 	events       int
 	recorded     bool
 	ended        bool
-	end          broker.End
+	// streamEnded is set for a replacement whose stream ended with nothing to add.
+	streamEnded bool
+	end         broker.End
 }
 
 // startAttempt starts an attempt with the given offer.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -27,15 +27,15 @@
 // belongs to one goroutine.
 //
 // A repeatable request whose upstream is silent is sent to a second one. The first
-// upstream is given up only once the second has responded, since a silent upstream may
-// be sound and the second may not take the request.
+// upstream is given up only once the second has answered, a stream with its next event,
+// since a silent upstream may be sound and the second may fail as well.
 type exchange struct {
 	s *Service
 	*request
 	w   http.ResponseWriter
 	ctx context.Context
 	// current is the attempt whose response is relayed, replacement the attempt that
-	// takes over if it responds before current does; nil if there is none.
+	// takes over if it answers before current does; nil if there is none.
 	current     *upstreamAttempt
 	replacement *upstreamAttempt
 	// silence fires when current has been silent for too long. failedReplacements counts
@@ -93,7 +93,7 @@
 // advance handles one report of an attempt, or the silence of the current one.
 func (x *exchange) advance() nextStep {
 	replacement := (chan progress)(nil)
-	if x.replacement != nil {
+	if x.replacement != nil && !x.replacement.streamEnded {
 		replacement = x.replacement.progress
 	}
 	select {
@@ -149,7 +149,6 @@
 	if p.kind == responseStarted {
 		return x.handleResponse(a)
 	}
-	x.dropReplacement()
 	return x.relayEvent(a, p)
 }
 
@@ -181,7 +180,6 @@
 		x.recordRejected(a)
 		return x.tryAnother()
 	case a.isStream():
-		x.dropReplacement()
 		x.watchSilence()
 		return proceed
 	case a.resp.StatusCode >= http.StatusInternalServerError:
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -91,7 +91,9 @@
 // recordTimeToResponse records how long a complete response took.
 func (x *exchange) recordTimeToResponse(a *upstreamAttempt) {
 	a.end.TimeToFirstEvent = a.heardAt.Sub(a.sentAt)
-	x.timeToFirstEvent = a.end.TimeToFirstEvent
+	if !x.stream.headerSent {
+		x.timeToFirstEvent = a.end.TimeToFirstEvent
+	}
 }
 
 // recordStreamEnd records a stream that the upstream completed.
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -172,3 +174,73 @@
 		require.Equal(t, "third", out.body, "status %d", out.status)
 	}
 }
+
+// headerThen sends the header of a stream at once, and goes on with a script.
+func headerThen(next func(c net.Conn)) script {
+	return func(c net.Conn, r *http.Request, _ string) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		next(c)
+	}
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// TestStreamHeaderAloneDoesNotReplace guards against a sound upstream that is given up for
+// one that has sent nothing but the header of a stream.
+func TestStreamHeaderAloneDoesNotReplace(t *testing.T) {
+	t.Parallel()
+	for name, next := range map[string]func(net.Conn){
+		"then silence":   func(net.Conn) { time.Sleep(time.Minute) },
+		"then closed":    func(c net.Conn) { _ = c.Close() },
+		"then a gap":     func(c net.Conn) { _, _ = io.WriteString(c, chunk("id: 7\ndata: piece 7\n\n")); time.Sleep(time.Minute) },
+		"then old event": func(c net.Conn) { _, _ = io.WriteString(c, chunk("id: 1\ndata: piece 1\n\n")); time.Sleep(time.Minute) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newTestEntry(t, newUpstream(t, streamWithSilence(2, 5, streamSilence)), newUpstream(t, headerThen(next)))
+			requireWholeStream(t, r.call("resumable", "b"), 5)
+		})
+	}
+}
+
+// TestStreamHeaderAloneDoesNotReplaceFirstEvent is the same before the first event.
+func TestStreamHeaderAloneDoesNotReplaceFirstEvent(t *testing.T) {
+	t.Parallel()
+	r := newTestEntry(t, newUpstream(t, streamWithSilence(0, 5, responseSilence)), newUpstream(t, headerThen(func(net.Conn) { time.Sleep(time.Minute) })))
+	requireWholeStream(t, r.call("resumable", "b"), 5)
+}
+
+// TestUnusableEventKeepsReplacement guards against a replacement that is dropped for an
+// event that the stream cannot go on with.
+func TestUnusableEventKeepsReplacement(t *testing.T) {
+	t.Parallel()
+	first := newUpstream(t, headerThen(func(c net.Conn) {
+		_, _ = io.WriteString(c, chunk("id: 1\ndata: piece 1\n\n")+chunk("id: 2\ndata: piece 2\n\n"))
+		time.Sleep(streamSilence)
+		_, _ = io.WriteString(c, chunk("id: 4\ndata: piece 4\n\n"))
+		time.Sleep(time.Minute)
+	}))
+	second := newUpstream(t, func(c net.Conn, r *http.Request, body string) {
+		time.Sleep(2 * (streamSilence - maxStreamPause))
+		streamEvents(3, 5, true)(c, r, body)
+	})
+	r := newTestEntry(t, first, second)
+	requireWholeStream(t, r.call("resumable", "b"), 5)
+}
+
+// TestStreamThatLacksOnlyItsEndIsCompleted guards against a stream that is cut although it
+// is complete: its upstream sent all events, then broke off, and the replacement had nothing
+// to add.
+func TestStreamThatLacksOnlyItsEndIsCompleted(t *testing.T) {
+	t.Parallel()
+	first := newUpstream(t, func(c net.Conn, r *http.Request, _ string) {
+		headerThen(func(c net.Conn) {
+			_, _ = io.WriteString(c, chunk("id: 1\ndata: piece 1\n\n")+chunk("id: 2\ndata: piece 2\n\n"))
+			time.Sleep(2 * streamSilence)
+			_ = c.Close()
+		})(c, r, "")
+	})
+	second := newUpstream(t, headerThen(func(c net.Conn) { _, _ = io.WriteString(c, "0\r\n\r\n") }))
+	r := newTestEntry(t, first, second)
+	requireWholeStream(t, r.call("resumable", "b"), 2)
+}
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -63,30 +64,67 @@
 	x.replacement = x.startAttempt()
 }
 
-// handleReplacement handles a report of the replacement, or its end if open is false. The
-// replacement takes over with its response, unless that does not answer the request.
+// handleReplacement handles a report of the replacement, or its end if open is false.
 func (x *exchange) handleReplacement(p progress, open bool) nextStep {
 	b := x.replacement
 	if !open {
-		x.recordFailure(b, b.err)
-		x.abandonReplacement()
-		return proceed
+		return x.handleReplacementEnd(b)
 	}
 	b.heardAt = p.at
-	if p.kind == requestSent {
+	switch {
+	case p.kind == requestSent:
 		x.recordGrant(b)
+	case p.kind == eventReceived:
+		return x.handleReplacementEvent(b, p)
+	case b.isStream():
+		// Its first event decides.
+	case x.isAnswer(b):
+		x.takeOver(b)
+		return x.handleResponse(b)
+	default:
+		x.recordUnsuitable(b)
+		x.abandonReplacement()
+	}
+	return proceed
+}
+
+// handleReplacementEnd handles the end of the replacement. A stream that ends without
+// another event is complete if the current attempt sends none either.
+func (x *exchange) handleReplacementEnd(b *upstreamAttempt) nextStep {
+	if b.err == nil && x.stream.headerSent {
+		b.streamEnded = true
 		return proceed
 	}
-	if b.isStream() || x.isAnswer(b) {
-		x.recordFailure(x.current, errUpstreamTimeout)
-		x.current, x.replacement = b, nil
-		return x.handleResponse(b)
+	err := b.err
+	if err == nil {
+		err = io.ErrUnexpectedEOF
 	}
-	x.recordUnsuitable(b)
+	x.recordFailure(b, err)
 	x.abandonReplacement()
 	return proceed
 }
 
+// handleReplacementEvent lets the replacement take over with the first event that the
+// caller lacks.
+func (x *exchange) handleReplacementEvent(b *upstreamAttempt, p progress) nextStep {
+	switch {
+	case !x.stream.isAfterLast(p.event):
+		return proceed
+	case !x.stream.canFollow(p.event):
+		x.recordFailure(b, errMissingEvents)
+		x.abandonReplacement()
+		return proceed
+	}
+	x.takeOver(b)
+	return x.relayEvent(b, p)
+}
+
+// takeOver ends the current attempt and goes on with the replacement.
+func (x *exchange) takeOver(b *upstreamAttempt) {
+	x.recordFailure(x.current, errUpstreamTimeout)
+	x.current, x.replacement = b, nil
+}
+
 // abandonReplacement goes on without a replacement after it has failed.
 func (x *exchange) abandonReplacement() {
 	x.replacement = nil
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -77,9 +77,12 @@
 	return err1 != nil || err2 != nil || id > last
 }
 
-// isNext reports whether an event is the direct successor of the last one that was
-// delivered. Events without numeric ids always are.
-func (s *stream) isNext(e event) bool {
+// canFollow reports whether an event is the direct successor of the last one that was
+// delivered, or the first one. Events without numeric ids always are.
+func (s *stream) canFollow(e event) bool {
+	if s.events == 0 {
+		return true
+	}
 	last, err1 := strconv.ParseInt(s.lastID, 10, 64)
 	id, err2 := strconv.ParseInt(e.id, 10, 64)
 	return err1 != nil || err2 != nil || id == last+1
@@ -93,10 +96,11 @@
 	}
 	a.events++
 	if x.stream.isAfterLast(p.event) {
-		if x.stream.events > 0 && !x.stream.isNext(p.event) {
+		if !x.stream.canFollow(p.event) {
 			x.recordFailure(a, errMissingEvents)
 			return x.tryAnother()
 		}
+		x.dropReplacement()
 		if err := x.writeEvent(a.resp, p.event, p.at); err != nil {
 			x.possibleRuns++
 			a.finish(broker.Canceled)
