forward: abort the connection of a caller that is gone

What callers could see: an empty 200 without the upstream's seal, or a stream that looks complete, if they close only their sending side. Found in review. Cause: net/http reports the close of either side as a disconnect, and answers 200 for a handler that returns without a response. Change: the handler aborts, as for a broken stream. Evidence: TestHalfClosedCallerGetsNoEmptySuccess failed before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -155,6 +155,10 @@
 	defer s.recordEnd(x)
 	s.retryBudgets.recordRequest(q.pool)
 	x.run()
+	if x.outcome == outcomeCallerGone {
+		// A handler that returns without a response sends an empty success.
+		panic(http.ErrAbortHandler)
+	}
 	return nil
 }
 
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -264,3 +265,22 @@
 	require.Equal(t, http.StatusBadGateway, r.call("idempotent", "b", "Id", "panic").status)
 	require.Equal(t, "fine", r.call("idempotent", "b", "Id", "other").body)
 }
+
+// TestHalfClosedCallerGetsNoEmptySuccess guards against an empty 200 for a caller that closed
+// only its sending side, which looks like a disconnect. Closing the connection without any
+// response is allowed.
+func TestHalfClosedCallerGetsNoEmptySuccess(t *testing.T) {
+	t.Parallel()
+	r := newTestEntry(t, newUpstream(t, respondAfter(300*time.Millisecond, "answer")))
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.server.URL, "http://"))
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: a\r\nContent-Length: 1\r\n\r\nb")
+	require.NoError(t, err)
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	data, _ := io.ReadAll(c)
+	if len(data) == 0 {
+		return
+	}
+	require.Contains(t, string(data), "answer", "the caller got a complete response without the answer")
+}
