forward: end a replacement before the answer is written

Cause: the replacement of a request that its first upstream then answered ran on until the caller had read the answer. Found in review. Change: it ends first; one that was granted and not sent ends as not sent. Evidence: TestReplacementEndsBeforeResponseIsWritten failed before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -318,6 +318,9 @@
 		// Reports that nobody reads any more.
 	}
 	if a.granted {
+		if a.conn == nil && o == broker.Canceled {
+			o = broker.NotSent
+		}
 		a.end.Outcome = o
 		a.ticket.End(a.end)
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -190,6 +190,7 @@
 	x.possibleRuns++
 	a.releaseConn(nil)
 	a.finish(broker.Completed)
+	x.dropReplacement()
 	x.writeResponse(a.completeResponse())
 	return stop
 }
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -284,3 +284,28 @@
 	}
 	require.Contains(t, string(data), "answer", "the caller got a complete response without the answer")
 }
+
+// TestReplacementEndsBeforeResponseIsWritten guards against an upstream that goes on with a
+// request which another one has answered, for as long as the caller takes to read.
+func TestReplacementEndsBeforeResponseIsWritten(t *testing.T) {
+	t.Parallel()
+	closed := make(chan struct{})
+	first := newUpstream(t, respondAfter(responseSilence, strings.Repeat("x", 14<<20)))
+	second := newUpstream(t, func(c net.Conn, _ *http.Request, _ string) {
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+	})
+	r := newTestEntry(t, first, second)
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.server.URL, "http://"))
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /idempotent/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: a\r\nContent-Length: 1\r\n\r\nb")
+	require.NoError(t, err)
+	_, err = io.ReadFull(c, make([]byte, 16))
+	require.NoError(t, err)
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the replacement still runs a second after the caller began to receive the response")
+	}
+}
