forward: an event that has arrived comes before the timer of silence

Cause: where both were due at once, as after the daemon itself had been stopped, one of them was drawn at random; a replacement was started, at the cost of the retry budget, for an upstream that was not silent. Found in review. Change: the reports of the attempt are read first.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -102,8 +102,7 @@
 	case p, open := <-replacement:
 		return x.handleReplacement(p, open)
 	case <-x.silence.C:
-		x.replaceSilent()
-		return proceed
+		return x.handleSilence()
 	}
 }
 
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -309,3 +310,31 @@
 		t.Fatal("the replacement still runs a second after the caller began to receive the response")
 	}
 }
+
+// TestReceivedEventComesBeforeSilence guards against a replacement for an upstream whose next
+// event has arrived already, as after the entry itself was stopped for a while.
+func TestReceivedEventComesBeforeSilence(t *testing.T) {
+	t.Parallel()
+	r := newTestEntry(t)
+	r.service.brokerClient = &scriptedBroker{acquire: func(ctx context.Context, _ int) (string, error) { <-ctx.Done(); return "", ctx.Err() }}
+	index := routes.NewIndex(testTable())
+	replacements := 0
+	for range 100 {
+		ctx, cancel := context.WithCancel(context.Background())
+		q := &request{route: index.Match("127.0.0.1", "/resumable/x"), pool: "p", deadline: time.Now().Add(time.Minute), arrived: time.Now()}
+		a := &upstreamAttempt{s: r.service, request: q, granted: true, recorded: true, progress: make(chan progress, 1), resp: &http.Response{StatusCode: 200}}
+		a.ctx, a.cancel = context.WithCancelCause(ctx)
+		r.service.retryBudgets.recordRequest("p")
+		x := &exchange{s: r.service, request: q, w: httptest.NewRecorder(), ctx: ctx, current: a, attempts: 1, silence: time.NewTimer(0)}
+		time.Sleep(time.Millisecond)
+		a.progress <- progress{kind: eventReceived, event: event{raw: []byte("id: 1\n\n"), id: "1"}, at: time.Now()}
+		x.advance()
+		if x.replacement != nil {
+			replacements++
+			x.replacement.finish(broker.Canceled)
+		}
+		x.silence.Stop()
+		cancel()
+	}
+	require.Zero(t, replacements, "replacements for upstreams that were not silent, of 100")
+}
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -51,6 +51,18 @@
 	return max(least, responseTimeoutFactor*x.current.ticket.ExpectedTimeToFirstEvent)
 }
 
+// handleSilence looks for a replacement, unless a report has arrived at the same moment, as
+// after the daemon itself was stopped for a while.
+func (x *exchange) handleSilence() nextStep {
+	select {
+	case p, open := <-x.current.progress:
+		return x.handleCurrent(p, open)
+	default:
+		x.replaceSilent()
+		return proceed
+	}
+}
+
 // replaceSilent starts a replacement for the current attempt, whose upstream is silent. The
 // current attempt goes on.
 func (x *exchange) replaceSilent() {
