Logs: the software version of upstreams, and the attempt that a stream resumes

Change: the heartbeat's version is decoded, kept in the roster and sent to broker and entries; 'granted' and 'upstream changed' have it as 'software', 'granted' has 'resumes'. Nothing is decided by it yet. Daemons of an earlier build send entries without it; their renewals do not match and are sent whole. Measured: the tests of the packages pass.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -83,6 +83,9 @@
 	Silent  bool
 	// WarmUpTime is how long the upstream still needs to warm up.
 	WarmUpTime time.Duration
+	// SoftwareVersion is the version of the upstream's software; empty if it is not
+	// stated.
+	SoftwareVersion string
 }
 
 // Grant assigns a request to an upstream.
@@ -98,6 +101,8 @@
 	// requests left in the queue after the grant.
 	FreeSlots int
 	Queued    int
+	// SoftwareVersion is that of the upstream.
+	SoftwareVersion string
 }
 
 // Code is the reason why a request is refused. A refused request did not run.
@@ -618,6 +623,7 @@
 	FailureRate float64 `json:"fails"`
 	Leaving     bool    `json:"leaving"`
 	Silent      bool    `json:"silent"`
+	Software    string  `json:"software,omitempty"`
 }
 
 // Dump returns the state of all pools.
@@ -631,7 +637,7 @@
 		for _, u := range p.order {
 			d.Upstreams = append(d.Upstreams, UpstreamDump{
 				ID: u.ID, InFlight: len(u.inFlight), Slots: u.Slots, TokenMS: 1000 * u.times.tokenTime, CallMS: 1000 * u.times.callTime,
-				FailureRate: u.health.failureRate, Leaving: u.Leaving, Silent: u.Silent,
+				FailureRate: u.health.failureRate, Leaving: u.Leaving, Silent: u.Silent, Software: u.SoftwareVersion,
 			})
 		}
 		out = append(out, d)
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -167,6 +167,7 @@
 		b.pending.Grants = append(b.pending.Grants, Grant{
 			ID: req.ID, Upstream: u.ID, Address: u.Address, ExpectedTimeToFirstEvent: first, Waited: r.now - req.arrived,
 			FreeSlots: u.capacity(r.now, b.share) - len(u.inFlight), Queued: len(p.queue),
+			SoftwareVersion: u.SoftwareVersion,
 		})
 	}
 	p.open = r.open
--- a/core/roster/renewal.go
+++ b/core/roster/renewal.go
@@ -26,7 +26,7 @@
 // digest returns a hash of the fields that sameUse compares.
 func (e Entry) digest() uint32 {
 	h := fnv.New32a()
-	for _, text := range []string{e.ID, e.Pool, e.Address, e.DataCentre} {
+	for _, text := range []string{e.ID, e.Pool, e.Address, e.DataCentre, e.SoftwareVersion} {
 		_, _ = io.WriteString(h, text) // Write of a hash never fails
 		_, _ = h.Write([]byte{0})
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -38,6 +38,9 @@
 	Address    string
 	DataCentre string
 	Slots      int
+	// SoftwareVersion is the version of the upstream's software; empty if it is not
+	// stated.
+	SoftwareVersion string
 	// Born is the start time of the process in Unix milliseconds; zero if it is
 	// not stated.
 	Born int64
--- a/internal/broker/rosterupdates.go
+++ b/internal/broker/rosterupdates.go
@@ -128,7 +128,7 @@
 // sent to entries at once.
 func rosterChanged(old, current *rpc.RosterEntry) bool {
 	return old.Address != current.Address || old.Pool != current.Pool || old.Slots != current.Slots || old.Leaving != current.Leaving ||
-		old.Gone != current.Gone || old.Silent != current.Silent || old.DataCentre != current.DataCentre
+		old.Gone != current.Gone || old.Silent != current.Silent || old.DataCentre != current.DataCentre || old.SoftwareVersion != current.SoftwareVersion
 }
 
 // estimatesChanged reports whether what the broker learned about an upstream changed so much
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -30,7 +30,7 @@
 		}
 		out = append(out, broker.Upstream{
 			ID: e.ID, Pool: e.Pool, Address: e.Address, DataCentre: e.DataCentre, Region: regions[e.DataCentre], Slots: e.Slots,
-			Leaving: e.Leaving, Silent: e.Silent, WarmUpTime: max(0, e.Cold-e.Age),
+			Leaving: e.Leaving, Silent: e.Silent, WarmUpTime: max(0, e.Cold-e.Age), SoftwareVersion: e.SoftwareVersion,
 		})
 	}
 	return out
@@ -59,14 +59,14 @@
 
 // EncodeGrant encodes a grant.
 func EncodeGrant(g broker.Grant) *rpc.WorkGrant {
-	return &rpc.WorkGrant{Id: g.ID.Number, Upstream: g.Upstream, Address: g.Address, ExpectedMs: milliseconds(g.ExpectedTimeToFirstEvent), Free: uint32(max(0, g.FreeSlots)), Queued: uint32(g.Queued)}
+	return &rpc.WorkGrant{Id: g.ID.Number, Upstream: g.Upstream, Address: g.Address, ExpectedMs: milliseconds(g.ExpectedTimeToFirstEvent), Free: uint32(max(0, g.FreeSlots)), Queued: uint32(g.Queued), SoftwareVersion: g.SoftwareVersion}
 }
 
 // DecodeGrant decodes a grant for the given entry.
 func DecodeGrant(entry string, g *rpc.WorkGrant) broker.Grant {
 	return broker.Grant{
 		ID: broker.ID{Entry: entry, Number: g.Id}, Upstream: g.Upstream, Address: g.Address, ExpectedTimeToFirstEvent: duration(g.ExpectedMs),
-		FreeSlots: int(g.Free), Queued: int(g.Queued),
+		FreeSlots: int(g.Free), Queued: int(g.Queued), SoftwareVersion: g.SoftwareVersion,
 	}
 }
 
@@ -124,6 +124,7 @@
 		Id: e.ID, Pool: e.Pool, Address: e.Address, DataCentre: e.DataCentre, Slots: uint32(e.Slots), Leaving: e.Leaving, Gone: e.Gone,
 		Silent: e.Silent, ColdMs: milliseconds(e.Cold), AgeMs: milliseconds(e.Age),
 		TokenUs: uint32(l.TokenTime * microsecondsPerSecond), CallUs: uint32(l.CallTime * microsecondsPerSecond), Trouble: uint32(l.FailureRate * permille),
+		SoftwareVersion: e.SoftwareVersion,
 	}
 }
 
@@ -132,7 +133,7 @@
 	entry := port.RosterEntry{
 		Entry: roster.Entry{
 			ID: e.Id, Pool: e.Pool, Address: e.Address, DataCentre: e.DataCentre, Slots: int(e.Slots), Leaving: e.Leaving, Gone: e.Gone,
-			Cold: duration(e.ColdMs),
+			Cold: duration(e.ColdMs), SoftwareVersion: e.SoftwareVersion,
 		},
 		Age: duration(e.AgeMs), Silent: e.Silent,
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -204,7 +204,7 @@
 	}
 	a.ticket, a.granted = ticket, true
 	a.s.log.Info("granted", a.logFields(zap.String("upstream", ticket.Upstream), zap.String("by", ticket.GrantedBy), zap.Duration("waited", a.queueTime),
-		zap.Duration("expected", ticket.ExpectedTimeToFirstEvent), zap.Int("free", ticket.FreeSlots), zap.Int("queued", ticket.Queued), zap.Int("rank", a.rank))...)
+		zap.Duration("expected", ticket.ExpectedTimeToFirstEvent), zap.Int("free", ticket.FreeSlots), zap.Int("queued", ticket.Queued), zap.Int("rank", a.rank), zap.String("software", ticket.SoftwareVersion), zap.String("resumes", a.meta.ResumedRequest))...)
 	return nil
 }
 
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -26,6 +26,9 @@
 	PromptParts []PromptPart
 	// LastEvent is the id of the last event of a stream that the caller has.
 	LastEvent string
+	// ResumedRequest is the RequestID of the request that began the stream which the
+	// caller takes up after LastEvent; empty if it names none.
+	ResumedRequest string
 }
 
 // PromptPart is a part of a prompt with its length in tokens.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -117,7 +117,7 @@
 		return result
 	}
 	s.log.Info("upstream changed", zap.String("upstream", e.ID), zap.String("pool", e.Pool), zap.String("address", e.Address),
-		zap.Int64("born", e.Born), zap.Uint64("sequence", e.Sequence), zap.Bool("leaving", e.Leaving), zap.Bool("gone", e.Gone), zap.String("from", from))
+		zap.String("software", e.SoftwareVersion), zap.Int64("born", e.Born), zap.Uint64("sequence", e.Sequence), zap.Bool("leaving", e.Leaving), zap.Bool("gone", e.Gone), zap.String("from", from))
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return result
