broker: a stream goes on at the software version that began it

Cause: the version of an upstream's software was not known where upstreams are chosen; a stream that the entry resumed, or that its caller took up at another entry, went to any upstream of the pool. Change: offers name the stream that they begin or resume. The broker remembers the version of each stream that may be resumed, until its caller's deadline, and grants a resumption only upstreams of that version; the entry binds what it resumes itself, and the second attempt for a silent upstream. A new broker learns the streams from its entries, which remember their own. A resumption whose stream is unknown runs only where no other version has served for a minute; otherwise it waits a second and gets 503 (version_unavailable), which is true. A caller that names no stream (no 'Resumes') is served as before.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -63,6 +63,15 @@
 	// Fingerprint is a hash of the content by which requests that crash upstreams
 	// are recognised; zero if there is none.
 	Fingerprint uint64
+	// Stream identifies the stream that the request begins, if the caller may resume it;
+	// zero otherwise. Resumes is the Stream of the request that began the stream which
+	// this one resumes; zero if it resumes none.
+	Stream  uint64
+	Resumes uint64
+	// SoftwareVersion is the only software version at which the request may run if
+	// VersionBound is set. Of a running request it is the version at which it runs.
+	SoftwareVersion string
+	VersionBound    bool
 	// Avoid lists the upstreams that must not be granted.
 	Avoid []string
 	// Running is the upstream of a request that another broker granted.
@@ -78,9 +87,10 @@
 	Region     string
 	Slots      int
 	// Leaving upstreams get no new requests; Silent ones, whose heartbeats are
-	// overdue, are used last.
+	// overdue, are used last. Gone ones are listed for their software version only.
 	Leaving bool
 	Silent  bool
+	Gone    bool
 	// WarmUpTime is how long the upstream still needs to warm up.
 	WarmUpTime time.Duration
 	// SoftwareVersion is the version of the upstream's software; empty if it is not
@@ -116,6 +126,9 @@
 	LimitExceeded Code = "limit_exceeded"
 	// NoUpstream means that no upstream serves the pool.
 	NoUpstream Code = "no_upstream"
+	// VersionUnavailable means that a stream can't be resumed at the software version that
+	// began it.
+	VersionUnavailable Code = "version_unavailable"
 	// Quarantined means that several upstreams lost the connection while they ran
 	// this content.
 	Quarantined Code = "quarantined"
@@ -211,6 +224,10 @@
 	buckets  map[string]*limits.Bucket
 	// suspects are keyed by content fingerprint.
 	suspects map[uint64]suspect
+	// streams holds the streams that may be resumed; nextStreamSweep is when expired ones
+	// are next removed.
+	streams         map[uint64]StreamOrigin
+	nextStreamSweep time.Duration
 	// share is the fraction of all capacity and quotas that this broker may use: 1
 	// for the broker of all entries, less for the local broker of an entry.
 	share float64
@@ -237,7 +254,7 @@
 func New(share float64) *Broker {
 	return &Broker{
 		requests: map[ID]*request{}, pools: map[string]*pool{}, buckets: map[string]*limits.Bucket{},
-		suspects: map[uint64]suspect{}, share: share,
+		suspects: map[uint64]suspect{}, streams: map[uint64]StreamOrigin{}, share: share,
 	}
 }
 
@@ -292,9 +309,16 @@
 func (b *Broker) adopt(now time.Duration, req *request) {
 	p := b.pool(req.Pool)
 	u := p.upstreams[req.Running]
+	if req.VersionBound {
+		// The upstream may have started again with another version since.
+		b.recordStream(now, req, req.SoftwareVersion)
+	}
 	if u == nil {
 		return
 	}
+	if !req.VersionBound {
+		b.recordStream(now, req, u.SoftwareVersion)
+	}
 	b.requests[req.ID] = req
 	p.assign(now, req, u)
 }
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -42,6 +42,7 @@
 func (b *Broker) Decide(now time.Duration) Decisions {
 	b.dropOrphans(now)
 	for _, p := range b.pools {
+		p.expireVersions(now)
 		r := p.newRound(now, b.share)
 		if r.slots > 0 || !p.started {
 			p.started = true
@@ -154,6 +155,7 @@
 	skipped := 0
 	for i := 0; i < len(p.queue) && skipped < maxSkippedRequests && len(r.open) > 0; {
 		req := p.queue[i]
+		b.bindVersion(r.now, p, req)
 		u, first := p.choose(r, req)
 		if u == nil || p.shouldWait(r, req, first) {
 			skipped++
@@ -163,6 +165,7 @@
 		p.queue = slices.Delete(p.queue, i, i+1)
 		p.admissions.record(r.now, req, true, 0)
 		p.assign(r.now, req, u)
+		b.recordStream(r.now, req, u.SoftwareVersion)
 		r.closeIfFull(u)
 		b.pending.Grants = append(b.pending.Grants, Grant{
 			ID: req.ID, Upstream: u.ID, Address: u.Address, ExpectedTimeToFirstEvent: first, Waited: r.now - req.arrived,
@@ -174,10 +177,11 @@
 }
 
 // shouldWait reports whether a request would miss its latency target if its first event
-// took the given time, but can meet it on a faster upstream that is occupied now.
+// took the given time, but can meet it on a faster upstream that is occupied now. That one
+// may have another software version than a request must run at.
 func (p *pool) shouldWait(r *round, req *request, first time.Duration) bool {
 	left := req.LatencyTarget - r.now - p.transits.grant(req)
-	return !req.late && first > left && p.minTimeToFirstEvent(r, req) <= left
+	return !req.late && !req.VersionBound && first > left && p.minTimeToFirstEvent(r, req) <= left
 }
 
 // choose returns the open upstream with the lowest cost for a request and the
@@ -206,10 +210,10 @@
 // maxTokenTime returns the time per output token, in seconds, from which an
 // upstream can't complete a request before its deadline. It returns zero, which
 // allows every upstream, if none is fast enough or the request has no deadline or
-// no engine.
+// no engine, or must run at one software version.
 func (p *pool) maxTokenTime(r *round, req *request) float64 {
 	units := p.times.overhead + p.times.prefillRatio*float64(req.PromptTokens) + outputLengthMargin*float64(req.OutputTokens)
-	if p.engine == nil || req.Deadline <= r.now || units <= 0 {
+	if p.engine == nil || req.VersionBound || req.Deadline <= r.now || units <= 0 {
 		return 0
 	}
 	limit := (req.Deadline - r.now).Seconds() / units
@@ -262,6 +266,10 @@
 	late := []*request{}
 	for i := 0; i < len(p.queue); {
 		req := p.queue[i]
+		if b.refuseUnresumable(r.now, p, req) {
+			p.queue = slices.Delete(p.queue, i, i+1)
+			continue
+		}
 		wait := p.queueWait(r.now, req, ahead, float64(r.slots))
 		first := r.now + wait + p.transits.grant(req) + p.minTimeToFirstEvent(r, req)
 		switch {
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -30,10 +30,13 @@
 	lastServed time.Duration
 	// started is true after the first round.
 	started bool
+	// pastVersions holds the software versions of upstreams that have left, and since
+	// when; zero until the next round.
+	pastVersions map[string]time.Duration
 }
 
 func newPool(name string) *pool {
-	return &pool{name: name, upstreams: map[string]*upstream{}, times: newPoolTimes(), transits: newTransits()}
+	return &pool{name: name, upstreams: map[string]*upstream{}, times: newPoolTimes(), transits: newTransits(), pastVersions: map[string]time.Duration{}}
 }
 
 // upstream is an upstream with its running requests and learned estimates.
@@ -56,9 +59,14 @@
 // that remain. A removed upstream is kept as leaving while requests run on it.
 func (p *pool) setUpstreams(list []Upstream, engine *routes.Engine, broker string) {
 	p.engine = engine
+	past := p.versions()
 	p.order = p.order[:0]
 	listed := map[string]bool{}
 	for _, x := range list {
+		if x.Gone {
+			past = append(past, x.SoftwareVersion)
+			continue
+		}
 		u := p.upstreams[x.ID]
 		if u == nil {
 			u = &upstream{inFlight: map[ID]*request{}, sessions: newSessionCache(), roundingPoint: rendezvous.Point(x.ID, broker)}
@@ -76,6 +84,7 @@
 		}
 	}
 	slices.SortFunc(p.order, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
+	p.keepVersions(past)
 }
 
 // enqueue adds a new request to the queue and to the load average.
@@ -175,5 +184,5 @@
 	if p.engine != nil && p.engine.MemoryTokens > 0 && len(u.inFlight) > 0 && u.tokens+req.tokens() > p.engine.MemoryTokens {
 		return false
 	}
-	return !slices.Contains(req.Avoid, u.ID)
+	return req.isVersionAllowed(u.SoftwareVersion) && !slices.Contains(req.Avoid, u.ID)
 }
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -170,6 +170,9 @@
 	for _, id := range ask.Cancels {
 		s.core.Cancel(broker.ID{Entry: entry, Number: id})
 	}
+	if len(ask.Streams) > 0 {
+		s.core.LearnStreams(now, brokerwire.DecodeStreams(now, ask.Streams))
+	}
 	s.core.LowerQuotas(now, brokerwire.DecodeQuotaLevels(ask.Quotas))
 	s.core.SpendQuotas(now, brokerwire.DecodeQuotaUse(ask.Quotas))
 	if ask.Complete {
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -200,6 +200,10 @@
 	a.offer.LatencyTarget = o.LatencyTargetAt.Sub(s.started)
 	a.offer.LatestUseful = a.offer.LatencyTarget + o.LatencyGrace
 	a.offer.Deadline = o.DeadlineAt.Sub(s.started)
+	if version, ok := s.local.StreamVersion(s.now(), o.Resumes); ok && o.Resumes != 0 && !o.VersionBound {
+		// The entry began the stream itself; the broker may be a new one.
+		a.offer.SoftwareVersion, a.offer.VersionBound = version, true
+	}
 	s.waiting[s.lastNumber] = a
 	if s.attached {
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(s.now(), a.offer))
@@ -260,6 +264,9 @@
 		s.localUse[a.offer.Workspace] += int64(a.offer.QuotaCharge)
 	}
 	a.offer.Running = g.Upstream
+	if g.SoftwareVersion != "" {
+		a.offer.SoftwareVersion, a.offer.VersionBound = g.SoftwareVersion, true
+	}
 	a.offer.QuotaCharge = 0
 	s.running[g.ID.Number] = a
 	close(a.settled)
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -216,7 +216,7 @@
 	if wasAttached {
 		s.metrics.brokerLost.Inc()
 	}
-	s.pending.Offers, s.pending.Complete = nil, false
+	s.pending.Offers, s.pending.Complete, s.pending.Streams = nil, false, nil
 	now := s.now()
 	if s.localStale {
 		s.updateLocalBroker()
@@ -344,7 +344,7 @@
 // send sends what is pending; an empty message is a heartbeat.
 func (s *Service) send(stream rpc.DRPCBroker_SessionClient) error {
 	s.mu.Lock()
-	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels, Quotas: s.pending.Quotas, Complete: s.pending.Complete}
+	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels, Quotas: s.pending.Quotas, Complete: s.pending.Complete, Streams: s.pending.Streams}
 	s.pending = rpc.BrokerAsk{}
 	s.mu.Unlock()
 	return stream.Send(ask)
@@ -481,6 +481,7 @@
 	now := s.now()
 	s.pending.Complete = true
 	s.pending.Quotas = s.quotaReport(term)
+	s.pending.Streams = brokerwire.EncodeStreams(now, s.local.Streams(now))
 	for _, a := range s.running {
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(now, a.offer))
 	}
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -20,17 +20,21 @@
 
 func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-// Upstreams returns the upstreams of the roster that are not gone, with their regions by
-// data centre.
+// goneVersionAge is how long the software version of an upstream that is gone matters to the
+// streams that it began.
+const goneVersionAge = time.Minute
+
+// Upstreams returns the upstreams of the roster, with their regions by data centre, and those
+// that went lately, as Gone.
 func Upstreams(list []port.RosterEntry, regions map[string]string) []broker.Upstream {
 	out := []broker.Upstream{}
 	for _, e := range list {
-		if e.Gone {
+		if e.Gone && e.Age > goneVersionAge {
 			continue
 		}
 		out = append(out, broker.Upstream{
 			ID: e.ID, Pool: e.Pool, Address: e.Address, DataCentre: e.DataCentre, Region: regions[e.DataCentre], Slots: e.Slots,
-			Leaving: e.Leaving, Silent: e.Silent, WarmUpTime: max(0, e.Cold-e.Age), SoftwareVersion: e.SoftwareVersion,
+			Leaving: e.Leaving, Silent: e.Silent, Gone: e.Gone, WarmUpTime: max(0, e.Cold-e.Age), SoftwareVersion: e.SoftwareVersion,
 		})
 	}
 	return out
@@ -43,6 +47,7 @@
 		PromptTokens: uint32(o.PromptTokens), OutputTokens: uint32(o.OutputTokens), Charge: uint32(o.QuotaCharge),
 		AimMs: int32((o.LatencyTarget - now).Milliseconds()), WaitMs: milliseconds(o.Deadline - now), Session: o.Session, SessionTokens: uint32(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: uint32(o.QuotaReserve * permille), LateMs: milliseconds(o.LatestUseful - o.LatencyTarget),
+		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound,
 	}
 }
 
@@ -54,9 +59,28 @@
 		Rank: int(o.Rank), PromptTokens: int(o.PromptTokens), OutputTokens: int(o.OutputTokens), QuotaCharge: int(o.Charge),
 		LatencyTarget: target, LatestUseful: target + duration(o.LateMs), Deadline: now + duration(o.WaitMs), Session: o.Session, SessionTokens: int(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, QuotaReserve: float64(o.Reserve) / permille,
+		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound,
 	}
 }
 
+// EncodeStreams encodes streams that may be resumed, relative to the given time.
+func EncodeStreams(now time.Duration, list []broker.StreamOrigin) []*rpc.StreamOrigin {
+	out := make([]*rpc.StreamOrigin, 0, len(list))
+	for _, o := range list {
+		out = append(out, &rpc.StreamOrigin{Stream: o.Stream, SoftwareVersion: o.SoftwareVersion, LeftMs: milliseconds(o.Until - now)})
+	}
+	return out
+}
+
+// DecodeStreams decodes streams that were received at the given time.
+func DecodeStreams(now time.Duration, list []*rpc.StreamOrigin) []broker.StreamOrigin {
+	out := make([]broker.StreamOrigin, 0, len(list))
+	for _, o := range list {
+		out = append(out, broker.StreamOrigin{Stream: o.Stream, SoftwareVersion: o.SoftwareVersion, Until: now + duration(o.LeftMs)})
+	}
+	return out
+}
+
 // EncodeGrant encodes a grant.
 func EncodeGrant(g broker.Grant) *rpc.WorkGrant {
 	return &rpc.WorkGrant{Id: g.ID.Number, Upstream: g.Upstream, Address: g.Address, ExpectedMs: milliseconds(g.ExpectedTimeToFirstEvent), Free: uint32(max(0, g.FreeSlots)), Queued: uint32(g.Queued), SoftwareVersion: g.SoftwareVersion}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/core/routes"
 )
 
 const (
@@ -118,6 +119,9 @@
 			offer.LatencyTargetAt = retryLatencyTarget
 		}
 	}
+	if version := x.streamVersion(); version != "" {
+		offer.SoftwareVersion, offer.VersionBound = version, true
+	}
 	x.attempts++
 	lastEvent := x.meta.LastEvent
 	if x.stream.lastID != "" {
@@ -126,6 +130,19 @@
 	return x.s.startAttempt(x.ctx, x.request, offer, lastEvent)
 }
 
+// streamVersion returns the software version at which the stream must go on: that of the
+// events that were delivered, or of the current attempt, which may still deliver the first.
+// It is empty if the stream has not begun, or its upstream states no version.
+func (x *exchange) streamVersion() string {
+	switch {
+	case x.stream.headerSent:
+		return x.stream.softwareVersion
+	case x.route.Kind == routes.Stream && x.current != nil && !x.current.ended:
+		return x.current.ticket.SoftwareVersion
+	}
+	return ""
+}
+
 // finishAttempts ends the attempts that have not ended.
 func (x *exchange) finishAttempts() {
 	x.silence.Stop()
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -27,6 +27,8 @@
 	offers  []port.BrokerOffer
 	ends    map[int][]broker.Outcome
 	acquire func(ctx context.Context, n int) (string, error)
+	// versions holds the software versions of the grants in turn; empty after the last.
+	versions []string
 }
 
 func (b *scriptedBroker) Entries() int { return 1 }
@@ -46,13 +48,21 @@
 	}
 	b.ends[n] = []broker.Outcome{}
 	b.mu.Unlock()
-	return port.BrokerTicket{Grant: broker.Grant{Upstream: "u-" + address, Address: address}, End: func(e broker.End) {
+	return port.BrokerTicket{Grant: broker.Grant{Upstream: "u-" + address, Address: address, SoftwareVersion: b.version(n)}, End: func(e broker.End) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.ends[n] = append(b.ends[n], e.Outcome)
 	}}, nil
 }
 
+// version returns the software version of the n-th grant.
+func (b *scriptedBroker) version(n int) string {
+	if n > len(b.versions) {
+		return ""
+	}
+	return b.versions[n-1]
+}
+
 // waitFor waits as a broker's queue does.
 func waitFor(ctx context.Context, d time.Duration) error {
 	select {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -192,6 +192,9 @@
 		Pool: q.pool, Workspace: q.workspace, DataCentre: s.set.DataCentre, Region: s.set.Region, Rank: q.rank,
 		QuotaCharge: q.chargedTokens, Fingerprint: q.fingerprint,
 	}
+	if q.route.Kind == routes.Stream && q.route.Resumable {
+		o.Stream, o.Resumes = q.streams()
+	}
 	if q.engine == nil {
 		return o
 	}
@@ -211,6 +214,25 @@
 	return o
 }
 
+// streams returns the identity of the stream that the request begins, or of the one that it
+// resumes; the other one is zero.
+func (q *request) streams() (begins, resumes uint64) {
+	if q.meta.LastEvent != "" && q.meta.ResumedRequest != "" {
+		return 0, hashText(q.meta.ResumedRequest)
+	}
+	return hashText(q.meta.RequestID), 0
+}
+
+// hashText returns a hash of a text; zero if the text is empty.
+func hashText(text string) uint64 {
+	if text == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, text) // Write of a hash never fails
+	return h.Sum64()
+}
+
 // logFields returns the fields that begin each log line about the request.
 func (q *request) logFields(more ...zap.Field) []zap.Field {
 	return append([]zap.Field{
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -30,6 +30,8 @@
 	lastID      string
 	events      int
 	lastEventAt time.Time
+	// softwareVersion is that of the upstreams whose events were delivered.
+	softwareVersion string
 	// longestPause is the longest time between two events.
 	longestPause time.Duration
 }
@@ -123,6 +125,7 @@
 		x.s.setConnectionClose(h)
 		x.w.WriteHeader(resp.StatusCode)
 		st.headerSent = true
+		st.softwareVersion = x.current.ticket.SoftwareVersion
 		x.status = resp.StatusCode
 		x.timeToFirstEvent = now.Sub(x.arrived)
 	} else {
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -130,7 +130,7 @@
 
 func (testDialect) Read(h http.Header) RequestMeta {
 	ms, _ := strconv.Atoi(h.Get("Wait"))
-	return RequestMeta{RequestID: h.Get("Id"), Timeout: time.Duration(ms) * time.Millisecond, Key: h.Get("Key"), LastEvent: h.Get("Last")}
+	return RequestMeta{RequestID: h.Get("Id"), Timeout: time.Duration(ms) * time.Millisecond, Key: h.Get("Key"), LastEvent: h.Get("Last"), ResumedRequest: h.Get("Resumed")}
 }
 
 func (testDialect) SetUpstreamHeaders(h http.Header, o UpstreamRequestMeta) {
