forward: send nothing to an upstream that said it leaves or wants no requests

Cause: an entry did not read what an upstream says of further requests in its answers (`Server-Leaving: 1`; `Retry-After` with 503), and went on with whatever the broker granted. Change: the platform decodes both; the entry keeps them by process in a registry, from the moment a response header arrives. A grant of an excluded process is returned as not sent, with the notice for the broker, and the request is offered again with that upstream avoided: no retry budget is used, and the offer keeps its tokens, since the broker refunds those of the returned grant. It is checked before the connection and again once there is one. New offers avoid upstreams that said within two seconds that they leave, eight at most; paused ones are not avoided from the start, since a pause may end while the request waits and the broker knows of it with the end of the request that was answered 503. Every end repeats what the entry knows of the process, so that a new broker hears of it. The notice of a process that left is kept after a later one has started: a control daemon with an older roster may still name the first. 10,000 notices at most, the oldest makes room; a pause lasts a minute at most. The fakes of existing tests gained fields (offers and start time of the broker client, start time and notice of the runner); no check in them changed.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -147,10 +147,7 @@
 
 // perform makes the attempt. It returns nil once the response is complete.
 func (a *upstreamAttempt) perform() error {
-	if err := a.acquire(); err != nil {
-		return err
-	}
-	c, err := a.s.conns.get(a.ctx, a.ticket.Address, !a.route.Repeatable())
+	c, err := a.connect()
 	if err != nil {
 		return err
 	}
@@ -184,7 +181,7 @@
 func (a *upstreamAttempt) acquire() error {
 	offeredAt := time.Now()
 	ticket, err := a.s.brokerClient.Acquire(a.ctx, a.offer)
-	a.queueTime = time.Since(offeredAt)
+	a.queueTime += time.Since(offeredAt)
 	if err != nil {
 		return err
 	}
@@ -228,6 +225,7 @@
 			continue
 		}
 		meta := a.s.dialect.ParseResponse(resp.StatusCode, resp.Header)
+		a.recordNotices(meta)
 		if meta.RequestID == "" || meta.RequestID == a.meta.RequestID {
 			a.resp, a.respMeta = resp, meta
 			return a.checkResponse()
@@ -305,7 +303,7 @@
 	}
 	if a.granted {
 		a.end.Outcome = o
-		a.ticket.End(a.end)
+		a.endGrant(a.end)
 	}
 }
 
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -59,6 +59,10 @@
 	// it is not the process that the request named.
 	NotExecuted bool
 	Misdirected bool
+	// Leaving is set if the upstream says that it leaves. RetryAfter is for how long it
+	// wants no requests of this entry; zero if the response is no refusal that says so.
+	Leaving    bool
+	RetryAfter time.Duration
 }
 
 // Dialect translates between metadata and the header fields of callers and
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -111,7 +111,7 @@
 // latency target is extended.
 func (x *exchange) startAttempt() *upstreamAttempt {
 	offer := x.offer(x.s)
-	offer.Avoid = slices.Clone(x.triedUpstreams)
+	offer.Avoid = slices.Concat(x.triedUpstreams, x.s.notices.leaving(time.Now(), x.pool))
 	if x.attempts > 0 {
 		offer.QuotaCharge = 0
 		retryLatencyTarget := time.Now().Add(x.route.LatencyTarget() / retryTargetDivisor)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -66,11 +66,12 @@
 	draining       atomic.Bool
 	inFlight       sync.WaitGroup
 	retryBudgets   *retryBudgets
+	notices        *notices
 }
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
-	return &Service{set: set, log: log.Named("forward"), retryBudgets: newRetryBudgets(set.Routing.Retry)}
+	return &Service{set: set, log: log.Named("forward"), retryBudgets: newRetryBudgets(set.Routing.Retry), notices: newNotices()}
 }
 
 // Name returns the service's name.
--- /dev/null
+++ b/internal/forward/grant.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/core/broker"
+)
+
+// process returns the process that was granted.
+func (a *upstreamAttempt) process() process {
+	return process{pool: a.pool, upstream: a.ticket.Upstream, born: a.ticket.Born}
+}
+
+// connect waits for the grant of an upstream that takes requests of this entry, and returns
+// a connection to it. The broker may not know yet what the upstream told this entry; each
+// upstream that is excluded is avoided from then on.
+func (a *upstreamAttempt) connect() (*conn, error) {
+	for {
+		if err := a.acquire(); err != nil {
+			return nil, err
+		}
+		if a.returnExcluded() {
+			continue
+		}
+		c, err := a.s.conns.get(a.ctx, a.ticket.Address, !a.route.Repeatable())
+		if err != nil {
+			return nil, err
+		}
+		// The setup of a connection takes time in which a notice may arrive.
+		if !a.returnExcluded() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// returnExcluded returns the grant if its upstream takes no requests of this entry. It
+// reports whether it did.
+func (a *upstreamAttempt) returnExcluded() bool {
+	n, ok := a.s.notices.find(time.Now(), a.process())
+	if !ok {
+		return false
+	}
+	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.Int64("born", n.born), zap.Bool("leaving", n.leaving),
+		zap.Duration("retry_after", max(0, time.Until(n.pausedUntil))))...)
+	a.granted = false
+	a.offer.Avoid = append(slices.Clip(a.offer.Avoid), a.ticket.Upstream)
+	a.endGrant(broker.End{Outcome: broker.NotSent})
+	return true
+}
+
+// endGrant ends the grant and tells the broker what the upstream told this entry.
+func (a *upstreamAttempt) endGrant(e broker.End) {
+	now := time.Now()
+	if n, ok := a.s.notices.find(now, a.process()); ok {
+		n.addTo(now, &e)
+	}
+	a.ticket.End(e)
+}
+
+// recordNotices records what a response says of further requests. A process that was not
+// meant speaks for itself only.
+func (a *upstreamAttempt) recordNotices(m ResponseMeta) {
+	if m.Misdirected {
+		return
+	}
+	leaves, pauses := a.s.notices.record(time.Now(), a.process(), m)
+	if leaves {
+		a.s.log.Info("upstream leaves", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.Int64("born", a.ticket.Born))...)
+	}
+	if pauses {
+		a.s.log.Info("upstream asks for a pause", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.Int64("born", a.ticket.Born),
+			zap.Duration("retry_after", m.RetryAfter))...)
+	}
+}
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -141,22 +141,31 @@
 }
 
 func (testDialect) ParseResponse(status int, h http.Header) ResponseMeta {
-	return ResponseMeta{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotExecuted: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	m := ResponseMeta{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotExecuted: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
+	if seconds, err := strconv.Atoi(h.Get("Retry-After")); err == nil && status == http.StatusServiceUnavailable {
+		m.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return m
 }
 
-// testBrokerClient grants upstreams in order and records the end of each grant.
+// testBrokerClient grants upstreams in order and records the offers and the end of each
+// grant.
 type testBrokerClient struct {
 	mu        sync.Mutex
 	addresses []string
 	granted   int
+	offers    []port.BrokerOffer
 	ends      []broker.End
-	refusal   *fault.Error
-	expected  time.Duration
+	// born is the start time of the upstreams' processes.
+	born     int64
+	refusal  *fault.Error
+	expected time.Duration
 }
 
 func (c *testBrokerClient) Acquire(_ context.Context, o port.BrokerOffer) (port.BrokerTicket, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.offers = append(c.offers, o)
 	if c.granted >= len(c.addresses) {
 		if c.refusal != nil {
 			return port.BrokerTicket{}, c.refusal
@@ -166,7 +175,7 @@
 	address := c.addresses[c.granted]
 	c.granted++
 	return port.BrokerTicket{
-		Grant: broker.Grant{ID: o.ID, Upstream: "u-" + address, Address: address, ExpectedTimeToFirstEvent: c.expected},
+		Grant: broker.Grant{ID: o.ID, Upstream: "u-" + address, Address: address, Born: c.born, ExpectedTimeToFirstEvent: c.expected},
 		End: func(e broker.End) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
