brokerclient: do not count a grant that was not sent as local use

Cause: an entry without a broker counts the tokens that it grants by itself, for the next broker. A grant that is returned since its upstream takes no requests, or whose caller left before the request was sent, stayed counted; the request that is offered again was counted a second time. Change: a grant that ends as not sent is taken out of the count. Other ends that ran nothing are not: the entry's retries after them carry no charge of their own. Tests: TestReturnedGrantIsNotCountedAsUse failed (40 tokens counted for a request that was not sent) and passes; TestReturnedGrantOfBrokerKeepsLocalUse passed before and guards the other side.

--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -33,6 +33,8 @@
 	refusal *fault.Error
 	// decidedBy is byBroker or byEntry.
 	decidedBy string
+	// localCharge is the number of tokens that the entry granted by itself.
+	localCharge int
 }
 
 // Values of the label "by": the leading broker or the entry's local broker.
@@ -234,12 +236,24 @@
 	defer s.mu.Unlock()
 	e.ID = a.offer.ID
 	delete(s.running, e.ID.Number)
+	if e.Outcome == broker.NotSent {
+		s.refundLocalUse(a)
+	}
 	s.local.End(s.now(), e)
 	s.pending.Ends = append(s.pending.Ends, brokerwire.EncodeEnd(e))
 	wait.Notify(s.wakeSession)
 	wait.Notify(s.wakeLocal)
 }
 
+// refundLocalUse takes the tokens of a request out of what the entry granted by itself: it was
+// not sent, and is charged again if it is offered again. The caller holds the lock.
+func (s *Service) refundLocalUse(a *acquisition) {
+	name := a.offer.Workspace
+	if s.localUse[name] -= int64(a.localCharge); s.localUse[name] <= 0 {
+		delete(s.localUse, name)
+	}
+}
+
 // Entries returns the number of entries that share the system's limits, at least 1.
 func (s *Service) Entries() int {
 	s.mu.Lock()
@@ -257,7 +271,8 @@
 	s.metrics.grants.WithLabelValues(by).Inc()
 	a.grant, a.decidedBy = g, by
 	if by == byEntry && a.offer.QuotaCharge > 0 {
-		s.localUse[a.offer.Workspace] += int64(a.offer.QuotaCharge)
+		a.localCharge = a.offer.QuotaCharge
+		s.localUse[a.offer.Workspace] += int64(a.localCharge)
 	}
 	a.offer.Running = g.Upstream
 	a.offer.QuotaCharge = 0
--- a/internal/brokerclient/notices_test.go
+++ b/internal/brokerclient/notices_test.go
@@ -81,3 +81,35 @@
 	c.offerRequest()
 	require.Zero(t, c.localGrants())
 }
+
+// TestReturnedGrantIsNotCountedAsUse guards against a workspace that is charged twice for a
+// request: the entry without a broker granted it an upstream that takes none, and then another
+// one.
+func TestReturnedGrantIsNotCountedAsUse(t *testing.T) {
+	c := newNoticeClient(t)
+	at := time.Now().Add(time.Minute)
+	offer := port.BrokerOffer{Offer: broker.Offer{Pool: "p", Workspace: "w", QuotaCharge: 40}, LatencyTargetAt: at, DeadlineAt: at}
+	returned := c.offer(offer)
+	require.Equal(t, 1, c.localGrants())
+	c.end(returned, broker.End{Outcome: broker.NotSent, Leaving: true, Born: 5})
+	require.Empty(t, c.localUse)
+	c.receiveUpstream(6)
+	sent := c.offer(offer)
+	require.Equal(t, 1, c.localGrants())
+	c.end(sent, broker.End{Outcome: broker.Completed, TimeToFirstEvent: time.Millisecond})
+	require.Equal(t, map[string]int64{"w": 40}, c.localUse)
+}
+
+// TestReturnedGrantOfBrokerKeepsLocalUse guards against tokens that are not reported to the
+// next broker, since they are taken for those of a grant that the broker itself refunds.
+func TestReturnedGrantOfBrokerKeepsLocalUse(t *testing.T) {
+	c := newNoticeClient(t)
+	c.localUse["w"] = 30
+	at := time.Now().Add(time.Minute)
+	a := c.offer(port.BrokerOffer{Offer: broker.Offer{Pool: "p", Workspace: "w", QuotaCharge: 40}, LatencyTargetAt: at, DeadlineAt: at})
+	c.mu.Lock()
+	c.settleGrant(broker.Grant{ID: a.offer.ID, Upstream: "u", Address: "a", Born: 5}, byBroker)
+	c.mu.Unlock()
+	c.end(a, broker.End{Outcome: broker.NotSent, Leaving: true, Born: 5})
+	require.Equal(t, map[string]int64{"w": 30}, c.localUse)
+}
