--- a/core/broker/streams.go
+++ b/core/broker/streams.go
@@ -114,7 +114,7 @@
 // serves reports whether an upstream of a software version takes requests.
 func (p *pool) serves(version string) bool {
 	for _, u := range p.order {
-		if u.SoftwareVersion == version && !u.Leaving {
+		if u.SoftwareVersion == version && !u.isLeaving() {
 			return true
 		}
 	}
