--- a/core/routes/table.go
+++ b/core/routes/table.go
@@ -85,7 +85,8 @@
 	Weight int64  `json:"weight"`
 }
 
-// Pool is a set of interchangeable upstreams.
+// Pool is a set of upstreams that serve the same requests. They may differ in the version of
+// their software.
 type Pool struct {
 	Name string `json:"name"`
 	// HealthPath is the path of an upstream's health check.
