broker: resumed streams go before new requests

Change: they go first; followers leave them to the leader. What an entry resumes within a response counts as resumed too.

--- a/core/broker/pattern_test.go
+++ b/core/broker/pattern_test.go
@@ -28,6 +28,8 @@
 	value     float64
 	lateValue float64
 	perSecond float64
+	// resumes is the stream that the requests resume; zero if they begin streams.
+	resumes uint64
 }
 
 // kinds are modelled after a deployment whose most urgent requests make up most of
@@ -150,6 +152,7 @@
 	s.broker.Offer(s.now, Offer{
 		ID: id, Pool: simPool, DataCentre: "dc", Region: "r", Rank: k.rank, PromptTokens: size(k.prompt), OutputTokens: size(k.output),
 		LatencyTarget: s.now + k.target, LatestUseful: s.now + 2*k.target, Deadline: s.now + 10*time.Second,
+		Resumes: k.resumes,
 	})
 	s.decide()
 }
@@ -354,3 +357,37 @@
 	}
 	require.Zero(t, onSlow, "700 tokens at 20 ms each, with the margin for the estimate, take longer than 15 s")
 }
+
+// TestPatternReleaseUnderLoadKeepsStreamsResumable offers more than the engines can serve
+// while two of nine are still at the old software version. Streams that began there are
+// resumed, many of them at once as after the loss of an entry. They must be served at least
+// half as often as new streams, which any engine may take.
+func TestPatternReleaseUnderLoadKeepsStreamsResumable(t *testing.T) {
+	const resumed, atOnce, oldEngines = 120, 15, 2
+	s := newSim(1, 1, 1, 1, 1, 1, 1, 1, 1)
+	list := []Upstream{}
+	for i, u := range s.broker.pools[simPool].order {
+		u.SoftwareVersion = "v2"
+		if i < oldEngines {
+			u.SoftwareVersion = "v1"
+		}
+		list = append(list, u.Upstream)
+	}
+	s.broker.SetUpstreams(list)
+	s.broker.LearnStreams(0, []StreamOrigin{{Stream: 77, SoftwareVersion: "v1", Until: time.Hour}})
+	s.arrive(0, 20*time.Second, 1.6)
+	resumptions := []requestKind{}
+	for _, k := range kinds {
+		k.name, k.resumes = "resumed "+k.name, 77
+		resumptions = append(resumptions, k)
+	}
+	for i := range resumed {
+		s.at(3*time.Second+time.Duration(i/atOnce)*2*time.Second, func() { s.offer(resumptions[i%len(resumptions)]) })
+	}
+	s.run()
+	for i, k := range kinds {
+		begun, goesOn := s.tally(k).servedRatio(), s.tally(resumptions[i]).servedRatio()
+		t.Logf("%s: %.2f of new streams, %.2f of resumed ones", k.name, begun, goesOn)
+		require.GreaterOrEqual(t, goesOn, begun/2, k.name)
+	}
+}
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -100,10 +100,16 @@
 	p.queue = slices.Insert(p.queue, at, req)
 }
 
-// compare orders the queue by rank, then requests that can meet their latency
-// target before those that can't, then by arrival. IDs break ties.
+// compare puts requests that resume a stream first: their callers have a part of it, and
+// they can't use all upstreams. It orders the others by rank, then those that can meet their
+// latency target before those that can't, then by arrival. IDs break ties.
 func compare(a, b *request) int {
 	switch {
+	case (a.Resumes != 0) != (b.Resumes != 0):
+		if a.Resumes != 0 {
+			return -1
+		}
+		return 1
 	case a.Rank != b.Rank:
 		return a.Rank - b.Rank
 	case a.late != b.late:
--- a/core/broker/streams_test.go
+++ b/core/broker/streams_test.go
@@ -148,6 +148,19 @@
 	}
 }
 
+// TestResumedStreamGoesBeforeNewRequests guards against streams that are never resumed under
+// load: new requests of higher ranks took each slot of the few upstreams of their version.
+func TestResumedStreamGoesBeforeNewRequests(t *testing.T) {
+	b := newVersionBroker(1, "v1")
+	require.Equal(t, "v1", beginStream(t, b, 0, 1, 77))
+	b.Offer(time.Second, newOffer(2))
+	late := resumption(3, 77)
+	late.Rank = 5
+	b.Offer(2*time.Second, late)
+	b.End(3*time.Second, End{ID: ID{Entry: "e", Number: 1}, Outcome: Completed, TimeToFirstEvent: time.Second})
+	require.Equal(t, uint64(3), grantNumbers(b.Decide(3 * time.Second))[0])
+}
+
 // TestStreamsAreForgotten guards against a broker whose memory grows with each stream.
 func TestStreamsAreForgotten(t *testing.T) {
 	b := newVersionBroker(8, "v1")
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -261,8 +261,8 @@
 }
 
 // refuseShed refuses the new requests of a message that the leader would refuse, and removes
-// them from it, so that a leader under overload spends no time on them. The caller holds the
-// lock.
+// them from it, so that a leader under overload spends no time on them. Resumed streams go
+// before others at the leader and are left to it. The caller holds the lock.
 func (s *Service) refuseShed(x *session, ask *rpc.BrokerAsk) {
 	if len(s.relay.shedding) == 0 || ask.Complete {
 		return
@@ -271,7 +271,7 @@
 	ask.Offers = slices.DeleteFunc(ask.Offers, func(o *rpc.WorkOffer) bool {
 		key := poolRank{o.Pool, o.Rank}
 		shed, ok := s.relay.shedding[key]
-		if !ok || o.Running != "" {
+		if !ok || o.Running != "" || o.Resumes != 0 {
 			return false
 		}
 		if time.Now().After(shed.until) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -122,6 +122,9 @@
 	if version := x.streamVersion(); version != "" {
 		offer.SoftwareVersion, offer.VersionBound = version, true
 	}
+	if x.stream.headerSent && offer.Resumes == 0 {
+		offer.Stream, offer.Resumes = 0, offer.Stream
+	}
 	x.attempts++
 	lastEvent := x.meta.LastEvent
 	if x.stream.lastID != "" {
--- a/internal/forward/version_test.go
+++ b/internal/forward/version_test.go
@@ -45,6 +45,11 @@
 		for _, o := range offers[1:] {
 			require.True(t, o.VersionBound, name)
 			require.Equal(t, "v1", o.SoftwareVersion, name)
+			if name == "silent before the stream" {
+				require.Zero(t, o.Resumes, "the stream has not begun")
+			} else {
+				require.Equal(t, offers[0].Stream, o.Resumes, name)
+			}
 		}
 	}
 }
