brokerclient: a stale roster restores no upstream that left

Cause: a control daemon that is cut off from the others marks upstreams as silent and sends that change to entries that connect to it. Its entries say that an upstream is ready which the entry knows to be leaving or gone; the entry then granted by itself. Not new: the roster's messages to entries have no order. Change: an entry remembers which process of an upstream left, and takes it for leaving or gone whatever an older roster says; a process born later is used.

--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -98,6 +98,8 @@
 	roster       map[string]*rpc.RosterEntry
 	localStale   bool
 	localUpdated time.Duration
+	// retired holds the upstreams whose newest process leaves or is gone.
+	retired map[string]retirement
 	// rosterConfirmedAt is when a leader last confirmed that the entry's roster is
 	// complete; zero for never. rosterCurrent is true if the daemon of the session sent
 	// the full roster, or sends the changes of an earlier one.
@@ -133,7 +135,7 @@
 	return &Service{
 		set: set, log: log.Named("work"), metrics: newMetrics(), self: self.String(), started: time.Now(), wakeSession: make(chan struct{}, 1), wakeLocal: make(chan struct{}, 1),
 		waiting: map[uint64]*acquisition{}, running: map[uint64]*acquisition{}, local: local, entries: 1, roster: map[string]*rpc.RosterEntry{},
-		quotaLevels: map[string]float64{}, localUse: map[string]int64{}, redirectedUntil: map[string]time.Duration{}, reportedUse: map[string]int64{},
+		quotaLevels: map[string]float64{}, localUse: map[string]int64{}, retired: map[string]retirement{}, redirectedUntil: map[string]time.Duration{}, reportedUse: map[string]int64{},
 	}
 }
 
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -514,11 +514,7 @@
 		s.rosterCurrent = true
 	}
 	for _, e := range r.Roster {
-		if e.Gone {
-			delete(s.roster, e.Id)
-		} else {
-			s.roster[e.Id] = e
-		}
+		s.updateEntry(e)
 	}
 	s.localStale = s.localStale || r.RosterSet || len(r.Roster) > 0
 	if s.localStale && (!s.attached || s.now()-s.localUpdated > localUpdateInterval) {
