--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -73,6 +73,23 @@
 	}
 }
 
+// refuseSecond grants the first offer and those from the third on, and refuses the second
+// after a while.
+func refuseSecond(first, third *scriptedUpstream) func(ctx context.Context, n int) (string, error) {
+	return func(ctx context.Context, n int) (string, error) {
+		switch n {
+		case 1:
+			return first.address(), nil
+		case 2:
+			if err := waitFor(ctx, 800*time.Millisecond); err != nil {
+				return "", err
+			}
+			return "", overloaded()
+		}
+		return third.address(), nil
+	}
+}
+
 func overloaded() error {
 	return fault.New(fault.Kind(broker.Overloaded), "retry later", "too late").After(time.Second)
 }
@@ -95,18 +112,7 @@
 	first := newUpstream(t, rejectAfter(responseSilence))
 	third := newUpstream(t, respondAfter(responseSilence, "third"))
 	r := newTestEntry(t)
-	b := &scriptedBroker{acquire: func(ctx context.Context, n int) (string, error) {
-		switch n {
-		case 1:
-			return first.address(), nil
-		case 2:
-			if err := waitFor(ctx, 800*time.Millisecond); err != nil {
-				return "", err
-			}
-			return "", overloaded()
-		}
-		return third.address(), nil
-	}}
+	b := &scriptedBroker{acquire: refuseSecond(first, third)}
 	r.service.brokerClient = b
 	out := r.call("idempotent", "b")
 	if third.requests() > 0 {
@@ -169,18 +175,7 @@
 		table.Routes[i].MaxAttempts = 3
 	}
 	r.service.view = testView{routes.NewIndex(table)}
-	r.service.brokerClient = &scriptedBroker{acquire: func(ctx context.Context, n int) (string, error) {
-		switch n {
-		case 1:
-			return first.address(), nil
-		case 2:
-			if err := waitFor(ctx, 800*time.Millisecond); err != nil {
-				return "", err
-			}
-			return "", overloaded()
-		}
-		return third.address(), nil
-	}}
+	r.service.brokerClient = &scriptedBroker{acquire: refuseSecond(first, third)}
 	out := r.call("idempotent", "b")
 	if third.requests() > 0 {
 		require.Equal(t, "third", out.body, "status %d", out.status)
