Logs: suspensions of the machine, and from which state a route table was read

Cause: the hypotheses on the report of a stale read of the configuration can't be told apart by the logs: no line names a suspension of the machine, nor the version, the role and the term with which a read was answered. Change: internal/clock reads the clock that counts suspensions; its service 'clock' logs 'machine was suspended' and 'process did not run' and counts the seconds. A read of the route table logs version, role, term and log position. Nothing decides by the new clock yet. Result: go test ./internal/clock ./internal/daemon ./internal/replica passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/verbenastep/verbenastep/internal/admin"
 	"github.com/verbenastep/verbenastep/internal/broker"
 	"github.com/verbenastep/verbenastep/internal/brokerclient"
+	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/directory"
 	"github.com/verbenastep/verbenastep/internal/dispatch"
 	"github.com/verbenastep/verbenastep/internal/entry"
@@ -58,6 +59,7 @@
 		member.New(set, log, self),
 		directory.New(set, log),
 		registry,
+		clock.NewMonitor(log),
 		d.events,
 	}
 	if set.Addresses.Admin != "" {
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -50,6 +50,8 @@
 	NameEvents = "event.log"
 	// NameMetrics is the metrics registry; see Metrics.
 	NameMetrics = "metrics"
+	// NameClock is the monitor of the machine's clocks.
+	NameClock = "clock"
 	// NameDirectory tells callers which entries to use; see Directory.
 	NameDirectory = "directory"
 	// NameTables publishes route tables; see Tables.
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	"github.com/verbenastep/verbenastep/core/consensus"
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/port"
@@ -20,8 +22,10 @@
 		return state.Publish{}, err
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.machine.Table(), nil
+	table, applied, status := g.machine.Table(), g.applied, g.status
+	g.mu.Unlock()
+	g.log.Info("route table read", zap.Uint64("version", table.Version), zap.Stringer("role", status.Role), zap.Uint64("term", status.Term), zap.Uint64("applied", applied))
+	return table, nil
 }
 
 // Leadership reports whether this replica leads the main group, and returns the
