replica: name the clock that elections and leases are measured by

Cause: the clock of leases was a time.Time of Go's, whose steady part and time of day could not be told apart, and a test could not give a machine two clocks. Change: a group has its machine's clocks by name; leases and maintenance count durations of clocks.elapsed, still the steady clock; only claims read the time of day. No change of behaviour. Result: go test ./internal/replica passes.

--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -56,7 +56,7 @@
 		c := decoded[i].Command
 		result := e.machine.Apply(c)
 		e.recordAcceptedConfig(c, result)
-		e.lessor.recordRenewal(c, result, e.group.now())
+		e.lessor.recordRenewal(c, result, e.group.clocks.elapsed())
 		notify = e.markChanged(c, entry.Index) || notify
 		if p != nil {
 			results = append(results, proposalResult{proposal: p, outcome: outcome{result: result, index: entry.Index}})
@@ -128,7 +128,7 @@
 		return
 	}
 	e.role, e.term, e.leader = role, term, leader
-	e.lessor.reset(e.group.now(), term)
+	e.lessor.reset(e.group.clocks.elapsed(), term)
 	e.publishStatus()
 	e.group.mu.Lock()
 	e.group.notifyWatchers()
--- /dev/null
+++ b/internal/replica/clocks.go
@@ -0,0 +1,25 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/verbenastep/verbenastep/internal/clock"
+)
+
+// clocks are the clocks of the machine that a group runs on.
+type clocks struct {
+	// steady and sinceBoot differ by the time for which the machine was suspended;
+	// see package clock.
+	steady    func() time.Duration
+	sinceBoot func() time.Duration
+	// timeOfDay may jump. It dates claims only.
+	timeOfDay func() time.Time
+}
+
+func systemClocks() clocks {
+	return clocks{steady: clock.Steady, sinceBoot: clock.SinceBoot, timeOfDay: time.Now}
+}
+
+// elapsed returns the time by which elections, leases and their renewals are
+// measured.
+func (c clocks) elapsed() time.Duration { return c.steady() }
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -57,7 +57,7 @@
 	group     *group
 	log       *wal.Log
 	node      *consensus.Node
-	startedAt time.Time
+	startedAt time.Duration
 	// machine is shared with the group; it is only modified under the group's
 	// lock.
 	machine *state.Machine
@@ -92,7 +92,7 @@
 		_ = l.Close()
 		return nil, err
 	}
-	e := &engine{group: g, log: l, startedAt: g.now(), machine: machine, proposalsByIndex: map[uint64]*proposal{}, readRequests: map[uint64]chan struct{}{}}
+	e := &engine{group: g, log: l, startedAt: g.clocks.elapsed(), machine: machine, proposalsByIndex: map[uint64]*proposal{}, readRequests: map[uint64]chan struct{}{}}
 	e.snapshot.done = make(chan snapshotResult, 1)
 	e.node = consensus.New(g.options(l.Identity().ID), saved, 0)
 	e.publishMachine(saved.Meta.Index)
@@ -131,7 +131,7 @@
 
 // advance tells the node the current time in ticks.
 func (e *engine) advance() {
-	e.node.Advance(uint64(e.group.now().Sub(e.startedAt) / tickInterval))
+	e.node.Advance(uint64((e.group.clocks.elapsed() - e.startedAt) / tickInterval))
 }
 
 // loop runs jobs and ticks until the group is closed or an error requires that
@@ -324,7 +324,7 @@
 	e.updateRole()
 	a := p.command.Acquire
 	applied := e.group.applied == e.node.CommitIndex()
-	if a != nil && applied && e.node.HasLease() && e.lessor.renew(e.machine, a, e.group.now()) {
+	if a != nil && applied && e.node.HasLease() && e.lessor.renew(e.machine, a, e.group.clocks.elapsed()) {
 		p.done <- outcome{result: e.machine.Apply(p.command), index: e.group.applied}
 		return
 	}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -54,9 +54,9 @@
 	sender sender
 	events port.Events
 	meters *groupMeters
-	// now, random, newID and spawn are replaced by tests to make runs
+	// clocks, random, newID and spawn are replaced by tests to make runs
 	// deterministic.
-	now        func() time.Time
+	clocks     clocks
 	random     func(n uint64) uint64
 	newID      func() consensus.ID
 	spawn      func(func())
@@ -105,7 +105,7 @@
 func newGroup(name string, set *settings.Settings, disk wal.Disk, out sender, log *zap.Logger) *group {
 	return &group{
 		name: name, set: set, disk: disk, sender: out, log: log.With(zap.String("group", name)),
-		now: time.Now, random: mathrand.Uint64N, newID: newID, spawn: func(f func()) { go f() }, limits: defaultLimits(),
+		clocks: systemClocks(), random: mathrand.Uint64N, newID: newID, spawn: func(f func()) { go f() }, limits: defaultLimits(),
 		jobs: make(chan job, maxQueuedJobs), stop: make(chan struct{}),
 		machine: state.New(), changed: make(chan struct{}), leaseChangedAt: map[string]uint64{},
 	}
--- a/internal/replica/lessor.go
+++ b/internal/replica/lessor.go
@@ -18,8 +18,8 @@
 // replicated, so a new leader treats all leases as renewed when its term began.
 type lessor struct {
 	term      uint64
-	startedAt time.Time
-	renewedAt map[string]time.Time
+	startedAt time.Duration
+	renewedAt map[string]time.Duration
 	// pendingExpires and pendingAcquires count the uncommitted commands of this
 	// term by lease. While an Expire is pending, renewals go through the log,
 	// so that they are ordered after it. While an Acquire is pending, the lease
@@ -30,13 +30,13 @@
 }
 
 // reset discards all state at the start of a term.
-func (l *lessor) reset(now time.Time, term uint64) {
-	*l = lessor{term: term, startedAt: now, renewedAt: map[string]time.Time{}, pendingExpires: map[string]int{}, pendingAcquires: map[string]int{}}
+func (l *lessor) reset(now time.Duration, term uint64) {
+	*l = lessor{term: term, startedAt: now, renewedAt: map[string]time.Duration{}, pendingExpires: map[string]int{}, pendingAcquires: map[string]int{}}
 }
 
 // renew renews the lease if its current holder asks. It returns false if the
 // command has to go through the log.
-func (l *lessor) renew(m *state.Machine, a *state.Acquire, now time.Time) bool {
+func (l *lessor) renew(m *state.Machine, a *state.Acquire, now time.Duration) bool {
 	if l.pendingExpires[a.Name] > 0 || a.Holder == "" || m.Lease(a.Name).Holder != a.Holder {
 		return false
 	}
@@ -66,7 +66,7 @@
 func (l *lessor) proposalEnded(p *proposal) { l.addPending(p, -1) }
 
 // recordRenewal stores the renewal time of an applied Acquire.
-func (l *lessor) recordRenewal(c state.Command, r state.Result, now time.Time) {
+func (l *lessor) recordRenewal(c state.Command, r state.Result, now time.Duration) {
 	if c.Acquire != nil && r.Status == state.OK && l.renewedAt != nil {
 		l.renewedAt[c.Acquire.Name] = now
 	}
@@ -74,15 +74,12 @@
 
 // expiredLeases returns the leases not renewed for longer than the timeout,
 // sorted by name.
-func (l *lessor) expiredLeases(m *state.Machine, now time.Time, timeout time.Duration) []state.Lease {
+func (l *lessor) expiredLeases(m *state.Machine, now time.Duration, timeout time.Duration) []state.Lease {
 	out := []state.Lease{}
 	for name, lease := range m.Leases() {
-		last := l.startedAt
-		if at := l.renewedAt[name]; at.After(last) {
-			last = at
-		}
+		last := max(l.startedAt, l.renewedAt[name])
 		idle := l.pendingExpires[name] == 0 && l.pendingAcquires[name] == 0
-		if lease.Holder != "" && idle && now.Sub(last) > timeout {
+		if lease.Holder != "" && idle && now-last > timeout {
 			out = append(out, lease)
 		}
 	}
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -37,7 +37,7 @@
 // maintenance holds the state of the leader's periodic maintenance. The
 // retention is cached for the configuration version that it comes from.
 type maintenance struct {
-	nextRun       time.Time
+	nextRun       time.Duration
 	configVersion uint64
 	retention     time.Duration
 }
@@ -51,7 +51,7 @@
 	if e.role != consensus.Leader {
 		return
 	}
-	now := e.group.now()
+	now := e.group.clocks.elapsed()
 	if !e.node.HasCommittedInTerm() {
 		return
 	}
@@ -59,13 +59,13 @@
 		e.group.log.Info("lease expired", zap.String("lease", l.Name), zap.String("holder", l.Holder))
 		e.submitOwn(state.Command{Expire: &state.Expire{Name: l.Name, Epoch: l.Epoch}})
 	}
-	if now.Before(e.maintenance.nextRun) {
+	if now < e.maintenance.nextRun {
 		return
 	}
-	e.maintenance.nextRun = now.Add(maintenanceInterval)
+	e.maintenance.nextRun = now + maintenanceInterval
 	e.promoteLearner()
 	e.removeUnresponsiveReplica()
-	e.trimClaims(now)
+	e.trimClaims(e.group.clocks.timeOfDay())
 }
 
 // submitOwn submits a command of this replica; its outcome is ignored.
--- a/internal/replica/simulation_test.go
+++ b/internal/replica/simulation_test.go
@@ -146,9 +146,16 @@
 	return consensus.Member{ID: s.id, Name: s.name(), Address: s.name()}
 }
 
-// clock returns the time by the replica's drifting clock.
-func (s *simReplica) clock() time.Time {
-	return simulationStart.Add(time.Duration(float64(s.sim.now) * s.clockRate))
+// sinceBoot returns the time by the replica's drifting clock.
+func (s *simReplica) sinceBoot() time.Duration {
+	return time.Duration(float64(s.sim.now) * s.clockRate)
+}
+
+func (s *simReplica) clocks() clocks {
+	return clocks{
+		steady: s.sinceBoot, sinceBoot: s.sinceBoot,
+		timeOfDay: func() time.Time { return simulationStart.Add(s.sinceBoot()) },
+	}
 }
 
 // start starts the process by opening the log; after a failure it restarts
@@ -157,7 +164,7 @@
 	s.generation++
 	set := &settings.Settings{Name: s.name(), Addresses: settings.Addresses{Peers: s.name()}}
 	g := newGroup(port.GroupMain, set, s.disk, s, zap.NewNop())
-	g.now = s.clock
+	g.clocks = s.clocks()
 	g.random = s.sim.random.Uint64N
 	g.newID = func() consensus.ID { return consensus.ID(s.sim.random.Uint64() | 1) }
 	if s.sim.defect.reusesID && s.id != 0 {
