--- a/internal/replica/schedule_test.go
+++ b/internal/replica/schedule_test.go
@@ -177,6 +177,13 @@
 	if l := sim.leader(); l != nil && sim.chance(0.4) {
 		s = l
 	}
+	if sim.suspends && sim.chance(0.4) {
+		s.suspend(sim.randomDuration(300*time.Millisecond, 3*time.Second))
+	}
+	if s.isSuspended {
+		sim.schedule(sim.randomDuration(50*time.Millisecond, time.Second), sim.injectFaults)
+		return
+	}
 	switch sim.random.IntN(6) {
 	case 0:
 		if s.engine != nil {
@@ -260,11 +267,19 @@
 
 // runSchedule runs the schedule of a seed and returns the simulation at its end.
 func runSchedule(seed uint64, d injectedDefect) *simulation {
+	return newSchedule(seed, d).runSchedule()
+}
+
+// newSchedule returns the simulation of a seed at its start.
+func newSchedule(seed uint64, d injectedDefect) *simulation {
 	size := 3
 	if seed%5 == 0 {
 		size = 5
 	}
-	sim := newSimulation(seed, size, d)
+	return newSimulation(seed, size, d)
+}
+
+func (sim *simulation) runSchedule() *simulation {
 	sim.schedule(time.Second, sim.claimRepeatedly)
 	sim.schedule(time.Second, sim.applyRepeatedly)
 	sim.schedule(time.Second, sim.readRepeatedly)
@@ -277,6 +292,7 @@
 	sim.faultsEnded = true
 	clear(sim.blocked)
 	for _, s := range sim.replicas {
+		s.wake()
 		s.disk.operationsUntilCrash = 0
 	}
 	sim.run(scheduleEnd)
--- a/internal/replica/simulation_test.go
+++ b/internal/replica/simulation_test.go
@@ -42,6 +42,8 @@
 	checker     *invariantChecker
 	meters      *groupMeters
 	lostDisks   int
+	// suspends adds suspensions of machines to the faults.
+	suspends bool
 	// pollers are called after each tick of a replica until they return true.
 	// sparePollers is the buffer for the next list of pollers.
 	pollers      []func() bool
@@ -86,6 +88,12 @@
 	// yet.
 	diskLost     bool
 	checkedIndex uint64
+	// suspendedAt is when the current suspension began, if isSuspended is set;
+	// suspendedFor is the total of the earlier ones. waitingJobs arrived meanwhile.
+	isSuspended  bool
+	suspendedAt  time.Duration
+	suspendedFor time.Duration
+	waitingJobs  []job
 }
 
 var sharedMeters = newMeters(prometheus.NewRegistry()).group("test")
@@ -151,9 +159,15 @@
 	return time.Duration(float64(s.sim.now) * s.clockRate)
 }
 
+// steady returns the time of a clock that stands still while the replica is
+// suspended.
+func (s *simReplica) steady() time.Duration {
+	return time.Duration(float64(s.sim.now-s.suspendedFor) * s.clockRate)
+}
+
 func (s *simReplica) clocks() clocks {
 	return clocks{
-		steady: s.sinceBoot, sinceBoot: s.sinceBoot,
+		steady: s.steady, sinceBoot: s.sinceBoot,
 		timeOfDay: func() time.Time { return simulationStart.Add(s.sinceBoot()) },
 	}
 }
@@ -234,6 +248,10 @@
 	if s.engine == nil {
 		return
 	}
+	if s.isSuspended {
+		s.waitingJobs = append(s.waitingJobs, j)
+		return
+	}
 	e := s.engine
 	e.runJob(j)
 	e.proposePending()
@@ -271,9 +289,11 @@
 }
 
 func (s *simReplica) tick() {
-	s.handle(func(e *engine) { e.runMaintenance() })
+	if !s.isSuspended {
+		s.handle(func(e *engine) { e.runMaintenance() })
+	}
 	s.sim.runPollers()
-	if s.engine != nil && len(s.engine.node.Members()) == 0 {
+	if s.engine != nil && !s.isSuspended && len(s.engine.node.Members()) == 0 {
 		s.join()
 	}
 	s.sim.schedule(tickInterval+s.sim.randomDuration(0, 3*time.Millisecond), s.tick)
