replica: elections and leases count the time of a suspension

Callers saw: a control daemon answers a read of the configuration with a version older than one acknowledged seconds before. Cause: ticks, and with them the leader's lease and the renewals that a leader answers without the log, were measured by the steady clock, which stands still while a machine is suspended. A leader that was suspended and replaced held its lease for up to 270 ms after it woke up, and answered from its own state. Change: elapsed() reads the clock since boot. After a suspension the first tick comes before any job, and the lease has expired with it. Why it works: followers promise by clocks that went on; the leader now measures the same time, so the lease ends before their promise, as without a suspension.

--- a/internal/replica/clocks.go
+++ b/internal/replica/clocks.go
@@ -9,7 +9,7 @@
 // clocks are the clocks of the machine that a group runs on.
 type clocks struct {
 	// steady and sinceBoot differ by the time for which the machine was suspended;
-	// see package clock.
+	// see package clock. Nothing may decide by steady; tests set both.
 	steady    func() time.Duration
 	sinceBoot func() time.Duration
 	// timeOfDay may jump. It dates claims only.
@@ -21,5 +21,6 @@
 }
 
 // elapsed returns the time by which elections, leases and their renewals are
-// measured.
-func (c clocks) elapsed() time.Duration { return c.steady() }
+// measured. A lease must not outlive a suspension of the machine: the other
+// replicas, whose clocks went on, have replaced its holder.
+func (c clocks) elapsed() time.Duration { return c.sinceBoot() }
--- a/internal/replica/suspension_test.go
+++ b/internal/replica/suspension_test.go
@@ -9,7 +9,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenastep/verbenastep/core/config"
-	"github.com/verbenastep/verbenastep/core/state")
+	"github.com/verbenastep/verbenastep/core/state"
+	"github.com/verbenastep/verbenastep/internal/clock"
+)
 
 const (
 	suspensionSchedules = 200
@@ -132,3 +134,11 @@
 		})
 	}
 }
+
+// The simulation shows nothing unless production measures by the same clock.
+func TestSystemClocksMeasureLeasesSinceBoot(t *testing.T) {
+	before := clock.SinceBoot()
+	elapsed := systemClocks().elapsed()
+	require.GreaterOrEqual(t, elapsed, before)
+	require.LessOrEqual(t, elapsed, clock.SinceBoot())
+}
