dispatch: a dispatcher's lease ends during a suspension of its machine

Cause: the holder measured its lease by the steady clock. A dispatcher whose machine was suspended for longer than its lease granted for the rest of it, beside its successor. Change: the service measures leases by the time since boot. Result: with the steady clock TestServiceMeasuresLeasesSinceBoot fails ('2.14 ms is not greater than or equal to 7m32s'); now it and TestDispatcherStopsWhenLeaseEndsInSuspension pass, with the race detector.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -2,13 +2,14 @@
 // holds, and serves scheduling sessions to the entries over drpc. The entries'
 // side of a session is internal/schedclient.
 //
-// Invariant: a dispatcher grants only while its lease is valid by this daemon's
-// monotonic clock, counted from before the renewal was sent.
+// Invariant: a dispatcher grants only while its lease is valid by the time since
+// the machine's boot, counted from before the renewal was sent.
 package dispatch
 
 import (
 	"context"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -16,6 +17,7 @@
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/state"
+	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -32,6 +34,8 @@
 	events        port.Events
 	metrics       *metrics
 	self          port.Holder
+	// elapsed is the clock that leases are measured by.
+	elapsed func() time.Duration
 	// crashCounts queues crash counts for the replicated log.
 	crashCounts chan state.Suspect
 	ctx         context.Context
@@ -44,7 +48,7 @@
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger, self port.Holder) *Service {
-	return &Service{set: set, log: log.Named("dispatch"), self: self, pools: map[string]*pool{}, crashCounts: make(chan state.Suspect, maxPendingCrashCounts)}
+	return &Service{set: set, log: log.Named("dispatch"), self: self, elapsed: clock.SinceBoot, pools: map[string]*pool{}, crashCounts: make(chan state.Suspect, maxPendingCrashCounts)}
 }
 
 // Name returns the service's name.
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -85,9 +85,9 @@
 
 // renew acquires or renews the lease and starts the pool's dispatcher if none
 // runs at the lease's epoch. The lease ends port.LeaseTTL after the proposal was
-// sent, by the monotonic clock.
+// sent, by a clock that counts suspensions of the machine.
 func (s *Service) renew(ctx context.Context, name, lease string) {
-	sent := time.Now()
+	sent := s.elapsed()
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	result, err := s.replicatedLog.Propose(ctx, port.GroupMain, state.Command{Acquire: &state.Acquire{Name: lease, Holder: s.self.String()}})
@@ -106,18 +106,18 @@
 		p = nil
 	}
 	if p != nil {
-		p.extendLease(sent.Add(port.LeaseTTL))
+		p.extendLease(sent + port.LeaseTTL)
 		return
 	}
 	p = newPool(name, result.Lease.Epoch, s.poolDeps())
-	p.extendLease(sent.Add(port.LeaseTTL))
+	p.extendLease(sent + port.LeaseTTL)
 	s.pools[name] = p
 	s.goroutines.Go(p.run)
 	s.log.Info("dispatcher started", zap.String("pool", name), zap.Uint64("epoch", p.epoch))
 }
 
 func (s *Service) poolDeps() poolDeps {
-	return poolDeps{region: s.set.Region, view: s.view, members: s.members, events: s.events, metrics: s.metrics, log: s.log, shareCrashCounts: s.queueCrashCounts}
+	return poolDeps{region: s.set.Region, view: s.view, members: s.members, events: s.events, metrics: s.metrics, log: s.log, elapsed: s.elapsed, shareCrashCounts: s.queueCrashCounts}
 }
 
 func (s *Service) stopPool(name string) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -33,6 +33,8 @@
 	events  port.Events
 	metrics *metrics
 	log     *zap.Logger
+	// elapsed is the clock that leases are measured by; see clock.SinceBoot.
+	elapsed func() time.Duration
 	// shareCrashCounts queues crash counts for the replicated log without blocking.
 	shareCrashCounts func(pool string, changes []quarantine.Change)
 }
@@ -50,7 +52,8 @@
 	mu sync.Mutex
 	// dispatcher decides; its times are relative to startedAt.
 	dispatcher *sched.Dispatcher
-	leaseEnd   time.Time
+	// leaseEnd is when the lease ends by elapsed.
+	leaseEnd time.Duration
 	// resynced reports that the dispatcher may grant; see awaitResync.
 	resynced bool
 	// sessions holds the current session of each entry, by the string form of the
@@ -73,8 +76,8 @@
 	return time.Since(p.startedAt)
 }
 
-// extendLease sets the end of the lease, on this daemon's monotonic clock.
-func (p *pool) extendLease(end time.Time) {
+// extendLease sets the end of the lease, by elapsed.
+func (p *pool) extendLease(end time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leaseEnd = end
@@ -84,7 +87,7 @@
 func (p *pool) holdsLease() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Now().Before(p.leaseEnd)
+	return p.elapsed() < p.leaseEnd
 }
 
 // run makes scheduling decisions until the lease ends: whenever a batch or a
@@ -169,7 +172,7 @@
 func (p *pool) decide() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.resynced || !time.Now().Before(p.leaseEnd) {
+	if !p.resynced || p.elapsed() >= p.leaseEnd {
 		return
 	}
 	now := p.now()
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -17,7 +17,9 @@
 	"github.com/verbenastep/verbenastep/core/quarantine"
 	"github.com/verbenastep/verbenastep/core/sched"
 	"github.com/verbenastep/verbenastep/core/state"
+	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
 // fakeView serves a fixed configuration and fixed crash counts.
@@ -95,6 +97,8 @@
 	*pool
 	events *fakeEvents
 	shared []quarantine.Change
+	// suspended is the time for which the machine was suspended.
+	suspended time.Duration
 }
 
 func newTestPool(t *testing.T, members ...string) *testPool {
@@ -106,11 +110,13 @@
 	m, err := newMetrics(prometheus.NewRegistry())
 	require.NoError(t, err)
 	b := &testPool{events: &fakeEvents{}}
+	started := time.Now()
 	b.pool = newPool("m", 3, poolDeps{
 		region: "r", view: &fakeView{config: c}, members: fakeMembers{names: members}, events: b.events, metrics: m, log: zap.NewNop(),
+		elapsed:          func() time.Duration { return time.Since(started) + b.suspended },
 		shareCrashCounts: func(_ string, changes []quarantine.Change) { b.shared = append(b.shared, changes...) },
 	})
-	b.extendLease(time.Now().Add(time.Hour))
+	b.extendLease(time.Hour)
 	go b.run()
 	t.Cleanup(func() { b.close(); synctest.Wait() })
 	return b
@@ -175,7 +181,7 @@
 func TestDispatcherStopsWhenLeaseEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestPool(t, "one")
-		b.extendLease(time.Now().Add(2 * time.Second))
+		b.extendLease(2 * time.Second)
 		s := b.join(t, "one#1@a", &rpc.EntryBatch{Upstreams: []*rpc.UpstreamState{upstreamState(1)}})
 		time.Sleep(1900 * time.Millisecond)
 		s.in <- &rpc.EntryBatch{Offers: []*rpc.Offer{offer(1)}}
@@ -190,6 +196,36 @@
 	})
 }
 
+// TestDispatcherStopsWhenLeaseEndsInSuspension guards against grants by a dispatcher
+// whose machine was suspended for longer than its lease: its timers have not noticed,
+// and a successor already grants.
+func TestDispatcherStopsWhenLeaseEndsInSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestPool(t, "one")
+		b.extendLease(port.LeaseTTL)
+		s := b.join(t, "one#1@a", &rpc.EntryBatch{Upstreams: []*rpc.UpstreamState{upstreamState(1)}})
+		time.Sleep(minResyncTime + 2*resyncPollInterval)
+		b.mu.Lock()
+		b.suspended = port.LeaseTTL
+		b.mu.Unlock()
+		s.in <- &rpc.EntryBatch{Offers: []*rpc.Offer{offer(1)}}
+		time.Sleep(maxDecideInterval)
+		grants, _ := s.grants()
+		require.Empty(t, grants)
+		require.Error(t, b.ctx.Err())
+	})
+}
+
+// TestServiceMeasuresLeasesSinceBoot guards against leases by a clock that stands
+// still while the machine is suspended.
+func TestServiceMeasuresLeasesSinceBoot(t *testing.T) {
+	s := New(&settings.Settings{}, zap.NewNop(), port.Holder{})
+	before := clock.SinceBoot()
+	elapsed := s.poolDeps().elapsed()
+	require.GreaterOrEqual(t, elapsed, before)
+	require.LessOrEqual(t, elapsed, clock.SinceBoot())
+}
+
 // TestGrantLostWithSessionIsGrantedAgain guards against a slot that stays
 // occupied when its grant was lost because the session broke.
 func TestGrantLostWithSessionIsGrantedAgain(t *testing.T) {
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -77,8 +77,8 @@
 // command that did not fit could never be replicated.
 const MaxCommandBytes = 2 << 20
 
-// LeaseTTL is how long a holder may act on a lease, by its monotonic clock,
-// counted from before it sent the successful Acquire. The log grants the lease to
+// LeaseTTL is how long a holder may act on a lease, by a clock that
+// counts suspensions of its machine, from before it sent the successful Acquire. The log grants the lease to
 // another holder only after a third more, which covers clock drift.
 const LeaseTTL = 1500 * time.Millisecond
 
