forward: no connection is reused that was idle for too long in a suspension

A request that may run once at most would get 502 when an entry wakes up. Cause: idle times were measured by the steady clock. After a suspension a connection that the upstream has closed seemed to be idle for a moment. Change: the pool measures idle times by the time since boot.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/verbenastep/verbenastep/internal/clock"
 )
 
 const (
@@ -68,9 +70,10 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// idleSince is the end of the last response. keepAliveTimeout is the time for
-	// which the upstream then keeps the connection; zero if it states none.
-	idleSince        time.Time
+	// idleSince is the end of the last response by the pool's clock. keepAliveTimeout
+	// is the time for which the upstream then keeps the connection; zero if it states
+	// none.
+	idleSince        time.Duration
 	keepAliveTimeout time.Duration
 	reused           bool
 }
@@ -101,7 +104,7 @@
 
 // isReusable reports whether an idle connection may carry another request;
 // atMostOnce is set for a request that may not be repeated.
-func (c *conn) isReusable(now time.Time, atMostOnce bool) bool {
+func (c *conn) isReusable(now time.Duration, atMostOnce bool) bool {
 	limit := maxIdleTime
 	if atMostOnce {
 		limit = maxIdleTimeAtMostOnce
@@ -109,22 +112,25 @@
 	if c.keepAliveTimeout > 0 {
 		limit = min(limit, c.keepAliveTimeout-keepAliveMargin)
 	}
-	return now.Sub(c.idleSince) < limit
+	return now-c.idleSince < limit
 }
 
 // connPool holds idle connections by address. It is safe for concurrent use.
 type connPool struct {
 	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	// elapsed counts suspensions of the machine, in which an upstream may close a
+	// connection unnoticed.
+	elapsed func() time.Duration
+	mu      sync.Mutex
+	idle    map[string][]*conn
 	// onDial is called before each new connection.
 	onDial func()
 }
 
 func newConnPool(onDial func()) *connPool {
 	return &connPool{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(upstreamKeepAliveInterval), Control: setUserTimeout(upstreamUserTimeout)},
-		idle:   map[string][]*conn{}, onDial: onDial,
+		dialer:  net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(upstreamKeepAliveInterval), Control: setUserTimeout(upstreamUserTimeout)},
+		elapsed: clock.SinceBoot, idle: map[string][]*conn{}, onDial: onDial,
 	}
 }
 
@@ -136,7 +142,7 @@
 		if c == nil {
 			break
 		}
-		if c.isReusable(time.Now(), atMostOnce) && c.isClean() {
+		if c.isReusable(p.elapsed(), atMostOnce) && c.isClean() {
 			c.reused = true
 			return c, nil
 		}
@@ -166,7 +172,7 @@
 // put adds a connection whose response has ended, or closes it if the pool holds
 // enough for the address. h is the response header.
 func (p *connPool) put(address string, c *conn, h http.Header) {
-	c.idleSince = time.Now()
+	c.idleSince = p.elapsed()
 	c.keepAliveTimeout = parseKeepAliveTimeout(h)
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
@@ -194,7 +200,7 @@
 func (p *connPool) sweep(all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.elapsed()
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
