forward: the time of a suspension is not given to an upstream

An upstream would work on for a caller whose deadline has passed. Cause: the time left, which goes to the upstream and decides on a retry, was counted by the steady clock of an entry that may have been suspended meanwhile. Change: request.remaining counts since boot. Timers still run by the steady clock.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -209,7 +209,7 @@
 func (a *upstreamAttempt) encodeRequest() []byte {
 	b := &bytes.Buffer{}
 	h := withoutHopByHop(a.header)
-	a.s.dialect.SetUpstreamHeaders(h, UpstreamRequestMeta{Upstream: a.ticket.Upstream, Workspace: a.workspace, Timeout: time.Until(a.deadline), LastEvent: a.lastEvent})
+	a.s.dialect.SetUpstreamHeaders(h, UpstreamRequestMeta{Upstream: a.ticket.Upstream, Workspace: a.workspace, Timeout: a.remaining(), LastEvent: a.lastEvent})
 	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", a.method, a.requestTarget, a.host)
 	_ = h.Write(b)
 	if len(a.body) > 0 || (a.method != http.MethodGet && a.method != http.MethodHead) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -233,7 +233,7 @@
 
 // canRetry reports whether the request may be sent to another upstream.
 func (x *exchange) canRetry() bool {
-	if x.ctx.Err() != nil || time.Until(x.deadline) < minRetryTime || x.notRunAttempts > maxNotRunAttempts {
+	if x.ctx.Err() != nil || x.remaining() < minRetryTime || x.notRunAttempts > maxNotRunAttempts {
 		return false
 	}
 	if x.possibleRuns > 0 && (!x.route.Repeatable() || x.possibleRuns >= x.route.MaxAttempts) {
@@ -281,7 +281,7 @@
 		x.writeResponse(x.upstreamError)
 	case x.possibleRuns == 0:
 		x.respondError(&gatewayError{status: http.StatusServiceUnavailable, code: "not_run", reason: "no upstream took the request: " + x.reason, retryAfter: notRunRetryDelay})
-	case time.Until(x.deadline) <= 0:
+	case x.remaining() <= 0:
 		x.respondError(&gatewayError{status: http.StatusGatewayTimeout, code: "timeout", reason: "no answer came in time; the request may have run"})
 	default:
 		x.respondError(&gatewayError{status: http.StatusBadGateway, code: "outcome_unknown", reason: "the upstream did not answer; the request may have run: " + x.reason})
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/logging"
 	"github.com/verbenastep/verbenastep/internal/port"
@@ -67,11 +68,13 @@
 	inFlight       sync.WaitGroup
 	retryBudgets   *retryBudgets
 	notices        *notices
+	// elapsed counts suspensions of the machine.
+	elapsed func() time.Duration
 }
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
-	return &Service{set: set, log: log.Named("forward"), retryBudgets: newRetryBudgets(set.Routing.Retry), notices: newNotices()}
+	return &Service{set: set, log: log.Named("forward"), retryBudgets: newRetryBudgets(set.Routing.Retry), notices: newNotices(), elapsed: clock.SinceBoot}
 }
 
 // Name returns the service's name.
--- a/internal/forward/grant_test.go
+++ b/internal/forward/grant_test.go
@@ -186,7 +186,7 @@
 	u := newUpstream(t, respondWith(503, "Not-Run: 1\r\nRetry-After: 30\r\n", ""))
 	r := newNoticeEntry(t, u, u)
 	r.call("once", "b")
-	q := &request{route: &testTable().Routes[0], pool: "p", header: http.Header{}, deadline: time.Now().Add(time.Second)}
+	q := &request{route: &testTable().Routes[0], pool: "p", header: http.Header{}, deadline: time.Now().Add(time.Second), remaining: func() time.Duration { return time.Second }}
 	offer := port.BrokerOffer{Offer: broker.Offer{Pool: "p", QuotaCharge: 7, Avoid: []string{"tried"}}}
 	a := r.service.startAttempt(context.Background(), q, offer, "")
 	for range a.progress {
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -326,7 +326,7 @@
 	replacements := 0
 	for range 100 {
 		ctx, cancel := context.WithCancel(context.Background())
-		q := &request{route: index.Match("127.0.0.1", "/resumable/x"), pool: "p", deadline: time.Now().Add(time.Minute), arrived: time.Now()}
+		q := &request{route: index.Match("127.0.0.1", "/resumable/x"), pool: "p", deadline: time.Now().Add(time.Minute), remaining: func() time.Duration { return time.Minute }, arrived: time.Now()}
 		a := &upstreamAttempt{s: r.service, request: q, granted: true, recorded: true, progress: make(chan progress, 1), resp: &http.Response{StatusCode: 200}}
 		a.ctx, a.cancel = context.WithCancelCause(ctx)
 		r.service.retryBudgets.recordRequest("p")
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -39,21 +39,23 @@
 
 // request is a caller's request that was matched, authenticated and read.
 type request struct {
-	meta            RequestMeta
-	route           *routes.Route
-	engine          *routes.Engine
-	pool            string
-	workspace       string
-	rank            int
-	chargedTokens   int
-	tableVersion    uint64
-	method          string
-	requestTarget   string
-	host            string
-	header          http.Header
-	body            []byte
-	arrived         time.Time
+	meta          RequestMeta
+	route         *routes.Route
+	engine        *routes.Engine
+	pool          string
+	workspace     string
+	rank          int
+	chargedTokens int
+	tableVersion  uint64
+	method        string
+	requestTarget string
+	host          string
+	header        http.Header
+	body          []byte
+	arrived       time.Time
+	// deadline bounds timers. remaining also counts suspensions of the machine.
 	deadline        time.Time
+	remaining       func() time.Duration
 	latencyTargetAt time.Time
 	// fingerprint is a hash of method, request target, workspace and body.
 	fingerprint uint64
@@ -74,7 +76,7 @@
 // prepare matches, authenticates and reads a request. With an error the request is
 // incomplete, or nil if no route table is known.
 func (s *Service) prepare(w http.ResponseWriter, r *http.Request) (*request, *gatewayError) {
-	arrived := time.Now()
+	arrived, arrivedAt := time.Now(), s.elapsed()
 	index := s.waitForTable(r.Context())
 	if index == nil {
 		return nil, &gatewayError{status: http.StatusServiceUnavailable, code: "no_table", reason: "no route table is known yet", retryAfter: noTableRetryDelay}
@@ -94,7 +96,8 @@
 	if refusal := q.readBody(w, r, index.Table.Limits.BodyBytes); refusal != nil {
 		return q, refusal
 	}
-	q.plan(index)
+	timeout := q.plan(index)
+	q.remaining = func() time.Duration { return arrivedAt + timeout - s.elapsed() }
 	return q, nil
 }
 
@@ -162,8 +165,9 @@
 	return nil
 }
 
-// plan sets pool, deadline, latency target and fingerprint.
-func (q *request) plan(index *routes.Index) {
+// plan sets pool, deadline, latency target and fingerprint, and returns the time that
+// the request has in all.
+func (q *request) plan(index *routes.Index) time.Duration {
 	q.pool = q.route.Pick(rand.Float64())
 	if p := index.Pool(q.pool); p != nil {
 		q.engine = p.Engine
@@ -181,6 +185,7 @@
 	}
 	_, _ = h.Write(q.body)
 	q.fingerprint = h.Sum64()
+	return timeout
 }
 
 // offer returns the description of the request for the broker.
