replica: the reply to a read of an earlier process confirms no read

Cause: reads are numbered from one in each engine. The leader's queue to a replica that is down keeps replies for seconds; after the restart a reply to the old process's read confirmed a new read of the same number, at the old index. Change: an engine numbers its reads from a random number on. Result: TestReadIsNotConfirmedByReplyToEarlierProcess failed ('the restarted replica reads from before the acknowledged change') and passes now, with all schedules.

--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -51,6 +51,9 @@
 	done  chan struct{}
 }
 
+// maxFirstReadID bounds the random number at which an engine's reads begin.
+const maxFirstReadID = 1 << 62
+
 // engine runs a group from opening the log to closing it. All its methods run in
 // one goroutine.
 type engine struct {
@@ -65,8 +68,10 @@
 	pendingProposals []*proposal
 	proposalsByIndex map[uint64]*proposal
 	readRequests     map[uint64]chan struct{}
-	lastReadID       uint64
-	readWaiters      []readWaiter
+	// lastReadID starts at a random number, since a reply to a read of an earlier
+	// engine may still arrive.
+	lastReadID  uint64
+	readWaiters []readWaiter
 
 	lessor      lessor
 	maintenance maintenance
@@ -92,7 +97,7 @@
 		_ = l.Close()
 		return nil, err
 	}
-	e := &engine{group: g, log: l, startedAt: g.clocks.elapsed(), machine: machine, proposalsByIndex: map[uint64]*proposal{}, readRequests: map[uint64]chan struct{}{}}
+	e := &engine{group: g, log: l, startedAt: g.clocks.elapsed(), machine: machine, proposalsByIndex: map[uint64]*proposal{}, readRequests: map[uint64]chan struct{}{}, lastReadID: g.random(maxFirstReadID)}
 	e.snapshot.done = make(chan snapshotResult, 1)
 	e.node = consensus.New(g.options(l.Identity().ID), saved, 0)
 	e.publishMachine(saved.Meta.Index)
