--- a/internal/replica/schedule_test.go
+++ b/internal/replica/schedule_test.go
@@ -177,6 +177,9 @@
 	if l := sim.leader(); l != nil && sim.chance(0.4) {
 		s = l
 	}
+	if sim.losesPower && sim.chance(0.3) {
+		sim.losePower(s)
+	}
 	if sim.suspends && sim.chance(0.4) {
 		s.suspend(sim.randomDuration(300*time.Millisecond, 3*time.Second))
 	}
--- a/internal/replica/simulation_test.go
+++ b/internal/replica/simulation_test.go
@@ -44,6 +44,9 @@
 	lostDisks   int
 	// suspends adds suspensions of machines to the faults.
 	suspends bool
+	// losesPower adds the loss of power of all replicas at once, and of one disk at
+	// the same moment.
+	losesPower bool
 	// pollers are called after each tick of a replica until they return true.
 	// sparePollers is the buffer for the next list of pollers.
 	pollers      []func() bool
