Test: a simulated replica that was removed joins again, as the joiner does

Cause: a replica whose learner entry is lost with its leader lists itself as a member and is listed by nobody. The joiner notices (wasRemoved); the simulation's replicas joined only with an empty member list. Change: the simulation follows the joiner's rule. No check is narrowed.

--- a/internal/replica/simulation_test.go
+++ b/internal/replica/simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -296,12 +297,28 @@
 		s.handle(func(e *engine) { e.runMaintenance() })
 	}
 	s.sim.runPollers()
-	if s.engine != nil && !s.isSuspended && len(s.engine.node.Members()) == 0 {
+	if s.engine != nil && !s.isSuspended && (len(s.engine.node.Members()) == 0 || s.wasRemoved()) {
 		s.join()
 	}
 	s.sim.schedule(tickInterval+s.sim.randomDuration(0, 3*time.Millisecond), s.tick)
 }
 
+// wasRemoved reports, like joiner, whether another replica that is not behind this one
+// lists it no more: the change that added it may have been lost with its leader.
+func (s *simReplica) wasRemoved() bool {
+	own := s.engine.node.Status()
+	for _, other := range s.sim.replicas {
+		if own.Role == consensus.Leader || other == s || other.engine == nil || other.isSuspended || s.sim.blocked[[2]int{s.number, other.number}] {
+			continue
+		}
+		st := other.engine.node.Status()
+		if st.Term >= own.Term && st.CommitIndex >= own.CommitIndex && len(st.Members) > 0 {
+			return !slices.ContainsFunc(st.Members, func(m consensus.Member) bool { return m.ID == own.ID })
+		}
+	}
+	return false
+}
+
 // join asks the other replicas to add this one, like joiner.
 func (s *simReplica) join() {
 	for _, other := range s.sim.replicas {
