wal: segments are removed durably, oldest first

Callers saw: nothing that is proved. A control daemon would not start after a loss of power, which counts as the loss of its disk. Cause: removals of old segments were not synced. After a loss of power each one may be kept or lost by itself, so an older segment could come back without its successor; the log then has a gap and is refused as damaged. The fake disk lost unsynced changes of the folder in their order only, so no schedule showed it. Change: each removal is synced before the next, errors are logged or end the engine; the fake disk loses each change by itself.

--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -248,7 +248,9 @@
 		e.group.meters.sync.Observe(time.Since(start).Seconds())
 	}
 	if effects.Snapshot != nil {
-		e.log.UseSnapshot(effects.Snapshot.Meta, effects.Snapshot.Meta.Index)
+		if err := e.log.UseSnapshot(effects.Snapshot.Meta, effects.Snapshot.Meta.Index); err != nil {
+			return err
+		}
 		if err := e.installSnapshot(*effects.Snapshot); err != nil {
 			return err
 		}
--- a/internal/replica/fakedisk_test.go
+++ b/internal/replica/fakedisk_test.go
@@ -56,10 +56,12 @@
 	d.unsyncedChanges = append(d.unsyncedChanges, f)
 }
 
-// crash discards unsynced changes at random and restores power.
+// crash discards unsynced changes, each one at random, and restores power.
 func (d *fakeDisk) crash() {
-	for _, f := range d.unsyncedChanges[:d.random.IntN(len(d.unsyncedChanges)+1)] {
-		f(d.durable)
+	for _, f := range d.unsyncedChanges {
+		if d.random.IntN(2) == 0 {
+			f(d.durable)
+		}
 	}
 	d.unsyncedChanges = nil
 	d.names = map[string]*inode{}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -71,7 +71,9 @@
 	}
 	retained := min(e.group.limits.retainedEntries, done.meta.Index)
 	e.node.Compact(done.meta, retained)
-	e.log.UseSnapshot(done.meta, done.meta.Index-retained)
+	if err := e.log.UseSnapshot(done.meta, done.meta.Index-retained); err != nil {
+		e.group.log.Warn("failed to remove files that the snapshot replaces; the next snapshot retries", zap.Error(err))
+	}
 	e.snapshot.logBytes = e.log.Bytes()
 	e.group.log.Info("snapshot written", zap.Uint64("index", done.meta.Index), zap.Uint64("bytes", done.meta.Size))
 }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -9,7 +9,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"slices"
 	"strings"
 
@@ -276,17 +278,34 @@
 }
 
 // UseSnapshot switches to a snapshot written with WriteSnapshot. It removes the
-// previous snapshot, and segments whose entries all have an index below keep.
-func (l *Log) UseSnapshot(m consensus.SnapshotMeta, keep uint64) {
+// previous snapshot, and segments whose entries all have an index below keep. Files
+// that an error leaves behind are removed by a later call or when the log is opened.
+func (l *Log) UseSnapshot(m consensus.SnapshotMeta, keep uint64) error {
 	old := l.snapshot
 	l.snapshot = m
+	err := error(nil)
 	if old.Index != 0 && old.Index != m.Index {
-		_ = l.disk.Remove(snapshotName(old.Index))
+		err = l.remove(snapshotName(old.Index))
 	}
-	for len(l.segments) > 1 && l.segments[0].highest < keep {
-		_ = l.disk.Remove(l.segments[0].name())
-		l.segments = l.segments[1:]
+	for err == nil && len(l.segments) > 1 && l.segments[0].highest < keep {
+		if err = l.remove(l.segments[0].name()); err == nil {
+			l.segments = l.segments[1:]
+		}
+	}
+	return err
+}
+
+// remove removes a file durably. Without the sync, a loss of power could bring back an
+// older segment and not the one after it, and the log would have a gap.
+func (l *Log) remove(name string) error {
+	err := l.disk.Remove(name)
+	if err == nil || errors.Is(err, fs.ErrNotExist) {
+		err = l.disk.SyncFolder()
 	}
+	if err != nil {
+		return &DiskError{File: l.disk.Path(name), Cause: err}
+	}
+	return nil
 }
 
 // Close closes the last segment and unlocks the folder.
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -129,7 +129,7 @@
 	l, _ := openLog(t, folder)
 	meta := consensus.SnapshotMeta{Index: 25, Term: 1, Size: 5, Members: []consensus.Member{{ID: 7, Name: "daemon-1"}}}
 	require.NoError(t, WriteSnapshot(Folder(folder), consensus.Snapshot{Meta: meta, Data: []byte("state")}))
-	l.UseSnapshot(meta, 20)
+	require.NoError(t, l.UseSnapshot(meta, 20))
 	part, err := l.ReadSnapshot(meta, 1, 3)
 	require.NoError(t, err)
 	require.Equal(t, "tat", string(part))
