--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -239,6 +239,9 @@
 		if err := wal.WriteSnapshot(e.group.disk, *effects.Snapshot); err != nil {
 			return err
 		}
+		if err := e.log.DiscardEntries(); err != nil {
+			return err
+		}
 	}
 	if effects.HasWrites() {
 		start := time.Now()
--- a/internal/wal/load.go
+++ b/internal/wal/load.go
@@ -17,6 +17,8 @@
 
 // frameRecords is the decoded payload of a frame.
 type frameRecords struct {
+	// discard is set if all entries of earlier frames are void.
+	discard bool
 	hard    *consensus.HardState
 	entries []consensus.Entry
 }
@@ -44,6 +46,8 @@
 				return out, err
 			}
 			out.entries = append(out.entries, e)
+		case recordDiscard:
+			out.discard = true
 		default:
 			return out, consensus.ErrMalformed
 		}
@@ -101,6 +105,9 @@
 		if rec.hard != nil {
 			l.hard = *rec.hard
 		}
+		if rec.discard {
+			entries = entries[:0]
+		}
 		for _, e := range rec.entries {
 			entries = applyEntry(entries, e)
 			l.tail().highest = max(l.tail().highest, e.Index)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -32,6 +32,8 @@
 const (
 	recordHard  = 1
 	recordEntry = 2
+	// recordDiscard voids all earlier entries.
+	recordDiscard = 3
 )
 
 // Identity identifies the owner of a data folder.
@@ -237,6 +239,16 @@
 	return l.appendPayload(payload)
 }
 
+// DiscardEntries voids all entries saved so far. It is called when a snapshot that was
+// received replaces them, after WriteSnapshot and before Save: an entry at the snapshot's
+// index that conflicts with it must not be taken for the one that later entries follow.
+func (l *Log) DiscardEntries() error {
+	if l.failure == nil {
+		l.failure = l.appendPayload(appendRecord(nil, recordDiscard, nil))
+	}
+	return l.failure
+}
+
 func (l *Log) tail() *segment { return &l.segments[len(l.segments)-1] }
 
 func (l *Log) appendPayload(payload []byte) error {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -141,6 +141,36 @@
 	require.Equal(t, entries(1, 26, 30), saved.Entries)
 }
 
+// Entries that followed an installed snapshot were lost at the next start, though they
+// had been acknowledged: an older entry of another term at the snapshot's index made the
+// whole log seem to conflict with the snapshot.
+func TestEntriesAfterInstalledSnapshotSurviveRestart(t *testing.T) {
+	const staleTerm, snapshotTerm, snapshotIndex = 1, 2, 25
+	folder := newFilledFolder(t)
+	l, _ := openLog(t, folder)
+	meta := consensus.SnapshotMeta{Index: snapshotIndex, Term: snapshotTerm, Size: 5, Members: []consensus.Member{{ID: 7, Name: "daemon-1"}}}
+	require.NoError(t, WriteSnapshot(Folder(folder), consensus.Snapshot{Meta: meta, Data: []byte("state")}))
+	require.NoError(t, l.DiscardEntries())
+	require.NoError(t, l.UseSnapshot(meta, snapshotIndex))
+	acknowledged := entries(snapshotTerm, snapshotIndex+1, snapshotIndex+3)
+	require.NoError(t, l.Save(nil, acknowledged))
+	require.NoError(t, l.Close())
+	_, saved := openLog(t, folder)
+	require.Equal(t, meta, saved.Meta)
+	require.Equal(t, acknowledged, saved.Entries)
+}
+
+// A crash between an installed snapshot and the record that discards what it replaces must
+// not bring stale entries back.
+func TestStaleEntriesBeforeInstalledSnapshotAreDropped(t *testing.T) {
+	folder := newFilledFolder(t)
+	meta := consensus.SnapshotMeta{Index: 25, Term: 2, Size: 5, Members: []consensus.Member{{ID: 7, Name: "daemon-1"}}}
+	require.NoError(t, WriteSnapshot(Folder(folder), consensus.Snapshot{Meta: meta, Data: []byte("state")}))
+	_, saved := openLog(t, folder)
+	require.Equal(t, meta, saved.Meta)
+	require.Empty(t, saved.Entries)
+}
+
 // limitedDisk fails writes after a number of bytes.
 type limitedDisk struct {
 	Folder
