Logs: which content a crash of an upstream is held against

Change: the broker reports suspicions with its decisions; control daemons and entries without a broker log 'content suspected of a crash' with the content's hash, its count and whether it is quarantined. No decision changes. Result: go test of the packages concerned passes.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -253,10 +253,12 @@
 	pending Decisions
 }
 
-// Decisions are the grants and refusals of one call of Decide.
+// Decisions are the grants and refusals of one call of Decide, and the suspicions that
+// arose since the previous one.
 type Decisions struct {
-	Grants   []Grant
-	Refusals []Refusal
+	Grants     []Grant
+	Refusals   []Refusal
+	Suspicions []Suspicion
 }
 
 // New returns a broker without upstreams that may use the given share, in (0, 1],
--- a/core/broker/suspect.go
+++ b/core/broker/suspect.go
@@ -15,6 +15,21 @@
 	maxSuspects = 10_000
 )
 
+// maxReportedSuspicions bounds the suspicions between two rounds of decisions.
+const maxReportedSuspicions = 64
+
+// Suspicion is a crash of an upstream that is held against a content which it ran.
+type Suspicion struct {
+	// ID is the request that had the content, Upstream the one that crashed.
+	ID       ID
+	Upstream string
+	Content  uint64
+	// Crashes is the number of crashes held against the content.
+	Crashes int
+	// Quarantined is set if requests with the content are refused from now on.
+	Quarantined bool
+}
+
 // suspect counts the crashes of upstreams that ran one content.
 type suspect struct {
 	crashes int
@@ -42,6 +57,14 @@
 		}
 		b.removeExpiredSuspects(now)
 		b.suspects[req.Fingerprint] = s
+		b.reportSuspicion(Suspicion{ID: req.ID, Upstream: req.assigned.ID, Content: req.Fingerprint, Crashes: s.crashes, Quarantined: s.crashes >= quarantineThreshold})
+	}
+}
+
+// reportSuspicion adds a suspicion to the pending decisions.
+func (b *Broker) reportSuspicion(s Suspicion) {
+	if len(b.pending.Suspicions) < maxReportedSuspicions {
+		b.pending.Suspicions = append(b.pending.Suspicions, s)
 	}
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -281,6 +281,9 @@
 	defer func() { s.roundTime = time.Since(started) }()
 	decisions := s.core.Decide(s.now())
 	s.metrics.record(decisions)
+	for _, x := range decisions.Suspicions {
+		s.log.Info("content suspected of a crash", brokerwire.SuspicionFields(x)...)
+	}
 	replies := map[string]*rpc.BrokerReply{}
 	replyTo := func(entry string) *rpc.BrokerReply {
 		if replies[entry] == nil {
--- a/internal/brokerclient/local.go
+++ b/internal/brokerclient/local.go
@@ -1,6 +1,10 @@
 package brokerclient
 
-import "time"
+import (
+	"time"
+
+	"github.com/verbenastep/verbenastep/internal/brokerwire"
+)
 
 // localDecideInterval is the longest time between two rounds of the local broker.
 const localDecideInterval = time.Second
@@ -45,6 +49,9 @@
 	}
 	s.updateShare()
 	decisions := s.local.Decide(s.now())
+	for _, x := range decisions.Suspicions {
+		s.log.Info("content suspected of a crash", brokerwire.SuspicionFields(x)...)
+	}
 	for _, g := range decisions.Grants {
 		s.settleGrant(g, byEntry)
 	}
--- /dev/null
+++ b/internal/brokerwire/log.go
@@ -0,0 +1,20 @@
+package brokerwire
+
+import (
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/core/broker"
+)
+
+// hexadecimal is the base in which contents are logged.
+const hexadecimal = 16
+
+// SuspicionFields returns the log fields of a suspicion.
+func SuspicionFields(x broker.Suspicion) []zap.Field {
+	return []zap.Field{
+		zap.String("entry", x.ID.Entry), zap.Uint64("number", x.ID.Number), zap.String("upstream", x.Upstream),
+		zap.String("content", strconv.FormatUint(x.Content, hexadecimal)), zap.Int("crashes", x.Crashes), zap.Bool("quarantined", x.Quarantined),
+	}
+}
