--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -63,6 +63,8 @@
 	// Fingerprint is a hash of the content by which requests that crash upstreams
 	// are recognised; zero if there is none.
 	Fingerprint uint64
+	// SharedParts are hashes of the parts of the prompt that it may share with others.
+	SharedParts []uint64
 	// Stream identifies the stream that the request begins, if the caller may resume it;
 	// zero otherwise. Resumes is the Stream of the request that began the stream which
 	// this one resumes; zero if it resumes none.
@@ -194,6 +196,8 @@
 	DecodeTime       time.Duration
 	// OutputTokens is the token count of the whole answer.
 	OutputTokens int
+	// AnswerBegun is set if the upstream sent a part of its answer.
+	AnswerBegun bool
 	// Leaving is set if the upstream said that it leaves. RetryAfter is for how long it
 	// wants no requests of the entry. Born is that of the process that said so.
 	Leaving    bool
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -47,7 +47,7 @@
 		PromptTokens: uint32(o.PromptTokens), OutputTokens: uint32(o.OutputTokens), Charge: uint32(o.QuotaCharge),
 		AimMs: int32((o.LatencyTarget - now).Milliseconds()), WaitMs: milliseconds(o.Deadline - now), Session: o.Session, SessionTokens: uint32(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: uint32(o.QuotaReserve * permille), LateMs: milliseconds(o.LatestUseful - o.LatencyTarget),
-		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound,
+		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
 	}
 }
 
@@ -59,7 +59,7 @@
 		Rank: int(o.Rank), PromptTokens: int(o.PromptTokens), OutputTokens: int(o.OutputTokens), QuotaCharge: int(o.Charge),
 		LatencyTarget: target, LatestUseful: target + duration(o.LateMs), Deadline: now + duration(o.WaitMs), Session: o.Session, SessionTokens: int(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, QuotaReserve: float64(o.Reserve) / permille,
-		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound,
+		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
 	}
 }
 
@@ -129,7 +129,7 @@
 func EncodeEnd(e broker.End) *rpc.WorkEnd {
 	return &rpc.WorkEnd{
 		Id: e.ID.Number, Outcome: uint32(e.Outcome), FirstMs: milliseconds(e.TimeToFirstEvent), DecodeMs: milliseconds(e.DecodeTime), OutputTokens: uint32(e.OutputTokens),
-		Leaving: e.Leaving, RetryAfterMs: milliseconds(e.RetryAfter), Born: e.Born,
+		Leaving: e.Leaving, RetryAfterMs: milliseconds(e.RetryAfter), Born: e.Born, AnswerBegun: e.AnswerBegun,
 	}
 }
 
@@ -137,7 +137,7 @@
 func DecodeEnd(entry string, e *rpc.WorkEnd) broker.End {
 	return broker.End{
 		ID: broker.ID{Entry: entry, Number: e.Id}, Outcome: broker.Outcome(e.Outcome), TimeToFirstEvent: duration(e.FirstMs), DecodeTime: duration(e.DecodeMs),
-		OutputTokens: int(e.OutputTokens), Leaving: e.Leaving, RetryAfter: duration(e.RetryAfterMs), Born: e.Born,
+		OutputTokens: int(e.OutputTokens), Leaving: e.Leaving, RetryAfter: duration(e.RetryAfterMs), Born: e.Born, AnswerBegun: e.AnswerBegun,
 	}
 }
 
--- a/internal/brokerwire/codec_test.go
+++ b/internal/brokerwire/codec_test.go
@@ -18,6 +18,16 @@
 	require.Equal(t, end, DecodeEnd("e", EncodeEnd(end)))
 }
 
+// TestOfferAndEndCarryWhatCrashesAreHeldAgainst guards against a broker that can't tell
+// which part of a prompt crashes upstreams.
+func TestOfferAndEndCarryWhatCrashesAreHeldAgainst(t *testing.T) {
+	offer := DecodeOffer(0, "e", EncodeOffer(0, broker.Offer{Fingerprint: 7, SharedParts: []uint64{8, 9}}))
+	require.Equal(t, uint64(7), offer.Fingerprint)
+	require.Equal(t, []uint64{8, 9}, offer.SharedParts)
+	end := broker.End{ID: broker.ID{Entry: "e", Number: 4}, Outcome: broker.ConnectionLost, AnswerBegun: true}
+	require.Equal(t, end, DecodeEnd("e", EncodeEnd(end)))
+}
+
 // TestGrantCarriesStartTime guards against an entry that takes a restarted upstream for the
 // process that said it leaves.
 func TestGrantCarriesStartTime(t *testing.T) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -319,7 +319,7 @@
 		if a.conn == nil && o == broker.Canceled {
 			o = broker.NotSent
 		}
-		a.end.Outcome = o
+		a.end.Outcome, a.end.AnswerBegun = o, a.events > 0
 		a.endGrant(a.end)
 	}
 }
--- /dev/null
+++ b/internal/forward/parts_test.go
@@ -0,0 +1,31 @@
+package forward
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/core/routes"
+)
+
+// TestOfferNamesSharedPartsOfThePrompt guards against crashes that can't be held against a
+// part of the prompt: requests with a part in common must name the same hash, in any
+// workspace, and the last part belongs to one request or session.
+func TestOfferNamesSharedPartsOfThePrompt(t *testing.T) {
+	e := newTestEntry(t)
+	parts := func(pool, workspace string, ids ...uint64) []uint64 {
+		q := &request{route: &routes.Route{}, pool: pool, workspace: workspace}
+		for _, id := range ids {
+			q.meta.PromptParts = append(q.meta.PromptParts, PromptPart{ID: id, Tokens: 10})
+		}
+		return q.offer(e.service).SharedParts
+	}
+	one := parts("p", "w", 1, 2, 3)
+	require.Len(t, one, 2)
+	require.NotEqual(t, one[0], one[1])
+	require.Equal(t, one, parts("p", "other", 1, 2, 4))
+	require.Equal(t, one[1:], parts("p", "w", 2, 5))
+	require.NotEqual(t, one, parts("another pool", "w", 1, 2, 3))
+	require.Empty(t, parts("p", "w", 3))
+	require.Empty(t, parts("p", "w"))
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -197,6 +198,7 @@
 		Pool: q.pool, Workspace: q.workspace, DataCentre: s.set.DataCentre, Region: s.set.Region, Rank: q.rank,
 		QuotaCharge: q.chargedTokens, Fingerprint: q.fingerprint,
 	}
+	o.SharedParts = q.sharedParts()
 	if q.route.Kind == routes.Stream && q.route.Resumable {
 		o.Stream, o.Resumes = q.streams()
 	}
@@ -219,6 +221,19 @@
 	return o
 }
 
+// partIDBase is the base in which the ID of a part is hashed.
+const partIDBase = 16
+
+// sharedParts returns hashes of the parts of the prompt that it may share with others, by
+// pool: all but the last one.
+func (q *request) sharedParts() []uint64 {
+	out := []uint64{}
+	for i := range max(0, len(q.meta.PromptParts)-1) {
+		out = append(out, hashText(q.pool+"\x00"+strconv.FormatUint(q.meta.PromptParts[i].ID, partIDBase)))
+	}
+	return out
+}
+
 // streams returns the identity of the stream that the request begins, or of the one that it
 // resumes; the other one is zero.
 func (q *request) streams() (begins, resumes uint64) {
