broker: a part of a prompt that crashes engines is put into quarantine

Cause: crashes were counted by a hash of the whole content. Requests that have a part of the prompt in common and differ in the rest never met in a count. Change: crashes are held against the request as a whole and against each shared part of its prompt. What separates the part at fault from what was beside it: a complete answer clears all contents of its request; a stream whose answer had begun holds nothing against its parts; requests with a suspected content run one at a time, and upstreams lost together count once; the last trial runs beside no other; and a request is refused only if it has all contents that were present at each of three such crashes. A quarantine lasts 20 s, then 160 s and so on, with one trial in between. Why it works: the part at fault never has a complete answer, so only it reaches three; a crash costs its successors their turn, so few are under way by then.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -136,8 +136,8 @@
 	// VersionUnavailable means that a stream can't be resumed at the software version that
 	// began it.
 	VersionUnavailable Code = "version_unavailable"
-	// Quarantined means that several upstreams lost the connection while they ran
-	// this content.
+	// Quarantined means that several upstreams crashed under requests with a content of
+	// this one.
 	Quarantined Code = "quarantined"
 )
 
@@ -236,8 +236,10 @@
 	requests map[ID]*request
 	pools    map[string]*pool
 	buckets  map[string]*limits.Bucket
-	// suspects are keyed by content fingerprint.
-	suspects map[uint64]suspect
+	// suspects holds the suspected contents; changedSuspects those of which the entries
+	// have to be told.
+	suspects        map[uint64]*suspect
+	changedSuspects map[uint64]bool
 	// streams holds the streams that may be resumed; nextStreamSweep is when expired ones
 	// are next removed.
 	streams         map[uint64]StreamOrigin
@@ -270,7 +272,7 @@
 func New(share float64) *Broker {
 	return &Broker{
 		requests: map[ID]*request{}, pools: map[string]*pool{}, buckets: map[string]*limits.Bucket{},
-		suspects: map[uint64]suspect{}, streams: map[uint64]StreamOrigin{}, share: share,
+		suspects: map[uint64]*suspect{}, changedSuspects: map[uint64]bool{}, streams: map[uint64]StreamOrigin{}, share: share,
 	}
 }
 
@@ -308,8 +310,7 @@
 		b.adopt(now, req)
 		return
 	}
-	if s, ok := b.quarantined(now, o.Fingerprint); ok {
-		b.refuse(req, Quarantined, s.until-now, "the content was present at several crashes of upstreams")
+	if b.refuseQuarantined(now, req) {
 		return
 	}
 	if wait, ok := b.charge(now, req); !ok {
@@ -516,7 +517,7 @@
 	if e.Outcome == NotSent || e.Outcome == Rejected || e.Outcome == Misdirected || e.Outcome == Unreachable {
 		b.refund(req)
 	}
-	b.recordCrash(now, req, e.Outcome)
+	b.recordCrash(now, req, e)
 	p := b.pool(req.Pool)
 	p.release(req)
 	p.learn(now, req, e)
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -99,14 +99,15 @@
 	}
 	o := newOffer(50)
 	o.Fingerprint = 7
-	now := 10 * maxBackOffDelay
+	now := quarantineThreshold * maxBackOffDelay
 	b.Offer(now, o)
 	refused := b.Decide(now).Refusals
 	require.Len(t, refused, 1)
 	require.Equal(t, Quarantined, refused[0].Code)
 	o.ID.Number = 51
-	b.Offer(now+quarantineDuration, o)
-	require.Len(t, b.Decide(now+quarantineDuration).Grants, 1, "the quarantine expires")
+	now += quarantineDuration(quarantineThreshold)
+	b.Offer(now, o)
+	require.Len(t, b.Decide(now).Grants, 1, "the quarantine expires")
 }
 
 func TestCompletedRequestClearsSuspect(t *testing.T) {
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -160,8 +160,18 @@
 			i++
 			continue
 		}
+		if b.refuseQuarantined(r.now, req) {
+			p.queue = slices.Delete(p.queue, i, i+1)
+			continue
+		}
+		stage, mayRun := b.trialOf(r.now, req)
+		if !mayRun {
+			// Not counted as skipped either.
+			i++
+			continue
+		}
 		b.bindVersion(r.now, p, req)
-		u, first := p.choose(r, req)
+		u, first := p.choose(r, req, stage)
 		if u == nil || p.shouldWait(r, req, first) {
 			skipped++
 			i++
@@ -170,6 +180,7 @@
 		p.queue = slices.Delete(p.queue, i, i+1)
 		p.admissions.record(r.now, req, true, 0)
 		p.assign(r.now, req, u)
+		b.startTrial(r.now, req, u, stage, first)
 		b.recordStream(r.now, req, u.SoftwareVersion)
 		r.closeIfFull(u)
 		b.pending.Grants = append(b.pending.Grants, Grant{
@@ -190,12 +201,13 @@
 }
 
 // choose returns the open upstream with the lowest cost for a request and the
-// estimated time to its first event there, or nil if no open upstream is suitable.
-func (p *pool) choose(r *round, req *request) (*upstream, time.Duration) {
+// estimated time to its first event there, or nil if no open upstream is suitable. stage is
+// that of the request's trial.
+func (p *pool) choose(r *round, req *request, stage trial) (*upstream, time.Duration) {
 	best, bestCost, bestFirst := (*upstream)(nil), time.Duration(0), time.Duration(0)
 	limit := p.maxTokenTime(r, req)
 	for _, u := range r.open {
-		if !p.fits(r.now, u, req) || (limit > 0 && p.tokenTime(u) >= limit) {
+		if !p.fits(r.now, u, req) || !u.allows(r.now, stage) || (limit > 0 && p.tokenTime(u) >= limit) {
 			continue
 		}
 		first := p.timeToFirstEvent(r.now, req, u)
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -54,6 +54,10 @@
 	roundingPoint float64
 	sessions      sessionCache
 	notices       notices
+	// trialEnd is when the last trial of a request on the upstream ends, lastTrialEnd the
+	// same for requests in that stage.
+	trialEnd     time.Duration
+	lastTrialEnd time.Duration
 }
 
 // setUpstreams replaces the pool's upstreams and keeps what was learned about those
