broker: a quarantine outlives the broker that decided it

Cause: suspected contents were known to one broker only and lost with it. Change: the leader tells its entries, through followers too, which contents are in quarantine and which were cleared; entries refuse them while they have no broker and tell the next one; a follower that becomes the leader keeps what it relayed. An entry by itself never tries a content again.

--- a/core/broker/crash_test.go
+++ b/core/broker/crash_test.go
@@ -285,3 +285,39 @@
 		require.Zero(t, s.ratio(s.quarantined, 0, crashLoadTime), "seed %d: sound requests refused as quarantined", seed)
 	}
 }
+
+// Each entry by itself would try a part again after its quarantine, and crash an engine.
+func TestEntriesDoNotTryQuarantinedPartsAgain(t *testing.T) {
+	const bad = 999
+	suspects := []Suspect{{Content: bad, Crashes: quarantineThreshold, Together: []uint64{bad}, RefusedUntil: time.Second}}
+	for share, grants := range map[float64]int{1: 1, 0.5: 0} {
+		b := New(share)
+		b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Slots: 4}})
+		b.LearnSuspects(0, suspects)
+		now := time.Second + minQuarantine
+		for n := range uint64(3) {
+			b.Offer(now, Offer{ID: ID{Entry: "e", Number: n}, Pool: "p", SharedParts: []uint64{bad}, LatencyTarget: now + time.Minute, LatestUseful: now + time.Minute, Deadline: now + time.Minute})
+		}
+		d := b.Decide(now)
+		require.Len(t, d.Grants, grants, "share %v", share)
+		require.Len(t, d.Refusals, 3-grants, "share %v", share)
+	}
+}
+
+// A content that was cleared by one broker must not stay in quarantine at the others.
+func TestClearedContentLeavesQuarantineEverywhere(t *testing.T) {
+	const part = 999
+	b, other := New(1), New(0.5)
+	b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Slots: 4}})
+	b.LearnSuspects(0, []Suspect{{Content: part, Crashes: quarantineThreshold, Together: []uint64{part}, RefusedUntil: time.Second}})
+	other.LearnSuspects(0, b.TakeSuspectChanges(0))
+	require.Len(t, other.QuarantinedContents(0), 1)
+	now := time.Second + minQuarantine
+	id := ID{Entry: "e", Number: 1}
+	b.Offer(now, Offer{ID: id, Pool: "p", SharedParts: []uint64{part}, LatencyTarget: now + time.Minute, LatestUseful: now + time.Minute, Deadline: now + time.Minute})
+	require.Len(t, b.Decide(now).Grants, 1)
+	b.End(now, End{ID: id, Outcome: Completed})
+	require.Empty(t, b.QuarantinedContents(now))
+	other.LearnSuspects(now, b.TakeSuspectChanges(now))
+	require.Empty(t, other.QuarantinedContents(now))
+}
--- a/core/broker/suspect.go
+++ b/core/broker/suspect.go
@@ -292,18 +292,23 @@
 	}
 }
 
-// Suspects returns what is known of suspected contents, in no particular order; only those
-// in quarantine if quarantinedOnly is set.
-func (b *Broker) Suspects(now time.Duration, quarantinedOnly bool) []Suspect {
+// QuarantinedContents returns the contents in quarantine, in no particular order.
+func (b *Broker) QuarantinedContents(now time.Duration) []Suspect {
 	out := []Suspect{}
 	for c := range b.suspects {
-		if s := b.suspect(now, c); s != nil && (s.isQuarantined() || !quarantinedOnly) {
+		if s := b.suspect(now, c); s != nil && s.isQuarantined() {
 			out = append(out, s.export(c))
 		}
 	}
 	return out
 }
 
+// ForgetSuspicions removes the contents that are suspected but not in quarantine. An entry
+// calls it when it loses its broker, which may have seen answers that clear them.
+func (b *Broker) ForgetSuspicions() {
+	maps.DeleteFunc(b.suspects, func(_ uint64, s *suspect) bool { return !s.isQuarantined() })
+}
+
 func (s *suspect) export(content uint64) Suspect {
 	return Suspect{Content: content, Crashes: s.crashes, Together: s.together, RefusedUntil: s.refusedUntil}
 }
@@ -331,7 +336,7 @@
 			b.clearSuspects([]uint64{x.Content})
 			continue
 		}
-		if s := b.suspect(now, x.Content); s != nil && s.crashes > x.Crashes {
+		if s := b.suspect(now, x.Content); s != nil && (s.crashes > x.Crashes || s.crashes == x.Crashes && s.refusedUntil >= x.RefusedUntil) {
 			continue
 		}
 		s := &suspect{crashes: x.Crashes, crashedAt: now, together: x.Together, refusedUntil: x.RefusedUntil, expiresAt: now + suspectTTL}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -257,7 +257,9 @@
 		s.metrics.leadershipStarts.Inc()
 	}
 	s.log.Info("broker changed", zap.Bool("leads", leads), zap.Int("entries", len(s.sessions)))
+	quarantined := s.core.QuarantinedContents(s.now())
 	s.core = newCore(s.set)
+	s.core.LearnSuspects(s.now(), quarantined)
 	s.tableVersion = 0
 	s.rosterReadAt = time.Time{}
 	// Send the entries the new state at once, so that they offer all waiting and
@@ -307,6 +309,7 @@
 		}
 	}
 	s.sendLevels()
+	s.sendSuspects()
 	if delay, waits := s.core.NextDelay(); waits {
 		return delay
 	}
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -202,6 +202,8 @@
 		s.relay.shedding[poolRank{x.Pool, uint32(x.Rank)}] = shedding{wait: x.Wait, until: time.Now().Add(sheddingDuration)}
 	}
 	s.relayLevels(r.State)
+	s.core.LearnSuspects(s.now(), brokerwire.DecodeSuspects(s.now(), r.State.Suspects))
+	s.sendSuspects()
 	for _, d := range r.Replies {
 		x := s.sessions[d.Entry]
 		if x == nil {
@@ -323,7 +325,7 @@
 // broker or leave it accordingly. The caller holds the lock.
 func (s *Service) replyToListeners() {
 	for x := range s.listeners {
-		x.complete, x.hasLevels = false, false
+		x.complete, x.hasLevels, x.hasSuspects = false, false, false
 		x.send(s.reply(x))
 	}
 }
--- a/internal/broker/relay_test.go
+++ b/internal/broker/relay_test.go
@@ -112,6 +112,9 @@
 	mu      sync.Mutex
 	last    *rpc.BrokerReply
 	granted map[uint64]bool
+	refused map[uint64]string
+	// suspects holds the crashes held against each content, as the entry was told.
+	suspects map[uint64]uint32
 	// losses counts the times that the daemon ceased to grant.
 	losses int
 }
@@ -123,7 +126,7 @@
 	t.Cleanup(cancel)
 	stream, err := rpc.NewDRPCBrokerClient(l.Conn(address)).Session(ctx)
 	require.NoError(t, err)
-	e := &fakeEntry{t: t, stream: stream, end: cancel, granted: map[uint64]bool{}}
+	e := &fakeEntry{t: t, stream: stream, end: cancel, granted: map[uint64]bool{}, refused: map[uint64]string{}, suspects: map[uint64]uint32{}}
 	e.send(first)
 	go func() {
 		for {
@@ -139,6 +142,12 @@
 			for _, g := range r.Grants {
 				e.granted[g.Id] = true
 			}
+			for _, x := range r.Refusals {
+				e.refused[x.Id] = x.Code
+			}
+			for _, x := range r.Suspects {
+				e.suspects[x.Content] = x.Crashes
+			}
 			e.mu.Unlock()
 		}
 	}()
--- a/internal/broker/relayed.go
+++ b/internal/broker/relayed.go
@@ -60,6 +60,7 @@
 	out := &rpc.BrokerReply{
 		Leads: next.Leads, Entries: next.Entries, Leader: next.Leader, LeaderTerm: next.LeaderTerm,
 		Roster: next.Roster, RosterSet: next.RosterSet, Quotas: next.Quotas, QuotasSet: next.QuotasSet,
+		Suspects: append(first.Suspects[:len(first.Suspects):len(first.Suspects)], next.Suspects...),
 	}
 	if !next.RosterSet {
 		out.Roster, out.RosterSet = append(first.Roster[:len(first.Roster):len(first.Roster)], next.Roster...), first.RosterSet
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -33,6 +33,8 @@
 	outdatedSince time.Time
 	// hasLevels is true if the entry got all quota levels.
 	hasLevels bool
+	// hasSuspects is true if the entry got all contents in quarantine.
+	hasSuspects bool
 }
 
 // send queues a message. It ends a session whose queue is full; the entry then connects
@@ -173,6 +175,7 @@
 	if len(ask.Streams) > 0 {
 		s.core.LearnStreams(now, brokerwire.DecodeStreams(now, ask.Streams))
 	}
+	s.core.LearnSuspects(now, brokerwire.DecodeSuspects(now, ask.Suspects))
 	s.core.LowerQuotas(now, brokerwire.DecodeQuotaLevels(ask.Quotas))
 	s.core.SpendQuotas(now, brokerwire.DecodeQuotaUse(ask.Quotas))
 	if ask.Complete {
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -216,7 +216,7 @@
 	if wasAttached {
 		s.metrics.brokerLost.Inc()
 	}
-	s.pending.Offers, s.pending.Complete, s.pending.Streams = nil, false, nil
+	s.pending.Offers, s.pending.Complete, s.pending.Streams, s.pending.Suspects = nil, false, nil, nil
 	now := s.now()
 	if s.localStale {
 		s.updateLocalBroker()
@@ -224,6 +224,7 @@
 	if wasAttached {
 		s.local.ResetQuotas(now)
 		s.local.LowerQuotas(now, s.quotaLevels)
+		s.local.ForgetSuspicions()
 	}
 	for _, a := range s.waiting {
 		s.local.Offer(now, a.offer)
@@ -344,7 +345,7 @@
 // send sends what is pending; an empty message is a heartbeat.
 func (s *Service) send(stream rpc.DRPCBroker_SessionClient) error {
 	s.mu.Lock()
-	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels, Quotas: s.pending.Quotas, Complete: s.pending.Complete, Streams: s.pending.Streams}
+	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels, Quotas: s.pending.Quotas, Complete: s.pending.Complete, Streams: s.pending.Streams, Suspects: s.pending.Suspects}
 	s.pending = rpc.BrokerAsk{}
 	s.mu.Unlock()
 	return stream.Send(ask)
@@ -363,6 +364,7 @@
 	s.updateShare()
 	s.updateRoster(r)
 	s.updateQuotaLevels(r)
+	s.local.LearnSuspects(s.now(), brokerwire.DecodeSuspects(s.now(), r.Suspects))
 	leader := port.Leader{Address: r.Leader, Term: r.LeaderTerm}
 	s.newestTerm = max(s.newestTerm, leader.Term)
 	if !r.Leads {
@@ -482,6 +484,7 @@
 	s.pending.Complete = true
 	s.pending.Quotas = s.quotaReport(term)
 	s.pending.Streams = brokerwire.EncodeStreams(now, s.local.Streams(now))
+	s.pending.Suspects = brokerwire.EncodeSuspects(now, s.local.QuarantinedContents(now))
 	for _, a := range s.running {
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(now, a.offer))
 	}
--- /dev/null
+++ b/internal/brokerclient/suspects_test.go
@@ -0,0 +1,39 @@
+package brokerclient
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/port"
+)
+
+const crashingPart = 77
+
+// TestEntryWithoutBrokerRefusesQuarantinedParts guards against a part of a prompt that
+// crashes engines through every entry once brokers change: the entry refuses it by itself,
+// and tells the next broker.
+func TestEntryWithoutBrokerRefusesQuarantinedParts(t *testing.T) {
+	s := newDetachedEntry()
+	s.local.SetUpstreams([]broker.Upstream{{ID: "u", Pool: "p", Slots: 4}})
+	news := []*rpc.ContentSuspect{{Content: crashingPart, Crashes: 3, Together: []uint64{crashingPart}, RefusedMs: 20_000}}
+	require.NoError(t, s.handle("a", &rpc.BrokerReply{Leads: true, Entries: 3, LeaderTerm: 1, Suspects: news}, false))
+	s.detach("a", errBrokerTimeout)
+
+	bad := s.offer(port.BrokerOffer{Offer: broker.Offer{Pool: "p", SharedParts: []uint64{5, crashingPart}}})
+	sound := s.offer(port.BrokerOffer{Offer: broker.Offer{Pool: "p", SharedParts: []uint64{5}}})
+	decisions := s.local.Decide(s.now())
+	require.Len(t, decisions.Refusals, 1)
+	require.Equal(t, bad.offer.ID, decisions.Refusals[0].ID)
+	require.Equal(t, fault.Quarantined, fault.Kind(decisions.Refusals[0].Code))
+	require.Len(t, decisions.Grants, 1)
+	require.Equal(t, sound.offer.ID, decisions.Grants[0].ID)
+
+	s.pending = rpc.BrokerAsk{}
+	require.NoError(t, s.handle("b", &rpc.BrokerReply{Leads: true, Entries: 3, LeaderTerm: 2}, false))
+	require.Len(t, s.pending.Suspects, 1)
+	require.EqualValues(t, crashingPart, s.pending.Suspects[0].Content)
+}
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -81,6 +81,24 @@
 	return out
 }
 
+// EncodeSuspects encodes contents in quarantine, relative to the given time.
+func EncodeSuspects(now time.Duration, list []broker.Suspect) []*rpc.ContentSuspect {
+	out := make([]*rpc.ContentSuspect, 0, len(list))
+	for _, x := range list {
+		out = append(out, &rpc.ContentSuspect{Content: x.Content, Crashes: uint32(x.Crashes), Together: x.Together, RefusedMs: milliseconds(x.RefusedUntil - now)})
+	}
+	return out
+}
+
+// DecodeSuspects decodes contents in quarantine that were received at the given time.
+func DecodeSuspects(now time.Duration, list []*rpc.ContentSuspect) []broker.Suspect {
+	out := make([]broker.Suspect, 0, len(list))
+	for _, x := range list {
+		out = append(out, broker.Suspect{Content: x.Content, Crashes: int(x.Crashes), Together: x.Together, RefusedUntil: now + duration(x.RefusedMs)})
+	}
+	return out
+}
+
 // EncodeGrant encodes a grant.
 func EncodeGrant(g broker.Grant) *rpc.WorkGrant {
 	return &rpc.WorkGrant{
