engine: the header of a runner's response is bounded

Cause: the header was bounded by the library's 10 MB only, for each request. Change: 64 KiB. Bodies, frames and service replies were bounded before.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -28,6 +28,8 @@
 	dialTimeout = time.Second
 	// maxFrameBytes is the maximum length of a line of a stream, in bytes.
 	maxFrameBytes = 1 << 20
+	// maxResponseHeaderBytes is the maximum length of a response's header, in bytes.
+	maxResponseHeaderBytes = 64 << 10
 	// keepAliveInterval is the interval of TCP keep-alive probes.
 	keepAliveInterval = 5 * time.Second
 )
@@ -80,8 +82,9 @@
 	c.client = &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
-			DisableKeepAlives:  true,
-			DisableCompression: true,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			DialContext: func(context.Context, string, string) (net.Conn, error) {
 				if used.Swap(true) {
 					return nil, fmt.Errorf("connection to %s has already carried a request; dial a new one", address)
