forward: bytes of an upstream that come without end are cut off

An entry, with memory for a few hundred MB, would end with all its requests. Cause: a response's head was read without any bound, an event's bound was checked only once its line had ended, blank lines cost time that grows with their square, and the bound of 16 MiB for a body held for each request, not for all. Change: a head has 64 KiB, a line of an event ends at the event's bound, and all bodies that wait for their callers share 32 MiB. A late answer beyond the bound ends the connection instead of being read on as the next one.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -41,7 +41,6 @@
 	errUnsealed        = errors.New("the answer lacks the upstream's seal")
 	errEncoded         = errors.New("the answer is encoded, which nobody asked for")
 	errUpstreamTimeout = errors.New("the upstream did not answer in the expected time")
-	errTooLarge        = errors.New("the answer is too long")
 )
 
 // response is a complete response of an upstream that is not a stream.
@@ -231,7 +230,9 @@
 // caller. It returns an error for a response that must not be relayed.
 func (a *upstreamAttempt) readResponse() error {
 	for range maxStrayResponses + 1 {
+		a.conn.bound.setBound(maxResponseHeadBytes)
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.method})
+		a.conn.bound.removeBound()
 		if err != nil {
 			return err
 		}
@@ -245,8 +246,10 @@
 			return a.checkResponse()
 		}
 		a.s.log.Info("answer to another request skipped", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("answers", meta.RequestID))...)
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
+		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes+1)); err != nil {
 			return err
+		} else if n > maxResponseBytes {
+			return errTooLarge
 		}
 		_ = resp.Body.Close()
 	}
@@ -277,9 +280,25 @@
 
 // readBody reads the body of a response that is not a stream.
 func (a *upstreamAttempt) readBody() {
-	a.respBody, a.respBodyErr = io.ReadAll(io.LimitReader(a.resp.Body, maxResponseBytes+1))
-	if a.respBodyErr == nil && len(a.respBody) > maxResponseBytes {
-		a.respBodyErr = errTooLarge
+	chunk := [bodyChunkBytes]byte{}
+	for {
+		n, err := a.resp.Body.Read(chunk[:])
+		switch {
+		case len(a.respBody)+n > maxResponseBytes:
+			err = errTooLarge
+		case !a.s.buffered.reserve(n, maxBufferedBytes):
+			err = errBuffersFull
+		default:
+			a.reserved.Add(int64(n))
+			a.respBody = append(a.respBody, chunk[:n]...)
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			a.respBodyErr = err
+			return
+		}
 	}
 }
 
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -69,7 +69,9 @@
 // conn is a connection to an upstream; it carries one request at a time.
 type conn struct {
 	net.Conn
+	// reader reads from the connection through bound.
 	reader *bufio.Reader
+	bound  *boundedReader
 	// idleSince is the end of the last response by the pool's clock. keepAliveTimeout
 	// is the time for which the upstream then keeps the connection; zero if it states
 	// none.
@@ -153,7 +155,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	bound := &boundedReader{source: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(bound, readBufferBytes), bound: bound}, nil
 }
 
 // takeIdle removes and returns the connection with the shortest idle time, or nil.
--- /dev/null
+++ b/internal/forward/endless_test.go
@@ -0,0 +1,106 @@
+package forward
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// endlessBytes is what an endless upstream sends at most, so that a test that fails
+	// ends.
+	endlessBytes = 64 << 20
+	// kernelBytes is what the buffers of a loopback connection may hold.
+	kernelBytes = 8 << 20
+	// endlessChunkBytes is the size of one write of an endless upstream.
+	endlessChunkBytes = 64 << 10
+	// endlessCalls is the number of endless responses at once.
+	endlessCalls = 12
+)
+
+// sendEndless sends a beginning and then repeats a text until the connection is closed. It
+// adds the bytes it could send to sent.
+func sendEndless(sent *atomic.Int64, beginning, text string) script {
+	return func(c net.Conn, r *http.Request, _ string) {
+		fmt.Fprintf(c, beginning, r.Header.Get("Id"))
+		chunk := bytes.Repeat([]byte(text), max(1, endlessChunkBytes/len(text)))
+		for total := 0; total < endlessBytes; total += len(chunk) {
+			if _, err := c.Write(chunk); err != nil {
+				return
+			}
+			sent.Add(int64(len(chunk)))
+		}
+	}
+}
+
+const (
+	sealedHead = "HTTP/1.1 200 x\r\nId: %s\r\nSeal: s\r\n"
+	streamHead = sealedHead + "Content-Type: text/event-stream\r\n\r\n"
+)
+
+// TestEndlessBytesAreCutOff guards against an entry that runs out of memory, or of processor
+// time, at an upstream which sends bytes that are no answer for as long as the connection is
+// open.
+func TestEndlessBytesAreCutOff(t *testing.T) {
+	for name, c := range map[string]struct{ beginning, text string }{
+		"status line":         {beginning: "%.0sHTTP/1.1 200 ", text: "x"},
+		"header line":         {beginning: "HTTP/1.1 200 x\r\nId: %s\r\nLong: ", text: "x"},
+		"headers":             {beginning: "HTTP/1.1 200 x\r\nId: %s\r\n", text: "Name: value\r\n"},
+		"interim responses":   {beginning: "%.0s", text: "HTTP/1.1 102 x\r\n\r\n"},
+		"event line":          {beginning: streamHead + "data: ", text: "x"},
+		"event":               {beginning: streamHead, text: "data: x\n"},
+		"blank lines":         {beginning: streamHead, text: "\n"},
+		"body":                {beginning: sealedHead + "\r\n", text: "x"},
+		"chunk size":          {beginning: sealedHead + "Transfer-Encoding: chunked\r\n\r\n", text: "0"},
+		"chunk extension":     {beginning: sealedHead + "Transfer-Encoding: chunked\r\n\r\n5;", text: "x"},
+		"trailer":             {beginning: sealedHead + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", text: "Name: value\r\n"},
+		"body of a late one":  {beginning: "HTTP/1.1 200 x\r\nId: another%.0s\r\nSeal: s\r\n\r\n", text: "x"},
+		"body of a rejection": {beginning: "HTTP/1.1 503 x\r\nId: %s\r\nNot-Run: 1\r\n\r\n", text: "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for route, status := range map[string]int{"idempotent": http.StatusOK, "once": http.StatusBadGateway} {
+				if route == "once" && strings.Contains(c.beginning, "Not-Run") {
+					status = http.StatusOK // the other upstream may have it
+				}
+				sent := &atomic.Int64{}
+				r := newTestEntry(t, newUpstream(t, sendEndless(sent, c.beginning, c.text)), newUpstream(t, respondWith(http.StatusOK, "", "whole")))
+				started := time.Now()
+				result := r.call(route, "body")
+				require.Equal(t, status, result.status, route)
+				require.Less(t, time.Since(started), 2*time.Second, route)
+				require.Less(t, sent.Load(), int64(maxResponseBytes+kernelBytes), "bytes that the upstream could send; %s", route)
+			}
+		})
+	}
+}
+
+// TestManyLongResponsesShareABound guards against an entry that runs out of memory though
+// each response by itself is short enough.
+func TestManyLongResponsesShareABound(t *testing.T) {
+	sent := &atomic.Int64{}
+	calls := sync.WaitGroup{}
+	for range 2 {
+		upstreams := []*scriptedUpstream{}
+		for range endlessCalls {
+			upstreams = append(upstreams, newUpstream(t, sendEndless(sent, sealedHead+"\r\n", "x")))
+		}
+		r := newTestEntry(t, upstreams...)
+		sent.Store(0)
+		for range endlessCalls {
+			calls.Go(func() { r.call("once", "body") })
+		}
+		calls.Wait()
+		require.Less(t, sent.Load(), int64(maxBufferedBytes+endlessCalls*kernelBytes))
+		require.Zero(t, r.service.buffered.used.Load(), "all of it is released")
+		r.server.Close()
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -70,6 +70,8 @@
 	notices        *notices
 	// elapsed counts suspensions of the machine.
 	elapsed func() time.Duration
+	// buffered counts the bodies of responses that are held in memory.
+	buffered byteBudget
 }
 
 // New returns the service.
@@ -158,6 +160,7 @@
 	x := &exchange{s: s, request: q, w: w, ctx: ctx}
 	defer s.recordEnd(x)
 	s.retryBudgets.recordRequest(q.pool)
+	defer func() { s.buffered.release(q.reserved.Load()) }()
 	x.run()
 	if x.outcome == outcomeCallerGone {
 		// A handler that returns without a response sends an empty success.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,6 +61,8 @@
 	latencyTargetAt time.Time
 	// fingerprint is a hash of method, request target, workspace and body.
 	fingerprint uint64
+	// reserved is the part of the service's buffered bytes that the request holds.
+	reserved atomic.Int64
 }
 
 // gatewayError is a final error response that the entry itself generates: the refusal
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -46,10 +46,13 @@
 // if the stream ends between two events, errPartialEvent if it ends within one.
 func readEvent(r *bufio.Reader) (event, error) {
 	e := event{}
+	hasContent := false
 	for {
-		line, err := r.ReadBytes('\n')
+		line, err := readLine(r, maxEventBytes)
 		e.raw = append(e.raw, line...)
-		if err == io.EOF && len(bytes.TrimSpace(e.raw)) == 0 {
+		blank := len(bytes.TrimSpace(line)) == 0
+		hasContent = hasContent || !blank
+		if err == io.EOF && !hasContent {
 			return e, io.EOF
 		}
 		if err == io.EOF {
@@ -62,7 +65,7 @@
 			return e, errTooLarge
 		}
 		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 && len(bytes.TrimSpace(e.raw)) > 0 {
+		if len(text) == 0 && hasContent {
 			return e, nil
 		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
