forward: an upstream that sends something else than a response is not lost

Callers saw: nothing by itself; garbled answers would count as crashes of their upstream, and be held against parts of the prompt. Cause: every error that was not listed counted as a lost connection, also bytes that are no HTTP and answers that are too long. Change: a connection is lost if it ended; other errors are an invalid response. Result: five cases of TestEndlessBytesAreCutOff with the new check failed before (body, event, chunk size, chunk extension, trailer); all pass.

--- a/internal/forward/bounds.go
+++ b/internal/forward/bounds.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
 	"sync/atomic"
 )
 
@@ -76,3 +77,10 @@
 }
 
 func (b *byteBudget) release(n int64) { b.used.Add(-n) }
+
+// isLoss reports whether an error of a response means that the connection ended, rather than
+// that the upstream sent something else than a response.
+func isLoss(err error) bool {
+	network := (*net.OpError)(nil)
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errPartialEvent) || errors.As(err, &network)
+}
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/core/broker"
 )
 
 const (
@@ -78,6 +80,7 @@
 				require.Equal(t, status, result.status, route)
 				require.Less(t, time.Since(started), 2*time.Second, route)
 				require.Less(t, sent.Load(), int64(maxResponseBytes+kernelBytes), "bytes that the upstream could send; %s", route)
+				require.NotContains(t, r.brokerClient.outcomes(), broker.ConnectionLost, "an upstream that sends is not lost; %s", route)
 			}
 		})
 	}
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -61,8 +61,10 @@
 		return broker.Canceled
 	case errors.Is(err, errUpstreamTimeout), errors.Is(err, context.DeadlineExceeded):
 		return broker.TimedOut
+	case isLoss(err):
+		return broker.ConnectionLost
 	}
-	return broker.ConnectionLost
+	return broker.InvalidResponse
 }
 
 // recordRejected records a response that states that the request did not run.
