suspects: a package of its own finds the content at fault

Cause: the scheduler of the product's own interface has the same blindness as the broker had; what separates the content at fault should stand once. No change of behaviour. Result: go test ./core/suspects ./core/broker ./internal/broker ./internal/brokerclient ./internal/brokerwire passes.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -21,6 +21,7 @@
 
 	"github.com/verbenastep/verbenastep/core/limits"
 	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/core/suspects"
 )
 
 // ID identifies a request by the entry that offered it and the number that the
@@ -236,10 +237,7 @@
 	requests map[ID]*request
 	pools    map[string]*pool
 	buckets  map[string]*limits.Bucket
-	// suspects holds the suspected contents; changedSuspects those of which the entries
-	// have to be told.
-	suspects        map[uint64]*suspect
-	changedSuspects map[uint64]bool
+	suspects *suspects.Tracker[ID]
 	// streams holds the streams that may be resumed; nextStreamSweep is when expired ones
 	// are next removed.
 	streams         map[uint64]StreamOrigin
@@ -272,7 +270,7 @@
 func New(share float64) *Broker {
 	return &Broker{
 		requests: map[ID]*request{}, pools: map[string]*pool{}, buckets: map[string]*limits.Bucket{},
-		suspects: map[uint64]*suspect{}, changedSuspects: map[uint64]bool{}, streams: map[uint64]StreamOrigin{}, share: share,
+		suspects: suspects.New[ID](), streams: map[uint64]StreamOrigin{}, share: share,
 	}
 }
 
--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/core/suspects"
 )
 
 // newServiceBroker returns a broker with one upstream "u" of a plain service.
@@ -90,7 +91,7 @@
 
 func TestContentThatCrashesUpstreamsIsQuarantined(t *testing.T) {
 	b := newServiceBroker(4)
-	for n := range uint64(quarantineThreshold) {
+	for n := range uint64(crashesToQuarantine) {
 		o := newOffer(n)
 		o.Fingerprint = 7
 		b.Offer(0, o)
@@ -99,13 +100,13 @@
 	}
 	o := newOffer(50)
 	o.Fingerprint = 7
-	now := quarantineThreshold * maxBackOffDelay
+	now := crashesToQuarantine * maxBackOffDelay
 	b.Offer(now, o)
 	refused := b.Decide(now).Refusals
 	require.Len(t, refused, 1)
 	require.Equal(t, Quarantined, refused[0].Code)
 	o.ID.Number = 51
-	now += quarantineDuration(quarantineThreshold)
+	now += suspects.QuarantineDuration(crashesToQuarantine)
 	b.Offer(now, o)
 	require.Len(t, b.Decide(now).Grants, 1, "the quarantine expires")
 }
--- a/core/broker/crash_test.go
+++ b/core/broker/crash_test.go
@@ -11,11 +11,14 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/core/suspects"
 )
 
 const (
-	crashEngines = 12
-	crashSlots   = 5
+	// crashesToQuarantine is the number of crashes in turn after which a content is refused.
+	crashesToQuarantine = 3
+	crashEngines        = 12
+	crashSlots          = 5
 	// restartDuration is how long an engine is away after a crash.
 	restartDuration = 3 * time.Second
 	// knownAfter is the time after the fifth crash by which all entries must know of it.
@@ -289,12 +292,12 @@
 // Each entry by itself would try a part again after its quarantine, and crash an engine.
 func TestEntriesDoNotTryQuarantinedPartsAgain(t *testing.T) {
 	const bad = 999
-	suspects := []Suspect{{Content: bad, Crashes: quarantineThreshold, Together: []uint64{bad}, RefusedUntil: time.Second}}
+	known := []suspects.Suspect{{Content: bad, Crashes: crashesToQuarantine, Together: []uint64{bad}, RefusedUntil: time.Second}}
 	for share, grants := range map[float64]int{1: 1, 0.5: 0} {
 		b := New(share)
 		b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Slots: 4}})
-		b.LearnSuspects(0, suspects)
-		now := time.Second + minQuarantine
+		b.LearnSuspects(0, known)
+		now := time.Second + suspects.QuarantineDuration(crashesToQuarantine)
 		for n := range uint64(3) {
 			b.Offer(now, Offer{ID: ID{Entry: "e", Number: n}, Pool: "p", SharedParts: []uint64{bad}, LatencyTarget: now + time.Minute, LatestUseful: now + time.Minute, Deadline: now + time.Minute})
 		}
@@ -309,10 +312,10 @@
 	const part = 999
 	b, other := New(1), New(0.5)
 	b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Slots: 4}})
-	b.LearnSuspects(0, []Suspect{{Content: part, Crashes: quarantineThreshold, Together: []uint64{part}, RefusedUntil: time.Second}})
+	b.LearnSuspects(0, []suspects.Suspect{{Content: part, Crashes: crashesToQuarantine, Together: []uint64{part}, RefusedUntil: time.Second}})
 	other.LearnSuspects(0, b.TakeSuspectChanges(0))
 	require.Len(t, other.QuarantinedContents(0), 1)
-	now := time.Second + minQuarantine
+	now := time.Second + suspects.QuarantineDuration(crashesToQuarantine)
 	id := ID{Entry: "e", Number: 1}
 	b.Offer(now, Offer{ID: id, Pool: "p", SharedParts: []uint64{part}, LatencyTarget: now + time.Minute, LatestUseful: now + time.Minute, Deadline: now + time.Minute})
 	require.Len(t, b.Decide(now).Grants, 1)
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/verbenastep/verbenastep/core/suspects"
 )
 
 const (
@@ -164,7 +166,7 @@
 			p.queue = slices.Delete(p.queue, i, i+1)
 			continue
 		}
-		stage, mayRun := b.trialOf(r.now, req)
+		stage, mayRun := b.suspects.Stage(r.now, req.ID, req.contents())
 		if !mayRun {
 			// Not counted as skipped either.
 			i++
@@ -203,7 +205,7 @@
 // choose returns the open upstream with the lowest cost for a request and the
 // estimated time to its first event there, or nil if no open upstream is suitable. stage is
 // that of the request's trial.
-func (p *pool) choose(r *round, req *request, stage trial) (*upstream, time.Duration) {
+func (p *pool) choose(r *round, req *request, stage suspects.Stage) (*upstream, time.Duration) {
 	best, bestCost, bestFirst := (*upstream)(nil), time.Duration(0), time.Duration(0)
 	limit := p.maxTokenTime(r, req)
 	for _, u := range r.open {
--- /dev/null
+++ b/core/suspects/suspects.go
@@ -0,0 +1,303 @@
+// Package suspects finds out which content of requests crashes upstreams. A content is what
+// a request may crash an upstream with: the request as a whole, or a part of its prompt that
+// other requests share. Packages broker and sched use one Tracker each.
+//
+// Everything that an upstream runs is lost with it, so which content is at fault shows only
+// over several crashes:
+//
+//   - A content is suspected from the first crash that is held against it. A complete answer
+//     clears all contents of its request.
+//   - Requests with a suspected content run one at a time until their answer should have
+//     begun: a trial. A crash counts only if the request was granted some time after the one
+//     before, so that upstreams that are lost together count once.
+//   - At quarantineThreshold crashes without an answer in between, requests that have all
+//     contents which were present at each of these crashes are refused.
+//
+// The package does no I/O: times are durations on the caller's monotonic clock.
+package suspects
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// quarantineThreshold is how many crashes in turn put a content into quarantine. Two
+	// may be unrelated faults; the third is not worth the risk to another upstream.
+	quarantineThreshold = 3
+	// minQuarantine is the duration of a content's first quarantine. Then one request with
+	// it is tried again; if that crashes an upstream too, the next quarantine is
+	// quarantineGrowth times as long, up to maxQuarantine.
+	minQuarantine    = 20 * time.Second
+	quarantineGrowth = 8
+	maxQuarantine    = 24 * time.Hour
+	// suspectTTL is how long a suspicion is remembered after the last crash.
+	suspectTTL = 2 * time.Minute
+	// quarantineMemory is how long a content that was in quarantine stays suspected.
+	quarantineMemory = 24 * time.Hour
+	// maxSuspects is the number of suspects at which expired ones are removed.
+	maxSuspects = 10_000
+	// crashSpread is the time within which upstreams that are lost together are reported;
+	// no trial begins within it after a crash.
+	crashSpread = 400 * time.Millisecond
+
+	// A trial lasts trialFactor times the estimated time to the first event and
+	// trialMargin, at most maxTrial.
+	trialFactor = 2
+	trialMargin = 300 * time.Millisecond
+	maxTrial    = 2 * time.Second
+)
+
+// Suspect is what trackers tell each other about a content.
+type Suspect struct {
+	Content uint64
+	// Crashes is the number of crashes held against the content; zero if it is cleared.
+	Crashes int
+	// Together lists the contents that were present at each of these crashes.
+	Together []uint64
+	// RefusedUntil is until when requests with these contents are refused.
+	RefusedUntil time.Duration
+}
+
+// IsQuarantined reports whether requests with the content are refused, or were until lately.
+func (s Suspect) IsQuarantined() bool { return s.Crashes >= quarantineThreshold }
+
+// Stage is how a request stands with the contents that it has.
+type Stage uint8
+
+const (
+	// Clear requests have no suspected content.
+	Clear Stage = iota
+	// FirstTrial requests may run beside others in that stage.
+	FirstTrial
+	// LastTrial requests put a content into quarantine if their upstream crashes, so they
+	// run beside no other trial.
+	LastTrial
+)
+
+// suspect is a content under which upstreams crashed, with no complete answer since.
+type suspect[ID comparable] struct {
+	Suspect
+	// crashedAt is the time of the last crash that was counted.
+	crashedAt time.Duration
+	expiresAt time.Duration
+	// trial is the request that runs until trialEnd while others with the content wait.
+	trial    ID
+	trialEnd time.Duration
+}
+
+// refuse refuses requests with the content until its quarantine ends.
+func (s *suspect[ID]) refuse(now time.Duration) {
+	s.RefusedUntil = now + QuarantineDuration(s.Crashes)
+	s.expiresAt = s.RefusedUntil + quarantineMemory
+}
+
+// QuarantineDuration returns the duration of the quarantine after a number of crashes.
+func QuarantineDuration(crashes int) time.Duration {
+	factor := math.Pow(quarantineGrowth, float64(crashes-quarantineThreshold))
+	return time.Duration(min(float64(minQuarantine)*factor, float64(maxQuarantine)))
+}
+
+// Tracker holds the suspected contents of requests, which ID identifies. It is not safe for
+// concurrent use.
+type Tracker[ID comparable] struct {
+	suspects map[uint64]*suspect[ID]
+	// changed holds the contents that TakeChanges returns.
+	changed map[uint64]bool
+}
+
+// New returns a tracker without suspects.
+func New[ID comparable]() *Tracker[ID] {
+	return &Tracker[ID]{suspects: map[uint64]*suspect[ID]{}, changed: map[uint64]bool{}}
+}
+
+// find returns a suspected content, or nil.
+func (t *Tracker[ID]) find(now time.Duration, content uint64) *suspect[ID] {
+	s := t.suspects[content]
+	if s == nil || s.expiresAt < now {
+		return nil
+	}
+	return s
+}
+
+// HoldAgainst holds the crash of an upstream against the contents of a request that was
+// granted at the given time. It returns those for which the crash counts.
+func (t *Tracker[ID]) HoldAgainst(now, granted time.Duration, contents []uint64) []Suspect {
+	t.removeExpired(now)
+	out := []Suspect{}
+	for _, c := range contents {
+		s := t.find(now, c)
+		if s == nil {
+			s = &suspect[ID]{Suspect: Suspect{Content: c, Together: contents}}
+			t.suspects[c] = s
+		} else if granted < s.crashedAt {
+			continue
+		}
+		s.Crashes++
+		s.crashedAt, s.expiresAt, s.trialEnd = now, now+suspectTTL, now+crashSpread
+		s.Together = slices.DeleteFunc(slices.Clone(s.Together), func(other uint64) bool { return !slices.Contains(contents, other) })
+		if s.IsQuarantined() {
+			s.refuse(now)
+			t.changed[c] = true
+		}
+		out = append(out, s.Suspect)
+	}
+	return out
+}
+
+func (t *Tracker[ID]) removeExpired(now time.Duration) {
+	if len(t.suspects) >= maxSuspects {
+		maps.DeleteFunc(t.suspects, func(_ uint64, s *suspect[ID]) bool { return s.expiresAt < now })
+	}
+}
+
+// Clear removes contents from suspicion. What was suspected together with them is at fault
+// without them.
+func (t *Tracker[ID]) Clear(contents []uint64) {
+	for _, c := range contents {
+		s := t.suspects[c]
+		if s == nil {
+			continue
+		}
+		delete(t.suspects, c)
+		if s.IsQuarantined() {
+			t.changed[c] = true
+		}
+		for _, other := range t.suspects {
+			if !slices.Contains(other.Together, c) {
+				continue
+			}
+			other.Together = slices.DeleteFunc(slices.Clone(other.Together), func(x uint64) bool { return x == c })
+			if other.IsQuarantined() {
+				t.changed[other.Content] = true
+			}
+		}
+	}
+}
+
+// RefusedFor returns how long requests with these contents are still refused; zero if they
+// are not. After a quarantine one request is tried again, unless never is set.
+func (t *Tracker[ID]) RefusedFor(now time.Duration, contents []uint64, never bool) time.Duration {
+	if len(t.suspects) == 0 {
+		return 0
+	}
+	longest := time.Duration(0)
+	for _, c := range contents {
+		s := t.find(now, c)
+		if s == nil || !s.isAtFault(contents) {
+			continue
+		}
+		if left := s.RefusedUntil - now; left > 0 || never {
+			longest = max(longest, left, minQuarantine)
+		}
+	}
+	return longest
+}
+
+// isAtFault reports whether requests with these contents are the ones that crash upstreams.
+func (s *suspect[ID]) isAtFault(contents []uint64) bool {
+	return s.IsQuarantined() && !slices.ContainsFunc(s.Together, func(c uint64) bool { return !slices.Contains(contents, c) })
+}
+
+// Stage returns how a waiting request stands with its contents, and false if it has to wait
+// for the trial of another request.
+func (t *Tracker[ID]) Stage(now time.Duration, id ID, contents []uint64) (Stage, bool) {
+	out := Clear
+	if len(t.suspects) == 0 {
+		return out, true
+	}
+	for _, c := range contents {
+		s := t.find(now, c)
+		switch {
+		case s == nil:
+		case now < s.trialEnd && s.trial != id:
+			return out, false
+		case s.Crashes >= quarantineThreshold-1:
+			out = LastTrial
+		default:
+			out = max(out, FirstTrial)
+		}
+	}
+	return out, true
+}
+
+// StartTrial records that a request runs, whose first event should take the given time. It
+// returns the end of its trial.
+func (t *Tracker[ID]) StartTrial(now time.Duration, id ID, contents []uint64, first time.Duration) time.Duration {
+	end := now + min(maxTrial, trialFactor*first+trialMargin)
+	for _, c := range contents {
+		s := t.find(now, c)
+		if s == nil {
+			continue
+		}
+		s.trial, s.trialEnd = id, end
+		if s.isAtFault(contents) {
+			// Others are refused until the outcome is known.
+			s.refuse(now)
+			t.changed[c] = true
+		}
+	}
+	return end
+}
+
+// EndTrial ends the trial of a request that has ended.
+func (t *Tracker[ID]) EndTrial(now time.Duration, id ID, contents []uint64) {
+	for _, c := range contents {
+		if s := t.suspects[c]; s != nil && s.trial == id {
+			s.trialEnd = now
+		}
+	}
+}
+
+// Quarantined returns the contents in quarantine, in no particular order.
+func (t *Tracker[ID]) Quarantined(now time.Duration) []Suspect {
+	out := []Suspect{}
+	for c := range t.suspects {
+		if s := t.find(now, c); s != nil && s.IsQuarantined() {
+			out = append(out, s.Suspect)
+		}
+	}
+	return out
+}
+
+// ForgetSuspicions removes the contents that are suspected but not in quarantine.
+func (t *Tracker[ID]) ForgetSuspicions() {
+	maps.DeleteFunc(t.suspects, func(_ uint64, s *suspect[ID]) bool { return !s.IsQuarantined() })
+}
+
+// TakeChanges returns the contents that have come into quarantine, changed there or left it
+// since the last call.
+func (t *Tracker[ID]) TakeChanges(now time.Duration) []Suspect {
+	out := []Suspect{}
+	for c := range t.changed {
+		change := Suspect{Content: c}
+		if s := t.find(now, c); s != nil {
+			change = s.Suspect
+		}
+		out = append(out, change)
+	}
+	clear(t.changed)
+	return out
+}
+
+// Learn adds what another tracker knows of suspected contents. The higher count of crashes
+// holds; a count of zero clears a content.
+func (t *Tracker[ID]) Learn(now time.Duration, list []Suspect) {
+	for _, x := range list {
+		if x.Crashes == 0 {
+			t.Clear([]uint64{x.Content})
+			continue
+		}
+		if s := t.find(now, x.Content); s != nil && (s.Crashes > x.Crashes || s.Crashes == x.Crashes && s.RefusedUntil >= x.RefusedUntil) {
+			continue
+		}
+		s := &suspect[ID]{Suspect: x, crashedAt: now, expiresAt: now + suspectTTL}
+		if s.IsQuarantined() {
+			s.expiresAt = max(now, s.RefusedUntil) + quarantineMemory
+			t.changed[x.Content] = true
+		}
+		t.suspects[x.Content] = s
+	}
+}
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -12,6 +12,7 @@
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/roster"
+	"github.com/verbenastep/verbenastep/core/suspects"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
@@ -82,7 +83,7 @@
 }
 
 // EncodeSuspects encodes contents in quarantine, relative to the given time.
-func EncodeSuspects(now time.Duration, list []broker.Suspect) []*rpc.ContentSuspect {
+func EncodeSuspects(now time.Duration, list []suspects.Suspect) []*rpc.ContentSuspect {
 	out := make([]*rpc.ContentSuspect, 0, len(list))
 	for _, x := range list {
 		out = append(out, &rpc.ContentSuspect{Content: x.Content, Crashes: uint32(x.Crashes), Together: x.Together, RefusedMs: milliseconds(x.RefusedUntil - now)})
@@ -91,10 +92,10 @@
 }
 
 // DecodeSuspects decodes contents in quarantine that were received at the given time.
-func DecodeSuspects(now time.Duration, list []*rpc.ContentSuspect) []broker.Suspect {
-	out := make([]broker.Suspect, 0, len(list))
+func DecodeSuspects(now time.Duration, list []*rpc.ContentSuspect) []suspects.Suspect {
+	out := make([]suspects.Suspect, 0, len(list))
 	for _, x := range list {
-		out = append(out, broker.Suspect{Content: x.Content, Crashes: int(x.Crashes), Together: x.Together, RefusedUntil: now + duration(x.RefusedMs)})
+		out = append(out, suspects.Suspect{Content: x.Content, Crashes: int(x.Crashes), Together: x.Together, RefusedUntil: now + duration(x.RefusedMs)})
 	}
 	return out
 }
