sched: a prefix of a prompt that crashes upstreams is refused

Cause: the scheduler's quarantine counts crashes by the whole content. Requests that share a prefix of their prompt, such as instructions, and differ in the rest never met in a count. Change: a tracker of core/suspects beside it holds lost connections against the blocks of prompts; requests with a suspected prefix run one at a time and apart from other suspects, and are refused after three crashes in turn. It is not shared between regions.

--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/verbenastep/verbenastep/core/quarantine"
+	"github.com/verbenastep/verbenastep/core/suspects"
 )
 
 // Decide runs one scheduling round: it expires leases and orphaned requests,
@@ -114,9 +115,11 @@
 	if r == nil {
 		return false
 	}
-	r.suspect = d.isSuspect(now, r)
+	stage, mayRun := d.prefixes.Stage(now, r.offer.ID, r.offer.Blocks)
+	r.prefixStage = stage
+	r.suspect = d.isSuspect(now, r) || stage != suspects.Clear
 	verdict, left := d.tracker.Verdict(now, r.offer.Fingerprint)
-	if verdict == quarantine.Undetermined {
+	if verdict == quarantine.Undetermined || !mayRun {
 		t.dequeue(r)
 		d.deferred = append(d.deferred, r)
 		return true
@@ -126,6 +129,11 @@
 		out.Refusals = append(out.Refusals, *d.refuse(now, r.offer, Quarantined, left, "the content was in flight at two crashes of upstreams"))
 		return true
 	}
+	if left := d.prefixes.RefusedFor(now, r.offer.Blocks, false); left > 0 {
+		d.removeQueued(r)
+		out.Refusals = append(out.Refusals, *d.refuse(now, r.offer, Quarantined, left, quarantinedPrefixReason))
+		return true
+	}
 	u, estimate, set := d.chooseUpstream(now, r)
 	if u != nil && (d.shouldWait(now, r, estimate) || d.shouldWaitForPrefix(now, r, estimate, &set)) {
 		u = nil
@@ -182,6 +190,9 @@
 		r.bestCached = max(r.bestCached, x.cached)
 	}
 	d.assign(now, r, u, estimate)
+	if r.prefixStage != suspects.Clear {
+		d.prefixes.StartTrial(now, r.offer.ID, r.offer.Blocks, estimate.queue+estimate.prefill)
+	}
 	u.prefillUntil = max(now, u.prefillUntil) + estimate.prefill
 	for i := len(r.offer.Blocks) - 1; i >= 0; i-- {
 		if u.cache.touch(r.offer.Blocks[i]) {
--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/verbenastep/verbenastep/core/quarantine"
+	"github.com/verbenastep/verbenastep/core/suspects"
 )
 
 // Dispatcher schedules the requests of one pool. It is not safe for concurrent
@@ -45,7 +46,9 @@
 	// shortageUntil is when capacity no longer counts as short.
 	shortageUntil time.Duration
 
+	// tracker counts crashes by whole contents, prefixes by the blocks of prompts.
 	tracker        *quarantine.Tracker
+	prefixes       *suspects.Tracker[ID]
 	suspectChanges []quarantine.Change
 	// ended lists requests that ended since the last round.
 	ended []Ended
@@ -71,7 +74,7 @@
 	d := &Dispatcher{
 		requests: map[ID]*request{}, upstreams: map[string]*upstream{},
 		blockHolders: holderIndex{sets: map[uint64]holderSet{}}, poolSpeed: newSpeed(),
-		lengths: lengthPredictor{stats: map[lengthKey]lengthStat{}}, tracker: quarantine.New(), fastest: newSpeed(),
+		lengths: lengthPredictor{stats: map[lengthKey]lengthStat{}}, tracker: quarantine.New(), prefixes: suspects.New[ID](), fastest: newSpeed(),
 	}
 	for c := range d.withRoom {
 		d.withRoom[c].class = class(c)
@@ -119,6 +122,9 @@
 	return nil, nil
 }
 
+// quarantinedPrefixReason is part of error responses to callers.
+const quarantinedPrefixReason = "upstreams crashed under several requests with a prefix of this prompt"
+
 // admit counts a request against its workspace's limits, and returns a refusal
 // where a limit is reached or the content is quarantined. Limits were already
 // applied to requests that run, were admitted earlier, or come from another
@@ -128,6 +134,9 @@
 	if verdict == quarantine.Quarantined && o.RunningOn == "" {
 		return d.refuse(now, o, Quarantined, left, "the content was in flight at two crashes of upstreams")
 	}
+	if left := d.prefixes.RefusedFor(now, o.Blocks, false); left > 0 && o.RunningOn == "" {
+		return d.refuse(now, o, Quarantined, left, quarantinedPrefixReason)
+	}
 	usage := &d.tier(o.Tier).workspace(o.Workspace, o.Weight).usage
 	if o.RunningOn != "" || o.Admitted || o.SpilledFrom != "" || o.Final {
 		usage.Readmit()
@@ -165,7 +174,7 @@
 		u.longCount++
 	}
 	verdict, _ := d.tracker.Verdict(now, r.offer.Fingerprint)
-	r.suspect = verdict != quarantine.Clear
+	r.suspect = verdict != quarantine.Clear || r.prefixStage != suspects.Clear
 	if r.suspect {
 		u.suspectCount++
 	}
@@ -264,6 +273,7 @@
 	r.workspace.tier.running--
 	r.workspace.usage.Release()
 	u := d.unassign(now, r)
+	d.recordPrefix(now, r, rel)
 	d.correctCharge(now, r, rel)
 	if u != nil && rel.Outcome == ConnectionLost {
 		d.recordFailure(now, u, r)
@@ -274,6 +284,18 @@
 	return ended
 }
 
+// recordPrefix learns from the end of a request whether a prefix of its prompt crashes
+// upstreams. A request that has begun its answer survived its prefix.
+func (d *Dispatcher) recordPrefix(now time.Duration, r *request, rel Release) {
+	d.prefixes.EndTrial(now, r.offer.ID, r.offer.Blocks)
+	switch {
+	case rel.Outcome == Completed:
+		d.prefixes.Clear(r.offer.Blocks)
+	case rel.Outcome == ConnectionLost && rel.OutputTokens == 0:
+		d.prefixes.HoldAgainst(now, r.grantedAt, r.offer.Blocks)
+	}
+}
+
 // correctCharge replaces the predicted work charged to the workspace at the
 // grant by the work that was done.
 func (d *Dispatcher) correctCharge(now time.Duration, r *request, rel Release) {
--- a/core/sched/policy_test.go
+++ b/core/sched/policy_test.go
@@ -485,3 +485,44 @@
 		require.Len(t, d.Decide(1500*time.Millisecond).Grants, 1)
 	}
 }
+
+// A prefix that crashes every upstream which begins to answer on it took down one after the
+// other: no two of the requests were alike, so no content was ever quarantined. Requests that
+// share only the beginning of the prefix must go on.
+func TestPrefixThatCrashesUpstreamsIsRefused(t *testing.T) {
+	const common, bad, requests = 7, 8, 30
+	d := New(Params{})
+	now, crashes, refused, sound := time.Duration(0), 0, 0, 0
+	for _, name := range []string{"a", "b", "c", "d"} {
+		mustAnnounce(t, d, now, name, 4)
+	}
+	for n := range requests {
+		now += 500 * time.Millisecond
+		for i, blocks := range [][]uint64{{common, bad, uint64(1000 + n)}, {common, uint64(2000 + n)}} {
+			o := testOffer(2*n+i, "w", 0)
+			o.Fingerprint, o.Blocks, o.PromptTokens = uint64(100+2*n+i), blocks, 64*len(blocks)
+			refusal, err := d.Offer(now, o)
+			require.NoError(t, err)
+			if refusal != nil {
+				require.Equal(t, Quarantined, refusal.Code)
+				require.Zero(t, i, "a sound request is refused")
+				refused++
+				continue
+			}
+			for _, g := range d.Decide(now).Grants {
+				if g.ID.Number%2 == 0 {
+					crashes++
+					_, err := d.Release(now, Release{ID: g.ID, Outcome: ConnectionLost})
+					require.NoError(t, err)
+					require.NoError(t, d.Announce(now, Upstream{Name: g.Upstream, Slots: 4, Lease: time.Hour, Incarnation: uint64(crashes + 1)}))
+					continue
+				}
+				sound++
+				complete(t, d, now, g, time.Millisecond)
+			}
+		}
+	}
+	require.LessOrEqual(t, crashes, 4)
+	require.Greater(t, refused, requests/2)
+	require.Greater(t, sound, requests*9/10)
+}
--- a/core/sched/request.go
+++ b/core/sched/request.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/verbenastep/verbenastep/core/suspects"
 )
 
 // class separates short requests from all others.
@@ -57,6 +59,8 @@
 	batchAtStart int
 	prefillAlone bool
 	suspect      bool
+	// prefixStage is how the request stands with the prefixes of its prompt.
+	prefixStage suspects.Stage
 	// orphanedUntil is when the slot is freed unless the entry reconnects; zero
 	// where the entry is connected.
 	orphanedUntil time.Duration
