suspects: what had begun goes on elsewhere at once

After a crash, a request that may be repeated, or a stream that may be resumed, waited 0.4 s and for the trials of others before it was tried elsewhere. Cause: the delay after a crash held for the first one too, and for the content as a whole, which nobody else has; a resumed stream was treated as if its parts had not been answered. Change: no delay after the first crash; a stream that has begun names no parts.

--- a/core/suspects/suspects.go
+++ b/core/suspects/suspects.go
@@ -9,7 +9,7 @@
 //     clears all contents of its request.
 //   - Requests with a suspected content run one at a time until their answer should have
 //     begun: a trial. A crash counts only if the request was granted some time after the one
-//     before, so that upstreams that are lost together count once.
+//     before, so that upstreams that are lost together put nothing into quarantine.
 //   - At quarantineThreshold crashes without an answer in between, requests that have all
 //     contents which were present at each of these crashes are refused.
 //
@@ -39,8 +39,9 @@
 	quarantineMemory = 24 * time.Hour
 	// maxSuspects is the number of suspects at which expired ones are removed.
 	maxSuspects = 10_000
-	// crashSpread is the time within which upstreams that are lost together are reported;
-	// no trial begins within it after a crash.
+	// crashSpread is the time within which upstreams that are lost together are reported.
+	// No trial begins within it after the second crash and later ones; after the first, the
+	// request itself goes on elsewhere at once.
 	crashSpread = 400 * time.Millisecond
 
 	// A trial lasts trialFactor times the estimated time to the first event and
@@ -136,7 +137,10 @@
 			continue
 		}
 		s.Crashes++
-		s.crashedAt, s.expiresAt, s.trialEnd = now, now+suspectTTL, now+crashSpread
+		s.crashedAt, s.expiresAt, s.trialEnd = now, now+suspectTTL, now
+		if s.Crashes > 1 {
+			s.trialEnd += crashSpread
+		}
 		s.Together = slices.DeleteFunc(slices.Clone(s.Together), func(other uint64) bool { return !slices.Contains(contents, other) })
 		if s.IsQuarantined() {
 			s.refuse(now)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -125,6 +125,11 @@
 	if x.stream.headerSent && offer.Resumes == 0 {
 		offer.Stream, offer.Resumes = 0, offer.Stream
 	}
+	if x.stream.headerSent || x.meta.LastEvent != "" {
+		// An upstream has begun to answer these parts, so they crash none, and the stream
+		// need not wait for the trial of others that have them.
+		offer.SharedParts = nil
+	}
 	x.attempts++
 	lastEvent := x.meta.LastEvent
 	if x.stream.lastID != "" {
--- a/internal/forward/parts_test.go
+++ b/internal/forward/parts_test.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/routes"
 )
 
@@ -29,3 +32,22 @@
 	require.Empty(t, parts("p", "w", 3))
 	require.Empty(t, parts("p", "w"))
 }
+
+// TestBegunStreamIsHeldAgainstNoPart guards against a stream that pauses, after its upstream
+// has crashed, until other requests with a part of its prompt have been tried.
+func TestBegunStreamIsHeldAgainstNoPart(t *testing.T) {
+	e := newTestEntry(t)
+	q := &request{route: &testTable().Routes[3], pool: "p", remaining: func() time.Duration { return time.Minute }}
+	q.meta.PromptParts = []PromptPart{{ID: 1}, {ID: 2}}
+	offered := func(change func(*exchange)) int {
+		x := &exchange{s: e.service, request: q, ctx: context.Background()}
+		change(x)
+		x.startAttempt().finish(broker.NotSent)
+		offers := e.brokerClient.offers
+		return len(offers[len(offers)-1].SharedParts)
+	}
+	require.Equal(t, 1, offered(func(*exchange) {}))
+	require.Zero(t, offered(func(x *exchange) { x.stream.headerSent = true }))
+	q.meta.LastEvent = "4"
+	require.Zero(t, offered(func(*exchange) {}))
+}
