broker: compute a request's contents once

Cause: each round of decisions computed the contents of each waiting request anew. Change: a request keeps them. No change of behaviour.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -210,6 +210,8 @@
 type request struct {
 	Offer
 	arrived time.Duration
+	// contents are what the request may crash an upstream with.
+	contents []uint64
 	// assigned is the upstream that was granted, and granted the time of the grant; nil
 	// while the request waits.
 	assigned *upstream
@@ -303,7 +305,7 @@
 	if _, known := b.requests[o.ID]; known {
 		return
 	}
-	req := &request{Offer: o, arrived: now}
+	req := &request{Offer: o, arrived: now, contents: o.contents()}
 	if o.Running != "" {
 		b.adopt(now, req)
 		return
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -166,7 +166,7 @@
 			p.queue = slices.Delete(p.queue, i, i+1)
 			continue
 		}
-		stage, mayRun := b.suspects.Stage(r.now, req.ID, req.contents())
+		stage, mayRun := b.suspects.Stage(r.now, req.ID, req.contents)
 		if !mayRun {
 			// Not counted as skipped either.
 			i++
--- a/core/broker/suspect.go
+++ b/core/broker/suspect.go
@@ -32,7 +32,7 @@
 // recordCrash learns from the end of a request. A lost connection is held against the
 // request's contents, a complete answer clears them.
 func (b *Broker) recordCrash(now time.Duration, req *request, e End) {
-	contents := req.contents()
+	contents := req.contents
 	b.suspects.EndTrial(now, req.ID, contents)
 	switch {
 	case e.Outcome == Completed:
@@ -59,7 +59,7 @@
 // did. Only the broker of all entries tries a content again after its quarantine: each entry
 // by itself would try it once.
 func (b *Broker) refuseQuarantined(now time.Duration, req *request) bool {
-	left := b.suspects.RefusedFor(now, req.contents(), b.share < 1)
+	left := b.suspects.RefusedFor(now, req.contents, b.share < 1)
 	if left > 0 {
 		b.refuse(req, Quarantined, left, "upstreams crashed under several requests with a content of this one")
 	}
@@ -72,7 +72,7 @@
 	if stage == suspects.Clear {
 		return
 	}
-	end := b.suspects.StartTrial(now, req.ID, req.contents(), first)
+	end := b.suspects.StartTrial(now, req.ID, req.contents, first)
 	u.trialEnd = max(u.trialEnd, end)
 	if stage == suspects.LastTrial {
 		u.lastTrialEnd = max(u.lastTrialEnd, end)
