suspects: bound what one caller can add

Cause: a caller may name hundreds of parts in a prompt, each of which would be a suspect after a crash. Change: an offer names 64 parts at most, and a tracker suspects 10,000 contents at most. RefusedFor takes mayRetry instead of its opposite.

--- a/core/broker/suspect.go
+++ b/core/broker/suspect.go
@@ -59,7 +59,7 @@
 // did. Only the broker of all entries tries a content again after its quarantine: each entry
 // by itself would try it once.
 func (b *Broker) refuseQuarantined(now time.Duration, req *request) bool {
-	left := b.suspects.RefusedFor(now, req.contents, b.share < 1)
+	left := b.suspects.RefusedFor(now, req.contents, b.share == 1)
 	if left > 0 {
 		b.refuse(req, Quarantined, left, "upstreams crashed under several requests with a content of this one")
 	}
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -129,7 +129,7 @@
 		out.Refusals = append(out.Refusals, *d.refuse(now, r.offer, Quarantined, left, "the content was in flight at two crashes of upstreams"))
 		return true
 	}
-	if left := d.prefixes.RefusedFor(now, r.offer.Blocks, false); left > 0 {
+	if left := d.prefixes.RefusedFor(now, r.offer.Blocks, true); left > 0 {
 		d.removeQueued(r)
 		out.Refusals = append(out.Refusals, *d.refuse(now, r.offer, Quarantined, left, quarantinedPrefixReason))
 		return true
--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -134,7 +134,7 @@
 	if verdict == quarantine.Quarantined && o.RunningOn == "" {
 		return d.refuse(now, o, Quarantined, left, "the content was in flight at two crashes of upstreams")
 	}
-	if left := d.prefixes.RefusedFor(now, o.Blocks, false); left > 0 && o.RunningOn == "" {
+	if left := d.prefixes.RefusedFor(now, o.Blocks, true); left > 0 && o.RunningOn == "" {
 		return d.refuse(now, o, Quarantined, left, quarantinedPrefixReason)
 	}
 	usage := &d.tier(o.Tier).workspace(o.Workspace, o.Weight).usage
--- a/core/suspects/suspects.go
+++ b/core/suspects/suspects.go
@@ -37,7 +37,7 @@
 	suspectTTL = 2 * time.Minute
 	// quarantineMemory is how long a content that was in quarantine stays suspected.
 	quarantineMemory = 24 * time.Hour
-	// maxSuspects is the number of suspects at which expired ones are removed.
+	// maxSuspects bounds the suspects; no further content is suspected beyond it.
 	maxSuspects = 10_000
 	// crashSpread is the time within which upstreams that are lost together are reported.
 	// No trial begins within it after the second crash and later ones; after the first, the
@@ -130,6 +130,9 @@
 	out := []Suspect{}
 	for _, c := range contents {
 		s := t.find(now, c)
+		if s == nil && len(t.suspects) >= maxSuspects {
+			continue
+		}
 		if s == nil {
 			s = &suspect[ID]{Suspect: Suspect{Content: c, Together: contents}}
 			t.suspects[c] = s
@@ -182,8 +185,8 @@
 }
 
 // RefusedFor returns how long requests with these contents are still refused; zero if they
-// are not. After a quarantine one request is tried again, unless never is set.
-func (t *Tracker[ID]) RefusedFor(now time.Duration, contents []uint64, never bool) time.Duration {
+// are not. After a quarantine one request is tried again if mayRetry is set.
+func (t *Tracker[ID]) RefusedFor(now time.Duration, contents []uint64, mayRetry bool) time.Duration {
 	if len(t.suspects) == 0 {
 		return 0
 	}
@@ -193,7 +196,7 @@
 		if s == nil || !s.isAtFault(contents) {
 			continue
 		}
-		if left := s.RefusedUntil - now; left > 0 || never {
+		if left := s.RefusedUntil - now; left > 0 || !mayRetry {
 			longest = max(longest, left, minQuarantine)
 		}
 	}
--- a/core/suspects/suspects_test.go
+++ b/core/suspects/suspects_test.go
@@ -18,7 +18,7 @@
 }
 
 func refused(t *Tracker[int], now time.Duration, contents ...uint64) bool {
-	return t.RefusedFor(now, contents, false) > 0
+	return t.RefusedFor(now, contents, true) > 0
 }
 
 func TestContentIsRefusedAfterCrashesInTurn(t *testing.T) {
@@ -29,7 +29,7 @@
 	require.True(t, refused(x, now, 1, 5))
 	require.False(t, refused(x, now, 5))
 	require.False(t, refused(x, now+minQuarantine, 1), "one request is tried again")
-	require.Positive(t, x.RefusedFor(now+minQuarantine, []uint64{1}, true))
+	require.Positive(t, x.RefusedFor(now+minQuarantine, []uint64{1}, false))
 	now = crash(x, now+minQuarantine, 1, 1)
 	require.True(t, refused(x, now+minQuarantine, 1), "the next quarantine is longer")
 	require.False(t, refused(x, now+quarantineGrowth*minQuarantine, 1))
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -224,14 +224,18 @@
 	return o
 }
 
-// partIDBase is the base in which the ID of a part is hashed.
-const partIDBase = 16
+const (
+	// partIDBase is the base in which the ID of a part is hashed.
+	partIDBase = 16
+	// maxSharedParts bounds the parts that an offer names.
+	maxSharedParts = 64
+)
 
 // sharedParts returns hashes of the parts of the prompt that it may share with others, by
-// pool: all but the last one.
+// pool: the first ones, without the last.
 func (q *request) sharedParts() []uint64 {
 	out := []uint64{}
-	for i := range max(0, len(q.meta.PromptParts)-1) {
+	for i := range min(maxSharedParts, max(0, len(q.meta.PromptParts)-1)) {
 		out = append(out, hashText(q.pool+"\x00"+strconv.FormatUint(q.meta.PromptParts[i].ID, partIDBase)))
 	}
 	return out
