Test: endless bytes are cut off before the deadline, not within two seconds

Change: the bound was of the test's own making. Instead the route has a deadline of a minute, and the answer must be that of the cut-off (502 or the other upstream's), not of the deadline (504); the bound on bytes stays.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/core/routes"
 )
 
 const (
@@ -48,6 +49,16 @@
 	streamHead = sealedHead + "Content-Type: text/event-stream\r\n\r\n"
 )
 
+// patientTable returns the test table with a deadline that no cut-off comes near, also on a
+// busy machine. What takes time in the square of the bytes does not meet it.
+func patientTable() *routes.Table {
+	t := testTable()
+	for i := range t.Routes {
+		t.Routes[i].TimeoutMS = time.Minute.Milliseconds()
+	}
+	return t
+}
+
 // TestEndlessBytesAreCutOff guards against an entry that runs out of memory, or of processor
 // time, at an upstream which sends bytes that are no answer for as long as the connection is
 // open.
@@ -75,10 +86,9 @@
 				}
 				sent := &atomic.Int64{}
 				r := newTestEntry(t, newUpstream(t, sendEndless(sent, c.beginning, c.text)), newUpstream(t, respondWith(http.StatusOK, "", "whole")))
-				started := time.Now()
+				r.service.view = testView{routes.NewIndex(patientTable())}
 				result := r.call(route, "body")
-				require.Equal(t, status, result.status, route)
-				require.Less(t, time.Since(started), 2*time.Second, route)
+				require.Equal(t, status, result.status, "it is cut off long before the deadline; %s", route)
 				require.Less(t, sent.Load(), int64(maxResponseBytes+kernelBytes), "bytes that the upstream could send; %s", route)
 				require.NotContains(t, r.brokerClient.outcomes(), broker.ConnectionLost, "an upstream that sends is not lost; %s", route)
 			}
