--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -66,6 +66,11 @@
 	// wants no requests of this entry; zero if the response is no refusal that says so.
 	Leaving    bool
 	RetryAfter time.Duration
+	// Limit is the number of requests a second that the upstream takes from all entries
+	// together; nil if it names none. InvalidLimit is set if it names one that can't be
+	// read.
+	Limit        *float64
+	InvalidLimit bool
 }
 
 // Dialect translates between metadata and the header fields of callers and
--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -67,6 +67,9 @@
 	if m.Misdirected {
 		return
 	}
+	if m.Limit != nil || m.InvalidLimit {
+		a.s.log.Info("upstream names a limit", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.Int64("born", a.ticket.Born), zap.Float64p("per_second", m.Limit))...)
+	}
 	leaves, pauses := a.s.notices.record(time.Now(), a.process(), m)
 	if leaves {
 		a.s.log.Info("upstream leaves", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.Int64("born", a.ticket.Born))...)
