broker: the limit that an upstream names holds over all entries

Cause: hypothesis 1, nothing read the limit. The entry passes the limit on with the answer's header, the broker grants from one bucket an upstream, the roster carries it to all entries and followers, each new broker hears it before it grants, and entries without a broker take turns. Why it works: every request to an upstream needs a grant, so the broker's bucket is exact, and the turns of entries never add up to more than the half that upstreams bear above their limit.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -240,6 +240,8 @@
 	pools    map[string]*pool
 	buckets  map[string]*limits.Bucket
 	suspects *suspects.Tracker[ID]
+	// limiters holds, by upstream, what upstreams said of the requests that they take.
+	limiters map[string]*limiter
 	// streams holds the streams that may be resumed; nextStreamSweep is when expired ones
 	// are next removed.
 	streams         map[uint64]StreamOrigin
@@ -272,7 +274,7 @@
 func New(share float64) *Broker {
 	return &Broker{
 		requests: map[ID]*request{}, pools: map[string]*pool{}, buckets: map[string]*limits.Bucket{},
-		suspects: suspects.New[ID](), streams: map[uint64]StreamOrigin{}, share: share,
+		suspects: suspects.New[ID](), limiters: map[string]*limiter{}, streams: map[uint64]StreamOrigin{}, share: share,
 	}
 }
 
@@ -517,6 +519,9 @@
 	if e.Outcome == NotSent || e.Outcome == Rejected || e.Outcome == Misdirected || e.Outcome == Unreachable {
 		b.refund(req)
 	}
+	if e.Outcome == NotSent || e.Outcome == Unreachable {
+		req.assigned.refundLimit(b.share)
+	}
 	b.recordCrash(now, req, e)
 	p := b.pool(req.Pool)
 	p.release(req)
@@ -593,6 +598,11 @@
 	for name, members := range byPool {
 		b.pool(name).setUpstreams(members, b.engine(name), b.name)
 	}
+	for _, p := range b.pools {
+		for _, u := range p.order {
+			u.limiter = b.limiters[u.ID]
+		}
+	}
 }
 
 // engine returns the declared engine of a pool, or nil for a plain service.
@@ -666,6 +676,9 @@
 	Leaving     bool    `json:"leaving"`
 	Silent      bool    `json:"silent"`
 	Software    string  `json:"software,omitempty"`
+	// LimitPerSecond is the limit that the upstream names, in requests a second; absent if
+	// it names none.
+	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
 }
 
 // Dump returns the state of all pools.
@@ -678,7 +691,7 @@
 		}
 		for _, u := range p.order {
 			d.Upstreams = append(d.Upstreams, UpstreamDump{
-				ID: u.ID, InFlight: len(u.inFlight), Slots: u.Slots, TokenMS: 1000 * u.times.tokenTime, CallMS: 1000 * u.times.callTime,
+				LimitPerSecond: u.namedLimit(), ID: u.ID, InFlight: len(u.inFlight), Slots: u.Slots, TokenMS: 1000 * u.times.tokenTime, CallMS: 1000 * u.times.callTime,
 				FailureRate: u.health.failureRate, Leaving: u.isLeaving(), Silent: u.Silent, Software: u.SoftwareVersion,
 			})
 		}
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -97,10 +97,15 @@
 	// fallback is the single upstream that the broker uses if its share amounts to
 	// no slot on any upstream; nil otherwise.
 	fallback *upstream
-	// slots is the number of this broker's slots on all available upstreams.
-	slots int
+	// slots is the number of this broker's slots on all available upstreams; of those with
+	// a limit, as many as the limit keeps busy.
+	slots float64
+	// limitWait is the time until an upstream takes a request, if all available ones have
+	// reached their limits; zero otherwise.
+	limitWait time.Duration
 	// minTokenTime is the time per token of the fastest upstream, in seconds;
-	// minCallTimes holds the call times of the fastest upstream of each region.
+	// minCallTimes holds the call times of the fastest upstream of each region. Upstreams
+	// that have reached their limits count only if all have.
 	minTokenTime float64
 	minCallTimes map[string]float64
 }
@@ -109,32 +114,64 @@
 func (p *pool) newRound(now time.Duration, share float64) *round {
 	r := &round{now: now, share: share, open: p.open[:0], minCallTimes: map[string]float64{}}
 	lowest := (*upstream)(nil)
+	atLimit := []*upstream{}
 	for _, u := range p.order {
 		if u.isLeaving() || u.health.isUnavailable(now) {
 			continue
 		}
 		capacity := u.capacity(now, share)
-		r.slots += capacity
-		if len(u.inFlight) < capacity {
-			r.open = append(r.open, u)
-		}
-		r.minTokenTime = shortest(r.minTokenTime, p.tokenTime(u))
-		r.minCallTimes[u.Region] = shortest(r.minCallTimes[u.Region], p.callTime(u))
+		r.slots += p.usableSlots(u, capacity, share)
 		if lowest == nil || u.roundingPoint < lowest.roundingPoint {
 			lowest = u
 		}
+		if u.limitWait(now, share) > 0 {
+			atLimit = append(atLimit, u)
+			continue
+		}
+		if len(u.inFlight) < capacity {
+			r.open = append(r.open, u)
+		}
+		r.addTimes(p, u)
+	}
+	if len(r.minCallTimes) == 0 {
+		r.useLimited(p, atLimit)
 	}
 	if r.slots == 0 && lowest != nil {
 		// The share is no slot on any upstream: use one upstream, so that every
 		// entry can make progress.
 		r.fallback, r.slots = lowest, 1
-		if len(lowest.inFlight) == 0 {
+		if len(lowest.inFlight) == 0 && lowest.limitWait(now, share) == 0 {
 			r.open = append(r.open, lowest)
 		}
 	}
 	return r
 }
 
+// usableSlots returns how many of an upstream's slots can be kept busy.
+func (p *pool) usableSlots(u *upstream, capacity int, share float64) float64 {
+	if !u.isLimited() {
+		return float64(capacity)
+	}
+	return min(float64(capacity), u.limitedSlots(share, p.slotTimes))
+}
+
+// addTimes includes an upstream in the times of the fastest ones.
+func (r *round) addTimes(p *pool, u *upstream) {
+	r.minTokenTime = shortest(r.minTokenTime, p.tokenTime(u))
+	r.minCallTimes[u.Region] = shortest(r.minCallTimes[u.Region], p.callTime(u))
+}
+
+// useLimited bases the estimates on upstreams that have reached their limits, since there are
+// no others.
+func (r *round) useLimited(p *pool, atLimit []*upstream) {
+	for i, u := range atLimit {
+		r.addTimes(p, u)
+		if wait := u.limitWait(r.now, r.share); i == 0 || wait < r.limitWait {
+			r.limitWait = wait
+		}
+	}
+}
+
 // shortest returns the smaller of two times, or other if known is zero.
 func shortest(known, other float64) float64 {
 	if known == 0 {
@@ -145,7 +182,7 @@
 
 // closeIfFull removes an upstream from the open ones if it has no free slot left.
 func (r *round) closeIfFull(u *upstream) {
-	if u != r.fallback && len(u.inFlight) < u.capacity(r.now, r.share) {
+	if u != r.fallback && len(u.inFlight) < u.capacity(r.now, r.share) && u.limitWait(r.now, r.share) == 0 {
 		return
 	}
 	r.open = slices.DeleteFunc(r.open, func(o *upstream) bool { return o == u })
@@ -182,6 +219,7 @@
 		p.queue = slices.Delete(p.queue, i, i+1)
 		p.admissions.record(r.now, req, true, 0)
 		p.assign(r.now, req, u)
+		u.spendLimit(r.now, r.share)
 		b.startTrial(r.now, req, u, stage, first)
 		b.recordStream(r.now, req, u.SoftwareVersion)
 		r.closeIfFull(u)
@@ -289,7 +327,7 @@
 			p.queue = slices.Delete(p.queue, i, i+1)
 			continue
 		}
-		wait := p.queueWait(r.now, req, ahead, float64(r.slots))
+		wait := r.limitWait + p.queueWait(r.now, req, ahead, r.slots)
 		first := r.now + wait + p.transits.grant(req) + p.minTimeToFirstEvent(r, req)
 		switch {
 		case first <= req.LatencyTarget-estimateMargin(req), req.late && first <= req.LatestUseful:
@@ -301,7 +339,7 @@
 			p.admissions.record(r.now, req, true, 0)
 			late = append(late, req)
 		default:
-			reason := fmt.Sprintf("%d ms of waiting behind %.1f s of work on %d slots would be too late", wait.Milliseconds(), ahead, r.slots)
+			reason := fmt.Sprintf("%d ms of waiting behind %.1f s of work on %.4g slots would be too late", wait.Milliseconds(), ahead, r.slots)
 			p.admissions.record(r.now, req, false, wait)
 			b.refuse(req, Overloaded, RetryDelay(req.ID.Number, wait), reason)
 		}
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -24,6 +24,8 @@
 	times    poolTimes
 	transits transits
 	load     load
+	// slotTimes is a moving average of how long requests hold a slot, in seconds.
+	slotTimes float64
 	// admissions counts the fate of new requests.
 	admissions admissions
 	// lastServed is the time of the last round that had slots, or of the first round.
@@ -54,6 +56,8 @@
 	roundingPoint float64
 	sessions      sessionCache
 	notices       notices
+	// limiter holds what the upstream said of the requests that it takes; nil if nothing.
+	limiter *limiter
 	// trialEnd is when the last trial of a request on the upstream ends, lastTrialEnd the
 	// same for requests in that stage.
 	trialEnd     time.Duration
@@ -94,7 +98,9 @@
 
 // enqueue adds a new request to the queue and to the load average.
 func (p *pool) enqueue(now time.Duration, req *request) {
-	p.load.add(now, req.Rank, p.slotTime(req))
+	slotTime := p.slotTime(req)
+	p.slotTimes = movingAverage(p.slotTimes, slotTime, poolWeight)
+	p.load.add(now, req.Rank, slotTime)
 	p.insert(req)
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -257,9 +257,12 @@
 		s.metrics.leadershipStarts.Inc()
 	}
 	s.log.Info("broker changed", zap.Bool("leads", leads), zap.Int("entries", len(s.sessions)))
-	quarantined := s.core.QuarantinedContents(s.now())
+	quarantined, limits := s.core.QuarantinedContents(s.now()), s.core.Limits()
 	s.core = newCore(s.set)
 	s.core.LearnSuspects(s.now(), quarantined)
+	for _, l := range limits {
+		s.core.LearnLimit(s.now(), l)
+	}
 	s.tableVersion = 0
 	s.rosterReadAt = time.Time{}
 	// Send the entries the new state at once, so that they offer all waiting and
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -198,6 +198,7 @@
 			s.relay.estimates[e.Id] = l
 		}
 	}
+	s.learnRosterLimits(r.State.Roster)
 	for _, x := range brokerwire.DecodeShedding(r.Shedding) {
 		s.relay.shedding[poolRank{x.Pool, uint32(x.Rank)}] = shedding{wait: x.Wait, until: time.Now().Add(sheddingDuration)}
 	}
@@ -250,7 +251,7 @@
 func (s *Service) forward(entry string, x *session, ask *rpc.BrokerAsk) {
 	s.refuseShed(x, ask)
 	x.complete = x.complete || ask.Complete
-	if !x.complete || len(ask.Offers)+len(ask.Ends)+len(ask.Cancels)+len(ask.Quotas) == 0 && !ask.Complete {
+	if !x.complete || len(ask.Offers)+len(ask.Ends)+len(ask.Cancels)+len(ask.Quotas)+len(ask.Limits) == 0 && !ask.Complete {
 		return
 	}
 	if len(s.relay.asks) >= maxRelayedAsks {
--- a/internal/broker/relay_test.go
+++ b/internal/broker/relay_test.go
@@ -115,6 +115,8 @@
 	refused map[uint64]string
 	// suspects holds the crashes held against each content, as the entry was told.
 	suspects map[uint64]uint32
+	// limits holds the newest limit of each upstream that the entry was told.
+	limits map[string]*rpc.UpstreamLimit
 	// losses counts the times that the daemon ceased to grant.
 	losses int
 }
@@ -126,7 +128,7 @@
 	t.Cleanup(cancel)
 	stream, err := rpc.NewDRPCBrokerClient(l.Conn(address)).Session(ctx)
 	require.NoError(t, err)
-	e := &fakeEntry{t: t, stream: stream, end: cancel, granted: map[uint64]bool{}, refused: map[uint64]string{}, suspects: map[uint64]uint32{}}
+	e := &fakeEntry{t: t, stream: stream, end: cancel, granted: map[uint64]bool{}, refused: map[uint64]string{}, suspects: map[uint64]uint32{}, limits: map[string]*rpc.UpstreamLimit{}}
 	e.send(first)
 	go func() {
 		for {
@@ -135,6 +137,9 @@
 				return
 			}
 			e.mu.Lock()
+			for _, u := range r.Roster {
+				e.limits[u.Id] = u.Limit
+			}
 			if e.last != nil && e.last.Leads && !r.Leads {
 				e.losses++
 			}
--- a/internal/broker/rosterupdates.go
+++ b/internal/broker/rosterupdates.go
@@ -76,7 +76,7 @@
 		if full && e.Gone || !full && s.announcedAt[id].Before(x.outdatedSince) {
 			continue
 		}
-		r.Roster = append(r.Roster, e)
+		r.Roster = append(r.Roster, s.withLimitAge(e))
 		if len(r.Roster) == maxRosterPart {
 			x.send(r)
 			r = s.reply(x)
@@ -98,6 +98,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		current := brokerwire.EncodeUpstream(e, learned[e.ID])
+		current.Limit = s.encodeLimit(e.ID)
 		listed[e.ID] = true
 		if old := s.announced[e.ID]; old != nil && !rosterChanged(old, current) && !(estimatesChanged(old, current) && s.rosterReadAt.Sub(s.announcedAt[e.ID]) >= estimatesInterval) {
 			continue
@@ -124,11 +125,11 @@
 	}
 }
 
-// rosterChanged reports whether an upstream changed in what its heartbeats say, which is
-// sent to entries at once.
+// rosterChanged reports whether an upstream changed in what its heartbeats and answers say,
+// which is sent to entries at once.
 func rosterChanged(old, current *rpc.RosterEntry) bool {
 	return old.Address != current.Address || old.Born != current.Born || old.Pool != current.Pool || old.Slots != current.Slots || old.Leaving != current.Leaving ||
-		old.Gone != current.Gone || old.Silent != current.Silent || old.DataCentre != current.DataCentre || old.SoftwareVersion != current.SoftwareVersion
+		old.Gone != current.Gone || old.Silent != current.Silent || old.DataCentre != current.DataCentre || old.SoftwareVersion != current.SoftwareVersion || limitChanged(old.Limit, current.Limit)
 }
 
 // estimatesChanged reports whether what the broker learned about an upstream changed so much
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -159,7 +159,10 @@
 	case s.leads:
 		s.apply(entry, ask)
 	case s.relay.up && x.relayable:
+		s.learnLimits(ask.Limits)
 		s.forward(entry, x, ask)
+	default:
+		s.learnLimits(ask.Limits)
 	}
 }
 
@@ -176,6 +179,7 @@
 		s.core.LearnStreams(now, brokerwire.DecodeStreams(now, ask.Streams))
 	}
 	s.core.LearnSuspects(now, brokerwire.DecodeSuspects(now, ask.Suspects))
+	s.learnLimits(ask.Limits)
 	s.core.LowerQuotas(now, brokerwire.DecodeQuotaLevels(ask.Quotas))
 	s.core.SpendQuotas(now, brokerwire.DecodeQuotaUse(ask.Quotas))
 	if ask.Complete {
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -216,7 +216,7 @@
 	if wasAttached {
 		s.metrics.brokerLost.Inc()
 	}
-	s.pending.Offers, s.pending.Complete, s.pending.Streams, s.pending.Suspects = nil, false, nil, nil
+	s.pending.Offers, s.pending.Complete, s.pending.Streams, s.pending.Suspects, s.pending.Limits = nil, false, nil, nil, nil
 	now := s.now()
 	if s.localStale {
 		s.updateLocalBroker()
@@ -345,7 +345,7 @@
 // send sends what is pending; an empty message is a heartbeat.
 func (s *Service) send(stream rpc.DRPCBroker_SessionClient) error {
 	s.mu.Lock()
-	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels, Quotas: s.pending.Quotas, Complete: s.pending.Complete, Streams: s.pending.Streams, Suspects: s.pending.Suspects}
+	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels, Quotas: s.pending.Quotas, Complete: s.pending.Complete, Streams: s.pending.Streams, Suspects: s.pending.Suspects, Limits: s.pending.Limits}
 	s.pending = rpc.BrokerAsk{}
 	s.mu.Unlock()
 	return stream.Send(ask)
@@ -485,6 +485,7 @@
 	s.pending.Quotas = s.quotaReport(term)
 	s.pending.Streams = brokerwire.EncodeStreams(now, s.local.Streams(now))
 	s.pending.Suspects = brokerwire.EncodeSuspects(now, s.local.QuarantinedContents(now))
+	s.pending.Limits = brokerwire.EncodeLimits(now, s.local.Limits())
 	for _, a := range s.running {
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(now, a.offer))
 	}
@@ -519,6 +520,7 @@
 	for _, e := range r.Roster {
 		s.updateEntry(e)
 	}
+	s.learnRosterLimits(r.Roster)
 	s.localStale = s.localStale || r.RosterSet || len(r.Roster) > 0
 	if s.localStale && (!s.attached || s.now()-s.localUpdated > localUpdateInterval) {
 		s.updateLocalBroker()
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -100,6 +100,28 @@
 	return out
 }
 
+// EncodeLimit encodes what an upstream said of the requests that it takes, relative to the
+// given time.
+func EncodeLimit(now time.Duration, l broker.RequestLimit) *rpc.UpstreamLimit {
+	return &rpc.UpstreamLimit{Upstream: l.Upstream, Born: l.Born, Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: milliseconds(now - l.AskedAt)}
+}
+
+// DecodeLimit decodes what an upstream said, received at the given time; nil says nothing.
+func DecodeLimit(now time.Duration, l *rpc.UpstreamLimit) broker.RequestLimit {
+	return broker.RequestLimit{
+		Upstream: l.GetUpstream(), Born: l.GetBorn(), Limited: l.GetLimited(), PerSecond: l.GetPerSecond(), AskedAt: now - duration(l.GetAgeMs()),
+	}
+}
+
+// EncodeLimits encodes what upstreams said, relative to the given time.
+func EncodeLimits(now time.Duration, list []broker.RequestLimit) []*rpc.UpstreamLimit {
+	out := make([]*rpc.UpstreamLimit, 0, len(list))
+	for _, l := range list {
+		out = append(out, EncodeLimit(now, l))
+	}
+	return out
+}
+
 // EncodeGrant encodes a grant.
 func EncodeGrant(g broker.Grant) *rpc.WorkGrant {
 	return &rpc.WorkGrant{
--- a/internal/brokerwire/log.go
+++ b/internal/brokerwire/log.go
@@ -18,3 +18,8 @@
 		zap.String("content", strconv.FormatUint(x.Content, hexadecimal)), zap.Int("crashes", x.Crashes), zap.Bool("quarantined", x.Quarantined),
 	}
 }
+
+// LimitFields returns the log fields of an upstream's limit.
+func LimitFields(l broker.RequestLimit) []zap.Field {
+	return []zap.Field{zap.String("upstream", l.Upstream), zap.Int64("born", l.Born), zap.Bool("limited", l.Limited), zap.Float64("per_second", l.PerSecond)}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -243,6 +243,7 @@
 		a.recordNotices(meta)
 		if meta.RequestID == "" || meta.RequestID == a.meta.RequestID {
 			a.resp, a.respMeta = resp, meta
+			a.reportLimit(meta)
 			return a.checkResponse()
 		}
 		a.s.log.Info("answer to another request skipped", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("answers", meta.RequestID))...)
--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -67,9 +67,6 @@
 	if m.Misdirected {
 		return
 	}
-	if m.Limit != nil || m.InvalidLimit {
-		a.s.log.Info("upstream names a limit", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.Int64("born", a.ticket.Born), zap.Float64p("per_second", m.Limit))...)
-	}
 	leaves, pauses := a.s.notices.record(time.Now(), a.process(), m)
 	if leaves {
 		a.s.log.Info("upstream leaves", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.Int64("born", a.ticket.Born))...)
@@ -79,3 +76,20 @@
 			zap.Duration("retry_after", m.RetryAfter))...)
 	}
 }
+
+// reportLimit passes on what the response says of the requests that the upstream takes from
+// all entries together. An invalid limit says nothing.
+func (a *upstreamAttempt) reportLimit(m ResponseMeta) {
+	if m.Misdirected {
+		return
+	}
+	if m.InvalidLimit {
+		a.s.log.Warn("upstream names a limit that is no number; the last one holds", a.logFields(zap.String("upstream", a.ticket.Upstream))...)
+		return
+	}
+	l := broker.RequestLimit{Upstream: a.ticket.Upstream, Born: a.ticket.Born}
+	if m.Limit != nil {
+		l.Limited, l.PerSecond = true, *m.Limit
+	}
+	a.s.brokerClient.ReportLimit(l, a.sentAt)
+}
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -33,6 +33,8 @@
 
 func (b *scriptedBroker) Entries() int { return 1 }
 
+func (b *scriptedBroker) ReportLimit(broker.RequestLimit, time.Time) {}
+
 func (b *scriptedBroker) Acquire(ctx context.Context, o port.BrokerOffer) (port.BrokerTicket, error) {
 	b.mu.Lock()
 	b.offers = append(b.offers, o)
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -186,6 +186,8 @@
 
 func (c *testBrokerClient) Entries() int { return 1 }
 
+func (c *testBrokerClient) ReportLimit(broker.RequestLimit, time.Time) {}
+
 func (c *testBrokerClient) outcomes() []broker.Outcome {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -342,6 +342,9 @@
 	// Acquire waits for a grant. Its error is the context's, or a *fault.Error of a
 	// request that did not run.
 	Acquire(ctx context.Context, o BrokerOffer) (BrokerTicket, error)
+	// ReportLimit records what an upstream said of the requests that it takes, in its
+	// response to a request that was sent at the given time.
+	ReportLimit(l broker.RequestLimit, sentAt time.Time)
 	// Entries returns the number of entries that share the global limits, at least
 	// 1.
 	Entries() int
