egress: connections to upstreams are opened by a service of their own

Cause: the entry's pool of connections opened them by itself, so that no test could take the way to the upstreams from one entry of several, and no other way could be added. Change: package internal/egress, found by its name; no change of behaviour. The test of socket options moves with the code. Measured: the tests of forward, egress, daemon and platform pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/directory"
 	"github.com/verbenastep/verbenastep/internal/dispatch"
+	"github.com/verbenastep/verbenastep/internal/egress"
 	"github.com/verbenastep/verbenastep/internal/entry"
 	"github.com/verbenastep/verbenastep/internal/eventlog"
 	"github.com/verbenastep/verbenastep/internal/forward"
@@ -88,7 +89,7 @@
 	}
 	out := []kernel.Service{}
 	if set.Addresses.Callers != "" {
-		out = append(out, brokerclient.New(set, log, self), forward.New(set, log))
+		out = append(out, brokerclient.New(set, log, self), egress.New(), forward.New(set, log))
 	}
 	if set.IsControlDaemon() {
 		out = append(out, tables.New(log), roster.New(set, log), broker.New(set, log))
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -12,12 +12,10 @@
 	"time"
 
 	"github.com/verbenastep/verbenastep/internal/clock"
+	"github.com/verbenastep/verbenastep/internal/port"
 )
 
 const (
-	// dialTimeout bounds the setup of a connection to an upstream. It covers two
-	// round trips between regions, the handshake and a long accept queue.
-	dialTimeout = 400 * time.Millisecond
 	// maxIdleTime is the longest idle time after which a connection is reused for
 	// a repeatable request. maxIdleTimeAtMostOnce is the same for other requests, which
 	// are lost if the upstream closes the connection at the same moment.
@@ -29,41 +27,19 @@
 	// maxIdleConns bounds the idle connections to one upstream, which seldom runs
 	// more requests of one entry concurrently.
 	maxIdleConns = 8
-	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a connection that
-	// the network has dropped: one to a caller within about two seconds, one to an
-	// upstream, which may be silent for a second or two and go on, within four.
-	keepAliveIdle             = time.Second
-	keepAliveInterval         = 500 * time.Millisecond
-	upstreamKeepAliveInterval = time.Second
-	keepAliveCount            = 3
-	// userTimeout and upstreamUserTimeout bound the time for which sent bytes may stay
-	// unacknowledged.
-	userTimeout         = 2 * time.Second
-	upstreamUserTimeout = 4 * time.Second
-	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux.
-	tcpUserTimeout  = 0x12
-	readBufferBytes = 4 << 10
+	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a connection to a caller
+	// that the network has dropped within about two seconds. userTimeout bounds the time for
+	// which sent bytes may stay unacknowledged.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveCount    = 3
+	userTimeout       = 2 * time.Second
+	readBufferBytes   = 4 << 10
 )
 
-// keepAlive returns the TCP keep-alive settings of a connection that is probed at an
-// interval.
-func keepAlive(interval time.Duration) net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: interval, Count: keepAliveCount}
-}
-
-// setUserTimeout returns a function that sets the TCP user timeout, which bounds the
-// kernel's retransmissions, on a socket.
-func setUserTimeout(timeout time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		err := error(nil)
-		controlErr := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
-		})
-		if controlErr != nil {
-			return controlErr
-		}
-		return err
-	}
+// callerKeepAlive returns the TCP keep-alive settings of callers' connections.
+func callerKeepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
 // conn is a connection to an upstream; it carries one request at a time.
@@ -119,7 +95,7 @@
 
 // connPool holds idle connections by address. It is safe for concurrent use.
 type connPool struct {
-	dialer net.Dialer
+	egress port.Egress
 	// elapsed counts suspensions of the machine, in which an upstream may close a
 	// connection unnoticed.
 	elapsed func() time.Duration
@@ -129,11 +105,8 @@
 	onDial func()
 }
 
-func newConnPool(onDial func()) *connPool {
-	return &connPool{
-		dialer:  net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(upstreamKeepAliveInterval), Control: setUserTimeout(upstreamUserTimeout)},
-		elapsed: clock.SinceBoot, idle: map[string][]*conn{}, onDial: onDial,
-	}
+func newConnPool(egress port.Egress, onDial func()) *connPool {
+	return &connPool{egress: egress, elapsed: clock.SinceBoot, idle: map[string][]*conn{}, onDial: onDial}
 }
 
 // get returns an idle connection that can be reused, or a new one. atMostOnce is set
@@ -151,7 +124,7 @@
 		_ = c.Close()
 	}
 	p.onDial()
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.egress.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -25,6 +25,7 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/internal/clock"
+	"github.com/verbenastep/verbenastep/internal/egress"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/logging"
 	"github.com/verbenastep/verbenastep/internal/port"
@@ -84,7 +85,7 @@
 
 // Needs returns the services that take part in serving a request.
 func (s *Service) Needs() []string {
-	return []string{port.NameView, port.NameBrokerClient, port.NameMembers, port.NameDialect, port.NameMetrics}
+	return []string{port.NameView, port.NameBrokerClient, port.NameMembers, port.NameDialect, port.NameEgress, port.NameMetrics}
 }
 
 // Start begins to listen for callers and to serve their requests.
@@ -109,9 +110,13 @@
 	if s.metrics, err = newMetrics(registry.Registerer()); err != nil {
 		return err
 	}
-	s.conns = newConnPool(s.metrics.connections.Inc)
+	upstreams, err := kernel.Find[port.Egress](k, port.NameEgress)
+	if err != nil {
+		return err
+	}
+	s.conns = newConnPool(upstreams, s.metrics.connections.Inc)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	config := net.ListenConfig{KeepAliveConfig: keepAlive(keepAliveInterval), Control: setUserTimeout(userTimeout)}
+	config := net.ListenConfig{KeepAliveConfig: callerKeepAlive(), Control: egress.SetUserTimeout(userTimeout)}
 	if s.listener, err = config.Listen(s.ctx, "tcp", s.set.Addresses.Callers); err != nil {
 		return err
 	}
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -21,6 +21,7 @@
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/internal/egress"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
@@ -244,7 +245,7 @@
 	m, err := newMetrics(prometheus.NewRegistry())
 	require.NoError(t, err)
 	s.view, s.brokerClient, s.dialect, s.metrics = testView{routes.NewIndex(testTable())}, client, testDialect{}, m
-	s.conns = newConnPool(m.connections.Inc)
+	s.conns = newConnPool(egress.New(), m.connections.Inc)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	t.Cleanup(s.cancel)
 	r := &testEntry{t: t, service: s, brokerClient: client, server: httptest.NewServer(s.routes())}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -64,6 +65,8 @@
 	NameBrokerClient = "broker.client"
 	// NameForward forwards callers' requests according to the route table.
 	NameForward = "entry.forward"
+	// NameEgress opens connections to upstreams; see Egress.
+	NameEgress = "entry.egress"
 	// NameDialect maps the header names of callers and upstreams.
 	NameDialect = "entry.dialect"
 )
@@ -350,6 +353,12 @@
 	Entries() int
 }
 
+// Egress opens an entry's connections to upstreams.
+type Egress interface {
+	// Dial opens a connection to the upstream at an address.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
 // BrokerOffer is a request that waits for an upstream.
 type BrokerOffer struct {
 	broker.Offer
