--- a/internal/egress/direct.go
+++ b/internal/egress/direct.go
@@ -26,8 +26,8 @@
 // DialFunc opens a connection to the upstream at an address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// dialDirectly opens a connection from this daemon.
-func dialDirectly(ctx context.Context, address string) (net.Conn, error) {
+// DialDirectly opens a connection from this daemon.
+func DialDirectly(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -18,7 +18,7 @@
 // New returns the service.
 func New() *Service {
 	s := &Service{}
-	s.SetDirect(dialDirectly)
+	s.SetDirect(DialDirectly)
 	return s
 }
 
