egress: an entry without a path to upstreams connects through another one

An entry had no way but its own connections, and the broker took what it reported for the state of the upstreams: three or four reports made each unavailable to all entries ("no upstream serves the pool" at entries that reached all of them). Class: blame that one end of a connection puts on the other without a second witness. Connections go through another entry, which also tells whose fault a failure is; failures of a path concern its entry only. Why it works: whoever connects for the entry is a witness that reached, or did not reach, the same upstream and another one, at the same moment.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -176,11 +176,17 @@
 	TimedOut
 	// InvalidResponse means that the answer was malformed.
 	InvalidResponse
+	// PathUnavailable means that no connection could be established, which is not known to
+	// be the upstream's fault: the entry may be partitioned from it.
+	PathUnavailable
+	// PathLost means that the connection was lost, or stayed silent, while the upstream may
+	// have run the request, and that it is the fault of the entry's path to it.
+	PathLost
 )
 
 // String returns the outcome's name in logs and metrics, "unknown" for other values.
 func (o Outcome) String() string {
-	names := [...]string{"", "done", "not_sent", "canceled", "broken", "full", "misdirected", "unreachable", "failed", "silent", "spoiled"}
+	names := [...]string{"", "done", "not_sent", "canceled", "broken", "full", "misdirected", "unreachable", "failed", "silent", "spoiled", "no_path", "path_lost"}
 	if int(o) >= len(names) {
 		return "unknown"
 	}
@@ -516,10 +522,10 @@
 		return
 	}
 	delete(b.requests, e.ID)
-	if e.Outcome == NotSent || e.Outcome == Rejected || e.Outcome == Misdirected || e.Outcome == Unreachable {
+	if e.Outcome == NotSent || e.Outcome == Rejected || e.Outcome == Misdirected || e.Outcome == Unreachable || e.Outcome == PathUnavailable {
 		b.refund(req)
 	}
-	if e.Outcome == NotSent || e.Outcome == Unreachable {
+	if e.Outcome == NotSent || e.Outcome == Unreachable || e.Outcome == PathUnavailable {
 		req.assigned.refundLimit(b.share)
 	}
 	b.recordCrash(now, req, e)
@@ -527,6 +533,7 @@
 	p.release(req)
 	p.learn(now, req, e)
 	req.assigned.notices.record(now, e.ID.Entry, e)
+	req.assigned.paths.record(now, e.ID.Entry, e.Outcome)
 }
 
 // Resync replaces the state of an entry by the offers that it sends when it
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -194,7 +194,7 @@
 	skipped := 0
 	for i := 0; i < len(p.queue) && skipped < maxSkippedRequests && len(r.open) > 0; {
 		req := p.queue[i]
-		if r.allPaused(req.ID.Entry) {
+		if r.noneOpenTo(req.ID.Entry) {
 			// Not counted as skipped, so that it does not hold up other entries.
 			i++
 			continue
--- a/core/broker/notices.go
+++ b/core/broker/notices.go
@@ -46,7 +46,13 @@
 	return now < u.notices.pausedUntil[entry] && u.Born <= u.notices.born
 }
 
-// allPaused reports whether no open upstream wants requests of an entry now.
-func (r *round) allPaused(entry string) bool {
-	return !slices.ContainsFunc(r.open, func(u *upstream) bool { return !u.isPaused(r.now, entry) })
+// isOpenTo reports whether an upstream wants requests of an entry now, and the entry has a path
+// to it.
+func (u *upstream) isOpenTo(now time.Duration, entry string) bool {
+	return !u.isPaused(now, entry) && !u.paths.contains(now, entry)
+}
+
+// noneOpenTo reports whether no open upstream can get requests of an entry now.
+func (r *round) noneOpenTo(entry string) bool {
+	return !slices.ContainsFunc(r.open, func(u *upstream) bool { return u.isOpenTo(r.now, entry) })
 }
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -58,6 +58,8 @@
 	notices       notices
 	// limiter holds what the upstream said of the requests that it takes; nil if nothing.
 	limiter *limiter
+	// paths holds the entries without a path to the upstream.
+	paths unavailablePaths
 	// trialEnd is when the last trial of a request on the upstream ends, lastTrialEnd the
 	// same for requests in that stage.
 	trialEnd     time.Duration
@@ -196,10 +198,10 @@
 }
 
 // fits reports whether an upstream with a free slot may run a request: its engine
-// has enough memory, it wants requests of the entry, and the request does not avoid it.
+// has enough memory, it wants requests of the entry, which has a path to it, and the request does not avoid it.
 func (p *pool) fits(now time.Duration, u *upstream, req *request) bool {
 	if p.engine != nil && p.engine.MemoryTokens > 0 && len(u.inFlight) > 0 && u.tokens+req.tokens() > p.engine.MemoryTokens {
 		return false
 	}
-	return req.isVersionAllowed(u.SoftwareVersion) && !u.isPaused(now, req.ID.Entry) && !slices.Contains(req.Avoid, u.ID)
+	return req.isVersionAllowed(u.SoftwareVersion) && u.isOpenTo(now, req.ID.Entry) && !slices.Contains(req.Avoid, u.ID)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,7 +89,7 @@
 	}
 	out := []kernel.Service{}
 	if set.Addresses.Callers != "" {
-		out = append(out, brokerclient.New(set, log, self), egress.New(), forward.New(set, log))
+		out = append(out, brokerclient.New(set, log, self), egress.New(set, log), forward.New(set, log))
 	}
 	if set.IsControlDaemon() {
 		out = append(out, tables.New(log), roster.New(set, log), broker.New(set, log))
--- /dev/null
+++ b/internal/egress/check.go
@@ -0,0 +1,123 @@
+package egress
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// verdictTTL is how long the verdict of a check counts; reachedTTL is the same if the
+	// upstream was reached.
+	verdictTTL = 300 * time.Millisecond
+	reachedTTL = 2 * time.Second
+	// checkTimeout bounds a check.
+	checkTimeout = 1500 * time.Millisecond
+	// maxChecks is how many verdicts are kept before old ones are removed.
+	maxChecks = 256
+)
+
+// Verdict says whose fault it is that an upstream did not answer.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Undecided means that no entry could tell.
+	Undecided Verdict = iota
+	// Reachable means that this entry can connect to the upstream.
+	Reachable
+	// PathAtFault means that only other entries can connect to the upstream.
+	PathAtFault
+	// UpstreamAtFault means that the upstream is at fault, as far as can be told.
+	UpstreamAtFault
+)
+
+// check is a check of one upstream. verdict and at are set before done is closed.
+type check struct {
+	done    chan struct{}
+	verdict Verdict
+	at      time.Time
+}
+
+// isRecent reports whether a check that has ended still counts.
+func (c *check) isRecent(now time.Time) bool {
+	ttl := verdictTTL
+	if c.verdict == Reachable {
+		ttl = reachedTTL
+	}
+	return now.Sub(c.at) < ttl
+}
+
+// IsUpstreamAtFault finds out whose fault it is that a connection to the upstream at an address
+// was lost, or that it stays silent. It returns true at once if there is no other entry to ask.
+func (s *Service) IsUpstreamAtFault(address string) bool {
+	if !s.HasHelpers() {
+		return true
+	}
+	v := s.check(address)
+	return v == Reachable || v == UpstreamAtFault
+}
+
+// HasHelpers reports whether there are other entries to connect through.
+func (s *Service) HasHelpers() bool { return len(s.candidates()) > 0 }
+
+// check checks an upstream. Concurrent calls for one address share a check.
+func (s *Service) check(address string) Verdict {
+	s.mu.Lock()
+	c := s.checks[address]
+	if c != nil {
+		select {
+		case <-c.done:
+			if !c.isRecent(time.Now()) {
+				c = nil
+			}
+		default:
+		}
+	}
+	if c == nil {
+		s.trimChecks()
+		c = &check{done: make(chan struct{})}
+		s.checks[address] = c
+		go s.runCheck(c, address)
+	}
+	s.mu.Unlock()
+	<-c.done
+	return c.verdict
+}
+
+// trimChecks removes verdicts that don't count any more if there are many. The caller holds the
+// lock.
+func (s *Service) trimChecks() {
+	if len(s.checks) < maxChecks {
+		return
+	}
+	now := time.Now()
+	for address, c := range s.checks {
+		select {
+		case <-c.done:
+			if !c.isRecent(now) {
+				delete(s.checks, address)
+			}
+		default:
+		}
+	}
+}
+
+func (s *Service) runCheck(c *check, address string) {
+	defer close(c.done)
+	ctx, cancel := context.WithTimeout(s.ctx, checkTimeout)
+	defer cancel()
+	conn, err := s.Dial(ctx, address)
+	c.at = time.Now()
+	failed, isDialError := err.(*DialError)
+	switch {
+	case err == nil && IsTunnel(conn):
+		c.verdict = PathAtFault
+	case err == nil:
+		c.verdict = Reachable
+	case isDialError && failed.IsUpstreamDown():
+		c.verdict = UpstreamAtFault
+	}
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
--- a/internal/egress/direct_test.go
+++ b/internal/egress/direct_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
 // TestUpstreamConnectionOutlivesSilence guards against a request that is lost because the
@@ -18,7 +21,7 @@
 	upstream, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer upstream.Close()
-	c, err := New().Dial(context.Background(), upstream.Addr().String())
+	c, err := New(&settings.Settings{}, zap.NewNop()).Dial(context.Background(), upstream.Addr().String())
 	require.NoError(t, err)
 	defer c.Close()
 	raw, err := c.(syscall.Conn).SyscallConn()
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -1,23 +1,73 @@
 // Package egress opens an entry's connections to upstreams. Package forward uses it.
+//
+// An entry may be partitioned from upstreams that other entries reach. It then connects through
+// another entry: a tunnel carries the bytes of one connection, and the entry goes on to decide
+// about its requests by itself. The other entry only connects directly, so tunnels never form
+// chains or loops.
+//
+// Where a connection fails, egress finds out whose fault it is. An upstream is at fault only if
+// an entry that reaches others does not reach it either.
 package egress
 
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
+	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/paths"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/internal/wait"
+)
+
+const (
+	// tunnelDelay is how long a direct connection may take before a tunnel is tried as
+	// well. It is several round trips between regions.
+	tunnelDelay = 150 * time.Millisecond
+	// probeCheckInterval is how often the service looks whether a probe is due.
+	probeCheckInterval = 100 * time.Millisecond
+	// drainPollInterval is how often a draining entry looks whether it carries tunnels.
+	drainPollInterval = 20 * time.Millisecond
 )
 
 // Service is the "entry.egress" service. It is safe for concurrent use.
 type Service struct {
-	direct atomic.Pointer[DialFunc]
+	rpc.DRPCTunnelUnimplementedServer
+	set       *settings.Settings
+	log       *zap.Logger
+	direct    atomic.Pointer[DialFunc]
+	link      port.Link
+	members   port.Members
+	upstreams port.UpstreamAddresses
+	metrics   *metrics
+	started   time.Time
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+	// carried is the number of tunnels of other entries that this one carries.
+	carried atomic.Int64
+
+	mu    sync.Mutex
+	paths *paths.Tracker
+	// badPeers holds the entries that could not help, and until when they are asked last.
+	badPeers map[string]time.Time
+	// checks holds the checks of upstreams that run or whose verdict is recent.
+	checks map[string]*check
 }
 
-// New returns the service.
-func New() *Service {
-	s := &Service{}
+// New returns the service; Start starts it. Without Start it connects directly only.
+func New(set *settings.Settings, log *zap.Logger) *Service {
+	s := &Service{
+		set: set, log: log.Named("egress"), metrics: newMetrics(), started: time.Now(), paths: paths.New(),
+		badPeers: map[string]time.Time{}, checks: map[string]*check{},
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.SetDirect(DialDirectly)
 	return s
 }
@@ -25,25 +75,202 @@
 // Name returns the service's name.
 func (s *Service) Name() string { return port.NameEgress }
 
-// Needs returns nothing.
-func (s *Service) Needs() []string { return nil }
+// Needs returns the services that tunnels use.
+func (s *Service) Needs() []string {
+	return []string{port.NameLink, port.NameMembers, port.NameBrokerClient, port.NameMetrics}
+}
 
-// Start implements kernel.Service; there is nothing to start.
-func (s *Service) Start(context.Context, *kernel.Kernel) error { return nil }
+// Start registers the service with the link and starts to probe lost paths.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	err := error(nil)
+	if s.link, err = kernel.Find[port.Link](k, port.NameLink); err != nil {
+		return err
+	}
+	if s.members, err = kernel.Find[port.Members](k, port.NameMembers); err != nil {
+		return err
+	}
+	if s.upstreams, err = kernel.Find[port.UpstreamAddresses](k, port.NameBrokerClient); err != nil {
+		return err
+	}
+	registry, err := kernel.Find[port.Metrics](k, port.NameMetrics)
+	if err != nil {
+		return err
+	}
+	if err := s.metrics.register(registry.Registerer()); err != nil {
+		return err
+	}
+	s.done.Go(s.probeLoop)
+	return rpc.DRPCRegisterTunnel(s.link.Mux(), s)
+}
 
-// Stop implements kernel.Service; there is nothing to stop.
-func (s *Service) Stop(context.Context) error { return nil }
+// Drain waits for the tunnels that this entry carries, until ctx ends.
+func (s *Service) Drain(ctx context.Context) error {
+	for s.carried.Load() > 0 && ctx.Err() == nil {
+		wait.Sleep(ctx, drainPollInterval)
+	}
+	return ctx.Err()
+}
 
-// Health always returns nil.
+// Stop ends the probes and the tunnels.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.done.Wait()
+	return nil
+}
+
+// Health returns nil: an entry without a path of its own serves through others.
 func (s *Service) Health() error { return nil }
 
-// Dump returns an empty object.
-func (s *Service) Dump() any { return struct{}{} }
+// Dump returns whether the entry is partitioned from all upstreams.
+func (s *Service) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return struct {
+		Partitioned bool `json:"partitioned"`
+	}{s.paths.IsPartitioned()}
+}
 
 // SetDirect replaces how this daemon connects to upstreams, for tests of partitions.
 func (s *Service) SetDirect(dial DialFunc) { s.direct.Store(&dial) }
 
-// Dial opens a connection to the upstream at an address.
+func (s *Service) now() time.Duration { return time.Since(s.started) }
+
+// IsPathLost reports whether the entry can't connect to the upstream at an address by itself,
+// while other entries can.
+func (s *Service) IsPathLost(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paths.IsLost(s.now(), address)
+}
+
+// dialed is the result of trying to connect, directly or through another entry.
+type dialed struct {
+	conn   net.Conn
+	err    error
+	result Result
+	tunnel bool
+}
+
+// Dial opens a connection to the upstream at an address: directly, and through another entry if
+// that fails or takes long, or if the path is known to be lost. It returns a *DialError, or the
+// context's error if that ends first. IsTunnel tells which way the connection takes.
 func (s *Service) Dial(ctx context.Context, address string) (net.Conn, error) {
-	return (*s.direct.Load())(ctx, address)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan dialed, 2)
+	open := 0
+	start := func(dial func(context.Context, string) dialed) {
+		open++
+		go func() { results <- dial(ctx, address) }()
+	}
+	lost := s.IsPathLost(address)
+	if lost {
+		start(s.dialTunnel)
+	} else {
+		start(s.dialDirect)
+	}
+	other := time.NewTimer(tunnelDelay)
+	defer other.Stop()
+	if lost {
+		other.Stop()
+	}
+	failed := &DialError{Address: address, Result: Unknown}
+	for tried := 1; open > 0; {
+		select {
+		case <-other.C:
+		case d := <-results:
+			open--
+			if d.conn != nil {
+				s.recordOutcome(address, d, lost || tried == 1)
+				go closeLate(results, open)
+				return d.conn, nil
+			}
+			failed.add(d)
+		}
+		if tried == 1 {
+			tried = 2
+			other.Stop()
+			if lost {
+				start(s.dialDirect)
+			} else {
+				start(s.dialTunnel)
+			}
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	return nil, failed
+}
+
+// closeLate closes the connection of an attempt that another one has overtaken.
+func closeLate(results <-chan dialed, open int) {
+	for range open {
+		if d := <-results; d.conn != nil {
+			_ = d.conn.Close()
+		}
+	}
+}
+
+// recordOutcome learns from a connection which paths work. untried is set if only the way that
+// it takes was tried.
+func (s *Service) recordOutcome(address string, d dialed, untried bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !d.tunnel:
+		s.recordConnection(address)
+	case untried:
+		s.paths.RecordDetour(s.now(), address)
+	default:
+		s.recordFailure(address)
+	}
+}
+
+// recordConnection records a direct connection. The caller holds the lock.
+func (s *Service) recordConnection(address string) {
+	if s.paths.RecordConnection(address) {
+		s.metrics.partitioned.Set(0)
+		s.log.Info("upstreams reached again", zap.String("address", address))
+	}
+}
+
+// recordFailure records a direct connection that failed while another entry connected. The
+// caller holds the lock.
+func (s *Service) recordFailure(address string) {
+	if s.paths.RecordFailure(s.now(), address) {
+		s.metrics.partitioned.Set(1)
+		s.log.Warn("partitioned from the upstreams; connecting through other entries", zap.String("address", address))
+	}
+}
+
+// dialDirect connects from this entry.
+func (s *Service) dialDirect(ctx context.Context, address string) dialed {
+	conn, err := (*s.direct.Load())(ctx, address)
+	return dialed{conn: conn, err: err}
+}
+
+// probeLoop tries lost paths again until the service stops.
+func (s *Service) probeLoop() {
+	for s.ctx.Err() == nil {
+		wait.Sleep(s.ctx, probeCheckInterval)
+		s.mu.Lock()
+		address, due := s.paths.Probe(s.now())
+		s.mu.Unlock()
+		if due {
+			s.probe(address)
+		}
+	}
+}
+
+// probe tries one lost path again.
+func (s *Service) probe(address string) {
+	d := s.dialDirect(s.ctx, address)
+	if d.err != nil {
+		return
+	}
+	_ = d.conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordConnection(address)
 }
--- /dev/null
+++ b/internal/egress/egress_test.go
@@ -0,0 +1,279 @@
+package egress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/internal/freeport"
+	"github.com/verbenastep/verbenastep/internal/link"
+	"github.com/verbenastep/verbenastep/internal/netfault"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
+)
+
+const testTimeout = 10 * time.Second
+
+// testMembers is the member list of a testNet.
+type testMembers []port.Member
+
+func (m testMembers) Live() []port.Member { return m }
+
+func (m testMembers) Find(string) (port.Member, bool) { return port.Member{}, false }
+
+// testUpstreams are the addresses of a testNet's upstreams.
+type testUpstreams []string
+
+func (u testUpstreams) HasUpstream(address string) bool { return slices.Contains(u, address) }
+
+func (u testUpstreams) OtherUpstreams(address string, n int) []string {
+	out := []string{}
+	for _, a := range u {
+		if a != address && len(out) < n {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// testEntry is an entry of a testNet whose path to the upstreams may be cut.
+type testEntry struct {
+	*Service
+	path *netfault.Switch
+	link *link.Service
+}
+
+// testNet has entries and upstreams that echo what they get.
+type testNet struct {
+	entries   []*testEntry
+	upstreams []net.Listener
+	// accepted counts the connections that upstreams accepted.
+	accepted atomic.Int64
+}
+
+func newTestNet(t *testing.T, entries, upstreams int) *testNet {
+	t.Helper()
+	n := &testNet{}
+	addresses := testUpstreams{}
+	for range upstreams {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = ln.Close() })
+		go n.echo(ln)
+		n.upstreams = append(n.upstreams, ln)
+		addresses = append(addresses, ln.Addr().String())
+	}
+	peers, err := freeport.Addresses(entries)
+	require.NoError(t, err)
+	members := testMembers{}
+	for i, p := range peers {
+		members = append(members, port.Member{Name: fmt.Sprint(i), Peers: p, Callers: "callers"})
+	}
+	for i, p := range peers {
+		set := &settings.Settings{Name: fmt.Sprint(i), Addresses: settings.Addresses{Peers: p}}
+		e := &testEntry{Service: New(set, zap.NewNop()), path: netfault.New(DialDirectly), link: link.New(set, zap.NewNop())}
+		require.NoError(t, e.link.Start(context.Background(), nil))
+		e.SetDirect(e.path.Dial)
+		e.members, e.Service.link, e.upstreams = members, e.link, addresses
+		require.NoError(t, rpc.DRPCRegisterTunnel(e.link.Mux(), e.Service))
+		e.link.Serve()
+		e.done.Go(e.probeLoop)
+		t.Cleanup(func() {
+			_ = e.Stop(context.Background())
+			_ = e.link.Stop(context.Background())
+		})
+		n.entries = append(n.entries, e)
+	}
+	return n
+}
+
+func (n *testNet) echo(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		n.accepted.Add(1)
+		go func() {
+			defer c.Close()
+			buffer := make([]byte, 1000)
+			for {
+				k, err := c.Read(buffer)
+				if err != nil {
+					return
+				}
+				_, _ = c.Write(buffer[:k])
+			}
+		}()
+	}
+}
+
+func (n *testNet) address(upstream int) string { return n.upstreams[upstream].Addr().String() }
+
+// dial connects from an entry to an upstream.
+func (n *testNet) dial(entry, upstream int) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	return n.entries[entry].Dial(ctx, n.address(upstream))
+}
+
+func requireEcho(t *testing.T, c net.Conn) {
+	t.Helper()
+	want := make([]byte, 100_000)
+	for i := range want {
+		want[i] = byte(i / 7)
+	}
+	go func() { _, _ = c.Write(want) }()
+	got := []byte{}
+	buffer := make([]byte, 5000)
+	for len(got) < len(want) {
+		k, err := c.Read(buffer)
+		require.NoError(t, err)
+		got = append(got, buffer[:k]...)
+	}
+	require.Equal(t, want, got)
+}
+
+// TestTunnelCarriesBytes guards against bytes that are lost, added or changed on the way through
+// another entry, and against a tunnel that outlives its connection.
+func TestTunnelCarriesBytes(t *testing.T) {
+	n := newTestNet(t, 2, 1)
+	n.entries[0].path.Set(netfault.Reset)
+	c, err := n.dial(0, 0)
+	require.NoError(t, err)
+	require.True(t, IsTunnel(c))
+	requireEcho(t, c)
+	require.True(t, c.(*tunnelConn).IsClean())
+	require.EqualValues(t, 1, n.entries[1].carried.Load())
+	require.NoError(t, c.Close())
+	require.False(t, c.(*tunnelConn).IsClean())
+	require.Eventually(t, func() bool { return n.entries[1].carried.Load() == 0 }, testTimeout, time.Millisecond)
+}
+
+// TestTunnelEndsWithUpstream guards against a connection that looks open after the upstream has
+// closed it.
+func TestTunnelEndsWithUpstream(t *testing.T) {
+	n := newTestNet(t, 2, 0)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	for _, e := range n.entries {
+		e.upstreams = testUpstreams{ln.Addr().String()}
+	}
+	n.upstreams = []net.Listener{ln}
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			_, _ = c.Write([]byte("end"))
+			_ = c.Close()
+		}
+	}()
+	n.entries[0].path.Set(netfault.Reset)
+	c, err := n.dial(0, 0)
+	require.NoError(t, err)
+	buffer := make([]byte, 10)
+	k, err := c.Read(buffer)
+	require.NoError(t, err)
+	require.Equal(t, "end", string(buffer[:k]))
+	_, err = c.Read(buffer)
+	require.Error(t, err)
+	require.False(t, c.(*tunnelConn).IsClean())
+}
+
+// TestFaultIsPutWhereItIs guards against an entry that reports an upstream as unreachable though
+// its own path is lost, and against one that reports nothing of an upstream that has ended.
+func TestFaultIsPutWhereItIs(t *testing.T) {
+	for name, mode := range map[string]netfault.Mode{"hang": netfault.Hang, "reset": netfault.Reset, "refuse": netfault.RefuseNew} {
+		t.Run(name, func(t *testing.T) {
+			n := newTestNet(t, 5, 4)
+			_ = n.upstreams[0].Close()
+			failed := (*DialError)(nil)
+			_, err := n.dial(0, 0)
+			require.True(t, errors.As(err, &failed))
+			require.True(t, failed.IsUpstreamDown(), "ended, and the path is sound: %v", err)
+			require.True(t, n.entries[0].IsUpstreamAtFault(n.address(0)))
+			for _, e := range n.entries[:3] {
+				e.path.Set(mode)
+			}
+			for i := 1; i < 4; i++ {
+				c, err := n.dial(0, i)
+				require.NoError(t, err, "through the entries with a path, whoever is asked first")
+				require.True(t, IsTunnel(c))
+				require.NoError(t, c.Close())
+				require.False(t, n.entries[0].IsUpstreamAtFault(n.address(i)))
+			}
+			require.True(t, n.entries[0].IsPathLost(n.address(1)))
+			require.True(t, n.entries[3].IsUpstreamAtFault(n.address(1)), "reachable")
+			for _, e := range n.entries {
+				e.path.Set(mode)
+			}
+			for i := range 2 {
+				_, err = n.dial(4, i)
+				require.True(t, errors.As(err, &failed))
+				require.False(t, failed.IsUpstreamDown(), "nobody reaches anything, so nobody can tell")
+			}
+		})
+	}
+}
+
+// TestPartitionEnds guards against an entry that goes on through others after its path has
+// returned, and against probes in quick succession.
+func TestPartitionEnds(t *testing.T) {
+	n := newTestNet(t, 2, 3)
+	n.entries[0].path.Set(netfault.RefuseNew)
+	for i := range 3 {
+		c, err := n.dial(0, i)
+		require.NoError(t, err)
+		require.NoError(t, c.Close())
+	}
+	require.True(t, n.entries[0].IsPathLost("any"))
+	before := n.accepted.Load()
+	n.entries[0].path.Set(netfault.Sound)
+	require.Eventually(t, func() bool { return !n.entries[0].IsPathLost("any") }, testTimeout, time.Millisecond)
+	require.LessOrEqual(t, n.accepted.Load()-before, int64(2), "probes")
+	c, err := n.dial(0, 0)
+	require.NoError(t, err)
+	require.False(t, IsTunnel(c))
+	_ = c.Close()
+}
+
+// TestTunnelLeadsToUpstreamsOnly guards against an entry that connects others to whatever
+// address they name, and against a chain of tunnels.
+func TestTunnelLeadsToUpstreamsOnly(t *testing.T) {
+	n := newTestNet(t, 3, 3)
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer other.Close()
+	ctx := context.Background()
+	conn, result := n.entries[1].connectFor(ctx, other.Addr().String())
+	require.Nil(t, conn)
+	require.Equal(t, Rejected, result)
+	n.entries[1].path.Set(netfault.RefuseNew)
+	conn, result = n.entries[1].connectFor(ctx, n.address(0))
+	require.Nil(t, conn)
+	require.Equal(t, Unknown, result)
+	require.Zero(t, n.entries[2].carried.Load())
+}
+
+// TestDrainWaitsForCarriedTunnels guards against requests of other entries that are broken off
+// as an entry stops.
+func TestDrainWaitsForCarriedTunnels(t *testing.T) {
+	n := newTestNet(t, 2, 1)
+	n.entries[0].path.Set(netfault.Reset)
+	c, err := n.dial(0, 0)
+	require.NoError(t, err)
+	drained := make(chan error, 1)
+	go func() { drained <- n.entries[1].Drain(context.Background()) }()
+	requireEcho(t, c)
+	require.Empty(t, drained)
+	require.NoError(t, c.Close())
+	require.NoError(t, <-drained)
+}
--- /dev/null
+++ b/internal/egress/tunnel.go
@@ -0,0 +1,300 @@
+package egress
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/internal/port"
+)
+
+const (
+	// maxTunnelPeers is how many entries are asked for one connection.
+	maxTunnelPeers = 4
+	// nextPeerDelay is how long an entry may take before the next one is asked as well.
+	nextPeerDelay = 80 * time.Millisecond
+	// tunnelTimeout bounds the setup of a tunnel: the other entry's own connection and what
+	// it needs to tell whose fault a failure is.
+	tunnelTimeout = time.Second
+	// badPeerTime is how long an entry that could not help is asked last.
+	badPeerTime = time.Second
+	// minDownResults is how many entries that reach other upstreams must fail to reach one
+	// for the search to end.
+	minDownResults = 2
+)
+
+// candidates returns the entries to ask, those that may help and are near first. Entries at the
+// same distance come in random order, so that they share the tunnels.
+func (s *Service) candidates() []port.Member {
+	if s.members == nil {
+		return nil
+	}
+	type candidate struct {
+		port.Member
+		isBad    bool
+		distance int
+		order    float64
+	}
+	live, now := s.members.Live(), time.Now()
+	list := []candidate{}
+	s.mu.Lock()
+	for _, m := range live {
+		if m.Callers == "" || m.Peers == "" || m.Leaving || m.Name == s.set.Name {
+			continue
+		}
+		list = append(list, candidate{Member: m, isBad: now.Before(s.badPeers[m.Name]), distance: s.distance(m), order: rand.Float64()})
+	}
+	s.mu.Unlock()
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.isBad != b.isBad {
+			if b.isBad {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.order, b.order))
+	})
+	out := []port.Member{}
+	for _, c := range list[:min(len(list), maxTunnelPeers)] {
+		out = append(out, c.Member)
+	}
+	return out
+}
+
+// distance returns 0 for an entry in this data centre, 1 for one in the region and 2 for others.
+func (s *Service) distance(m port.Member) int {
+	switch {
+	case m.DataCentre == s.set.DataCentre:
+		return 0
+	case m.Region == s.set.Region:
+		return 1
+	}
+	return 2
+}
+
+// dialTunnel connects through another entry. It asks several, one after the other, until one is
+// connected or enough of them say that the upstream is at fault.
+func (s *Service) dialTunnel(ctx context.Context, address string) dialed {
+	ctx, cancel := context.WithTimeoutCause(ctx, tunnelTimeout, errTunnelTimeout)
+	defer cancel()
+	peers := s.candidates()
+	if len(peers) == 0 {
+		return dialed{tunnel: true, err: errNoOtherEntry, result: NoOtherEntry}
+	}
+	results := make(chan dialed, len(peers))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	open, asked := 0, 0
+	last := dialed{tunnel: true, result: Unknown, err: errTunnelTimeout}
+	for down := 0; open > 0 || asked < len(peers); {
+		select {
+		case <-next.C:
+			if asked < len(peers) {
+				peer := peers[asked]
+				asked++
+				open++
+				go func() { results <- s.dialThrough(ctx, peer, address) }()
+				next.Reset(nextPeerDelay)
+			}
+			continue
+		case d := <-results:
+			open--
+			if d.conn != nil {
+				go closeLate(results, open)
+				return d
+			}
+			if d.result == UpstreamDown {
+				down++
+			}
+			if last.result != UpstreamDown {
+				last = d
+			}
+		}
+		if down >= minDownResults {
+			break
+		}
+		next.Reset(0)
+	}
+	go closeLate(results, open)
+	return last
+}
+
+var errTunnelTimeout = errors.New("no other entry answered in time")
+
+// dialThrough connects through one entry. The tunnel outlives ctx once it is open.
+func (s *Service) dialThrough(ctx context.Context, peer port.Member, address string) dialed {
+	tunnelCtx, cancel := context.WithCancelCause(s.ctx)
+	stop := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
+	d := s.openTunnel(tunnelCtx, cancel, peer, address)
+	if !stop() && d.conn != nil {
+		_ = d.conn.Close()
+		d = dialed{err: context.Cause(ctx)}
+	}
+	d.tunnel = true
+	if d.conn == nil {
+		cancel(nil)
+		s.recordPeer(ctx, peer, d.result)
+		return d
+	}
+	s.metrics.opened.Inc()
+	s.log.Info("connected through another entry", zap.String("address", address), zap.String("entry", peer.Name))
+	return d
+}
+
+// recordPeer remembers an entry that could not help.
+func (s *Service) recordPeer(ctx context.Context, peer port.Member, r Result) {
+	if r == UpstreamDown || errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for name, until := range s.badPeers {
+		if now.After(until) {
+			delete(s.badPeers, name)
+		}
+	}
+	s.badPeers[peer.Name] = now.Add(badPeerTime)
+}
+
+// openTunnel asks an entry to connect and returns the tunnel.
+func (s *Service) openTunnel(ctx context.Context, cancel context.CancelCauseFunc, peer port.Member, address string) dialed {
+	stream, err := rpc.NewDRPCTunnelClient(s.link.Conn(peer.Peers)).Connect(ctx)
+	if err != nil {
+		return dialed{err: err}
+	}
+	if err := stream.Send(&rpc.TunnelFrame{Address: address}); err != nil {
+		return dialed{err: err}
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		return dialed{err: err}
+	}
+	if r := Result(first.Result); r != Connected {
+		return dialed{result: r, err: fmt.Errorf("entry %s did not reach it either (result %d)", peer.Name, r)}
+	}
+	return dialed{conn: newTunnelConn(ctx, cancel, stream, address)}
+}
+
+// tunnelConn is a connection through another entry.
+type tunnelConn struct {
+	stream  rpc.DRPCTunnel_ConnectClient
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	address tunnelAddr
+	// frames delivers what arrives; it is closed at the end, with err set.
+	frames chan []byte
+	err    error
+	rest   []byte
+	write  sync.Mutex
+}
+
+// tunnelAddr is the address of an upstream behind a tunnel.
+type tunnelAddr string
+
+// Network returns "tunnel".
+func (tunnelAddr) Network() string { return "tunnel" }
+
+// String returns the upstream's address.
+func (a tunnelAddr) String() string { return string(a) }
+
+func newTunnelConn(ctx context.Context, cancel context.CancelCauseFunc, stream rpc.DRPCTunnel_ConnectClient, address string) *tunnelConn {
+	c := &tunnelConn{stream: stream, ctx: ctx, cancel: cancel, address: tunnelAddr(address), frames: make(chan []byte)}
+	go c.receive()
+	return c
+}
+
+// receive delivers frames until the tunnel ends.
+func (c *tunnelConn) receive() {
+	defer close(c.frames)
+	for {
+		f, err := c.stream.Recv()
+		if err != nil {
+			c.err = err
+			return
+		}
+		select {
+		case c.frames <- f.Data:
+		case <-c.ctx.Done():
+			c.err = net.ErrClosed
+			return
+		}
+	}
+}
+
+// IsClean reports whether the tunnel is open and has no unread bytes.
+func (c *tunnelConn) IsClean() bool {
+	if len(c.rest) > 0 || c.ctx.Err() != nil {
+		return false
+	}
+	select {
+	case <-c.frames:
+		return false
+	default:
+		return true
+	}
+}
+
+// Read implements net.Conn.
+func (c *tunnelConn) Read(b []byte) (int, error) {
+	if len(c.rest) == 0 {
+		data, open := <-c.frames
+		if !open {
+			return 0, &net.OpError{Op: "read", Net: "tunnel", Addr: c.address, Err: c.err}
+		}
+		c.rest = data
+	}
+	n := copy(b, c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
+}
+
+// Write implements net.Conn.
+func (c *tunnelConn) Write(b []byte) (int, error) {
+	c.write.Lock()
+	defer c.write.Unlock()
+	for sent := 0; sent < len(b); {
+		n := min(len(b)-sent, maxFrameBytes)
+		if err := c.stream.Send(&rpc.TunnelFrame{Data: b[sent : sent+n]}); err != nil {
+			return sent, &net.OpError{Op: "write", Net: "tunnel", Addr: c.address, Err: err}
+		}
+		sent += n
+	}
+	return len(b), nil
+}
+
+// Close ends the tunnel.
+func (c *tunnelConn) Close() error {
+	c.cancel(net.ErrClosed)
+	return nil
+}
+
+// LocalAddr implements net.Conn.
+func (c *tunnelConn) LocalAddr() net.Addr { return tunnelAddr("") }
+
+// RemoteAddr returns the upstream's address.
+func (c *tunnelConn) RemoteAddr() net.Addr { return c.address }
+
+// SetDeadline implements net.Conn. Tunnels have no deadlines: their users close them.
+func (c *tunnelConn) SetDeadline(time.Time) error { return nil }
+
+// SetReadDeadline implements net.Conn; see SetDeadline.
+func (c *tunnelConn) SetReadDeadline(time.Time) error { return nil }
+
+// SetWriteDeadline implements net.Conn; see SetDeadline.
+func (c *tunnelConn) SetWriteDeadline(time.Time) error { return nil }
+
+// IsTunnel reports whether a connection goes through another entry.
+func IsTunnel(c net.Conn) bool {
+	_, ok := c.(*tunnelConn)
+	return ok
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -105,6 +106,9 @@
 	// respBodyErr is set if the rest is missing.
 	respBody    []byte
 	respBodyErr error
+	// isPathSound is set once the upstream's machine has acknowledged a request to which the
+	// upstream sends nothing.
+	isPathSound atomic.Bool
 	// err is why the attempt ended; nil if the response is complete.
 	err error
 
@@ -171,9 +175,12 @@
 	if !a.report(progress{kind: requestSent}) {
 		return context.Cause(a.ctx)
 	}
+	check := time.AfterFunc(pathCheckDelay, a.checkPath)
+	defer check.Stop()
 	if err := a.readResponse(); err != nil {
 		return err
 	}
+	check.Stop()
 	if a.isStream() {
 		if !a.report(progress{kind: responseStarted}) {
 			return context.Cause(a.ctx)
@@ -340,7 +347,7 @@
 			o = broker.NotSent
 		}
 		a.end.Outcome, a.end.AnswerBegun = o, a.events > 0
-		a.endGrant(a.end)
+		a.endCheckedGrant(a.end)
 	}
 }
 
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/verbenastep/verbenastep/internal/clock"
+	"github.com/verbenastep/verbenastep/internal/egress"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
@@ -62,6 +63,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if tunnel, ok := c.Conn.(interface{ IsClean() bool }); ok {
+		return tunnel.IsClean()
+	}
 	sys, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
@@ -117,7 +121,7 @@
 		if c == nil {
 			break
 		}
-		if c.isReusable(p.elapsed(), atMostOnce) && c.isClean() {
+		if c.isReusable(p.elapsed(), atMostOnce) && c.isClean() && egress.IsTunnel(c.Conn) == p.egress.IsPathLost(address) {
 			c.reused = true
 			return c, nil
 		}
--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/egress"
+	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
 // TestIdleConnectionIsNotReusedAfterSuspension guards against a request that may run once
@@ -17,7 +19,7 @@
 func TestIdleConnectionIsNotReusedAfterSuspension(t *testing.T) {
 	u := newUpstream(t, sendNothing)
 	dials := 0
-	p := newConnPool(egress.New(), func() { dials++ })
+	p := newConnPool(egress.New(&settings.Settings{}, zap.NewNop()), func() { dials++ })
 	before := clock.SinceBoot()
 	elapsed := p.elapsed()
 	require.GreaterOrEqual(t, elapsed, before, "the pool measures by the time since boot")
--- a/internal/forward/log_bench_test.go
+++ b/internal/forward/log_bench_test.go
@@ -45,7 +45,7 @@
 			s := New(&settings.Settings{Routing: &settings.Routing{Retry: settings.Retry{WindowMS: 10_000}}}, log)
 			client := &testBrokerClient{}
 			s.view, s.brokerClient, s.dialect, s.metrics = testView{routes.NewIndex(testTable())}, client, testDialect{}, m
-			s.conns = newConnPool(egress.New(), m.connections.Inc)
+			s.conns = newConnPool(egress.New(&settings.Settings{}, zap.NewNop()), m.connections.Inc)
 			s.ctx, s.cancel = context.WithCancel(context.Background())
 			defer s.cancel()
 			entry := httptest.NewServer(s.routes())
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/egress"
 )
 
 // recordGrant records the upstream of an attempt that was granted one.
@@ -32,7 +33,7 @@
 		return
 	case a.conn == nil:
 		x.notRunAttempts++
-		a.finish(x.unsentOutcome())
+		a.finish(x.unsentOutcome(err))
 	default:
 		if errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
 			err = context.DeadlineExceeded
@@ -44,11 +45,15 @@
 }
 
 // unsentOutcome returns the outcome of an attempt that sent nothing.
-func (x *exchange) unsentOutcome() broker.Outcome {
-	if x.callerDisconnected() {
+func (x *exchange) unsentOutcome(err error) broker.Outcome {
+	failed := (*egress.DialError)(nil)
+	switch {
+	case x.callerDisconnected():
 		return broker.NotSent
+	case errors.As(err, &failed) && failed.IsUpstreamDown():
+		return broker.Unreachable
 	}
-	return broker.Unreachable
+	return broker.PathUnavailable
 }
 
 // lossOutcome returns the outcome of an attempt that was sent and brought no complete
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -72,6 +72,7 @@
 		return
 	}
 	a := x.current
+	a.isPathSound.Store(a.isAcknowledged())
 	x.s.log.Info("upstream is silent; looking for another one", x.logFields(zap.String("upstream", a.ticket.Upstream), zap.Duration("silent", time.Since(a.heardAt)), zap.Int("events", x.stream.events))...)
 	x.replacement = x.startAttempt()
 }
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -245,7 +245,7 @@
 	m, err := newMetrics(prometheus.NewRegistry())
 	require.NoError(t, err)
 	s.view, s.brokerClient, s.dialect, s.metrics = testView{routes.NewIndex(testTable())}, client, testDialect{}, m
-	s.conns = newConnPool(egress.New(), m.connections.Inc)
+	s.conns = newConnPool(egress.New(&settings.Settings{}, zap.NewNop()), m.connections.Inc)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	t.Cleanup(s.cancel)
 	r := &testEntry{t: t, service: s, brokerClient: client, server: httptest.NewServer(s.routes())}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -355,8 +355,25 @@
 
 // Egress opens an entry's connections to upstreams.
 type Egress interface {
-	// Dial opens a connection to the upstream at an address.
+	// Dial opens a connection to the upstream at an address, through another entry if this
+	// one can't.
 	Dial(ctx context.Context, address string) (net.Conn, error)
+	// IsPathLost reports whether this entry can't connect to the upstream at an address by
+	// itself, while other entries can.
+	IsPathLost(address string) bool
+	// IsUpstreamAtFault finds out whose fault it is that a connection to the upstream at an
+	// address was lost, or that it stays silent. That takes up to a second or two.
+	IsUpstreamAtFault(address string) bool
+	// HasHelpers reports whether there are other entries to connect through.
+	HasHelpers() bool
+}
+
+// UpstreamAddresses knows the addresses of the upstreams in the roster.
+type UpstreamAddresses interface {
+	// HasUpstream reports whether an upstream serves at an address.
+	HasUpstream(address string) bool
+	// OtherUpstreams returns the addresses of up to n upstreams other than the given one.
+	OtherUpstreams(address string, n int) []string
 }
 
 // BrokerOffer is a request that waits for an upstream.
