broker: a brittle upstream gets no more requests than it has slots

Cause: nothing read Server-Brittle. The broker freed the slot of a request at once when its caller left or its connection was lost, while the upstream went on; it sent requests to wait there, and tried again 0.1 s after a rejection; entries without a broker exceed the slots at times, since shares are rounded at random. Class: a promise of all together, kept by what each one sees. The statement goes the way of the limit; slots only, kept for up to two seconds where the upstream may go on; a second's rest after a rejection; half shares without a broker.

--- /dev/null
+++ b/core/broker/brittle_test.go
@@ -0,0 +1,48 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newBrittleBroker returns a broker of an upstream with two slots that says that it is brittle.
+func newBrittleBroker(share float64) *Broker {
+	b := New(share)
+	b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Address: "u", Slots: 2, Born: born}})
+	b.LearnLimit(0, RequestLimit{Upstream: "u", Born: born, Brittle: true, MaxRejections: 2})
+	return b
+}
+
+// TestBrittleUpstreamKeepsSlotOfLeftRequest guards against a request to a brittle upstream that
+// still works for a caller who has left, and against a slot that is lost for good.
+func TestBrittleUpstreamKeepsSlotOfLeftRequest(t *testing.T) {
+	for _, o := range []Outcome{Canceled, ConnectionLost, TimedOut, InvalidResponse, PathLost} {
+		b := newBrittleBroker(1)
+		require.Equal(t, "u", grantTo(b, 0, "e", 1))
+		require.Equal(t, "u", grantTo(b, 0, "e", 2))
+		endWith(b, 0, 1, End{Outcome: o})
+		endWith(b, 0, 1, End{Outcome: o})
+		require.Empty(t, grantTo(b, 100*time.Millisecond, "e", 3), "%s", o)
+		b.LoseEntry(100*time.Millisecond, "f")
+		b.Cancel(ID{Entry: "e", Number: 3})
+		require.Equal(t, "u", grantTo(b, maxKeptSlotTime, "e", 4), "%s", o)
+	}
+	b := newBrittleBroker(1)
+	grantTo(b, 0, "e", 1)
+	grantTo(b, 0, "e", 2)
+	endWith(b, 0, 1, End{Outcome: Completed, TimeToFirstEvent: time.Millisecond})
+	require.Equal(t, "u", grantTo(b, 0, "e", 3), "a complete answer frees the slot")
+}
+
+// TestBrittleUpstreamRestsAfterRejection guards against one rejection after the other in the
+// same second.
+func TestBrittleUpstreamRestsAfterRejection(t *testing.T) {
+	b := newBrittleBroker(1)
+	require.Equal(t, "u", grantTo(b, 0, "e", 1))
+	endWith(b, 0, 1, End{Outcome: Rejected})
+	require.Empty(t, grantTo(b, brittleRejectedDelay-1, "e", 2))
+	b.Cancel(ID{Entry: "e", Number: 2})
+	require.Equal(t, "u", grantTo(b, brittleRejectedDelay, "e", 3))
+}
--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -234,9 +234,10 @@
 	// late is true once the request can no longer be on time; it then waits behind
 	// the requests of its rank that still can.
 	late bool
-	// orphanedUntil is when a running request of a lost entry is dropped; zero while
-	// the entry is connected.
+	// orphanedUntil is when a running request of a lost entry, or one that the upstream may
+	// go on with, is dropped; zero otherwise. ended is true once its end was reported.
 	orphanedUntil time.Duration
+	ended         bool
 }
 
 // Broker schedules the requests of all pools. It is not safe for concurrent use.
@@ -518,10 +519,9 @@
 // unknown requests, so a repeated end has no effect.
 func (b *Broker) End(now time.Duration, e End) {
 	req := b.requests[e.ID]
-	if req == nil || req.assigned == nil {
+	if req == nil || req.assigned == nil || req.ended {
 		return
 	}
-	delete(b.requests, e.ID)
 	if e.Outcome == NotSent || e.Outcome == Rejected || e.Outcome == Misdirected || e.Outcome == Unreachable || e.Outcome == PathUnavailable {
 		b.refund(req)
 	}
@@ -530,7 +530,10 @@
 	}
 	b.recordCrash(now, req, e)
 	p := b.pool(req.Pool)
-	p.release(req)
+	if !b.keepSlot(now, req, e.Outcome) {
+		delete(b.requests, e.ID)
+		p.release(req)
+	}
 	p.learn(now, req, e)
 	req.assigned.notices.record(now, e.ID.Entry, e)
 	req.assigned.paths.record(now, e.ID.Entry, e.Outcome)
@@ -544,7 +547,7 @@
 		running[o.ID] = o.Running != ""
 	}
 	for id, req := range b.requests {
-		if id.Entry != entry {
+		if id.Entry != entry || req.ended {
 			continue
 		}
 		if req.assigned == nil || !running[id] {
@@ -580,7 +583,7 @@
 // requests keep their slots until they should have ended.
 func (b *Broker) LoseEntry(now time.Duration, entry string) {
 	for id, req := range b.requests {
-		if id.Entry != entry {
+		if id.Entry != entry || req.ended {
 			continue
 		}
 		if req.assigned == nil {
@@ -686,6 +689,7 @@
 	// LimitPerSecond is the limit that the upstream names, in requests a second; absent if
 	// it names none.
 	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
+	Brittle        bool     `json:"brittle,omitempty"`
 }
 
 // Dump returns the state of all pools.
@@ -698,7 +702,7 @@
 		}
 		for _, u := range p.order {
 			d.Upstreams = append(d.Upstreams, UpstreamDump{
-				LimitPerSecond: u.namedLimit(), ID: u.ID, InFlight: len(u.inFlight), Slots: u.Slots, TokenMS: 1000 * u.times.tokenTime, CallMS: 1000 * u.times.callTime,
+				LimitPerSecond: u.namedLimit(), Brittle: u.isBrittle(), ID: u.ID, InFlight: len(u.inFlight), Slots: u.Slots, TokenMS: 1000 * u.times.tokenTime, CallMS: 1000 * u.times.callTime,
 				FailureRate: u.health.failureRate, Leaving: u.isLeaving(), Silent: u.Silent, Software: u.SoftwareVersion,
 			})
 		}
--- a/core/broker/limit.go
+++ b/core/broker/limit.go
@@ -34,6 +34,10 @@
 	// requests a second otherwise.
 	Limited   bool
 	PerSecond float64
+	// Brittle is true if the process says that it falls over once it has to reject more than
+	// MaxRejections requests in a second.
+	Brittle       bool
+	MaxRejections int
 	// AskedAt is when the request was sent that the process answered so. It orders what a
 	// process says: answers overtake each other.
 	AskedAt time.Duration
@@ -138,7 +142,7 @@
 func (b *Broker) LearnLimit(now time.Duration, l RequestLimit) bool {
 	x := b.limiters[l.Upstream]
 	if x == nil {
-		if !l.Limited {
+		if !l.Limited && !l.Brittle {
 			return false
 		}
 		b.makeRoomForLimiter()
@@ -152,8 +156,8 @@
 	if !l.supersedes(x.RequestLimit) {
 		return false
 	}
-	changed := !l.isEqual(x.RequestLimit) && (l.Limited || x.Limited)
-	if changed && l.Limited {
+	changed := !l.isEqual(x.RequestLimit) && (l.Limited || x.Limited || l.Brittle || x.Brittle)
+	if l.Limited && (!x.Limited || l.PerSecond != x.PerSecond) {
 		x.bucket.Lower(now, max(minLimit, l.PerSecond), max(1, l.PerSecond*limitBurstTime.Seconds()), 0)
 	}
 	x.RequestLimit = l
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -187,6 +187,9 @@
 // differs between brokers, so that together they overload no upstream.
 func (u *upstream) capacity(now time.Duration, share float64) int {
 	slots := float64(u.Slots) * share * u.times.transitFactor()
+	if u.isBrittle() {
+		slots = u.brittleSlots(share)
+	}
 	whole := int(slots)
 	if u.roundingPoint < slots-float64(whole) {
 		whole++
--- a/core/broker/speed.go
+++ b/core/broker/speed.go
@@ -128,6 +128,9 @@
 func (p *pool) learn(now time.Duration, req *request, e End) {
 	u := req.assigned
 	u.health.record(now, e.Outcome)
+	if e.Outcome == Rejected && u.isBrittle() {
+		u.health.unavailableUntil = max(u.health.unavailableUntil, now+brittleRejectedDelay)
+	}
 	if e.Outcome != Completed {
 		return
 	}
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -103,13 +103,14 @@
 // EncodeLimit encodes what an upstream said of the requests that it takes, relative to the
 // given time.
 func EncodeLimit(now time.Duration, l broker.RequestLimit) *rpc.UpstreamLimit {
-	return &rpc.UpstreamLimit{Upstream: l.Upstream, Born: l.Born, Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: milliseconds(now - l.AskedAt)}
+	return &rpc.UpstreamLimit{Upstream: l.Upstream, Born: l.Born, Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: milliseconds(now - l.AskedAt), Brittle: l.Brittle, MaxRejections: uint32(l.MaxRejections)}
 }
 
 // DecodeLimit decodes what an upstream said, received at the given time; nil says nothing.
 func DecodeLimit(now time.Duration, l *rpc.UpstreamLimit) broker.RequestLimit {
 	return broker.RequestLimit{
 		Upstream: l.GetUpstream(), Born: l.GetBorn(), Limited: l.GetLimited(), PerSecond: l.GetPerSecond(), AskedAt: now - duration(l.GetAgeMs()),
+		Brittle: l.GetBrittle(), MaxRejections: int(l.GetMaxRejections()),
 	}
 }
 
--- a/internal/brokerwire/log.go
+++ b/internal/brokerwire/log.go
@@ -21,5 +21,5 @@
 
 // LimitFields returns the log fields of an upstream's limit.
 func LimitFields(l broker.RequestLimit) []zap.Field {
-	return []zap.Field{zap.String("upstream", l.Upstream), zap.Int64("born", l.Born), zap.Bool("limited", l.Limited), zap.Float64("per_second", l.PerSecond)}
+	return []zap.Field{zap.String("upstream", l.Upstream), zap.Int64("born", l.Born), zap.Bool("limited", l.Limited), zap.Float64("per_second", l.PerSecond), zap.Bool("brittle", l.Brittle), zap.Int("max_rejections", l.MaxRejections)}
 }
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -71,6 +71,10 @@
 	// read.
 	Limit        *float64
 	InvalidLimit bool
+	// Brittle is set if the upstream says that it falls over once it has to reject more than
+	// MaxRejections requests in a second.
+	Brittle       bool
+	MaxRejections int
 }
 
 // Dialect translates between metadata and the header fields of callers and
--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -87,7 +87,7 @@
 		a.s.log.Warn("upstream names a limit that is no number; the last one holds", a.logFields(zap.String("upstream", a.ticket.Upstream))...)
 		return
 	}
-	l := broker.RequestLimit{Upstream: a.ticket.Upstream, Born: a.ticket.Born}
+	l := broker.RequestLimit{Upstream: a.ticket.Upstream, Born: a.ticket.Born, Brittle: m.Brittle, MaxRejections: m.MaxRejections}
 	if m.Limit != nil {
 		l.Limited, l.PerSecond = true, *m.Limit
 	}
