egress: entries of several data centres are asked first

Cause: candidates were ordered by distance. Change: one of each data centre in turn, entries that helped lately before others; an entry that drains is not used for further requests, so that it does not wait for idle tunnels. Measured: TestPartitionedDataCentreIsServed (14 of 16 entries cut) failed at the first entry before and passes.

--- a/internal/egress/check.go
+++ b/internal/egress/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -58,7 +59,9 @@
 }
 
 // HasHelpers reports whether there are other entries to connect through.
-func (s *Service) HasHelpers() bool { return len(s.candidates()) > 0 }
+func (s *Service) HasHelpers() bool {
+	return s.members != nil && slices.ContainsFunc(s.members.Live(), s.isHelper)
+}
 
 // check checks an upstream. Concurrent calls for one address share a check.
 func (s *Service) check(address string) Verdict {
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -55,8 +55,10 @@
 
 	mu    sync.Mutex
 	paths *paths.Tracker
-	// badPeers holds the entries that could not help, and until when they are asked last.
-	badPeers map[string]time.Time
+	// badPeers holds the entries that could not help, and until when they are asked last;
+	// goodPeers those that helped, and until when they are asked first.
+	badPeers  map[string]time.Time
+	goodPeers map[string]time.Time
 	// checks holds the checks of upstreams that run or whose verdict is recent.
 	checks map[string]*check
 }
@@ -65,7 +67,7 @@
 func New(set *settings.Settings, log *zap.Logger) *Service {
 	s := &Service{
 		set: set, log: log.Named("egress"), metrics: newMetrics(), started: time.Now(), paths: paths.New(),
-		badPeers: map[string]time.Time{}, checks: map[string]*check{},
+		badPeers: map[string]time.Time{}, goodPeers: map[string]time.Time{}, checks: map[string]*check{},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.SetDirect(DialDirectly)
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -26,9 +26,15 @@
 // testMembers is the member list of a testNet.
 type testMembers []port.Member
 
-func (m testMembers) Live() []port.Member { return m }
+func (m testMembers) Live() []port.Member { return slices.Clone(m) }
 
-func (m testMembers) Find(string) (port.Member, bool) { return port.Member{}, false }
+func (m testMembers) Find(name string) (port.Member, bool) {
+	i := slices.IndexFunc(m, func(x port.Member) bool { return x.Name == name })
+	if i < 0 {
+		return port.Member{}, false
+	}
+	return m[i], true
+}
 
 // testUpstreams are the addresses of a testNet's upstreams.
 type testUpstreams []string
@@ -60,6 +66,8 @@
 	accepted atomic.Int64
 }
 
+// newTestNet returns a started net. The first entries are in the data centre "a", the last two
+// in "b".
 func newTestNet(t *testing.T, entries, upstreams int) *testNet {
 	t.Helper()
 	n := &testNet{}
@@ -76,10 +84,14 @@
 	require.NoError(t, err)
 	members := testMembers{}
 	for i, p := range peers {
-		members = append(members, port.Member{Name: fmt.Sprint(i), Peers: p, Callers: "callers"})
+		centre := "a"
+		if i >= entries-2 {
+			centre = "b"
+		}
+		members = append(members, port.Member{Name: fmt.Sprint(i), Peers: p, Callers: "callers", DataCentre: centre})
 	}
 	for i, p := range peers {
-		set := &settings.Settings{Name: fmt.Sprint(i), Addresses: settings.Addresses{Peers: p}}
+		set := &settings.Settings{Name: fmt.Sprint(i), Addresses: settings.Addresses{Peers: p}, DataCentre: members[i].DataCentre}
 		e := &testEntry{Service: New(set, zap.NewNop()), path: netfault.New(DialDirectly), link: link.New(set, zap.NewNop())}
 		require.NoError(t, e.link.Start(context.Background(), nil))
 		e.SetDirect(e.path.Dial)
@@ -224,6 +236,20 @@
 	}
 }
 
+// TestPartitionedDataCentreIsServed guards against an entry that asks only entries of its own data
+// centre, all of which have lost their paths with it.
+func TestPartitionedDataCentreIsServed(t *testing.T) {
+	n := newTestNet(t, 16, 4)
+	for _, e := range n.entries[:14] {
+		e.path.Set(netfault.Hang)
+	}
+	for i := range 14 {
+		c, err := n.dial(i, i%4)
+		require.NoError(t, err, "entry %d", i)
+		_ = c.Close()
+	}
+}
+
 // TestPartitionEnds guards against an entry that goes on through others after its path has
 // returned, and against probes in quick succession.
 func TestPartitionEnds(t *testing.T) {
--- a/internal/egress/tunnel.go
+++ b/internal/egress/tunnel.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -21,47 +22,62 @@
 	// maxTunnelPeers is how many entries are asked for one connection.
 	maxTunnelPeers = 4
 	// nextPeerDelay is how long an entry may take before the next one is asked as well.
-	nextPeerDelay = 80 * time.Millisecond
+	nextPeerDelay = 40 * time.Millisecond
 	// tunnelTimeout bounds the setup of a tunnel: the other entry's own connection and what
 	// it needs to tell whose fault a failure is.
 	tunnelTimeout = time.Second
-	// badPeerTime is how long an entry that could not help is asked last.
-	badPeerTime = time.Second
+	// badPeerTime is how long an entry that could not help is asked last, goodPeerTime how
+	// long one that helped is asked first.
+	badPeerTime  = time.Second
+	goodPeerTime = 5 * time.Second
 	// minDownResults is how many entries that reach other upstreams must fail to reach one
 	// for the search to end.
 	minDownResults = 2
 )
 
-// candidates returns the entries to ask, those that may help and are near first. Entries at the
-// same distance come in random order, so that they share the tunnels.
+// isHelper reports whether a member is another entry that may connect for this one.
+func (s *Service) isHelper(m port.Member) bool {
+	return m.Callers != "" && m.Peers != "" && !m.Leaving && m.Name != s.set.Name
+}
+
+// candidates returns the entries to ask: those that could not help lately come last, those that
+// did first, then one of each data centre, near ones before others, since the entries of a data
+// centre are often partitioned together. The order within a data centre is random, so that
+// entries share the tunnels.
 func (s *Service) candidates() []port.Member {
-	if s.members == nil {
-		return nil
-	}
 	type candidate struct {
 		port.Member
-		isBad    bool
-		distance int
-		order    float64
+		isBad, isGood bool
+		// turn counts the candidates of the data centre before this one.
+		turn, distance int
 	}
 	live, now := s.members.Live(), time.Now()
-	list := []candidate{}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	list, turns := []candidate{}, map[string]int{}
 	s.mu.Lock()
 	for _, m := range live {
-		if m.Callers == "" || m.Peers == "" || m.Leaving || m.Name == s.set.Name {
+		if !s.isHelper(m) {
 			continue
 		}
-		list = append(list, candidate{Member: m, isBad: now.Before(s.badPeers[m.Name]), distance: s.distance(m), order: rand.Float64()})
+		c := candidate{Member: m, distance: s.distance(m), isBad: now.Before(s.badPeers[m.Name]), isGood: now.Before(s.goodPeers[m.Name])}
+		if !c.isBad && !c.isGood {
+			c.turn = turns[m.DataCentre]
+			turns[m.DataCentre]++
+		}
+		list = append(list, c)
 	}
 	s.mu.Unlock()
-	slices.SortFunc(list, func(a, b candidate) int {
-		if a.isBad != b.isBad {
-			if b.isBad {
-				return -1
-			}
-			return 1
+	rank := func(c candidate) int {
+		switch {
+		case c.isBad:
+			return 2
+		case c.isGood:
+			return 0
 		}
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.order, b.order))
+		return 1
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.turn, b.turn), cmp.Compare(a.distance, b.distance))
 	})
 	out := []port.Member{}
 	for _, c := range list[:min(len(list), maxTunnelPeers)] {
@@ -86,10 +102,10 @@
 func (s *Service) dialTunnel(ctx context.Context, address string) dialed {
 	ctx, cancel := context.WithTimeoutCause(ctx, tunnelTimeout, errTunnelTimeout)
 	defer cancel()
-	peers := s.candidates()
-	if len(peers) == 0 {
+	if !s.HasHelpers() {
 		return dialed{tunnel: true, err: errNoOtherEntry, result: NoOtherEntry}
 	}
+	peers := s.candidates()
 	results := make(chan dialed, len(peers))
 	next := time.NewTimer(0)
 	defer next.Stop()
@@ -145,23 +161,27 @@
 		s.recordPeer(ctx, peer, d.result)
 		return d
 	}
+	s.recordPeer(ctx, peer, Connected)
 	s.metrics.opened.Inc()
 	s.log.Info("connected through another entry", zap.String("address", address), zap.String("entry", peer.Name))
 	return d
 }
 
-// recordPeer remembers an entry that could not help.
+// recordPeer remembers whether an entry could help.
 func (s *Service) recordPeer(ctx context.Context, peer port.Member, r Result) {
-	if r == UpstreamDown || errors.Is(ctx.Err(), context.Canceled) {
+	if r == UpstreamDown || r != Connected && errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for name, until := range s.badPeers {
-		if now.After(until) {
-			delete(s.badPeers, name)
-		}
+	for _, list := range []map[string]time.Time{s.badPeers, s.goodPeers} {
+		maps.DeleteFunc(list, func(_ string, until time.Time) bool { return now.After(until) })
+		delete(list, peer.Name)
+	}
+	if r == Connected {
+		s.goodPeers[peer.Name] = now.Add(goodPeerTime)
+		return
 	}
 	s.badPeers[peer.Name] = now.Add(badPeerTime)
 }
@@ -182,7 +202,13 @@
 	if r := Result(first.Result); r != Connected {
 		return dialed{result: r, err: fmt.Errorf("entry %s did not reach it either (result %d)", peer.Name, r)}
 	}
-	return dialed{conn: newTunnelConn(ctx, cancel, stream, address)}
+	return dialed{conn: newTunnelConn(ctx, cancel, stream, address, func() bool { return s.isLeaving(peer.Name) })}
+}
+
+// isLeaving reports whether an entry drains or is no longer live.
+func (s *Service) isLeaving(entry string) bool {
+	m, live := s.members.Find(entry)
+	return !live || m.Leaving
 }
 
 // tunnelConn is a connection through another entry.
@@ -196,6 +222,8 @@
 	err    error
 	rest   []byte
 	write  sync.Mutex
+	// isLeaving reports whether the other entry leaves.
+	isLeaving func() bool
 }
 
 // tunnelAddr is the address of an upstream behind a tunnel.
@@ -207,8 +235,8 @@
 // String returns the upstream's address.
 func (a tunnelAddr) String() string { return string(a) }
 
-func newTunnelConn(ctx context.Context, cancel context.CancelCauseFunc, stream rpc.DRPCTunnel_ConnectClient, address string) *tunnelConn {
-	c := &tunnelConn{stream: stream, ctx: ctx, cancel: cancel, address: tunnelAddr(address), frames: make(chan []byte)}
+func newTunnelConn(ctx context.Context, cancel context.CancelCauseFunc, stream rpc.DRPCTunnel_ConnectClient, address string, isLeaving func() bool) *tunnelConn {
+	c := &tunnelConn{isLeaving: isLeaving, stream: stream, ctx: ctx, cancel: cancel, address: tunnelAddr(address), frames: make(chan []byte)}
 	go c.receive()
 	return c
 }
@@ -231,9 +259,10 @@
 	}
 }
 
-// IsClean reports whether the tunnel is open and has no unread bytes.
+// IsClean reports whether the tunnel is open, has no unread bytes and leads through an entry
+// that stays.
 func (c *tunnelConn) IsClean() bool {
-	if len(c.rest) > 0 || c.ctx.Err() != nil {
+	if len(c.rest) > 0 || c.ctx.Err() != nil || c.isLeaving() {
 		return false
 	}
 	select {
