egress: a slow connection is no lost path

Callers of a slow machine would wait for the way through another entry although its own path is sound: a connection that took over 150 ms counted as a failure of the path if a tunnel was open before it, and three of them as a partition. Cause: the race was judged by its first result. Change: the direct attempt goes on for its own timeout, and only its own result counts. Another entry bounds its attempt by 250 ms and tries other upstreams meanwhile, so that the verdict on a dead upstream comes as the direct attempt ends, not a second later.

--- a/internal/egress/carry.go
+++ b/internal/egress/carry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -15,6 +17,12 @@
 	// maxCarried bounds the tunnels that an entry carries for others; each takes two
 	// connections and two buffers.
 	maxCarried = 1000
+	// carryDialTimeout bounds the setup of a connection for another entry, which has waited
+	// for its own already.
+	carryDialTimeout = 250 * time.Millisecond
+	// controlDelay is how long that may take before other upstreams are tried, to tell whose
+	// fault it is.
+	controlDelay = 100 * time.Millisecond
 	// controlUpstreams is how many other upstreams are tried when one is not reached.
 	controlUpstreams = 2
 )
@@ -53,14 +61,23 @@
 	if s.carried.Load() > maxCarried || s.IsPathLost(address) {
 		return nil, Unknown
 	}
-	d := s.dialDirect(ctx, address)
-	if d.err == nil {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.recordConnection(address)
-		return d.conn, Connected
+	results := make(chan dialed, 1)
+	go func() { results <- s.dialDirect(ctx, address) }()
+	reachesOthers := sync.OnceValue(func() bool { return s.reachesOthers(ctx, address) })
+	control := time.AfterFunc(controlDelay, func() { reachesOthers() })
+	defer control.Stop()
+	timeout := time.NewTimer(carryDialTimeout)
+	defer timeout.Stop()
+	select {
+	case d := <-results:
+		if d.err == nil {
+			s.recordDirect(address, nil)
+			return d.conn, Connected
+		}
+	case <-timeout.C:
+		go closeLate(results, 1)
 	}
-	if s.reachesOthers(ctx, address) {
+	if reachesOthers() {
 		return nil, UpstreamDown
 	}
 	return nil, Unknown
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -159,53 +159,69 @@
 func (s *Service) Dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan dialed, 2)
-	open := 0
-	start := func(dial func(context.Context, string) dialed) {
-		open++
-		go func() { results <- dial(ctx, address) }()
-	}
-	lost := s.IsPathLost(address)
-	if lost {
-		start(s.dialTunnel)
-	} else {
-		start(s.dialDirect)
-	}
-	other := time.NewTimer(tunnelDelay)
-	defer other.Stop()
-	if lost {
-		other.Stop()
+	r := &race{s: s, address: address, results: make(chan dialed, 2)}
+	first, second := s.dialDirect, s.dialTunnel
+	delay := tunnelDelay
+	if s.IsPathLost(address) {
+		first, second, delay = s.dialTunnel, s.dialDirect, tunnelTimeout
 	}
+	r.start(ctx, first)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
 	failed := &DialError{Address: address, Result: Unknown}
-	for tried := 1; open > 0; {
+	for started := 1; r.open > 0; {
 		select {
-		case <-other.C:
-		case d := <-results:
-			open--
+		case <-ctx.Done():
+			go r.close(nil)
+			return nil, ctx.Err()
+		case <-timer.C:
+		case d := <-r.results:
+			r.open--
 			if d.conn != nil {
-				s.recordOutcome(address, d, lost || tried == 1)
-				go closeLate(results, open)
+				s.recordConnected(address, d, failed.Direct)
+				go r.close(&d)
 				return d.conn, nil
 			}
 			failed.add(d)
 		}
-		if tried == 1 {
-			tried = 2
-			other.Stop()
-			if lost {
-				start(s.dialDirect)
-			} else {
-				start(s.dialTunnel)
-			}
+		if started == 1 {
+			started = 2
+			r.start(ctx, second)
 		}
 	}
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
 	return nil, failed
 }
 
-// closeLate closes the connection of an attempt that another one has overtaken.
+// race is a number of attempts to connect to one upstream, of which the first to succeed counts.
+type race struct {
+	s       *Service
+	address string
+	results chan dialed
+	// open is the number of attempts whose result was not received.
+	open int
+}
+
+// start starts an attempt.
+func (r *race) start(ctx context.Context, dial func(context.Context, string) dialed) {
+	r.open++
+	go func() { r.results <- dial(ctx, r.address) }()
+}
+
+// close closes the connections of late attempts. It learns from a direct one that was overtaken
+// by a tunnel whether the path is lost or only slow.
+func (r *race) close(winner *dialed) {
+	for range r.open {
+		d := <-r.results
+		if d.conn != nil {
+			_ = d.conn.Close()
+		}
+		if winner != nil && winner.tunnel && !d.tunnel {
+			r.s.recordDirect(r.address, d.err)
+		}
+	}
+}
+
+// closeLate closes the connections of attempts that another one has overtaken.
 func closeLate(results <-chan dialed, open int) {
 	for range open {
 		if d := <-results; d.conn != nil {
@@ -214,19 +230,30 @@
 	}
 }
 
-// recordOutcome learns from a connection which paths work. untried is set if only the way that
-// it takes was tried.
-func (s *Service) recordOutcome(address string, d dialed, untried bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// recordConnected learns from a connection which paths work; direct is the error of a direct
+// attempt that failed before.
+func (s *Service) recordConnected(address string, d dialed, direct error) {
 	switch {
 	case !d.tunnel:
-		s.recordConnection(address)
-	case untried:
-		s.paths.RecordDetour(s.now(), address)
+		s.recordDirect(address, nil)
+	case direct != nil:
+		s.recordDirect(address, direct)
 	default:
-		s.recordFailure(address)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.paths.RecordDetour(s.now(), address)
+	}
+}
+
+// recordDirect records the end of a direct attempt to connect to an upstream that was reached.
+func (s *Service) recordDirect(address string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.recordConnection(address)
+		return
 	}
+	s.recordFailure(address)
 }
 
 // recordConnection records a direct connection. The caller holds the lock.
@@ -246,9 +273,10 @@
 	}
 }
 
-// dialDirect connects from this entry.
+// dialDirect connects from this entry. It goes on for its own timeout if ctx ends, so that the
+// state of the path becomes known.
 func (s *Service) dialDirect(ctx context.Context, address string) dialed {
-	conn, err := (*s.direct.Load())(ctx, address)
+	conn, err := (*s.direct.Load())(context.WithoutCancel(ctx), address)
 	return dialed{conn: conn, err: err}
 }
 
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -250,6 +250,24 @@
 	}
 }
 
+// TestSlowConnectionIsNoLostPath guards against an entry that takes the way through others, and
+// keeps to it, since its own connections take long.
+func TestSlowConnectionIsNoLostPath(t *testing.T) {
+	n := newTestNet(t, 3, 4)
+	n.entries[0].SetDirect(func(ctx context.Context, address string) (net.Conn, error) {
+		time.Sleep(2 * tunnelDelay)
+		return DialDirectly(ctx, address)
+	})
+	for range 3 {
+		for i := range 4 {
+			c, err := n.dial(0, i)
+			require.NoError(t, err)
+			_ = c.Close()
+			require.False(t, n.entries[0].IsPathLost(n.address(i)))
+		}
+	}
+}
+
 // TestPartitionEnds guards against an entry that goes on through others after its path has
 // returned, and against probes in quick succession.
 func TestPartitionEnds(t *testing.T) {
