egress: an upstream's orderly end goes through a tunnel, a broken one does not

Callers would get a complete response without a length cut off, since its end came as an error through another entry. Cause: the tunnel's end did not say whether the upstream had closed its connection in order. Change: the last message says so; everything else is an error, so that a response that was broken off never looks complete.

--- a/internal/egress/carry.go
+++ b/internal/egress/carry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -125,6 +127,10 @@
 				return
 			}
 		}
+		if errors.Is(err, io.EOF) {
+			// The stream ends in either case; the other entry has closed it if this fails.
+			_ = stream.Send(&rpc.TunnelFrame{End: true})
+		}
 		if err != nil {
 			return
 		}
--- a/internal/egress/tunnel.go
+++ b/internal/egress/tunnel.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -246,6 +247,11 @@
 	defer close(c.frames)
 	for {
 		f, err := c.stream.Recv()
+		if err == nil && f.End {
+			err = io.EOF
+		} else if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			c.err = err
 			return
@@ -273,10 +279,14 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns io.EOF only if the upstream closed its connection in
+// order: a response without a length is complete then.
 func (c *tunnelConn) Read(b []byte) (int, error) {
 	if len(c.rest) == 0 {
 		data, open := <-c.frames
+		if !open && c.err == io.EOF {
+			return 0, io.EOF
+		}
 		if !open {
 			return 0, &net.OpError{Op: "read", Net: "tunnel", Addr: c.address, Err: c.err}
 		}
