egress: idle tunnels through an entry that leaves are closed, the metric ends with the partition

Callers see nothing. A draining entry waited up to four seconds for idle tunnels that it carried, and the metric of an entry without traffic stayed at partitioned.

--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -259,7 +259,6 @@
 // recordConnection records a direct connection. The caller holds the lock.
 func (s *Service) recordConnection(address string) {
 	if s.paths.RecordConnection(address) {
-		s.metrics.partitioned.Set(0)
 		s.log.Info("upstreams reached again", zap.String("address", address))
 	}
 }
@@ -268,7 +267,6 @@
 // caller holds the lock.
 func (s *Service) recordFailure(address string) {
 	if s.paths.RecordFailure(s.now(), address) {
-		s.metrics.partitioned.Set(1)
 		s.log.Warn("partitioned from the upstreams; connecting through other entries", zap.String("address", address))
 	}
 }
@@ -286,6 +284,7 @@
 		wait.Sleep(s.ctx, probeCheckInterval)
 		s.mu.Lock()
 		address, due := s.paths.Probe(s.now())
+		s.metrics.partitioned.Set(map[bool]float64{true: 1}[s.paths.IsPartitioned()])
 		s.mu.Unlock()
 		if due {
 			s.probe(address)
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -184,7 +184,7 @@
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if !all && c.isReusable(now, false) {
+			if !all && c.isReusable(now, false) && (!egress.IsTunnel(c.Conn) || c.isClean()) {
 				kept = append(kept, c)
 				continue
 			}
