--- a/core/sched/policy_test.go
+++ b/core/sched/policy_test.go
@@ -526,3 +526,36 @@
 	require.Greater(t, refused, requests/2)
 	require.Greater(t, sound, requests*9/10)
 }
+
+// TestPartitionedEntryQuarantinesNoSoundPrefix guards against a sound prefix that is refused at
+// all entries since the connections of one entry to sound upstreams were lost under it.
+func TestPartitionedEntryQuarantinesNoSoundPrefix(t *testing.T) {
+	const common, rounds = 7, 30
+	d := New(Params{})
+	for _, name := range []string{"a", "b", "c", "d"} {
+		mustAnnounce(t, d, 0, name, 4)
+	}
+	refused := 0
+	for n := range rounds {
+		now := time.Duration(n) * 500 * time.Millisecond
+		for i, entry := range []string{"partitioned", "sound"} {
+			o := testOffer(2*n+i, "w", 0)
+			o.ID.Entry = entry
+			o.Fingerprint, o.Blocks, o.PromptTokens = uint64(100+2*n+i), []uint64{common, uint64(1000 + 2*n + i)}, 128
+			refusal, err := d.Offer(now, o)
+			require.NoError(t, err)
+			if refusal != nil {
+				refused += i
+			}
+		}
+		for _, g := range d.Decide(now).Grants {
+			if g.ID.Entry == "sound" {
+				complete(t, d, now, g, time.Millisecond)
+				continue
+			}
+			_, err := d.Release(now, Release{ID: g.ID, Outcome: ConnectionLost})
+			require.NoError(t, err)
+		}
+	}
+	require.Zero(t, refused, "requests of the sound entry")
+}
