broker: entries without a broker don't each use one slot of a brittle upstream

Cause: an entry whose share is no slot on any upstream uses one slot of one, so that it makes progress; 63 entries are 63 requests at an upstream of six slots. Change: not with brittle upstreams. Measured: TestEntriesWithoutBrokerOverrunNoBrittleUpstream: 63 granted before, within six now.

--- a/core/broker/brittle_test.go
+++ b/core/broker/brittle_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -36,6 +37,24 @@
 	require.Equal(t, "u", grantTo(b, 0, "e", 3), "a complete answer frees the slot")
 }
 
+// TestEntriesWithoutBrokerOverrunNoBrittleUpstream guards against many entries without a broker
+// that use one slot each, so that each makes progress, of an upstream that has fewer.
+func TestEntriesWithoutBrokerOverrunNoBrittleUpstream(t *testing.T) {
+	const entries, slots = 63, 6
+	granted := 0
+	for i := range entries {
+		b := New(1.0 / entries)
+		b.SetName(fmt.Sprint(i))
+		b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Address: "u", Slots: slots, Born: born}})
+		b.LearnLimit(0, RequestLimit{Upstream: "u", Born: born, Brittle: true, MaxRejections: 2})
+		for n := range uint64(5) {
+			b.Offer(0, Offer{ID: ID{Entry: fmt.Sprint(i), Number: n}, Pool: "p", LatencyTarget: time.Second, Deadline: time.Second})
+		}
+		granted += len(b.Decide(0).Grants)
+	}
+	require.LessOrEqual(t, granted, slots)
+}
+
 // TestBrittleUpstreamRestsAfterRejection guards against one rejection after the other in the
 // same second.
 func TestBrittleUpstreamRestsAfterRejection(t *testing.T) {
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -121,7 +121,7 @@
 		}
 		capacity := u.capacity(now, share)
 		r.slots += p.usableSlots(u, capacity, share)
-		if lowest == nil || u.roundingPoint < lowest.roundingPoint {
+		if !u.isBrittle() && (lowest == nil || u.roundingPoint < lowest.roundingPoint) {
 			lowest = u
 		}
 		if u.limitWait(now, share) > 0 {
@@ -138,7 +138,7 @@
 	}
 	if r.slots == 0 && lowest != nil {
 		// The share is no slot on any upstream: use one upstream, so that every
-		// entry can make progress.
+		// entry can make progress. Brittle ones would be overrun by many entries.
 		r.fallback, r.slots = lowest, 1
 		if len(lowest.inFlight) == 0 && lowest.limitWait(now, share) == 0 {
 			r.open = append(r.open, lowest)
