forward: unanswered keep-alive probes say that a path may be lost; fewer tunnels are carried

Callers of sound entries could miss an upstream for a while: a stream that hangs since its path was lost has nothing unacknowledged, so its silence was held against the upstream. Change: the kernel's count of unanswered probes counts as well. An entry carries 400 tunnels at most instead of 1,000, for the memory of the smallest machines. Measured: the tests of forward and egress pass; no test shows the kernel's count of probes.

--- a/internal/egress/carry.go
+++ b/internal/egress/carry.go
@@ -18,7 +18,7 @@
 	maxFrameBytes = 16 << 10
 	// maxCarried bounds the tunnels that an entry carries for others; each takes two
 	// connections and two buffers.
-	maxCarried = 1000
+	maxCarried = 400
 	// carryDialTimeout bounds the setup of a connection for another entry, which has waited
 	// for its own already.
 	carryDialTimeout = 250 * time.Millisecond
--- a/internal/forward/path.go
+++ b/internal/forward/path.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// isAcknowledged reports whether the upstream's machine acknowledged all bytes that were sent
-// to it; false if that is not known.
+// isAcknowledged reports whether the upstream's machine acknowledged all bytes and keep-alive
+// probes that were sent to it; false if that is not known.
 func (a *upstreamAttempt) isAcknowledged() bool {
 	sys, ok := a.conn.Conn.(syscall.Conn)
 	if !ok {
@@ -62,7 +62,7 @@
 	acknowledged := false
 	controlErr := raw.Control(func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		acknowledged = err == nil && info.Unacked == 0 && info.Notsent_bytes == 0
+		acknowledged = err == nil && info.Unacked == 0 && info.Notsent_bytes == 0 && info.Probes == 0
 	})
 	return controlErr == nil && acknowledged
 }
