broker: limits that change with each answer are collected

Callers of a large deployment would wait for a leader that reads and compares its whole roster, and logs, with each answer of an upstream whose stated limit varies a little. Cause: each change of a limit was news, and made the roster due at once. Change: a change of under a tenth is no news; changes reach the roster as others do, collected so that reading it takes a tenth of a core at most. The load was not measured.

--- a/core/broker/limit.go
+++ b/core/broker/limit.go
@@ -19,6 +19,9 @@
 	// minLimit is the rate, in requests a second, at which an upstream that names a lower
 	// one gets requests: only its answers tell when it takes more again.
 	minLimit = 0.2
+	// minLimitChange is the smallest relative change of a limit that is news. An upstream
+	// may state another number in each answer; it bears half more than it states.
+	minLimitChange = 0.1
 	// maxLimiters bounds the limits that are remembered, also of upstreams that are gone. It
 	// exceeds the number of upstreams that start in a day.
 	maxLimiters = 10_000
@@ -48,8 +51,11 @@
 	return l.Born > old.Born || l.Born == old.Born && l.AskedAt > old.AskedAt
 }
 
-// isEqual reports whether two limits say the same of the same process.
-func (l RequestLimit) isEqual(other RequestLimit) bool {
+// isSimilar reports whether two limits say about the same of the same process.
+func (l RequestLimit) isSimilar(other RequestLimit) bool {
+	if math.Abs(l.PerSecond-other.PerSecond) <= minLimitChange*other.PerSecond {
+		l.PerSecond = other.PerSecond
+	}
 	l.AskedAt = other.AskedAt
 	return l == other
 }
@@ -58,12 +64,14 @@
 // turns at an entry without a broker.
 type limiter struct {
 	RequestLimit
-	bucket limits.Bucket
-	pacer  limits.Pacer
+	// reported is the limit when it was last news.
+	reported RequestLimit
+	bucket   limits.Bucket
+	pacer    limits.Pacer
 }
 
 func newLimiter(now time.Duration, l RequestLimit) *limiter {
-	x := &limiter{RequestLimit: l}
+	x := &limiter{RequestLimit: l, reported: l}
 	// Another broker may have used all of the limit until now.
 	x.bucket.Lower(now, x.rate(), x.burst(), 0)
 	return x
@@ -156,12 +164,17 @@
 	if !l.supersedes(x.RequestLimit) {
 		return false
 	}
-	changed := !l.isEqual(x.RequestLimit) && (l.Limited || x.Limited || l.Brittle || x.Brittle)
-	if l.Limited && (!x.Limited || l.PerSecond != x.PerSecond) {
-		x.bucket.Lower(now, max(minLimit, l.PerSecond), max(1, l.PerSecond*limitBurstTime.Seconds()), 0)
-	}
+	old := x.reported
+	changed := !l.isSimilar(old) && (l.Limited || old.Limited || l.Brittle || old.Brittle)
 	x.RequestLimit = l
-	return changed
+	if !changed {
+		return false
+	}
+	x.reported = l
+	if l.Limited && (!old.Limited || l.PerSecond != old.PerSecond) {
+		x.bucket.Lower(now, x.rate(), x.burst(), 0)
+	}
+	return true
 }
 
 // Limit returns what an upstream said of the requests that it takes, and false if it said
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -240,6 +240,11 @@
 func (s *Service) batchDelay() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.batchDelayLocked()
+}
+
+// batchDelayLocked is batchDelay for a caller that holds the lock.
+func (s *Service) batchDelayLocked() time.Duration {
 	return min(maxBatchDelay, max(minBatchDelay, batchDelayFactor*s.rosterReadTime))
 }
 
--- a/internal/broker/limits.go
+++ b/internal/broker/limits.go
@@ -7,7 +7,6 @@
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
-	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 // learnLimits adds what upstreams said of the requests that they take. A follower keeps it as
@@ -23,9 +22,10 @@
 		s.log.Info("upstream limit changed", brokerwire.LimitFields(l)...)
 	}
 	if changed {
-		// The entries hear of it with the roster.
-		s.rosterReadAt = time.Time{}
-		wait.Notify(s.wake)
+		// The entries hear of it with the roster, changes of which are collected.
+		if due := time.Now().Add(s.batchDelayLocked() - rosterInterval); s.rosterReadAt.After(due) {
+			s.rosterReadAt = due
+		}
 	}
 }
 
