broker: a request that was not sent gives back only what it spent of a limit

Cause: each request that ended unsent added a token to its upstream's bucket, also one that was granted before the limit was named, or by the broker before. Change: a request remembers whether its grant was counted. Measured: TestUnsentRequestsRefundOnlyWhatTheySpent: with 20 such requests one was granted at a bucket that must be empty; none now.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -229,6 +229,9 @@
 	prefilledAlone bool
 	// chargedTokens is what was taken from the quota and may be refunded.
 	chargedTokens int
+	// limitSpent is true while the grant counts against the upstream's limit and may be
+	// taken back.
+	limitSpent bool
 	// admissionCounted is true once the request is counted in its pool's admissions.
 	admissionCounted bool
 	// late is true once the request can no longer be on time; it then waits behind
@@ -526,7 +529,7 @@
 		b.refund(req)
 	}
 	if e.Outcome == NotSent || e.Outcome == Unreachable || e.Outcome == PathUnavailable {
-		req.assigned.refundLimit(b.share)
+		b.refundLimit(req)
 	}
 	b.recordCrash(now, req, e)
 	p := b.pool(req.Pool)
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -219,7 +219,7 @@
 		p.queue = slices.Delete(p.queue, i, i+1)
 		p.admissions.record(r.now, req, true, 0)
 		p.assign(r.now, req, u)
-		u.spendLimit(r.now, r.share)
+		b.spendLimit(r.now, req)
 		b.startTrial(r.now, req, u, stage, first)
 		b.recordStream(r.now, req, u.SoftwareVersion)
 		r.closeIfFull(u)
--- a/core/broker/limit.go
+++ b/core/broker/limit.go
@@ -102,23 +102,26 @@
 	return max(1, seconds((1-level)/x.rate()))
 }
 
-// spendLimit counts a grant against the upstream's limit.
-func (u *upstream) spendLimit(now time.Duration, share float64) {
+// spendLimit counts the grant of a request against its upstream's limit.
+func (b *Broker) spendLimit(now time.Duration, req *request) {
+	u := req.assigned
 	x := u.limiter
 	switch {
 	case !u.isLimited():
-	case share < 1:
-		x.pacer.Take(now, x.localPeriod(share), localTurnWindow, u.roundingPoint)
+	case b.share < 1:
+		x.pacer.Take(now, x.localPeriod(b.share), localTurnWindow, u.roundingPoint)
 	default:
-		x.bucket.Take(now, x.rate(), x.burst(), 0, 1)
+		_, req.limitSpent = x.bucket.Take(now, x.rate(), x.burst(), 0, 1)
 	}
 }
 
-// refundLimit takes back a grant of the broker of all entries under which nothing was sent.
-func (u *upstream) refundLimit(share float64) {
-	if u.isLimited() && share == 1 {
-		u.limiter.bucket.Refund(1)
+// refundLimit takes back the grant of a request that was not sent, if the broker of all entries
+// counted it. An unused turn of an entry expires instead.
+func (b *Broker) refundLimit(req *request) {
+	if req.limitSpent && req.assigned.limiter != nil {
+		req.assigned.limiter.bucket.Refund(1)
 	}
+	req.limitSpent = false
 }
 
 // isLimited reports whether the upstream's process names a limit.
--- a/core/broker/limit_test.go
+++ b/core/broker/limit_test.go
@@ -215,3 +215,27 @@
 		require.GreaterOrEqual(t, r.RetryAfter, time.Second)
 	}
 }
+
+// TestUnsentRequestsRefundOnlyWhatTheySpent guards against an upstream that gets more than its
+// limit, since requests that were granted before it named one, or by another broker, come back
+// unsent and add to what others may use.
+func TestUnsentRequestsRefundOnlyWhatTheySpent(t *testing.T) {
+	const granted = 20
+	b := newNoticeBroker("u")
+	offer := func(now time.Duration, first, n uint64) []Grant {
+		for i := range n {
+			b.Offer(now, Offer{ID: ID{Entry: "e", Number: first + i}, Pool: "p", LatencyTarget: now + time.Second, Deadline: now + 2*time.Second})
+		}
+		return b.Decide(now).Grants
+	}
+	require.Len(t, offer(0, 0, granted), granted)
+	b.LearnLimit(0, RequestLimit{Upstream: "u", Born: born, Limited: true, PerSecond: 1, AskedAt: 1})
+	for n := range uint64(granted) {
+		b.End(0, End{ID: ID{Entry: "e", Number: n}, Outcome: NotSent})
+	}
+	require.Empty(t, offer(0, 100, granted))
+	one := offer(time.Second, 200, granted)
+	require.Len(t, one, 1)
+	b.End(time.Second, End{ID: one[0].ID, Outcome: NotSent})
+	require.Len(t, offer(time.Second, 300, granted), 1, "what was spent comes back")
+}
