--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -18,6 +18,7 @@
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
 	"github.com/verbenastep/verbenastep/internal/duplex"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
 	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
@@ -128,34 +129,19 @@
 	live := s.members.Live()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	nearest, current := farthest, farthest
+	nearest, current := settings.Farthest, settings.Farthest
 	for _, m := range live {
 		if !m.Replica || m.Leaving || s.now() < s.redirectedUntil[m.Peers] {
 			continue
 		}
-		nearest = min(nearest, s.distance(m))
+		nearest = min(nearest, s.set.Distance(m.DataCentre, m.Region))
 		if m.Peers == address {
-			current = s.distance(m)
+			current = s.set.Distance(m.DataCentre, m.Region)
 		}
 	}
 	return nearest < current
 }
 
-// farthest is the distance of a daemon in another region.
-const farthest = 2
-
-// distance returns 0 for a daemon in the entry's data centre, 1 for one in its region and
-// farthest for others.
-func (s *Service) distance(m port.Member) int {
-	switch {
-	case m.DataCentre == s.set.DataCentre:
-		return 0
-	case m.Region == s.set.Region:
-		return 1
-	}
-	return farthest
-}
-
 // nearestControl returns the peer addresses of the live control daemons: those of the
 // entry's data centre first, then those of its region, then the others. Entries differ in the
 // order of daemons at the same distance.
@@ -173,7 +159,7 @@
 		if !m.Replica || m.Leaving {
 			continue
 		}
-		list = append(list, candidate{address: m.Peers, distance: s.distance(m), order: rendezvous.Point(m.Name, s.self)})
+		list = append(list, candidate{address: m.Peers, distance: s.set.Distance(m.DataCentre, m.Region), order: rendezvous.Point(m.Name, s.self)})
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.order, b.order))
--- a/internal/egress/carry.go
+++ b/internal/egress/carry.go
@@ -58,7 +58,7 @@
 // connectFor connects for another entry: directly, never through a third one.
 func (s *Service) connectFor(ctx context.Context, address string) (net.Conn, Result) {
 	if !s.upstreams.HasUpstream(address) {
-		return nil, Rejected
+		return nil, UnknownAddress
 	}
 	if s.carried.Load() > maxCarried || s.IsPathLost(address) {
 		return nil, Unknown
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -296,6 +296,7 @@
 func (s *Service) probe(address string) {
 	d := s.dialDirect(s.ctx, address)
 	if d.err != nil {
+		s.log.Debug("path is still lost", zap.String("address", address), zap.Error(d.err))
 		return
 	}
 	_ = d.conn.Close()
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -322,7 +322,7 @@
 	ctx := context.Background()
 	conn, result := n.entries[1].connectFor(ctx, other.Addr().String())
 	require.Nil(t, conn)
-	require.Equal(t, Rejected, result)
+	require.Equal(t, UnknownAddress, result)
 	n.entries[1].path.Set(netfault.RefuseNew)
 	conn, result = n.entries[1].connectFor(ctx, n.address(0))
 	require.Nil(t, conn)
--- a/internal/egress/result.go
+++ b/internal/egress/result.go
@@ -18,8 +18,8 @@
 	UpstreamDown
 	// NoOtherEntry means that there was no entry to ask.
 	NoOtherEntry
-	// Rejected means that the entry that was asked knows no upstream at the address.
-	Rejected
+	// UnknownAddress means that the entry that was asked knows no upstream at the address.
+	UnknownAddress
 )
 
 var errNoOtherEntry = errors.New("no other entry is live")
--- a/internal/egress/tunnel.go
+++ b/internal/egress/tunnel.go
@@ -60,7 +60,7 @@
 		if !s.isHelper(m) {
 			continue
 		}
-		c := candidate{Member: m, distance: s.distance(m), isBad: now.Before(s.badPeers[m.Name]), isGood: now.Before(s.goodPeers[m.Name])}
+		c := candidate{Member: m, distance: s.set.Distance(m.DataCentre, m.Region), isBad: now.Before(s.badPeers[m.Name]), isGood: now.Before(s.goodPeers[m.Name])}
 		if !c.isBad && !c.isGood {
 			c.turn = turns[m.DataCentre]
 			turns[m.DataCentre]++
@@ -87,17 +87,6 @@
 	return out
 }
 
-// distance returns 0 for an entry in this data centre, 1 for one in the region and 2 for others.
-func (s *Service) distance(m port.Member) int {
-	switch {
-	case m.DataCentre == s.set.DataCentre:
-		return 0
-	case m.Region == s.set.Region:
-		return 1
-	}
-	return 2
-}
-
 // dialTunnel connects through another entry. It asks several, one after the other, until one is
 // connected or enough of them say that the upstream is at fault.
 func (s *Service) dialTunnel(ctx context.Context, address string) dialed {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,6 +105,21 @@
 	Stdout bool `json:"stdout,omitempty"`
 }
 
+// Farthest is the distance of a daemon in another region; see Distance.
+const Farthest = 2
+
+// Distance returns 0 for a daemon in this one's data centre, 1 for one in its region and Farthest
+// for others.
+func (s *Settings) Distance(dataCentre, region string) int {
+	switch {
+	case dataCentre == s.DataCentre:
+		return 0
+	case region == s.Region:
+		return 1
+	}
+	return Farthest
+}
+
 // HasRole reports whether the daemon has a role.
 func (s *Settings) HasRole(r Role) bool {
 	for _, have := range s.Roles {
