view: watch further replicas in waves while the watched one is silent

Ruled out: the broker (regained after 0.5 s) and the log (other entries had the version at 31.9 s). Live replicas come before those of the settings that are not live. A replica that does not know the new leader yet does not replace it.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -143,6 +143,10 @@
 		return err
 	}
 	leader := port.Leader{Address: u.LeaderAddress, Term: u.LeaderTerm}
+	if leader.Address != "" && leader.Term < s.leader.Term {
+		// Of two replicas that are watched for a moment, one may not know the new leader yet.
+		leader = s.leader
+	}
 	leaderChanged := s.leader != leader
 	s.leader = leader
 	if len(u.Config) == 0 && len(u.Leases) == 0 && !u.SuspectsFull && len(u.Table) == 0 && !leaderChanged {
--- a/internal/view/watch.go
+++ b/internal/view/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -18,7 +17,7 @@
 )
 
 const (
-	// retryDelay is the delay before the next replica is tried.
+	// retryDelay is the delay before a replica is asked again for the first route table.
 	retryDelay = 100 * time.Millisecond
 	// firstMessageTimeout bounds the time to a watch's first message. It covers
 	// the read with which the replica begins a watch.
@@ -28,26 +27,20 @@
 	messageTimeout = 900 * time.Millisecond
 )
 
-var errWatchTimeout = errors.New("watch received neither update nor keepalive within the timeout; trying the next replica")
+var errWatchTimeout = errors.New("the replica sent neither update nor keepalive within the timeout")
 
-// run watches one replica at a time, nearest first, until the context ends.
+// run watches the nearest replica, and others while it is silent, until the context ends.
 func (s *Service) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if s.set.Routing != nil && s.Routes() == nil {
-			s.awaitFirstTable(ctx)
-		}
-		for _, p := range s.replicasByDistance() {
-			if ctx.Err() != nil {
-				return
-			}
-			s.watchOnce(ctx, p)
-		}
+	if s.set.Routing != nil {
+		s.awaitFirstTable(ctx)
 	}
+	w := &watches{s: s, started: time.Now(), failover: newFailover(), cancels: map[string]context.CancelFunc{}, wake: make(chan struct{}, 1)}
+	w.run(ctx)
 }
 
 // watchOnce watches a replica until the watch ends, then waits for the retry delay.
 func (s *Service) watchOnce(ctx context.Context, p settings.Peer) {
-	err := s.watch(ctx, p)
+	err := s.watch(ctx, p, func() {})
 	s.log.Debug("watch ended", zap.String("replica", p.Name), zap.Error(err))
 	wait.Sleep(ctx, retryDelay)
 }
@@ -77,31 +70,26 @@
 	watches.Wait()
 }
 
-// replicasByDistance returns the known replicas: this daemon first, then those in
-// its data centre, in its region and elsewhere.
+// replicasByDistance returns the known replicas: this daemon first, then the live ones in its
+// data centre, in its region and elsewhere, then those that are not known to be live.
 func (s *Service) replicasByDistance() []settings.Peer {
 	members, _ := kernel.Find[port.Members](s.kernel, port.NameMembers)
+	live := []port.Member{}
+	if members != nil {
+		live = members.Live()
+	}
 	distance := func(p settings.Peer) int {
 		if p.Address == s.set.Addresses.Peers {
-			return 0
-		}
-		if members == nil {
-			return 3
+			return -1
 		}
-		m, ok := memberByAddress(members.Live(), p.Address)
-		switch {
-		case ok && m.DataCentre == s.set.DataCentre:
-			return 1
-		case ok && m.Region == s.set.Region:
-			return 2
+		m, ok := memberByAddress(live, p.Address)
+		if !ok {
+			return settings.Farthest + 1
 		}
-		return 3
-	}
-	out := append([]settings.Peer{}, s.set.KnownReplicas()...)
-	if members != nil {
-		out = addReplicas(out, members.Live())
+		return s.set.Distance(m.DataCentre, m.Region)
 	}
-	sort.SliceStable(out, func(i, j int) bool { return distance(out[i]) < distance(out[j]) })
+	out := addReplicas(slices.Clone(s.set.KnownReplicas()), live)
+	slices.SortStableFunc(out, func(a, b settings.Peer) int { return distance(a) - distance(b) })
 	return out
 }
 
@@ -124,8 +112,9 @@
 	return known
 }
 
-// watch applies the updates of one replica until the watch fails or times out.
-func (s *Service) watch(ctx context.Context, p settings.Peer) error {
+// watch applies the updates of one replica until the watch fails or times out. It calls onMessage
+// for each message.
+func (s *Service) watch(ctx context.Context, p settings.Peer, onMessage func()) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(firstMessageTimeout, func() { cancel(errWatchTimeout) })
@@ -146,6 +135,7 @@
 			return errors.Join(err, context.Cause(ctx))
 		}
 		watchdog.Reset(messageTimeout)
+		onMessage()
 		s.recordUpdate(p.Name, update.Index)
 		if err := s.apply(update); err != nil {
 			return err
