broker: gates and exposure of software versions during a rollout

Change: SetGate, SetRollout and RolloutFleet in new files of core/broker; the version check is part of fits, slots of a version on trial do not count as capacity, and one target upstream is filled at a time. Offers carry a hash of the route and whether they were counted, grants the reason of their version. Without a rollout the pool has no gate, and nothing is computed.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -79,6 +79,10 @@
 	Avoid []string
 	// Running is the upstream of a request that another broker granted.
 	Running string
+	// Route is a hash of the name of the request's route; zero if it is not known.
+	Route uint64
+	// Counted is set if a broker of all entries was offered the request before.
+	Counted bool
 }
 
 // Upstream describes an upstream as the roster reports it.
@@ -119,8 +123,10 @@
 	// requests left in the queue after the grant.
 	FreeSlots int
 	Queued    int
-	// SoftwareVersion is that of the upstream.
+	// SoftwareVersion is that of the upstream. VersionReason says why it was chosen; empty
+	// without a rollout.
 	SoftwareVersion string
+	VersionReason   string
 }
 
 // Code is the reason why a request is refused. A refused request did not run.
@@ -222,6 +228,8 @@
 	// while the request waits.
 	assigned *upstream
 	granted  time.Duration
+	// version is the software version that was granted.
+	version string
 	// expectedEnd is when the upstream should have completed the request.
 	expectedEnd time.Duration
 	// prefilledAlone is true if the upstream had no other prompt to prefill when the
@@ -330,6 +338,7 @@
 		return
 	}
 	b.requests[o.ID] = req
+	b.pool(o.Pool).countRequest(now, &req.Offer)
 	b.pool(o.Pool).enqueue(now, req)
 }
 
@@ -350,6 +359,9 @@
 	}
 	b.requests[req.ID] = req
 	p.assign(now, req, u)
+	if req.VersionBound {
+		req.version = req.SoftwareVersion
+	}
 }
 
 // burstSlackFraction is the fraction of the quota slack that is added to the burst,
@@ -537,6 +549,7 @@
 		delete(b.requests, e.ID)
 		p.release(req)
 	}
+	p.learnRollout(now, req, e)
 	p.learn(now, req, e)
 	req.assigned.notices.record(now, e.ID.Entry, e)
 	req.assigned.paths.record(now, e.ID.Entry, e.Outcome)
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -115,8 +115,9 @@
 	r := &round{now: now, share: share, open: p.open[:0], minCallTimes: map[string]float64{}}
 	lowest := (*upstream)(nil)
 	atLimit := []*upstream{}
+	p.versions.startRound(now, p)
 	for _, u := range p.order {
-		if u.isLeaving() || u.health.isUnavailable(now) {
+		if u.isLeaving() || u.health.isUnavailable(now) || p.versions.passesOver(r, u) {
 			continue
 		}
 		capacity := u.capacity(now, share)
@@ -222,11 +223,12 @@
 		b.spendLimit(r.now, req)
 		b.startTrial(r.now, req, u, stage, first)
 		b.recordStream(r.now, req, u.SoftwareVersion)
+		reason := p.countTry(r.now, u)
 		r.closeIfFull(u)
 		b.pending.Grants = append(b.pending.Grants, Grant{
 			ID: req.ID, Upstream: u.ID, Address: u.Address, Born: u.Born, ExpectedTimeToFirstEvent: first, Waited: r.now - req.arrived,
 			FreeSlots: u.capacity(r.now, b.share) - len(u.inFlight), Queued: len(p.queue),
-			SoftwareVersion: u.SoftwareVersion,
+			SoftwareVersion: u.SoftwareVersion, VersionReason: reason,
 		})
 	}
 	p.open = r.open
@@ -308,7 +310,7 @@
 	if u.Silent {
 		cost += silentPenalty
 	}
-	return cost + time.Duration(u.health.failureRate*float64(failurePenalty))
+	return cost + time.Duration(u.health.failureRate*float64(failurePenalty)) - p.rolloutPreference(u)
 }
 
 // refuseLate refuses requests as soon as the estimate says that they would be
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -35,6 +35,8 @@
 	// pastVersions holds the software versions of upstreams that have left, and since
 	// when; zero until the next round.
 	pastVersions map[string]time.Duration
+	// versions restricts the software versions during a rollout; nil without one.
+	versions *versionGate
 }
 
 func newPool(name string) *pool {
@@ -56,6 +58,8 @@
 	roundingPoint float64
 	sessions      sessionCache
 	notices       notices
+	// paces is kept during rollouts only.
+	paces paces
 	// limiter holds what the upstream said of the requests that it takes; nil if nothing.
 	limiter *limiter
 	// paths holds the entries without a path to the upstream.
@@ -70,7 +74,7 @@
 // that remain. A removed upstream is kept as leaving while requests run on it.
 func (p *pool) setUpstreams(list []Upstream, engine *routes.Engine, broker string) {
 	p.engine = engine
-	past := p.versions()
+	past := p.softwareVersions()
 	p.order = p.order[:0]
 	listed := map[string]bool{}
 	for _, x := range list {
@@ -155,7 +159,7 @@
 
 // assign adds a request to an upstream's running ones and estimates its end.
 func (p *pool) assign(now time.Duration, req *request, u *upstream) {
-	req.assigned, req.granted = u, now
+	req.assigned, req.granted, req.version = u, now, u.SoftwareVersion
 	req.prefilledAlone = u.prefillUntil <= now
 	prefill := p.prefillTime(req, u)
 	u.prefillUntil = max(now, u.prefillUntil) + prefill
@@ -206,5 +210,5 @@
 	if p.engine != nil && p.engine.MemoryTokens > 0 && len(u.inFlight) > 0 && u.tokens+req.tokens() > p.engine.MemoryTokens {
 		return false
 	}
-	return req.isVersionAllowed(u.SoftwareVersion) && u.isOpenTo(now, req.ID.Entry) && !slices.Contains(req.Avoid, u.ID)
+	return p.allowsVersion(u, req) && req.isVersionAllowed(u.SoftwareVersion) && u.isOpenTo(now, req.ID.Entry) && !slices.Contains(req.Avoid, u.ID)
 }
--- a/core/broker/streams.go
+++ b/core/broker/streams.go
@@ -114,7 +114,7 @@
 // serves reports whether an upstream of a software version takes requests.
 func (p *pool) serves(version string) bool {
 	for _, u := range p.order {
-		if u.SoftwareVersion == version && !u.isLeaving() {
+		if u.SoftwareVersion == version && !u.isLeaving() && p.versions.allows(version, true) {
 			return true
 		}
 	}
@@ -125,7 +125,7 @@
 // so within versionMemory, and false if there are several or none.
 func (p *pool) onlyVersion() (string, bool) {
 	found := make(map[string]bool, 1)
-	for _, version := range p.versions() {
+	for _, version := range p.softwareVersions() {
 		found[version] = true
 	}
 	for version := range p.pastVersions {
@@ -140,8 +140,8 @@
 	return "", false
 }
 
-// versions returns the software version of each upstream.
-func (p *pool) versions() []string {
+// softwareVersions returns the software version of each upstream.
+func (p *pool) softwareVersions() []string {
 	out := make([]string, 0, len(p.order))
 	for _, u := range p.order {
 		out = append(out, u.SoftwareVersion)
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -49,6 +49,7 @@
 		AimMs: int32((o.LatencyTarget - now).Milliseconds()), WaitMs: milliseconds(o.Deadline - now), Session: o.Session, SessionTokens: uint32(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: uint32(o.QuotaReserve * permille), LateMs: milliseconds(o.LatestUseful - o.LatencyTarget),
 		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
+		Route: o.Route, Counted: o.Counted,
 	}
 }
 
@@ -61,6 +62,7 @@
 		LatencyTarget: target, LatestUseful: target + duration(o.LateMs), Deadline: now + duration(o.WaitMs), Session: o.Session, SessionTokens: int(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, QuotaReserve: float64(o.Reserve) / permille,
 		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
+		Route: o.Route, Counted: o.Counted,
 	}
 }
 
@@ -127,7 +129,7 @@
 func EncodeGrant(g broker.Grant) *rpc.WorkGrant {
 	return &rpc.WorkGrant{
 		Id: g.ID.Number, Upstream: g.Upstream, Address: g.Address, Born: g.Born, ExpectedMs: milliseconds(g.ExpectedTimeToFirstEvent),
-		Free: uint32(max(0, g.FreeSlots)), Queued: uint32(g.Queued), SoftwareVersion: g.SoftwareVersion,
+		Free: uint32(max(0, g.FreeSlots)), Queued: uint32(g.Queued), SoftwareVersion: g.SoftwareVersion, VersionReason: g.VersionReason,
 	}
 }
 
@@ -135,7 +137,7 @@
 func DecodeGrant(entry string, g *rpc.WorkGrant) broker.Grant {
 	return broker.Grant{
 		ID: broker.ID{Entry: entry, Number: g.Id}, Upstream: g.Upstream, Address: g.Address, Born: g.Born, ExpectedTimeToFirstEvent: duration(g.ExpectedMs),
-		FreeSlots: int(g.Free), Queued: int(g.Queued), SoftwareVersion: g.SoftwareVersion,
+		FreeSlots: int(g.Free), Queued: int(g.Queued), SoftwareVersion: g.SoftwareVersion, VersionReason: g.VersionReason,
 	}
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -199,7 +199,7 @@
 	o := port.BrokerOffer{LatencyTargetAt: q.latencyTargetAt, DeadlineAt: q.deadline, LatencyGrace: q.route.LatencyTarget()}
 	o.Offer = broker.Offer{
 		Pool: q.pool, Workspace: q.workspace, DataCentre: s.set.DataCentre, Region: s.set.Region, Rank: q.rank,
-		QuotaCharge: q.chargedTokens, Fingerprint: q.fingerprint,
+		QuotaCharge: q.chargedTokens, Fingerprint: q.fingerprint, Route: hashText(q.route.Name),
 	}
 	o.SharedParts = q.sharedParts()
 	if q.route.Kind == routes.Stream && q.route.Resumable {
