--- a/internal/settings/routing.go
+++ b/internal/settings/routing.go
@@ -33,6 +33,9 @@
 	Retry Retry `json:"retry,omitempty"`
 	// Quota is the tolerance in the enforcement of workspaces' quotas.
 	Quota Quota `json:"quota,omitempty"`
+	// Rollout is set if operators may order rollouts of software versions. It must be set
+	// on all daemons alike.
+	Rollout *Rollout `json:"rollout,omitempty"`
 	// DataCentres maps each data centre to its region.
 	DataCentres map[string]string `json:"data_centres,omitempty"`
 }
@@ -65,6 +68,17 @@
 	SlackTokens float64 `json:"slack_tokens,omitempty"`
 }
 
+// Rollout bounds what a software version may do before it is trusted.
+type Rollout struct {
+	// Share is the largest fraction of a pool's requests that the version gets; Slack is
+	// the number of requests that it may get besides.
+	Share float64 `json:"share"`
+	Slack float64 `json:"slack"`
+	// RollbackMS is the time from the version's 50th bad answer within which no entry sends
+	// to it any more.
+	RollbackMS float64 `json:"rollback_ms"`
+}
+
 // Defaults for Routing, in milliseconds except for DefaultRetryRatio. A time of zero
 // is replaced by its default as well.
 const (
