--- a/core/broker/rollout.go
+++ b/core/broker/rollout.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/verbenastep/verbenastep/core/rollout"
@@ -36,6 +37,8 @@
 // versionGate restricts the software versions of a pool during and after a rollout.
 type versionGate struct {
 	gate rollout.Gate
+	// retired lists the versions that a completed rollout replaced.
+	retired []string
 	// controller is nil at a local broker, and at the broker of all entries until it has
 	// one; the target gets no requests on trial then.
 	controller RolloutController
@@ -52,10 +55,10 @@
 
 // SetRollout sets the controller of a pool's running rollout; nil removes it.
 func (b *Broker) SetRollout(pool string, c RolloutController) {
-	p := b.pool(pool)
-	if c == nil && p.versions == nil {
+	if c == nil && (b.pools[pool] == nil || b.pools[pool].versions == nil) {
 		return
 	}
+	p := b.pool(pool)
 	if p.versions == nil {
 		p.versions = newVersionGate(b.share)
 	}
@@ -64,15 +67,19 @@
 }
 
 // SetGate sets which software versions of a pool get new requests; the zero Gate allows all.
-func (b *Broker) SetGate(pool string, g rollout.Gate) {
-	p := b.pool(pool)
-	if g == (rollout.Gate{}) && p.versions == nil || p.versions != nil && p.versions.gate == g {
+// retired lists the versions that a completed rollout replaced; others are allowed then.
+func (b *Broker) SetGate(pool string, g rollout.Gate, retired []string) {
+	if g == (rollout.Gate{}) && (b.pools[pool] == nil || b.pools[pool].versions == nil) {
 		return
 	}
+	p := b.pool(pool)
 	if p.versions == nil {
 		p.versions = newVersionGate(b.share)
 	}
-	p.versions.gate, p.versions.onlyTargetSince = g, -1
+	if p.versions.gate != g {
+		p.versions.gate, p.versions.onlyTargetSince = g, -1
+	}
+	p.versions.retired = retired
 	p.dropOpenVersions()
 }
 
@@ -108,6 +115,8 @@
 		return v.gate.AllowsTarget(v.central) || v.onlyTargetSince >= 0 && v.gate.Phase == rollout.RolledBack && v.mayTry
 	case bound && v.gate.Phase == rollout.Settle:
 		return true
+	case v.gate.Phase == rollout.Completed:
+		return !slices.Contains(v.retired, version)
 	}
 	return v.gate.AllowsOld(v.central)
 }
--- a/core/broker/rollout_test.go
+++ b/core/broker/rollout_test.go
@@ -57,7 +57,7 @@
 // that none of them works under load.
 func TestTrialIsBoundedAndFillsOneUpstream(t *testing.T) {
 	b, c := rolloutPool(1), &countingController{left: 3}
-	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Trial})
+	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Trial}, nil)
 	require.Equal(t, map[string]int{"u0": 1, "u1": 1}, grantMany(b, 0, 2), "no controller, no trial")
 	b.SetRollout("p", c)
 	require.Equal(t, map[string]int{"u2": 3, "u0": 2, "u1": 1}, grantMany(b, 10, 6))
@@ -78,7 +78,7 @@
 		if phase == "" {
 			g = rollout.Gate{}
 		}
-		b.SetGate("p", g)
+		b.SetGate("p", g, nil)
 		require.Equal(t, slots, b.pools["p"].newRound(0, 1).slots, phase)
 	}
 }
@@ -92,7 +92,7 @@
 	} {
 		for _, share := range []float64{1, 0.5} {
 			b := rolloutPool(share)
-			b.SetGate("p", rollout.Gate{Target: "v2", Phase: phase})
+			b.SetGate("p", rollout.Gate{Target: "v2", Phase: phase}, []string{"v1"})
 			require.Equal(t, local, grantMany(b, 0, 20), "%s, share %g", phase, share)
 		}
 	}
@@ -103,7 +103,7 @@
 func TestStreamOfTheOldVersionIsResumedWhileItSettles(t *testing.T) {
 	for phase, granted := range map[rollout.Phase]int{rollout.Settle: 1, rollout.Completed: 0} {
 		b := rolloutPool(1)
-		b.SetGate("p", rollout.Gate{Target: "v2", Phase: phase})
+		b.SetGate("p", rollout.Gate{Target: "v2", Phase: phase}, []string{"v1"})
 		b.Offer(0, Offer{ID: ID{Number: 1}, Pool: "p", Resumes: 5, VersionBound: true, SoftwareVersion: "v1", LatencyTarget: time.Second, Deadline: 2 * time.Second})
 		require.Len(t, b.Decide(0).Grants, granted, phase)
 	}
@@ -113,7 +113,7 @@
 // service because its only version was once rolled back.
 func TestRolledBackVersionServesOnceItIsTheOnlyOne(t *testing.T) {
 	b := rolloutPool(1)
-	b.SetGate("p", rollout.Gate{Target: "v1", Phase: rollout.RolledBack})
+	b.SetGate("p", rollout.Gate{Target: "v1", Phase: rollout.RolledBack}, nil)
 	b.SetUpstreams([]Upstream{{ID: "u0", Pool: "p", Slots: 1, SoftwareVersion: "v1"}})
 	for _, at := range []time.Duration{0, onlyVersionDelay - 1, onlyVersionDelay} {
 		b.Offer(at, Offer{ID: ID{Number: uint64(at)}, Pool: "p", LatencyTarget: at + time.Second, Deadline: at + time.Second})
@@ -125,7 +125,7 @@
 // by its hardware for a bad one, misses slow answers, or learns from requests that did not run.
 func TestControllerLearnsFromEnds(t *testing.T) {
 	b, c := rolloutPool(1), &countingController{left: 100}
-	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Trial})
+	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Trial}, nil)
 	b.SetRollout("p", c)
 	number := uint64(100)
 	end := func(o Outcome, took time.Duration) {
@@ -154,7 +154,7 @@
 // offered again.
 func TestRetriesAreNotCountedAsRequests(t *testing.T) {
 	b, c := rolloutPool(1), &countingController{}
-	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Trial})
+	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Trial}, nil)
 	b.SetRollout("p", c)
 	for i, o := range []Offer{{}, {Counted: true}, {Avoid: []string{"u0"}}, {Resumes: 3}, {Running: "u1"}} {
 		o.ID, o.Pool = ID{Number: uint64(i)}, "p"
