--- a/core/state/apply_test.go
+++ b/core/state/apply_test.go
@@ -120,6 +120,7 @@
 
 func FuzzCommands(f *testing.F) {
 	f.Add([]byte(`[{"apply":{"base":0,"files":{"a":{}}}},{"claim":{"workspace":"w","key":"k","stream":"s"}},{"finish":{"workspace":"w","key":"k","stream":"s"}},{"acquire":{"name":"n","holder":"h"}},{"expire":{"name":"n","epoch":1}},{"suspect":{"pool":"p"}},{"trim":{"before_ms":9}}]`))
+	f.Add([]byte(`[{"rollout":{"start":{"pool":"p","target":"v2","duration_ns":9}}},{"rollout":{"advance":{"pool":"p","number":1,"phase":"shift","reserved":4}}},{"rollout":{}}]`))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		list := []Command{}
 		if json.Unmarshal(b, &list) != nil {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/verbenastep/verbenastep/core/config"
+	"github.com/verbenastep/verbenastep/core/rollout"
 )
 
 // snapshot is the encoded form of the state. The first delta is a snapshot of
@@ -16,6 +17,7 @@
 	Claims   []*Claim        `json:"claims"`
 	Suspects []Suspect       `json:"suspects"`
 	Table    *Publish        `json:"table,omitempty"`
+	Rollouts *rollout.Book   `json:"rollouts,omitempty"`
 }
 
 // Frozen is an immutable view of the state at one moment. It may be encoded
@@ -41,6 +43,9 @@
 		table := m.table
 		f.snapshot.Table = &table
 	}
+	if len(m.rollouts.Records()) > 0 {
+		f.snapshot.Rollouts = m.rollouts.Clone()
+	}
 	return f
 }
 
@@ -118,6 +123,9 @@
 	if s.Table != nil {
 		restored.table = *s.Table
 	}
+	if s.Rollouts != nil {
+		restored.rollouts = *s.Rollouts
+	}
 	*m = *restored
 	return nil
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -1,18 +1,19 @@
 // Package state implements the replicated state machine: the accepted
-// configuration, leases, claims on request keys, crash suspects and the route
-// table. Each replica applies the committed log entries to its own Machine.
+// configuration, leases, claims on request keys, crash suspects, the route table
+// and the rollouts. Each replica applies the committed log entries to its own Machine.
 //
 // The machine changes only by committed commands, in log order, and is
 // deterministic: it reads no clock, times are part of the commands. Invariants:
 // the configuration version only increases, by one with each accepted change; a
 // lease's epoch only increases; a dispatched claim never becomes undispatched
-// before it is trimmed.
+// before it is trimmed; a rollout's phase and reservation never go back.
 package state
 
 import (
 	"bytes"
 
 	"github.com/verbenastep/verbenastep/core/config"
+	"github.com/verbenastep/verbenastep/core/rollout"
 )
 
 // Command is one log entry. Exactly one field is set.
@@ -25,6 +26,7 @@
 	Trim    *Trim    `json:"trim,omitempty"`
 	Suspect *Suspect `json:"suspect,omitempty"`
 	Publish *Publish `json:"publish,omitempty"`
+	Rollout *Rollout `json:"rollout,omitempty"`
 }
 
 // Result is the result of one command.
@@ -47,6 +49,9 @@
 	// Differences lists where the files of a conflicting Apply differ from the
 	// accepted ones.
 	Differences []config.Difference `json:"differences,omitempty"`
+	// Rollout is the pool's rollout after a Rollout command; it is missing if there was
+	// none.
+	Rollout *rollout.Record `json:"rollout,omitempty"`
 }
 
 // Status is the outcome of a command.
@@ -212,6 +217,8 @@
 	suspects    map[suspectKey]Suspect
 	// table is the route table in force; version zero means none.
 	table Publish
+	// rollouts holds the last rollout of each pool.
+	rollouts rollout.Book
 }
 
 // New returns an empty state with configuration version zero.
@@ -243,6 +250,8 @@
 		return m.applySuspect(c.Suspect)
 	case c.Publish != nil:
 		return m.applyPublish(c.Publish)
+	case c.Rollout != nil:
+		return m.applyRollout(c.Rollout)
 	}
 	return Result{Status: Invalid}
 }
--- a/internal/logclient/logclient_test.go
+++ b/internal/logclient/logclient_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/rollout"
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -85,6 +86,7 @@
 var (
 	claim   = state.Command{Claim: &state.Claim{Workspace: "w", Key: "k", Stream: "s"}}
 	suspect = state.Command{Suspect: &state.Suspect{Pool: "p", Crashes: 1}}
+	order   = state.Command{Rollout: &state.Rollout{Start: &rollout.Start{Pool: "p", Target: "v2", Duration: time.Second}}}
 )
 
 func TestProposeFollowsLeaderHint(t *testing.T) {
@@ -104,6 +106,11 @@
 		require.NoError(t, err)
 		require.Equal(t, []string{"a", "b"}, link.calls)
 
+		s, link = newTestClient(map[string]func(*rpc.ProposeRequest) (*rpc.ProposeReply, error){"a": failConnection, "b": accept})
+		_, err = s.Propose(t.Context(), port.GroupMain, order)
+		require.NoError(t, err)
+		require.Equal(t, []string{"a", "b"}, link.calls)
+
 		s, link = newTestClient(map[string]func(*rpc.ProposeRequest) (*rpc.ProposeReply, error){"a": failConnection, "b": accept})
 		_, err = s.Propose(t.Context(), port.GroupMain, suspect)
 		failed := fault.From(err)
--- a/internal/logclient/propose.go
+++ b/internal/logclient/propose.go
@@ -46,7 +46,8 @@
 
 // idempotent reports whether committing the command twice has the same effect
 // and result as committing it once. A Suspect command counts crashes, so it is
-// not.
+// not. A Rollout command is: a repeated order finds its own record, and a record
+// is never lowered.
 func idempotent(c state.Command) bool {
 	return c.Suspect == nil
 }
