--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -58,8 +58,6 @@
 	roundingPoint float64
 	sessions      sessionCache
 	notices       notices
-	// paces is kept during rollouts only.
-	paces paces
 	// limiter holds what the upstream said of the requests that it takes; nil if nothing.
 	limiter *limiter
 	// paths holds the entries without a path to the upstream.
--- a/core/broker/rollout.go
+++ b/core/broker/rollout.go
@@ -16,13 +16,6 @@
 	// one of its pool before it gets requests again. The old upstreams may be gone for a
 	// moment, for example while they restart.
 	onlyVersionDelay = 30 * time.Second
-	// paceWindow is the number of answers over which the pace of an upstream is taken, and
-	// minPaceAnswers how many must be known.
-	paceWindow     = 16
-	minPaceAnswers = 4
-	// paceRank selects the pace among the sorted ones of the window: the lower quartile,
-	// which does not move while fewer than three quarters of the answers are slow.
-	paceRank = 4
 )
 
 // RolloutController decides how many requests the target version of a rollout gets, and
@@ -220,7 +213,7 @@
 	a := rollout.Answer{Route: req.Route, Target: v.isTarget(req.version), Upstream: req.assigned.ID}
 	switch e.Outcome {
 	case Completed:
-		a.Time, a.Expected = p.pace(req, e)
+		a.Time, a.Expected = p.answerTime(req, e)
 	case UpstreamError, ConnectionLost, TimedOut, InvalidResponse:
 		a.Failed = true
 	default:
@@ -229,23 +222,24 @@
 	v.controller.Learn(now, a)
 }
 
-// pace returns how long a complete answer took, and how long one of its length takes at the
-// upstream otherwise; zero if that is not known. An upstream that warms up says nothing.
-func (p *pool) pace(req *request, e End) (took, expected time.Duration) {
+// answerTime returns how long a complete answer took, and how long one of its length takes
+// at an average upstream of the pool; zero while the upstream warms up. What is learned of
+// the upstream itself is left out: it includes what the rollout is to find.
+func (p *pool) answerTime(req *request, e End) (took, expected time.Duration) {
 	u := req.assigned
 	took = e.TimeToFirstEvent + e.DecodeTime
-	work := 1.0
-	if p.engine != nil {
-		work = p.times.overhead + p.times.prefillRatio*float64(req.PromptTokens) + float64(e.OutputTokens)
-	} else {
-		took -= seconds(p.transits.call(req.Region, u.Region))
-	}
-	if took <= 0 || work <= 0 || u.WarmUpTime > 0 {
+	if u.WarmUpTime > 0 {
 		return 0, 0
 	}
-	expected = seconds(u.paces.typical() * work)
-	u.paces.add(took.Seconds() / work)
-	return took, expected
+	if p.engine == nil {
+		return max(0, took-seconds(p.transits.call(req.Region, u.Region))), seconds(p.times.callTime)
+	}
+	prompt := req.PromptTokens
+	if u.sessions.wasCached(req.Session) {
+		prompt = max(0, prompt-req.SessionTokens)
+	}
+	work := p.times.overhead + p.times.prefillRatio*float64(prompt) + float64(e.OutputTokens)
+	return took, seconds(p.times.tokenTime * work)
 }
 
 // RolloutFleet returns what the broker knows of a pool's upstreams for its rollout. The
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -58,6 +58,7 @@
 		e.recordAcceptedConfig(c, result)
 		e.lessor.recordRenewal(c, result, e.group.clocks.elapsed())
 		notify = e.markChanged(c, entry.Index) || notify
+		notify = e.group.markRollout(result.Rollout, entry.Index) || notify
 		if p != nil {
 			results = append(results, proposalResult{proposal: p, outcome: outcome{result: result, index: entry.Index}})
 		}
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -123,6 +123,7 @@
 		e.group.leaseChangedAt[name] = index
 	}
 	e.group.suspectsChangedAt = index
+	e.group.rolloutsChangedAt = index
 	e.group.status = e.node.Status()
 	e.group.notifyWatchers()
 }
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -76,6 +76,10 @@
 	// suspectsChangedAt that of the suspects.
 	leaseChangedAt    map[string]uint64
 	suspectsChangedAt uint64
+	// rolloutsChangedAt is the index of the last change of a rollout that is sent to
+	// watchers, rolloutsSent what they get of each pool.
+	rolloutsChangedAt uint64
+	rolloutsSent      map[string]rolloutChange
 	status            consensus.Status
 	failure           error
 }
@@ -107,7 +111,7 @@
 		name: name, set: set, disk: disk, sender: out, log: log.With(zap.String("group", name)),
 		clocks: systemClocks(), random: mathrand.Uint64N, newID: newID, spawn: func(f func()) { go f() }, limits: defaultLimits(),
 		jobs: make(chan job, maxQueuedJobs), stop: make(chan struct{}),
-		machine: state.New(), changed: make(chan struct{}), leaseChangedAt: map[string]uint64{},
+		machine: state.New(), changed: make(chan struct{}), leaseChangedAt: map[string]uint64{}, rolloutsSent: map[string]rolloutChange{},
 	}
 }
 
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/config"
+	"github.com/verbenastep/verbenastep/core/rollout"
 	"github.com/verbenastep/verbenastep/core/state"
 )
 
@@ -28,7 +29,7 @@
 type watcher struct {
 	version uint64
 	digest  string
-	// index is the log index up to which leases and suspects have been sent.
+	// index is the log index up to which leases, suspects and rollouts have been sent.
 	index   uint64
 	started bool
 	// leaderlessKeepalives counts consecutive keepalives without a leader.
@@ -45,11 +46,14 @@
 	suspects      []state.Suspect
 	// suspectsChanged reports that suspects holds the complete list.
 	suspectsChanged bool
+	rollouts        []rollout.Record
+	// rolloutsChanged reports that rollouts holds the records of all pools.
+	rolloutsChanged bool
 	// table is nil if the watcher has the current one.
 	table *state.Publish
 }
 
-// Watch streams changes of configuration, leases, suspects and route table
+// Watch streams changes of configuration, leases, suspects, rollouts and route table
 // until the caller cancels. The first update includes every command committed
 // before the call; later ones only what changed. The stream ends with an error
 // if this replica loses the leader.
@@ -113,7 +117,7 @@
 func (g *group) update(w *watcher) (*rpc.WatchUpdate, <-chan struct{}, error) {
 	g.mu.Lock()
 	c := g.changesSince(w)
-	u := &rpc.WatchUpdate{Full: !w.started, Index: g.applied, SuspectsFull: c.suspectsChanged}
+	u := &rpc.WatchUpdate{Full: !w.started, Index: g.applied, SuspectsFull: c.suspectsChanged, RolloutsFull: c.rolloutsChanged}
 	for _, m := range g.status.Members {
 		if m.ID == g.status.Leader {
 			u.Leader, u.LeaderAddress, u.LeaderTerm = m.Name, m.Address, g.status.Term
@@ -137,7 +141,10 @@
 	if u.Leases, err = marshalAll(c.leases); err != nil {
 		return nil, nil, err
 	}
-	u.Suspects, err = marshalAll(c.suspects)
+	if u.Suspects, err = marshalAll(c.suspects); err != nil {
+		return nil, nil, err
+	}
+	u.Rollouts, err = marshalAll(c.rollouts)
 	return u, changed, err
 }
 
@@ -155,6 +162,10 @@
 		c.suspects = g.machine.Suspects()
 		c.suspectsChanged = true
 	}
+	if !w.started || g.rolloutsChangedAt > w.index {
+		c.rollouts = g.machine.Rollouts()
+		c.rolloutsChanged = len(c.rollouts) > 0
+	}
 	if table := g.machine.Table(); table.Version > w.tableVersion {
 		c.table = &table
 	}
--- a/internal/replica/watch_test.go
+++ b/internal/replica/watch_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/core/consensus"
+	"github.com/verbenastep/verbenastep/core/rollout"
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -43,3 +45,25 @@
 	g.status.Leader = 0
 	require.Equal(t, maxLeaderlessKeepalives, g.countLeaderless(maxLeaderlessKeepalives-1))
 }
+
+// TestWatchSendsRolloutsAtChangesOfPhase guards against daemons that do not hear of a phase, and
+// against an update to all daemons at each step within one.
+func TestWatchSendsRolloutsAtChangesOfPhase(t *testing.T) {
+	g := newGroup(port.GroupMain, &settings.Settings{}, nil, nil, zap.NewNop())
+	w := &watcher{}
+	apply := func(c state.Rollout) bool {
+		g.applied++
+		notify := g.markRollout(g.machine.Apply(state.Command{Rollout: &c}).Rollout, g.applied)
+		u, _, err := g.update(w)
+		require.NoError(t, err)
+		require.Equal(t, notify, u.RolloutsFull)
+		return notify
+	}
+	first, _, err := g.update(w)
+	require.NoError(t, err)
+	require.False(t, first.RolloutsFull, "without rollouts the message is as before")
+	require.True(t, apply(state.Rollout{Start: &rollout.Start{Pool: "p", Target: "v2", Duration: time.Second}}))
+	require.False(t, apply(state.Rollout{Start: &rollout.Start{Pool: "p", Target: "v2", Duration: time.Second}}))
+	require.False(t, apply(state.Rollout{Advance: &rollout.Advance{Pool: "p", Number: 1, Phase: rollout.Trial, Reserved: 9}}))
+	require.True(t, apply(state.Rollout{Advance: &rollout.Advance{Pool: "p", Number: 1, Phase: rollout.RolledBack, Reserved: 9}}))
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -1,9 +1,10 @@
 // Package view maintains a daemon's copy of the replicated state that it needs:
 // the accepted configuration, the route table, the leases, the quarantine
-// suspects and the log's leader. A watch on one replica keeps it up to date; the
+// suspects, the rollouts and the log's leader. A watch on one replica keeps it up to date; the
 // daemon's other services read it.
 //
-// The configuration and route table versions in force never decrease.
+// The configuration and route table versions in force never decrease, and the phase of a
+// rollout never goes back.
 package view
 
 import (
@@ -18,6 +19,7 @@
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/promise"
+	"github.com/verbenastep/verbenastep/core/rollout"
 	"github.com/verbenastep/verbenastep/core/routes"
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/kernel"
@@ -55,6 +57,8 @@
 	// routes is the route table in force.
 	routes *routes.Index
 	leader port.Leader
+	// rollouts holds the last rollout of each pool.
+	rollouts []rollout.Record
 }
 
 // New returns the service.
@@ -142,6 +146,10 @@
 	if err := s.applyTable(u); err != nil {
 		return err
 	}
+	rolloutsChanged, err := s.applyRollouts(u)
+	if err != nil {
+		return err
+	}
 	leader := port.Leader{Address: u.LeaderAddress, Term: u.LeaderTerm}
 	if leader.Address != "" && leader.Term < s.leader.Term {
 		// Of two replicas that are watched for a moment, one may not know the new leader yet.
@@ -149,7 +157,7 @@
 	}
 	leaderChanged := s.leader != leader
 	s.leader = leader
-	if len(u.Config) == 0 && len(u.Leases) == 0 && !u.SuspectsFull && len(u.Table) == 0 && !leaderChanged {
+	if len(u.Config) == 0 && len(u.Leases) == 0 && !u.SuspectsFull && len(u.Table) == 0 && !leaderChanged && !rolloutsChanged {
 		return nil
 	}
 	close(s.changed)
