--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -81,7 +81,8 @@
 	Running string
 	// Route is a hash of the name of the request's route; zero if it is not known.
 	Route uint64
-	// Counted is set if a broker of all entries was offered the request before.
+	// Counted is set if a broker of all entries was offered the request, or another attempt
+	// of it, before.
 	Counted bool
 }
 
--- a/core/broker/rollout.go
+++ b/core/broker/rollout.go
@@ -182,9 +182,11 @@
 }
 
 // countRequest counts a new request of the pool for its rollout. Requests that were counted
-// before, and further attempts of one, are not counted again.
+// before, and further attempts of one, are not counted again; an entry of an earlier version,
+// which sends no route, does not tell them apart.
 func (p *pool) countRequest(now time.Duration, o *Offer) {
-	if v := p.versions; v != nil && v.controller != nil && !o.Counted && len(o.Avoid) == 0 && o.Resumes == 0 {
+	isRepeated := o.Counted || o.Resumes != 0 || o.Route == 0 && len(o.Avoid) > 0
+	if v := p.versions; v != nil && v.controller != nil && !isRepeated {
 		v.controller.CountRequest(now)
 	}
 }
--- a/core/broker/rollout_test.go
+++ b/core/broker/rollout_test.go
@@ -155,9 +155,9 @@
 	b, c := rolloutPool(1), &countingController{}
 	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Trial}, nil)
 	b.SetRollout("p", c)
-	for i, o := range []Offer{{}, {Counted: true}, {Avoid: []string{"u0"}}, {Resumes: 3}, {Running: "u1"}} {
+	for i, o := range []Offer{{}, {Route: 1, Avoid: []string{"u0"}}, {Counted: true}, {Avoid: []string{"u0"}}, {Resumes: 3}, {Running: "u1"}} {
 		o.ID, o.Pool = ID{Number: uint64(i)}, "p"
 		b.Offer(0, o)
 	}
-	require.Equal(t, 1, c.requests)
+	require.Equal(t, 2, c.requests, "upstreams to avoid are no sign of another attempt where that is sent")
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -107,6 +107,8 @@
 	// reading took.
 	rosterReadAt   time.Time
 	rosterReadTime time.Duration
+	// rollouts is nil if rollouts are off.
+	rollouts *rollouts
 }
 
 // New returns the service; Start starts it.
@@ -130,7 +132,11 @@
 
 // Needs returns the services that Start looks up.
 func (s *Service) Needs() []string {
-	return []string{port.NameLink, port.NameView, port.NameRoster, port.NameReplica, port.NameMetrics}
+	needs := []string{port.NameLink, port.NameView, port.NameRoster, port.NameReplica, port.NameMetrics}
+	if s.set.Routing.Rollout != nil {
+		needs = append(needs, port.NameMembers)
+	}
+	return needs
 }
 
 // Start registers the service with the link and starts to decide.
@@ -156,6 +162,9 @@
 		return err
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	if err := s.startRollouts(k); err != nil {
+		return err
+	}
 	s.done.Go(s.run)
 	s.done.Go(s.runRelay)
 	return rpc.DRPCRegisterBroker(s.link.Mux(), s)
@@ -268,6 +277,7 @@
 	for _, l := range limits {
 		s.core.LearnLimit(s.now(), l)
 	}
+	s.resetRollouts()
 	s.tableVersion = 0
 	s.rosterReadAt = time.Time{}
 	// Send the entries the new state at once, so that they offer all waiting and
@@ -284,9 +294,13 @@
 func (s *Service) decide() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.updateRollouts()
 	if !s.leads {
 		return heartbeatInterval
 	}
+	if s.awaitsRollouts() {
+		return maxRolloutInterval
+	}
 	started := time.Now()
 	defer func() { s.roundTime = time.Since(started) }()
 	decisions := s.core.Decide(s.now())
@@ -319,9 +333,9 @@
 	s.sendLevels()
 	s.sendSuspects()
 	if delay, waits := s.core.NextDelay(); waits {
-		return delay
+		return s.rolloutDelay(delay)
 	}
-	return heartbeatInterval
+	return s.rolloutDelay(heartbeatInterval)
 }
 
 // reply returns a message with the state that every message to a session carries; without
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -35,6 +35,8 @@
 	hasLevels bool
 	// hasSuspects is true if the entry got all contents in quarantine.
 	hasSuspects bool
+	// rollouts holds the rollouts that the entry knows, by pool.
+	rollouts map[string]*rpc.KnownRollout
 }
 
 // send queues a message. It ends a session whose queue is full; the entry then connects
@@ -180,6 +182,7 @@
 	}
 	s.core.LearnSuspects(now, brokerwire.DecodeSuspects(now, ask.Suspects))
 	s.learnLimits(ask.Limits)
+	s.learnRollouts(entry, ask.Rollouts)
 	s.core.LowerQuotas(now, brokerwire.DecodeQuotaLevels(ask.Quotas))
 	s.core.SpendQuotas(now, brokerwire.DecodeQuotaUse(ask.Quotas))
 	if ask.Complete {
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -31,6 +31,8 @@
 	settled chan struct{}
 	grant   broker.Grant
 	refusal *fault.Error
+	// grantedAt is when the grant arrived, by the clock of rollouts.
+	grantedAt time.Duration
 	// decidedBy is byBroker or byEntry.
 	decidedBy string
 	// localCharge is the number of tokens that the entry granted by itself.
@@ -125,6 +127,8 @@
 	backOffUntil time.Duration
 	failedTerm   uint64
 	newestTerm   uint64
+	// rollouts is nil if rollouts are off.
+	rollouts *rollouts
 }
 
 // New returns the service of the entry self; Start starts it.
@@ -167,6 +171,14 @@
 		return err
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	if s.set.Routing.Rollout != nil {
+		view, err := kernel.Find[port.RolloutView](k, port.NameView)
+		if err != nil {
+			return err
+		}
+		s.rollouts = newRollouts(view)
+		s.done.Go(s.runRollouts)
+	}
 	s.done.Go(s.runSessions)
 	s.done.Go(s.runLocal)
 	return nil
@@ -191,7 +203,7 @@
 		return port.BrokerTicket{}, a.refusal
 	}
 	end := sync.Once{}
-	return port.BrokerTicket{Grant: a.grant, GrantedBy: a.decidedBy, End: func(e broker.End) { end.Do(func() { s.end(a, e) }) }}, nil
+	return port.BrokerTicket{Grant: a.grant, GrantedBy: a.decidedBy, Expired: s.expiry(a), End: func(e broker.End) { end.Do(func() { s.end(a, e) }) }}, nil
 }
 
 // offer offers a request to the broker of the session, or to the local broker without one.
@@ -211,6 +223,7 @@
 	s.waiting[s.lastNumber] = a
 	if s.attached {
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(s.now(), a.offer))
+		a.offer.Counted = true
 		wait.Notify(s.wakeSession)
 		return a
 	}
@@ -276,6 +289,10 @@
 	delete(s.waiting, g.ID.Number)
 	s.metrics.grants.WithLabelValues(by).Inc()
 	a.grant, a.decidedBy = g, by
+	if g.VersionReason != "" {
+		s.metrics.versionGrants.WithLabelValues(a.offer.Pool, g.SoftwareVersion, g.VersionReason).Inc()
+	}
+	a.grantedAt = s.rolloutTime()
 	if by == byEntry && a.offer.QuotaCharge > 0 {
 		a.localCharge = a.offer.QuotaCharge
 		s.localUse[a.offer.Workspace] += int64(a.localCharge)
--- a/internal/brokerclient/local.go
+++ b/internal/brokerclient/local.go
@@ -48,6 +48,7 @@
 		return left
 	}
 	s.updateShare()
+	s.syncRollouts()
 	decisions := s.local.Decide(s.now())
 	for _, x := range decisions.Suspicions {
 		s.log.Info("content suspected of a crash", brokerwire.SuspicionFields(x)...)
--- /dev/null
+++ b/internal/brokerclient/rollouts.go
@@ -0,0 +1,147 @@
+package brokerclient
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/core/rollout"
+	"github.com/verbenastep/verbenastep/internal/brokerwire"
+	"github.com/verbenastep/verbenastep/internal/clock"
+	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/versiongate"
+	"github.com/verbenastep/verbenastep/internal/wait"
+)
+
+// trialGrantTTL is how long after its arrival a grant of a version on trial may be acted on, and
+// the longest pause between two messages of the broker after which one is accepted. Together
+// they are less than the time within which a bad version gets no more requests.
+const trialGrantTTL = 1500 * time.Millisecond
+
+// rollouts is what the entry knows of rollouts. The service's lock guards it.
+type rollouts struct {
+	view  port.RolloutView
+	gates *versiongate.Tracker
+	// elapsed counts suspensions of the machine.
+	elapsed func() time.Duration
+	// heardAt is when the broker of the session last sent a message; zero before its first.
+	heardAt time.Duration
+}
+
+func newRollouts(view port.RolloutView) *rollouts {
+	return &rollouts{view: view, gates: versiongate.New(), elapsed: clock.SinceBoot}
+}
+
+// runRollouts applies the changes of rollouts as soon as the view has them.
+func (s *Service) runRollouts() {
+	for s.ctx.Err() == nil {
+		changed := s.view.Changed()
+		s.mu.Lock()
+		s.syncRollouts()
+		s.mu.Unlock()
+		wait.Notify(s.wakeLocal)
+		select {
+		case <-changed:
+		case <-s.ctx.Done():
+		}
+	}
+}
+
+// syncRollouts sets the gates of the local broker by the view, and tells the broker of the
+// session what is new. The caller holds the lock.
+func (s *Service) syncRollouts() {
+	if s.rollouts == nil {
+		return
+	}
+	changed := s.rollouts.gates.Update(s.rollouts.view.Rollouts(), s.listedVersions)
+	s.rollouts.gates.Apply(s.local)
+	if len(changed) > 0 && s.attached {
+		s.pending.Rollouts = append(s.pending.Rollouts, brokerwire.EncodeRollouts(changed)...)
+		wait.Notify(s.wakeSession)
+	}
+}
+
+// reportRollouts adds all rollouts to the next message to the broker. The caller holds the lock.
+func (s *Service) reportRollouts() {
+	if s.rollouts != nil {
+		s.pending.Rollouts = brokerwire.EncodeRollouts(s.rollouts.gates.Records())
+	}
+}
+
+// listedVersions returns the software versions of a pool's upstreams in the roster. The caller
+// holds the lock.
+func (s *Service) listedVersions(pool string) []string {
+	out := []string{}
+	for _, e := range s.roster {
+		if e.Pool == pool && !slices.Contains(out, e.SoftwareVersion) {
+			out = append(out, e.SoftwareVersion)
+		}
+	}
+	return out
+}
+
+// wasPaused reports whether so much time passed since the broker's last message that its grants
+// may have expired, and records the message. The caller holds the lock.
+func (s *Service) wasPaused() bool {
+	if s.rollouts == nil {
+		return false
+	}
+	now, last := s.rollouts.elapsed(), s.rollouts.heardAt
+	s.rollouts.heardAt = now
+	return last != 0 && now-last > trialGrantTTL
+}
+
+// rolloutTime returns the time by which grants expire. The caller holds the lock.
+func (s *Service) rolloutTime() time.Duration {
+	if s.rollouts == nil {
+		return 0
+	}
+	return s.rollouts.elapsed()
+}
+
+// isVoid reports whether a grant of a software version that arrived at a time must not be acted
+// on any more: the version was rolled back meanwhile, or it is on trial and the grant is old. A
+// pool without another version uses the one that it has. The caller holds the lock.
+func (s *Service) isVoid(pool, version string, grantedAt time.Duration) bool {
+	if s.rollouts == nil {
+		return false
+	}
+	s.syncRollouts()
+	r, ok := s.rollouts.gates.Record(pool)
+	if !ok || r.Target != version {
+		return false
+	}
+	switch r.Phase {
+	case rollout.RolledBack:
+		return slices.ContainsFunc(s.listedVersions(pool), func(v string) bool { return v != version })
+	case rollout.Trial, rollout.Shift:
+		return s.rollouts.elapsed()-grantedAt > trialGrantTTL
+	}
+	return false
+}
+
+// returnVoid returns a grant that must not be acted on, and offers its request again. The caller
+// holds the lock.
+func (s *Service) returnVoid(a *acquisition, g broker.Grant) {
+	s.log.Info("late grant dropped", zap.String("pool", a.offer.Pool), zap.String("upstream", g.Upstream), zap.String("software", g.SoftwareVersion), zap.String("why", g.VersionReason))
+	s.metrics.droppedGrants.Inc()
+	a.offer.Avoid = append(slices.Clip(a.offer.Avoid), g.Upstream)
+	s.pending.Ends = append(s.pending.Ends, brokerwire.EncodeEnd(broker.End{ID: g.ID, Outcome: broker.NotSent}))
+	s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(s.now(), a.offer))
+	wait.Notify(s.wakeSession)
+}
+
+// expiry returns the function that reports whether a granted request must not be sent any more;
+// nil if rollouts are off.
+func (s *Service) expiry(a *acquisition) func() bool {
+	if s.rollouts == nil {
+		return nil
+	}
+	return func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.isVoid(a.offer.Pool, a.grant.SoftwareVersion, a.grantedAt)
+	}
+}
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -202,7 +202,7 @@
 	if wasAttached {
 		s.metrics.brokerLost.Inc()
 	}
-	s.pending.Offers, s.pending.Complete, s.pending.Streams, s.pending.Suspects, s.pending.Limits = nil, false, nil, nil, nil
+	s.pending.Offers, s.pending.Complete, s.pending.Streams, s.pending.Suspects, s.pending.Limits, s.pending.Rollouts = nil, false, nil, nil, nil, nil
 	now := s.now()
 	if s.localStale {
 		s.updateLocalBroker()
@@ -310,6 +310,9 @@
 	defer s.mu.Unlock()
 	s.pending = rpc.BrokerAsk{}
 	s.answered = false
+	if s.rollouts != nil {
+		s.rollouts.heardAt = 0
+	}
 	now := s.now()
 	ask := &rpc.BrokerAsk{Entry: s.self, RosterAgeMs: s.rosterAge(), Relayable: true}
 	s.rosterCurrent = ask.RosterAgeMs > 0
@@ -331,7 +334,7 @@
 // send sends what is pending; an empty message is a heartbeat.
 func (s *Service) send(stream rpc.DRPCBroker_SessionClient) error {
 	s.mu.Lock()
-	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels, Quotas: s.pending.Quotas, Complete: s.pending.Complete, Streams: s.pending.Streams, Suspects: s.pending.Suspects, Limits: s.pending.Limits}
+	ask := &rpc.BrokerAsk{Offers: s.pending.Offers, Ends: s.pending.Ends, Cancels: s.pending.Cancels, Quotas: s.pending.Quotas, Complete: s.pending.Complete, Streams: s.pending.Streams, Suspects: s.pending.Suspects, Limits: s.pending.Limits, Rollouts: s.pending.Rollouts}
 	s.pending = rpc.BrokerAsk{}
 	s.mu.Unlock()
 	return stream.Send(ask)
@@ -344,6 +347,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answered = true
+	if s.wasPaused() && len(r.Grants) > 0 {
+		return errBrokerTimeout
+	}
 	if r.Leads {
 		s.brokerEntries = int(r.Entries)
 	}
@@ -472,12 +478,14 @@
 	s.pending.Streams = brokerwire.EncodeStreams(now, s.local.Streams(now))
 	s.pending.Suspects = brokerwire.EncodeSuspects(now, s.local.QuarantinedContents(now))
 	s.pending.Limits = brokerwire.EncodeLimits(now, s.local.Limits())
+	s.reportRollouts()
 	for _, a := range s.running {
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(now, a.offer))
 	}
 	for _, a := range s.waiting {
 		s.local.Cancel(a.offer.ID)
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(now, a.offer))
+		a.offer.Counted = true
 	}
 	wait.Notify(s.wakeSession)
 	s.log.Info("broker found", zap.String("address", address), zap.Int("waiting", len(s.waiting)), zap.Int("running", len(s.running)), zap.Int("entries", s.entries))
@@ -492,6 +500,10 @@
 		wait.Notify(s.wakeSession)
 		return
 	}
+	if s.isVoid(a.offer.Pool, g.SoftwareVersion, s.rolloutTime()) {
+		s.returnVoid(a, g)
+		return
+	}
 	s.settleGrant(g, byBroker)
 	s.local.Offer(s.now(), a.offer)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/registry"
 	"github.com/verbenastep/verbenastep/internal/replica"
+	"github.com/verbenastep/verbenastep/internal/rollouts"
 	"github.com/verbenastep/verbenastep/internal/roster"
 	"github.com/verbenastep/verbenastep/internal/schedclient"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -93,6 +94,9 @@
 	}
 	if set.IsControlDaemon() {
 		out = append(out, tables.New(log), roster.New(set, log), broker.New(set, log))
+		if set.Routing.Rollout != nil {
+			out = append(out, rollouts.New(log))
+		}
 	}
 	return out
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -206,8 +206,12 @@
 		return err
 	}
 	a.ticket, a.granted = ticket, true
+	versionReason := zap.Skip()
+	if ticket.VersionReason != "" {
+		versionReason = zap.String("version_why", ticket.VersionReason)
+	}
 	a.s.log.Info("granted", a.logFields(zap.String("upstream", ticket.Upstream), zap.String("by", ticket.GrantedBy), zap.Duration("waited", a.queueTime),
-		zap.Duration("expected", ticket.ExpectedTimeToFirstEvent), zap.Int("free", ticket.FreeSlots), zap.Int("queued", ticket.Queued), zap.Int("rank", a.rank), zap.String("software", ticket.SoftwareVersion), zap.String("resumes", a.meta.ResumedRequest))...)
+		zap.Duration("expected", ticket.ExpectedTimeToFirstEvent), zap.Int("free", ticket.FreeSlots), zap.Int("queued", ticket.Queued), zap.Int("rank", a.rank), zap.String("software", ticket.SoftwareVersion), zap.String("resumes", a.meta.ResumedRequest), versionReason)...)
 	return nil
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -130,6 +130,7 @@
 		// need not wait for the trial of others that have them.
 		offer.SharedParts = nil
 	}
+	offer.Counted = x.attempts > 0
 	x.attempts++
 	lastEvent := x.meta.LastEvent
 	if x.stream.lastID != "" {
--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -37,9 +37,25 @@
 	}
 }
 
+// returnExpired returns a grant that must not be acted on any more. It reports whether it did.
+func (a *upstreamAttempt) returnExpired() bool {
+	if a.ticket.Expired == nil || !a.ticket.Expired() {
+		return false
+	}
+	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("software", a.ticket.SoftwareVersion),
+		zap.String("version_why", a.ticket.VersionReason), zap.Bool("expired", true))...)
+	a.granted, a.offer.Counted = false, true
+	a.offer.Avoid = append(slices.Clip(a.offer.Avoid), a.ticket.Upstream)
+	a.endGrant(broker.End{Outcome: broker.NotSent})
+	return true
+}
+
 // returnExcluded returns the grant if its upstream takes no requests of this entry. It
 // reports whether it did.
 func (a *upstreamAttempt) returnExcluded() bool {
+	if a.returnExpired() {
+		return true
+	}
 	n, ok := a.s.notices.find(time.Now(), a.process())
 	if !ok {
 		return false
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -17,6 +17,7 @@
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/promise"
+	"github.com/verbenastep/verbenastep/core/rollout"
 	"github.com/verbenastep/verbenastep/core/roster"
 	"github.com/verbenastep/verbenastep/core/routes"
 	"github.com/verbenastep/verbenastep/core/sched"
@@ -67,6 +68,9 @@
 	NameForward = "entry.forward"
 	// NameEgress opens connections to upstreams; see Egress.
 	NameEgress = "entry.egress"
+	// NameRollouts takes orders of rollouts; see Rollouts. Only control daemons with the
+	// settings for rollouts have it.
+	NameRollouts = "rollout.orders"
 	// NameDialect maps the header names of callers and upstreams.
 	NameDialect = "entry.dialect"
 )
@@ -309,6 +313,26 @@
 	Changed() <-chan struct{}
 }
 
+// RolloutView is the daemon's copy of the rollouts.
+type RolloutView interface {
+	// Rollouts returns the last rollout of each pool, as of its last change of phase. Their
+	// phases never go back. The caller must not change the list.
+	Rollouts() []rollout.Record
+}
+
+// Rollouts orders rollouts and reads them back. Errors are *fault.Error; after one of kind
+// fault.Unavailable or fault.Unknown the call may have taken effect, and may be repeated.
+type Rollouts interface {
+	// Order begins a rollout of a pool to a software version. The same order again returns
+	// the record that it has led to. It fails with fault.Conflict while another one runs.
+	Order(ctx context.Context, pool, target string, duration time.Duration) (rollout.Record, error)
+	// Show returns the last rollout of a pool, and false if none was ordered. The read is
+	// linearizable.
+	Show(ctx context.Context, pool string) (rollout.Record, bool, error)
+	// Abort rolls a running rollout back.
+	Abort(ctx context.Context, pool string) (rollout.Record, error)
+}
+
 // Leader identifies the daemon that leads the log.
 type Leader struct {
 	// Address is its peers' address; empty if no leader is known.
@@ -394,6 +418,9 @@
 	// GrantedBy is "broker", or "entry" if the entry granted by itself because no
 	// broker answered.
 	GrantedBy string
+	// Expired reports whether the request must not be sent any more, so that the grant has
+	// to be returned; nil if it never expires. Call it right before the request is sent.
+	Expired func() bool
 	// End frees the slot and reports how the request ended.
 	End func(e broker.End)
 }
