logclient, replica: no walk over daemons that are gone, one second each

Operators got no acknowledgement, and a replica with an empty disk joined late, where replicas of the settings are gone: logclient asked them in turn, 0.8 s each, and the joiner one after the other, 1 s each. Ruled out: brokerclient (the entry decides by itself meanwhile, and asks live daemons only), Status (asks all at once), Backup (an operator's call without a bound). Change: a control daemon first asks the leader that its own replica knows; the joiner asks all replicas at once and takes the first that belongs to a group.

--- a/internal/logclient/logclient.go
+++ b/internal/logclient/logclient.go
@@ -33,16 +33,26 @@
 	maxBackoff     = 200 * time.Millisecond
 )
 
+// leadership is the part of the replica service that the client uses.
+type leadership interface {
+	Leadership() (leads bool, leader port.Leader)
+}
+
 // Service implements the "log.client" service. It is safe for concurrent use.
 type Service struct {
 	set  *settings.Settings
 	log  *zap.Logger
 	link port.Link
+	// replica is this daemon's own one; nil if it has none.
+	replica leadership
 
 	mu sync.Mutex
 	// leaders holds the address of the last known leader by group; it is empty
 	// if none is known.
 	leaders map[string]string
+	// failed holds the address of the last attempt without an answer by group; empty after an
+	// answer.
+	failed map[string]string
 	// nextReplica is the index of the replica to try while no leader is known.
 	nextReplica int
 	queues      map[string]*queue
@@ -50,7 +60,7 @@
 
 // New returns a client of the replicas in the settings.
 func New(set *settings.Settings, log *zap.Logger) *Service {
-	return &Service{set: set, log: log.Named("log"), leaders: map[string]string{}, queues: map[string]*queue{}}
+	return &Service{set: set, log: log.Named("log"), leaders: map[string]string{}, failed: map[string]string{}, queues: map[string]*queue{}}
 }
 
 // Name implements kernel.Service.
@@ -68,19 +78,30 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
-	link, err := kernel.Find[port.Link](k, port.NameLink)
-	s.link = link
+	err := error(nil)
+	if s.link, err = kernel.Find[port.Link](k, port.NameLink); err != nil {
+		return err
+	}
+	if s.set.HasRole(settings.Replica) {
+		s.replica, err = kernel.Find[leadership](k, port.NameReplica)
+	}
 	return err
 }
 
-// targetAddress returns the address of the last known leader, or else the next
-// replica in turn.
+// targetAddress returns the address of the last known leader, or else of the leader that this
+// daemon's replica knows, or else the next replica in turn. The replicas of the settings may all
+// be gone, each of which would take an attempt.
 func (s *Service) targetAddress(group string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if address := s.leaders[group]; address != "" {
 		return address
 	}
+	if s.replica != nil && group == port.GroupMain {
+		if _, l := s.replica.Leadership(); l.Address != "" && l.Address != s.failed[group] {
+			return l.Address
+		}
+	}
 	known := s.set.KnownReplicas()
 	address := known[s.nextReplica%len(known)].Address
 	s.nextReplica++
@@ -95,6 +116,16 @@
 	s.leaders[group] = leader
 }
 
+// recordAttempt records whether a replica answered an attempt.
+func (s *Service) recordAttempt(group, address string, failure error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed[group] = ""
+	if failure != nil {
+		s.failed[group] = address
+	}
+}
+
 // attemptResult is the answer of a replica to one attempt.
 type attemptResult struct {
 	// refused reports that the replica did not serve the call, usually because
@@ -118,6 +149,7 @@
 	for {
 		address := s.targetAddress(group)
 		result, failure := s.callReplica(ctx, address, call)
+		s.recordAttempt(group, address, failure)
 		if failure == nil && !result.refused {
 			s.setLeader(group, address)
 			return false, nil
--- a/internal/logclient/logclient_test.go
+++ b/internal/logclient/logclient_test.go
@@ -126,6 +126,44 @@
 	})
 }
 
+// ownReplica is the daemon's own replica, which knows the leader.
+type ownReplica string
+
+func (r ownReplica) Leadership() (leads bool, leader port.Leader) {
+	return false, port.Leader{Address: string(r)}
+}
+
+// TestLeaderOfTheOwnReplicaIsAskedFirst guards against a control daemon that can't acknowledge
+// while all replicas of its settings are gone: each took an attempt of 0.8 s.
+func TestLeaderOfTheOwnReplicaIsAskedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gone := func(*rpc.ProposeRequest) (*rpc.ProposeReply, error) {
+			time.Sleep(attemptTimeout)
+			return nil, context.DeadlineExceeded
+		}
+		s, link := newTestClient(map[string]func(*rpc.ProposeRequest) (*rpc.ProposeReply, error){"a": gone, "b": gone, "c": accept})
+		s.replica = ownReplica("c")
+		began := time.Now()
+		result, err := s.Propose(t.Context(), port.GroupMain, claim)
+		require.NoError(t, err)
+		require.Equal(t, state.OK, result.Status)
+		require.Less(t, time.Since(began), attemptTimeout)
+		require.Equal(t, []string{"c"}, link.calls)
+
+		s.replica = ownReplica("a")
+		s.setLeader(port.GroupMain, "")
+		link.calls = nil
+		ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+		defer cancel()
+		_, err = s.Propose(ctx, port.GroupMain, claim)
+		require.Error(t, err)
+		time.Sleep(callTimeout)
+		link.mu.Lock()
+		defer link.mu.Unlock()
+		require.Contains(t, link.calls, "b", "a leader that does not answer is not the only one asked")
+	})
+}
+
 func TestConcurrentProposalsShareCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		slow := func(req *rpc.ProposeRequest) (*rpc.ProposeReply, error) {
--- a/internal/replica/joiner.go
+++ b/internal/replica/joiner.go
@@ -91,36 +91,43 @@
 	if own.Role == consensus.Leader.String() {
 		return false
 	}
+	others := []string{}
 	for _, m := range own.Members {
-		if m.ID == own.ID {
-			continue
+		if m.ID != own.ID {
+			others = append(others, m.Address)
 		}
-		st, err := j.fetchStatus(ctx, m.Address)
+	}
+	removed := false
+	j.fetchStatuses(ctx, others, func(_ string, st port.ReplicaStatus, err error) bool {
 		if err != nil || st.Term < own.Term || st.Committed < own.Committed || len(st.Members) == 0 {
-			continue
+			return true
 		}
-		return !listsReplica(st.Members, own)
-	}
-	return false
+		removed = !listsReplica(st.Members, own)
+		return false
+	})
+	return removed
 }
 
 // findGroup returns the address of a replica that already belongs to a group.
 // If there is none, it returns the members to bootstrap the group with, or nil
 // unless all replicas answered.
 func (j *joiner) findGroup(ctx context.Context, own port.ReplicaStatus) (string, []consensus.Member) {
+	group := ""
 	members := []consensus.Member{{ID: consensus.ID(own.ID), Name: own.Name, Address: own.Address}}
-	for _, address := range j.otherAddresses(own) {
-		st, err := j.fetchStatus(ctx, address)
-		if err != nil {
-			members = nil
-			continue
-		}
-		if len(st.Members) > 0 {
-			return address, nil
-		}
-		if members != nil {
+	complete := true
+	j.fetchStatuses(ctx, j.otherAddresses(own), func(address string, st port.ReplicaStatus, err error) bool {
+		switch {
+		case err != nil:
+			complete = false
+		case len(st.Members) > 0:
+			group = address
+		default:
 			members = append(members, consensus.Member{ID: consensus.ID(st.ID), Name: st.Name, Address: address})
 		}
+		return group == ""
+	})
+	if group != "" || !complete {
+		return group, nil
 	}
 	return "", members
 }
@@ -151,6 +158,31 @@
 	return len(addresses) > 0 && slices.Min(addresses) == j.set.Addresses.Peers
 }
 
+// fetchStatuses queries the replicas at some addresses at the same time and calls yield with each
+// result as it arrives, until yield returns false. Replicas that are gone each take the whole
+// joinCallTimeout; a replica with an empty disk has only a few seconds to catch up.
+func (j *joiner) fetchStatuses(ctx context.Context, addresses []string, yield func(address string, st port.ReplicaStatus, err error) bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		address string
+		status  port.ReplicaStatus
+		err     error
+	}
+	results := make(chan result, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			st, err := j.fetchStatus(ctx, address)
+			results <- result{address, st, err}
+		}()
+	}
+	for range addresses {
+		if r := <-results; !yield(r.address, r.status, r.err) {
+			return
+		}
+	}
+}
+
 // fetchStatus queries the status of the replica at address.
 func (j *joiner) fetchStatus(ctx context.Context, address string) (port.ReplicaStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinCallTimeout)
