--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -10,9 +10,9 @@
 // time, prefills prompts one after another, and decodes all running requests at
 // a common speed, which the broker learns from completed requests.
 //
-// Invariants: an engine never has more grants than slots, and the upstream of a plain
-// service no more than keep its slots busy (see transitFactor); each offer is
-// granted at most once; a refused request was never granted.
+// Invariants: an upstream has no more grants than keep its slots busy while grants and
+// releases travel (see transitFactor); each offer is granted at most once; a refused request
+// was never granted.
 package broker
 
 import (
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -147,12 +147,17 @@
 	return r
 }
 
-// usableSlots returns how many of an upstream's slots can be kept busy.
+// usableSlots returns how many of an upstream's slots can be kept busy. Grants beyond the slots
+// of an engine are in transit; the times of its requests don't include that.
 func (p *pool) usableSlots(u *upstream, capacity int, share float64) float64 {
+	usable := float64(capacity)
+	if p.engine != nil {
+		usable = min(usable, float64(u.Slots))
+	}
 	if !u.isLimited() {
-		return float64(capacity)
+		return usable
 	}
-	return min(float64(capacity), u.limitedSlots(share, p.slotTimes))
+	return min(usable, u.limitedSlots(share, p.slotTimes))
 }
 
 // addTimes includes an upstream in the times of the fastest ones.
@@ -280,11 +285,11 @@
 	return limit
 }
 
-// timeToFirstEvent estimates the time to a request's first event on an upstream: the
-// prefill of the prompts ahead and of its own, the overhead, and half of the warm-up
-// time that remains.
+// timeToFirstEvent estimates the time to a request's first event on an upstream: the wait for
+// a slot or the prefill of the prompts ahead, that of its own, the overhead, and half of the
+// warm-up time that remains.
 func (p *pool) timeToFirstEvent(now time.Duration, req *request, u *upstream) time.Duration {
-	return max(0, u.prefillUntil-now) + p.prefillTime(req, u) + p.overheadTime(req, u) + u.WarmUpTime/2
+	return max(0, u.prefillUntil-now, p.slotWait(req, u)) + p.prefillTime(req, u) + p.overheadTime(req, u) + u.WarmUpTime/2
 }
 
 // placementCost returns the estimated time of a request on an upstream with all
--- a/core/broker/pattern_test.go
+++ b/core/broker/pattern_test.go
@@ -75,6 +75,8 @@
 	// prefillUntil is when all granted prompts are prefilled.
 	prefillUntil time.Duration
 	running      int
+	// waiting holds the requests that wait for a slot, in order of arrival.
+	waiting []func()
 }
 
 // tally counts the outcomes of one kind of request.
@@ -102,8 +104,13 @@
 	open    map[ID]requestKind
 	offered map[ID]time.Duration
 	tallies map[string]*tally
-	// maxRunning is the most requests that any engine ran at once.
+	// maxRunning is the most requests that any engine ran at once, busyTime the sum of the times
+	// for which slots were occupied before busyUntil.
 	maxRunning int
+	busyTime   time.Duration
+	busyUntil  time.Duration
+	// transit is how long a grant takes to the engine, and a release to the broker.
+	transit time.Duration
 }
 
 const simSlots = 7
@@ -176,27 +183,57 @@
 }
 
 func (s *sim) start(g Grant) {
-	e, k, req := s.engines[g.Upstream], s.open[g.ID], s.broker.requests[g.ID]
+	e, req := s.engines[g.Upstream], s.broker.requests[g.ID]
+	run := func() { s.runOn(e, req) }
+	if s.transit == 0 {
+		run()
+		return
+	}
+	s.at(s.now+s.transit, func() {
+		if e.running >= simSlots {
+			e.waiting = append(e.waiting, run)
+			return
+		}
+		run()
+	})
+}
+
+// runOn runs a request on an engine.
+func (s *sim) runOn(e *simEngine, req *request) {
+	k := s.open[req.ID]
 	e.running++
 	s.maxRunning = max(s.maxRunning, e.running)
 	prefill := time.Duration(float64(req.PromptTokens) * simPrefillTime * e.slowness * float64(time.Second))
 	e.prefillUntil = max(s.now, e.prefillUntil) + prefill
 	first := e.prefillUntil + time.Duration(simOverhead*e.slowness*float64(time.Second))
 	last := first + time.Duration(float64(req.OutputTokens)*simTokenTime*e.slowness*float64(time.Second))
-	granted, output := s.now, req.OutputTokens
+	sent, output := req.granted+s.transit, req.OutputTokens
+	s.busyTime += max(0, min(last, s.busyUntil)-s.now)
 	s.at(last, func() {
 		e.running--
+		if len(e.waiting) > 0 {
+			next := e.waiting[0]
+			e.waiting = e.waiting[1:]
+			next()
+		}
 		c := s.tally(k)
-		if first-s.offered[g.ID] <= k.target {
+		if first-s.offered[req.ID] <= k.target {
 			c.onTime++
 			c.value += k.value
 		} else {
 			c.late++
 			c.value += k.lateValue
 		}
-		s.broker.End(s.now, End{ID: g.ID, Outcome: Completed, TimeToFirstEvent: first - granted, DecodeTime: last - first, OutputTokens: output})
-		delete(s.open, g.ID)
-		s.decide()
+		release := func() {
+			s.broker.End(s.now, End{ID: req.ID, Outcome: Completed, TimeToFirstEvent: first - sent, DecodeTime: last - first, OutputTokens: output})
+			delete(s.open, req.ID)
+			s.decide()
+		}
+		if s.transit == 0 {
+			release()
+			return
+		}
+		s.at(s.now+s.transit, release)
 	})
 }
 
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -182,7 +182,7 @@
 }
 
 // capacity returns how many requests a broker with the given share may run on the
-// upstream, or have in transit to and from it if it is of a plain service. A fractional
+// upstream, or have in transit to and from it. A fractional
 // slot is rounded up on that fraction of the upstreams and down on the others; the choice
 // differs between brokers, so that together they overload no upstream.
 func (u *upstream) capacity(now time.Duration, share float64) int {
--- a/core/broker/speed.go
+++ b/core/broker/speed.go
@@ -52,9 +52,10 @@
 type upstreamTimes struct {
 	tokenTime float64
 	callTime  float64
-	// holdTime is the time from the grant of a service call to its release; callTime is
+	// holdTime is the time from a grant to its release; callTime, for an engine runTime, is
 	// the part of it at the upstream.
 	holdTime float64
+	runTime  float64
 }
 
 // movingAverage returns the moving average after an observation with the given weight;
@@ -145,6 +146,9 @@
 		}
 		return
 	}
+	if req.Running == "" && e.TimeToFirstEvent > 0 {
+		u.learnRun(hold, e)
+	}
 	if e.OutputTokens >= minOutputTokens && e.DecodeTime > 0 {
 		tokenTime := e.DecodeTime.Seconds() / float64(e.OutputTokens)
 		u.times.tokenTime = movingAverage(u.times.tokenTime, tokenTime, upstreamWeight)
--- a/core/broker/transit.go
+++ b/core/broker/transit.go
@@ -7,6 +7,9 @@
 	// slot of its upstream. Upstreams queue several requests per slot and reject
 	// further ones.
 	maxTransitFactor = 4
+	// maxEngineTransitFactor is the same for engines. They run a request for much longer than
+	// messages travel, and one that waits there can't give way to a higher rank any more.
+	maxEngineTransitFactor = 1.5
 	// transitWeight is the weight of a new observation in the averages of transit times.
 	transitWeight = 0.05
 )
@@ -72,12 +75,32 @@
 	p.times.holdTime = movingAverage(p.times.holdTime, hold.Seconds(), poolWeight)
 }
 
-// transitFactor returns how many grants per slot keep the slots of a plain service's
-// upstream busy, by Little's law: the time that a grant is held over the time that its
-// call is at the upstream. It is 1 until both are known.
+// learnRun updates how long grants of an engine are held and how long the engine runs them.
+func (u *upstream) learnRun(hold time.Duration, e End) {
+	u.times.runTime = movingAverage(u.times.runTime, (e.TimeToFirstEvent + e.DecodeTime).Seconds(), transitWeight)
+	u.times.holdTime = movingAverage(u.times.holdTime, hold.Seconds(), transitWeight)
+}
+
+// transitFactor returns how many grants per slot keep the slots of an upstream busy, by
+// Little's law: the time that a grant is held over the time that its request is at the
+// upstream. It is 1 until both are known.
 func (t *upstreamTimes) transitFactor() float64 {
-	if t.callTime <= 0 || t.holdTime <= t.callTime {
+	limit, atUpstream := float64(maxTransitFactor), t.callTime
+	if t.runTime > 0 {
+		limit, atUpstream = maxEngineTransitFactor, t.runTime
+	}
+	if atUpstream <= 0 || t.holdTime <= atUpstream {
 		return 1
 	}
-	return min(maxTransitFactor, t.holdTime/t.callTime)
+	return min(limit, t.holdTime/atUpstream)
+}
+
+// slotWait estimates how long a request that is granted now waits for a slot of an engine whose
+// slots are all granted: one becomes free every runTime/Slots, also while the grant travels.
+func (p *pool) slotWait(req *request, u *upstream) time.Duration {
+	ahead := len(u.inFlight) - u.Slots + 1
+	if p.engine == nil || ahead <= 0 {
+		return 0
+	}
+	return max(0, seconds(float64(ahead)*u.times.runTime/float64(u.Slots))-2*p.transits.grant(req))
 }
--- a/core/broker/transit_test.go
+++ b/core/broker/transit_test.go
@@ -154,3 +154,18 @@
 	require.Less(t, float64(s.rejected), 0.01*float64(s.offers))
 	require.Greater(t, float64(s.onTime), 0.85*capacity*4, "the service stays busy and its answers on time")
 }
+
+// TestPatternEnginesAreBusyWhileGrantsTravel offers twice what engines can run from an entry
+// that is far from the broker. A slot that stays granted while grant and release travel would be
+// idle meanwhile, a tenth of the time of a mean request.
+func TestPatternEnginesAreBusyWhileGrantsTravel(t *testing.T) {
+	const transitTime, length = 50 * time.Millisecond, 20 * time.Second
+	s := newSim(1, 1, 1, 1)
+	s.transit, s.busyUntil = transitTime, length
+	s.arrive(0, length, 2*4*float64(simSlots)/(0.8*(13.8+10.3+17.5)))
+	s.run()
+	busy := s.busyTime.Seconds() / (4 * simSlots * length.Seconds())
+	t.Logf("slots busy for %.3f of the time, at most %d requests on an engine of %d slots", busy, s.maxRunning, simSlots)
+	require.Greater(t, busy, 0.95)
+	require.LessOrEqual(t, s.maxRunning, simSlots, "requests that run at once")
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -38,11 +38,14 @@
 	set     *settings.Settings
 	log     *zap.Logger
 	members members
+	started time.Time
+	// isolation is used with a route table.
+	isolation isolation
 }
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
-	return &Service{set: set, log: log.Named("directory")}
+	return &Service{set: set, log: log.Named("directory"), started: time.Now()}
 }
 
 // Name returns the service's name.
@@ -60,14 +63,17 @@
 
 // Answer returns the callers' addresses of entries for a caller in a data centre,
 // the best first, and how long the answer may be cached. An empty dataCentre
-// means this daemon's.
+// means this daemon's. A daemon that is partitioned from the others returns none.
 func (s *Service) Answer(dataCentre string) ([]string, time.Duration) {
 	if dataCentre == "" {
 		dataCentre = s.set.DataCentre
 	}
 	if s.set.Routing != nil {
-		ttl := settings.Milliseconds(s.set.Routing.AnswerTTLMS)
-		return nearest(s.members.Live(), s.set.Routing.DataCentres, dataCentre), ttl
+		ttl, live := settings.Milliseconds(s.set.Routing.AnswerTTLMS), s.members.Live()
+		if s.isolation.isIsolated(time.Since(s.started), live) {
+			return nil, ttl
+		}
+		return nearest(live, s.set.Routing.DataCentres, dataCentre), ttl
 	}
 	return choose(s.members.Live(), dataCentre, rand.Float64), answerTTL
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -90,3 +90,26 @@
 		require.ErrorIs(t, s.Drain(ctx), context.DeadlineExceeded)
 	})
 }
+
+// TestPartitionedDaemonNamesNoEntries guards against callers that keep to the entries on the
+// small side of a network partition because an entry there answers them.
+func TestPartitionedDaemonNamesNoEntries(t *testing.T) {
+	members := func(entries, replicas int) []port.Member {
+		live := []port.Member{}
+		for range entries {
+			live = append(live, port.Member{Callers: "x", DataCentre: "a"})
+		}
+		for range replicas {
+			live = append(live, port.Member{Replica: true})
+		}
+		return live
+	}
+	i := isolation{}
+	require.False(t, i.isIsolated(0, members(1, 0)), "a daemon that has just started")
+	require.False(t, i.isIsolated(time.Second, members(9, 3)))
+	require.False(t, i.isIsolated(2*time.Second, members(2, 1)), "entries are lost, a control daemon is live")
+	require.False(t, i.isIsolated(3*time.Second, members(5, 0)), "all control daemons are lost, most entries are live")
+	require.True(t, i.isIsolated(4*time.Second, members(4, 0)))
+	require.True(t, i.isIsolated(4*time.Second+isolationWindow/2, members(4, 0)))
+	require.False(t, i.isIsolated(4*time.Second+2*isolationWindow, members(4, 0)), "the loss is long ago")
+}
