dispatch: a released lease ends all decisions of its dispatcher

Cause: stopPool ended the pool's context only. A round that was already running, and batches queued for entries, were still decided and sent until the lease would have ended, although its release lets a successor grant at once. Change: stop also ends the lease as the pool sees it, under the lock that rounds hold. Result: TestReleasedLeaseEndsDecisions failed before (a grant was decided) and passes.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -102,7 +102,7 @@
 	defer s.mu.Unlock()
 	p := s.pools[name]
 	if p != nil && (p.epoch != result.Lease.Epoch || p.ctx.Err() != nil) {
-		p.close()
+		p.stop()
 		p = nil
 	}
 	if p != nil {
@@ -124,7 +124,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.pools[name]; p != nil {
-		p.close()
+		p.stop()
 		delete(s.pools, name)
 		s.log.Info("dispatcher stopped", zap.String("pool", name), zap.Uint64("epoch", p.epoch))
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -83,6 +83,13 @@
 	p.leaseEnd = end
 }
 
+// stop ends the dispatcher and its right to act. Decisions that are queued for entries are
+// not sent any more, so the lease may be released afterwards.
+func (p *pool) stop() {
+	p.extendLease(0)
+	p.close()
+}
+
 // holdsLease reports whether the lease is still valid.
 func (p *pool) holdsLease() bool {
 	p.mu.Lock()
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -324,3 +324,22 @@
 		require.InDelta(t, 100, n, 40, name)
 	}
 }
+
+// TestReleasedLeaseEndsDecisions guards against grants by a dispatcher that has released its
+// lease: a round or a queued batch that was late went out beside those of the successor.
+func TestReleasedLeaseEndsDecisions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestPool(t, "one")
+		s := b.join(t, "one#1@a", &rpc.EntryBatch{Upstreams: []*rpc.UpstreamState{upstreamState(1)}})
+		time.Sleep(resyncTimeout)
+		s.grants()
+		service := &Service{log: zap.NewNop(), pools: map[string]*pool{"m": b.pool}}
+		service.stopPool("m")
+		b.mu.Lock()
+		b.applyOffer(b.now(), "one#1@a", offer(1))
+		b.mu.Unlock()
+		b.decide()
+		require.NotContains(t, b.events.kinds, promise.Grant)
+		require.Error(t, b.sendUnderLease(s, &rpc.GrantBatch{Epoch: b.epoch}))
+	})
+}
