schedclient: no decisions of a moved lease or from before a pause

Cause: a batch that was ready to be read was applied although the lease had moved, or although this process had been paused for longer than the dispatcher keeps its session. The dispatcher or its successor may have granted the slots to others by then. Change: the session compares the lease and, by the clock that counts suspensions, the time since the last message right before it applies a batch. Otherwise it connects again.

--- a/internal/schedclient/client.go
+++ b/internal/schedclient/client.go
@@ -9,11 +9,13 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/sched"
+	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -29,7 +31,9 @@
 	upstreams port.Upstreams
 	bytes     *linkBytes
 	// open opens a session to the dispatcher at an address.
-	open       func(ctx context.Context, address string) (stream, error)
+	open func(ctx context.Context, address string) (stream, error)
+	// elapsed counts suspensions of the machine; see package clock.
+	elapsed    func() time.Duration
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -41,7 +45,7 @@
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger, self port.Holder) *Service {
-	return &Service{set: set, log: log.Named("sched"), self: self, sessions: map[port.PoolRegion]*session{}}
+	return &Service{set: set, log: log.Named("sched"), self: self, elapsed: clock.SinceBoot, sessions: map[port.PoolRegion]*session{}}
 }
 
 // Name returns the service's name.
--- a/internal/schedclient/exchange.go
+++ b/internal/schedclient/exchange.go
@@ -80,6 +80,7 @@
 	go func() { failed <- duplex.Receive(ctx, stream.Recv, in) }()
 	timeout := time.NewTimer(sessionTimeout)
 	defer timeout.Stop()
+	heardAt := s.service.elapsed()
 	heartbeats := time.NewTicker(heartbeatInterval)
 	defer heartbeats.Stop()
 	for {
@@ -94,6 +95,15 @@
 		case <-heartbeats.C:
 			err = s.send(stream, s.takePending())
 		case b := <-in:
+			if s.lease() != lease {
+				return errLeaseMoved
+			}
+			// After a pause of this process, the timer may not have fired yet. The
+			// dispatcher may have granted the slots of this batch to others meanwhile.
+			if s.service.elapsed()-heardAt > sessionTimeout {
+				return errTimeout
+			}
+			heardAt = s.service.elapsed()
 			timeout.Reset(sessionTimeout)
 			s.applyDecisions(lease.Epoch, b)
 			s.countLinkBytes(causeScheduling, sizeOf(b))
--- a/internal/schedclient/session_test.go
+++ b/internal/schedclient/session_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +50,11 @@
 func (v *fakeView) move(region, daemon string, epoch uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.moveLocked(region, daemon, epoch)
+}
+
+// moveLocked is move for a caller that holds the lock.
+func (v *fakeView) moveLocked(region, daemon string, epoch uint64) {
 	name := port.DispatchLeaseName("m", region)
 	v.leases[name] = state.Lease{Name: name, Holder: port.Holder{Name: daemon, Incarnation: 1, Address: daemon}.String(), Epoch: epoch}
 	close(v.changed)
@@ -351,3 +358,50 @@
 		require.EqualValues(t, 3*maxPendingEvents-1, s.pending.Upstreams[0].Running)
 	})
 }
+
+// TestGrantOfMovedLeaseIsIgnored guards against a grant of a dispatcher that has lost its lease:
+// it is ready to be read when the client learns that the lease has moved.
+func TestGrantOfMovedLeaseIsIgnored(t *testing.T) {
+	for range 30 {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestClient(t)
+			b.view.move("here", "a", 1)
+			first := b.dispatcherOn("a")
+			waiting := b.acquire(t.Context())
+			b.view.mu.Lock()
+			first.toSend <- &rpc.GrantBatch{Epoch: 1, Grants: []*rpc.Grant{{Id: 1, Upstream: "u"}}}
+			for range 100 {
+				runtime.Gosched()
+			}
+			b.view.moveLocked("here", "b", 2)
+			b.view.mu.Unlock()
+			second := b.dispatcherOn("b")
+			go second.sendHeartbeats(2)
+			require.Empty(t, waiting)
+			second.grant(2, 1)
+			require.NoError(t, (<-waiting).err)
+		})
+	}
+}
+
+// TestGrantReadAfterPauseIsIgnored guards against a grant that waited for a process that was
+// paused: the dispatcher has given up the session and granted the slot again.
+func TestGrantReadAfterPauseIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestClient(t)
+		paused := atomic.Int64{}
+		began := time.Now()
+		b.elapsed = func() time.Duration { return time.Since(began) + time.Duration(paused.Load()) }
+		b.view.move("here", "a", 1)
+		first := b.dispatcherOn("a")
+		waiting := b.acquire(t.Context())
+		paused.Store(int64(sessionTimeout))
+		time.Sleep(heartbeatInterval)
+		first.grant(1, 1)
+		require.Empty(t, waiting)
+		second := b.dispatcherOn("a")
+		require.NotSame(t, first, second)
+		second.grant(1, 1)
+		require.NoError(t, (<-waiting).err)
+	})
+}
