replica: a leader that was suspended does not lead when it wakes

Cause: Leadership returned the role that the loop published last. After a suspension, the broker could run rounds as the leader until the loop ran again, beside the broker of its successor. Result: TestSuspendedLeaderDoesNotLeadWhenItWakes needs the new check; with the published role alone the woken leader still leads.

--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -136,7 +136,9 @@
 
 // advance tells the node the current time in ticks.
 func (e *engine) advance() {
-	e.node.Advance(uint64((e.group.clocks.elapsed() - e.startedAt) / tickInterval))
+	now := e.group.clocks.elapsed()
+	e.node.Advance(uint64((now - e.startedAt) / tickInterval))
+	e.group.advancedAt.Store(int64(now))
 }
 
 // loop runs jobs and ticks until the group is closed or an error requires that
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -7,6 +7,7 @@
 	"errors"
 	mathrand "math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,6 +79,17 @@
 	suspectsChangedAt uint64
 	status            consensus.Status
 	failure           error
+
+	// advancedAt is the time up to which the node has acted, by clocks.elapsed.
+	advancedAt atomic.Int64
+}
+
+// leads reports whether this replica leads. A leader whose loop has stood still for an election
+// timeout steps down once it runs again, as others may have replaced it; until then it must not
+// act as the leader. The caller holds the lock.
+func (g *group) leads() bool {
+	idle := g.clocks.elapsed() - time.Duration(g.advancedAt.Load())
+	return g.status.Role == consensus.Leader && (idle < electionTimeoutTicks*tickInterval || len(g.status.Members) == 1)
 }
 
 // limits holds the sizes and times that tests reduce.
--- a/internal/replica/suspension_test.go
+++ b/internal/replica/suspension_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenastep/verbenastep/core/config"
+	"github.com/verbenastep/verbenastep/core/consensus"
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/clock"
 )
@@ -142,3 +143,16 @@
 	require.GreaterOrEqual(t, elapsed, before)
 	require.LessOrEqual(t, elapsed, clock.SinceBoot())
 }
+
+// A leader that was suspended and replaced still led for its broker until its loop ran again:
+// it granted beside its successor.
+func TestSuspendedLeaderDoesNotLeadWhenItWakes(t *testing.T) {
+	sim, old := newElectedSimulation(t)
+	require.True(t, old.group.leads())
+	old.suspend(2 * electionDuration)
+	sim.run(sim.now + electionDuration)
+	require.NotSame(t, old, sim.leader())
+	require.Equal(t, consensus.Leader, old.group.status.Role, "it has not noticed yet")
+	require.False(t, old.group.leads())
+	require.True(t, sim.leader().group.leads())
+}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/verbenastep/verbenastep/core/consensus"
 	"github.com/verbenastep/verbenastep/core/state"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
@@ -42,7 +41,7 @@
 			leader = port.Leader{Address: m.Address, Term: g.status.Term}
 		}
 	}
-	return g.status.Role == consensus.Leader, leader
+	return g.leads(), leader
 }
 
 // MemberAddresses returns the peer addresses of the main group's members,
