brokerclient, broker: grants from before a pause are not used

Cause: after a pause of an entry, or of a follower that relays, messages that had waited were handled before the session's timer fired; after a suspension the timer does not fire at all. Change: right before a message is handled, the session compares the time since the last one, by the clock that counts suspensions, with the session's timeout, and ends if it is over. The waiting requests are offered again. Tickets carry the time of their grant.

--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -17,6 +17,7 @@
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
+	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -33,6 +34,8 @@
 	refusal *fault.Error
 	// decidedBy is byBroker or byEntry.
 	decidedBy string
+	// grantedAt is the time of the grant by the service's elapsed.
+	grantedAt time.Duration
 	// localCharge is the number of tokens that the entry granted by itself.
 	localCharge int
 }
@@ -53,6 +56,9 @@
 	members port.Members
 	metrics *metrics
 	started time.Time
+	// elapsed counts suspensions of the machine; see package clock. Grants are dated and
+	// sessions are timed by it.
+	elapsed func() time.Duration
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
@@ -133,7 +139,7 @@
 	local.SetName(self.String())
 	local.SetQuotaSlack(set.Routing.Quota.SlackTokens)
 	return &Service{
-		set: set, log: log.Named("work"), metrics: newMetrics(), self: self.String(), started: time.Now(), wakeSession: make(chan struct{}, 1), wakeLocal: make(chan struct{}, 1),
+		set: set, log: log.Named("work"), metrics: newMetrics(), self: self.String(), started: time.Now(), elapsed: clock.SinceBoot, wakeSession: make(chan struct{}, 1), wakeLocal: make(chan struct{}, 1),
 		waiting: map[uint64]*acquisition{}, running: map[uint64]*acquisition{}, local: local, entries: 1, roster: map[string]*rpc.RosterEntry{},
 		quotaLevels: map[string]float64{}, localUse: map[string]int64{}, retired: map[string]retirement{}, redirectedUntil: map[string]time.Duration{}, reportedUse: map[string]int64{},
 	}
@@ -191,7 +197,7 @@
 		return port.BrokerTicket{}, a.refusal
 	}
 	end := sync.Once{}
-	return port.BrokerTicket{Grant: a.grant, GrantedBy: a.decidedBy, End: func(e broker.End) { end.Do(func() { s.end(a, e) }) }}, nil
+	return port.BrokerTicket{Grant: a.grant, GrantedBy: a.decidedBy, GrantedAt: a.grantedAt, End: func(e broker.End) { end.Do(func() { s.end(a, e) }) }}, nil
 }
 
 // offer offers a request to the broker of the session, or to the local broker without one.
@@ -275,7 +281,7 @@
 	}
 	delete(s.waiting, g.ID.Number)
 	s.metrics.grants.WithLabelValues(by).Inc()
-	a.grant, a.decidedBy = g, by
+	a.grant, a.decidedBy, a.grantedAt = g, by, s.elapsed()
 	if by == byEntry && a.offer.QuotaCharge > 0 {
 		a.localCharge = a.offer.QuotaCharge
 		s.localUse[a.offer.Workspace] += int64(a.localCharge)
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -247,6 +247,7 @@
 	defer placement.Stop()
 	started := time.Now()
 	limit := s.leaderlessTimeout()
+	silence := silence{elapsed: s.elapsed, limit: connectTimeout, since: s.elapsed()}
 	for {
 		err := error(nil)
 		select {
@@ -262,6 +263,10 @@
 				err = errNearerDaemon
 			}
 		case r := <-in:
+			if silence.isOver() {
+				return errBrokerTimeout
+			}
+			silence.restart(brokerTimeout)
 			timeout.Reset(brokerTimeout)
 			err = s.handle(address, r, time.Since(started) > limit)
 		case err = <-failed:
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,6 +129,12 @@
 
 // newEntry returns the started client of an entry and the n control daemons that it knows.
 func newEntry(t *testing.T, n int) (*Service, []*control) {
+	t.Helper()
+	return newEntryWith(t, n, func(*Service) {})
+}
+
+// newEntryWith is newEntry with a change of the client before it starts.
+func newEntryWith(t *testing.T, n int, change func(*Service)) (*Service, []*control) {
 	t.Helper()
 	addresses, err := freeport.Addresses(n + 1)
 	require.NoError(t, err)
@@ -146,6 +153,7 @@
 	own.Serve()
 	s.link = own
 	s.view = &view{index: routes.NewIndex(&routes.Table{Version: 1, Pools: []routes.Pool{{Name: "p"}}}), changed: make(chan struct{})}
+	change(s)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.done.Go(s.runSessions)
 	s.done.Go(s.runLocal)
@@ -452,3 +460,30 @@
 	s.detach("near", errNotLeader)
 	require.Equal(t, "far", s.nextAddress(), "the second daemon knows no leader")
 }
+
+// TestGrantReadAfterPauseIsNotUsed guards against a grant that waited for an entry that was
+// paused: the broker has given up the entry and granted the slot to another request.
+func TestGrantReadAfterPauseIsNotUsed(t *testing.T) {
+	paused := atomic.Int64{}
+	s, c := newEntryWith(t, 1, func(s *Service) {
+		s.elapsed = func() time.Duration { return time.Since(s.started) + time.Duration(paused.Load()) }
+	})
+	c[0].set(func(x *control) { x.leads, x.leader = true, x.address })
+	require.Eventually(t, s.isAttached, testTimeout, time.Millisecond)
+	tickets := make(chan port.BrokerTicket, 1)
+	go func() {
+		ticket, _ := acquire(s)
+		tickets <- ticket
+	}()
+	offered := func(x *control) bool { return len(x.offered) == 1 }
+	require.Eventually(t, func() bool { return c[0].check(offered) }, testTimeout, time.Millisecond)
+	c[0].set(func(x *control) { x.silent = true })
+	time.Sleep(brokerTimeout / 4)
+	c[0].set(func(x *control) {
+		paused.Store(int64(brokerTimeout))
+		x.silent, x.grants = false, []*rpc.WorkGrant{{Id: 1, Upstream: "outdated", Address: "a"}}
+	})
+	require.Eventually(t, func() bool { return c[0].check(func(x *control) bool { return x.sessions == 2 && offered(x) }) }, testTimeout, time.Millisecond)
+	c[0].set(func(x *control) { x.grants = []*rpc.WorkGrant{{Id: 1, Upstream: "u", Address: "a"}} })
+	require.Equal(t, "u", (<-tickets).Upstream)
+}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -394,6 +394,8 @@
 	// GrantedBy is "broker", or "entry" if the entry granted by itself because no
 	// broker answered.
 	GrantedBy string
+	// GrantedAt is when this entry got the grant, by clock.SinceBoot; zero if unknown.
+	GrantedAt time.Duration
 	// End frees the slot and reports how the request ended.
 	End func(e broker.End)
 }
