forward: a request is not sent by a grant from before a pause

Cause: an entry that was paused between a grant and the sending of its request sent it when it woke, however old the grant was. Change: the age of the grant is checked after the connection is set up, right before the request is sent; above 2 s the grant is returned as not sent and the request is offered again.

--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -9,6 +9,11 @@
 	"github.com/verbenastep/verbenastep/core/broker"
 )
 
+// maxGrantAge is how long after a grant its request may be sent. It covers the setup of a
+// connection, also through another entry, which takes up to 1.4 s. An entry that was paused for
+// longer has lost its broker, which may have given the slot to another request.
+const maxGrantAge = 2 * time.Second
+
 // process returns the process that was granted.
 func (a *upstreamAttempt) process() process {
 	return process{pool: a.pool, upstream: a.ticket.Upstream, born: a.ticket.Born}
@@ -30,7 +35,7 @@
 			return nil, err
 		}
 		// The setup of a connection takes time in which a notice may arrive.
-		if !a.returnExcluded() {
+		if !a.returnExcluded() && !a.returnOutdated() {
 			return c, nil
 		}
 		_ = c.Close()
@@ -52,6 +57,18 @@
 	return true
 }
 
+// returnOutdated returns the grant if it is too old to be used. It reports whether it did.
+func (a *upstreamAttempt) returnOutdated() bool {
+	age := a.s.elapsed() - a.ticket.GrantedAt
+	if a.ticket.GrantedAt == 0 || age <= maxGrantAge {
+		return false
+	}
+	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.Duration("age", age))...)
+	a.granted = false
+	a.endGrant(broker.End{Outcome: broker.NotSent})
+	return true
+}
+
 // endGrant ends the grant and tells the broker what the upstream told this entry.
 func (a *upstreamAttempt) endGrant(e broker.End) {
 	now := time.Now()
--- a/internal/forward/suspension_test.go
+++ b/internal/forward/suspension_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/internal/clock"
 )
 
@@ -43,3 +44,21 @@
 	require.GreaterOrEqual(t, elapsed, before)
 	require.LessOrEqual(t, elapsed, clock.SinceBoot())
 }
+
+// TestGrantFromBeforePauseIsReturned guards against a request that is sent by a grant from before
+// a pause of the entry: its broker has lost the entry and granted the slot to another request.
+func TestGrantFromBeforePauseIsReturned(t *testing.T) {
+	first, second := newUpstream(t, respondWith(http.StatusOK, "", "first")), newUpstream(t, respondWith(http.StatusOK, "", "second"))
+	e := newTestEntry(t, first, second)
+	e.brokerClient.grantedAt = func(n int) time.Duration {
+		if n == 1 {
+			return e.service.elapsed() - maxGrantAge - time.Millisecond
+		}
+		return e.service.elapsed()
+	}
+	result := e.call("once", "body")
+	require.Equal(t, http.StatusOK, result.status)
+	require.Equal(t, "second", result.body)
+	require.Zero(t, first.requests())
+	require.Equal(t, []broker.Outcome{broker.NotSent, broker.Completed}, e.brokerClient.outcomes())
+}
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -161,6 +161,8 @@
 	born     int64
 	refusal  *fault.Error
 	expected time.Duration
+	// grantedAt returns when the n-th grant reached the entry; nil if that is not known.
+	grantedAt func(n int) time.Duration
 }
 
 func (c *testBrokerClient) Acquire(_ context.Context, o port.BrokerOffer) (port.BrokerTicket, error) {
@@ -175,8 +177,13 @@
 	}
 	address := c.addresses[c.granted]
 	c.granted++
+	at := time.Duration(0)
+	if c.grantedAt != nil {
+		at = c.grantedAt(c.granted)
+	}
 	return port.BrokerTicket{
-		Grant: broker.Grant{ID: o.ID, Upstream: "u-" + address, Address: address, Born: c.born, ExpectedTimeToFirstEvent: c.expected},
+		GrantedAt: at,
+		Grant:     broker.Grant{ID: o.ID, Upstream: "u-" + address, Address: address, Born: c.born, ExpectedTimeToFirstEvent: c.expected},
 		End: func(e broker.End) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
