brokerclient: the age of the roster includes suspensions

Cause: an entry reports when its roster was last confirmed and gets only the changes since. By a clock that stands still in a suspension the roster seemed recent, and the changes during the suspension were never sent by a follower. Change: the time of the confirmation is taken by the clock that counts suspensions. Result: TestRosterAgesInSuspension failed before (0 or 1 ms instead of 10,000) and passes.

--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -107,7 +107,7 @@
 	// retired holds the upstreams whose newest process leaves or is gone.
 	retired map[string]retirement
 	// rosterConfirmedAt is when a leader last confirmed that the entry's roster is
-	// complete; zero for never. rosterCurrent is true if the daemon of the session sent
+	// complete, by elapsed: a daemon sends only what changed since; zero for never. rosterCurrent is true if the daemon of the session sent
 	// the full roster, or sends the changes of an earlier one.
 	rosterConfirmedAt time.Duration
 	rosterCurrent     bool
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -330,7 +330,7 @@
 	if s.rosterConfirmedAt == 0 {
 		return 0
 	}
-	return uint32(max(1, (s.now() - s.rosterConfirmedAt).Milliseconds()))
+	return uint32(max(1, (s.elapsed() - s.rosterConfirmedAt).Milliseconds()))
 }
 
 // send sends what is pending; an empty message is a heartbeat.
@@ -384,7 +384,7 @@
 	s.brokerHeardAt = s.now()
 	if s.rosterCurrent && len(r.Roster) == 0 {
 		// All pending parts of the roster have arrived.
-		s.rosterConfirmedAt = s.now()
+		s.rosterConfirmedAt = s.elapsed()
 	}
 	for _, g := range r.Grants {
 		s.handleGrant(brokerwire.DecodeGrant(s.self, g))
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -487,3 +487,17 @@
 	c[0].set(func(x *control) { x.grants = []*rpc.WorkGrant{{Id: 1, Upstream: "u", Address: "a"}} })
 	require.Equal(t, "u", (<-tickets).Upstream)
 }
+
+// TestRosterAgesInSuspension guards against an entry that gets only the last changes of the
+// roster after a suspension, in which it has missed all earlier ones.
+func TestRosterAgesInSuspension(t *testing.T) {
+	const suspension = 10 * time.Second
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
+	s.view = &view{changed: make(chan struct{})}
+	now := time.Hour
+	s.elapsed = func() time.Duration { return now }
+	require.NoError(t, s.handle("a", &rpc.BrokerReply{Leads: true, RosterSet: true, Roster: []*rpc.RosterEntry{{Id: "u", Pool: "p"}}}, false))
+	require.NoError(t, s.handle("a", &rpc.BrokerReply{Leads: true}, false))
+	now += suspension
+	require.EqualValues(t, suspension.Milliseconds(), s.firstMessage().RosterAgeMs)
+}
