forward: the window of the retry budget includes suspensions

Cause: after a suspension of an entry, requests from before it still counted in the window of its retry budget and allowed retries. Change: the window runs by the clock that counts suspensions. Result: TestRetryBudgetOfBeforeSuspensionIsGone passes; it can't be expressed with the old clock.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/verbenastep/verbenastep/core/limits"
+	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
@@ -17,14 +18,16 @@
 // concurrent use.
 type retryBudgets struct {
 	retry settings.Retry
-	began time.Time
+	// elapsed counts suspensions of the machine: the requests from before one have left the
+	// window in which the budget is measured.
+	elapsed func() time.Duration
 
 	mu     sync.Mutex
 	byPool map[string]*limits.RetryBudget
 }
 
 func newRetryBudgets(retry settings.Retry) *retryBudgets {
-	return &retryBudgets{retry: retry, began: time.Now(), byPool: map[string]*limits.RetryBudget{}}
+	return &retryBudgets{retry: retry, elapsed: clock.SinceBoot, byPool: map[string]*limits.RetryBudget{}}
 }
 
 // forPool returns a pool's budget. The caller holds b.mu.
@@ -41,7 +44,7 @@
 func (b *retryBudgets) recordRequest(pool string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.forPool(pool).RecordRequest(time.Since(b.began))
+	b.forPool(pool).RecordRequest(b.elapsed())
 }
 
 // allow reports whether the budget, shared by a number of entries, allows a retry,
@@ -50,5 +53,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slack := usedBudgetShare * b.retry.Slack / float64(entries)
-	return b.forPool(pool).AllowRetry(time.Since(b.began), usedBudgetShare*b.retry.RatioOrDefault(), slack)
+	return b.forPool(pool).AllowRetry(b.elapsed(), usedBudgetShare*b.retry.RatioOrDefault(), slack)
 }
--- a/internal/forward/suspension_test.go
+++ b/internal/forward/suspension_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/internal/clock"
+	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
 // TestUpstreamIsNotGivenTheTimeOfASuspension guards against an upstream that works on for
@@ -62,3 +63,18 @@
 	require.Zero(t, first.requests())
 	require.Equal(t, []broker.Outcome{broker.NotSent, broker.Completed}, e.brokerClient.outcomes())
 }
+
+// TestRetryBudgetOfBeforeSuspensionIsGone guards against retries on the account of requests from
+// before a suspension, which have left the window of the budget by all other clocks.
+func TestRetryBudgetOfBeforeSuspensionIsGone(t *testing.T) {
+	b := newRetryBudgets(settings.Retry{WindowMS: 10_000})
+	now := time.Hour
+	b.elapsed = func() time.Duration { return now }
+	for range 100 {
+		b.recordRequest("p")
+	}
+	require.True(t, b.allow("p", 1))
+	now += 10 * time.Second
+	require.False(t, b.allow("p", 1))
+	require.GreaterOrEqual(t, newRetryBudgets(settings.Retry{}).elapsed(), clock.Steady())
+}
