broker: a new broker awaits the entries before it grants brittle upstreams

Cause: after a change of brokers, the new one filled the slots of an upstream for the first entry that connected, beside requests of entries that connect later. Upstreams that queue or reject bear that; a brittle one falls over. Change: for 600 ms after it begins to lead, a broker treats brittle upstreams as at their limit. Other upstreams are granted at once as before: waiting for all entries would delay all requests at each change of brokers.

--- a/core/broker/brittle.go
+++ b/core/broker/brittle.go
@@ -20,6 +20,25 @@
 	return u.limiter != nil && u.limiter.Brittle && u.Born <= u.limiter.Born
 }
 
+// AwaitEntries makes a new broker of all entries grant no brittle upstream for a time in which the
+// entries offer what they run: it would fill slots that other entries occupy, and the upstream
+// falls over if it rejects requests.
+func (b *Broker) AwaitEntries(until time.Duration) {
+	b.entriesAwaitedUntil = until
+	for _, x := range b.limiters {
+		x.entriesAwaitedUntil = until
+	}
+}
+
+// entriesWait returns how long the upstream is not granted since entries may still run requests
+// on it that the broker does not know.
+func (u *upstream) entriesWait(now time.Duration) time.Duration {
+	if !u.isBrittle() {
+		return 0
+	}
+	return max(0, u.limiter.entriesAwaitedUntil-now)
+}
+
 // brittleSlots returns how many slots of a brittle upstream a broker with the given share may
 // use. None of its requests waits there: it may let fewer wait than before.
 func (u *upstream) brittleSlots(share float64) float64 {
--- a/core/broker/brittle_test.go
+++ b/core/broker/brittle_test.go
@@ -65,3 +65,19 @@
 	b.Cancel(ID{Entry: "e", Number: 2})
 	require.Equal(t, "u", grantTo(b, brittleRejectedDelay, "e", 3))
 }
+
+// TestNewBrokerAwaitsEntriesOfBrittleUpstream guards against a new broker that fills the slots of a
+// brittle upstream for the first entry that connects, while others still run requests there.
+func TestNewBrokerAwaitsEntriesOfBrittleUpstream(t *testing.T) {
+	const settled = 600 * time.Millisecond
+	b := newBrittleBroker(1)
+	b.AwaitEntries(settled)
+	require.Empty(t, grantTo(b, 0, "first", 1))
+	for n := range uint64(2) {
+		b.Offer(settled/2, Offer{ID: ID{Entry: "second", Number: n}, Pool: "p", Running: "u"})
+	}
+	require.Empty(t, b.Decide(settled-1).Grants)
+	require.Empty(t, b.Decide(settled).Grants, "the second entry occupies both slots")
+	b.End(settled, End{ID: ID{Entry: "second", Number: 0}, Outcome: Completed})
+	require.Equal(t, []uint64{1}, grantNumbers(b.Decide(settled)))
+}
--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -265,6 +265,8 @@
 	nextOrphanEnd time.Duration
 	// quotasResetAt is when ResetQuotas was last called.
 	quotasResetAt time.Duration
+	// entriesAwaitedUntil is when brittle upstreams may be granted; see AwaitEntries.
+	entriesAwaitedUntil time.Duration
 	// quotaSlackTokens is how many tokens a workspace may use beyond its quota.
 	quotaSlackTokens float64
 	// pending collects the decisions that the next Decide returns.
--- a/core/broker/limit.go
+++ b/core/broker/limit.go
@@ -67,7 +67,9 @@
 	// reported is the limit when it was last news.
 	reported RequestLimit
 	bucket   limits.Bucket
-	pacer    limits.Pacer
+	// entriesAwaitedUntil is that of the broker.
+	entriesAwaitedUntil time.Duration
+	pacer               limits.Pacer
 }
 
 func newLimiter(now time.Duration, l RequestLimit) *limiter {
@@ -85,9 +87,13 @@
 	return seconds(min(1/(x.rate()*localLimitFactor*share), math.MaxInt32))
 }
 
-// limitWait returns how long the upstream takes no further request because of its limit.
+// limitWait returns how long the upstream takes no further request because of its
+// limit, or while its entries are awaited.
 func (u *upstream) limitWait(now time.Duration, share float64) time.Duration {
 	x := u.limiter
+	if wait := u.entriesWait(now); wait > 0 {
+		return wait
+	}
 	switch {
 	case !u.isLimited():
 		return 0
@@ -158,6 +164,7 @@
 		}
 		b.makeRoomForLimiter()
 		x = newLimiter(now, l)
+		x.entriesAwaitedUntil = b.entriesAwaitedUntil
 		b.limiters[l.Upstream] = x
 		if u := b.upstream(l.Upstream); u != nil {
 			u.limiter = x
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -52,6 +52,9 @@
 	minDecideDelay    = 2 * time.Millisecond
 	maxDecideDelay    = 25 * time.Millisecond
 	decideDelayFactor = 4
+	// entriesTimeout is how long a new broker waits for entries before it grants brittle
+	// upstreams. Entries look for a broker after 400 ms and connect within round trips.
+	entriesTimeout = 600 * time.Millisecond
 	// sendQueueLength is how many messages may wait for a slow entry.
 	sendQueueLength = 64
 )
@@ -268,6 +271,9 @@
 	for _, l := range limits {
 		s.core.LearnLimit(s.now(), l)
 	}
+	if leads {
+		s.core.AwaitEntries(s.now() + entriesTimeout)
+	}
 	s.tableVersion = 0
 	s.rosterReadAt = time.Time{}
 	// Send the entries the new state at once, so that they offer all waiting and
