broker: slow start of upstreams by their answers

Cause: an upstream that has just started or recovered looked free and got as many requests as it has slots at once; one that is slow or fails under load until it has warmed up answers them late or loses them. Change: with SetPace, a window of open slots begins small for a new process, an upstream that appears later, or one that failed; valid answers in time double it per round, failures, rejections and growing times halve it. A request is kept waiting for it only while upstreams that are not in slow start can serve it within a quarter of its latency target.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -267,6 +267,8 @@
 	quotasResetAt time.Duration
 	// entriesAwaitedUntil is when brittle upstreams may be granted; see AwaitEntries.
 	entriesAwaitedUntil time.Duration
+	// pace holds the settings of slow start; nil if it is off.
+	pace *Pace
 	// quotaSlackTokens is how many tokens a workspace may use beyond its quota.
 	quotaSlackTokens float64
 	// pending collects the decisions that the next Decide returns.
@@ -308,6 +310,7 @@
 	p := b.pools[name]
 	if p == nil {
 		p = newPool(name)
+		p.pace = b.pace
 		b.pools[name] = p
 	}
 	return p
@@ -640,6 +643,8 @@
 	CallTime  float64
 	// FailureRate is the moving average of the failure rate, in [0, 1].
 	FailureRate float64
+	// Window is the number of open slots of an upstream in slow start; zero for others.
+	Window int
 }
 
 // Estimates returns what was learned about each upstream, by upstream ID.
@@ -647,7 +652,7 @@
 	out := map[string]Estimates{}
 	for _, p := range b.pools {
 		for _, u := range p.order {
-			out[u.ID] = Estimates{ID: u.ID, TokenTime: u.times.tokenTime, CallTime: u.times.callTime, FailureRate: u.health.failureRate}
+			out[u.ID] = Estimates{ID: u.ID, TokenTime: u.times.tokenTime, CallTime: u.times.callTime, FailureRate: u.health.failureRate, Window: u.window.slots}
 		}
 	}
 	return out
@@ -661,6 +666,7 @@
 			if u := p.upstreams[l.ID]; u != nil {
 				u.times.tokenTime, u.times.callTime = l.TokenTime, l.CallTime
 				u.health.failureRate = l.FailureRate
+				p.restoreWindow(u, l.Window)
 			}
 		}
 	}
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -45,6 +45,7 @@
 	b.dropOrphans(now)
 	for _, p := range b.pools {
 		p.expireVersions(now)
+		p.startWindows(now)
 		r := p.newRound(now, b.share)
 		if r.slots > 0 || !p.started {
 			p.started = true
@@ -108,6 +109,8 @@
 	// that have reached their limits count only if all have.
 	minTokenTime float64
 	minCallTimes map[string]float64
+	// paced is nil if no upstream is held back by its slow start.
+	paced *paced
 }
 
 // newRound collects the available upstreams of the pool.
@@ -128,11 +131,14 @@
 			atLimit = append(atLimit, u)
 			continue
 		}
-		if len(u.inFlight) < capacity {
+		if len(u.inFlight) < u.pacedCapacity(now, share) {
 			r.open = append(r.open, u)
+		} else if len(u.inFlight) < capacity {
+			r.hold(u)
 		}
 		r.addTimes(p, u)
 	}
+	p.addSteady(r)
 	if len(r.minCallTimes) == 0 {
 		r.useLimited(p, atLimit)
 	}
@@ -182,9 +188,10 @@
 
 // closeIfFull removes an upstream from the open ones if it has no free slot left.
 func (r *round) closeIfFull(u *upstream) {
-	if u != r.fallback && len(u.inFlight) < u.capacity(r.now, r.share) && u.limitWait(r.now, r.share) == 0 {
+	if u != r.fallback && len(u.inFlight) < u.pacedCapacity(r.now, r.share) && u.limitWait(r.now, r.share) == 0 {
 		return
 	}
+	r.closeWindow(u)
 	r.open = slices.DeleteFunc(r.open, func(o *upstream) bool { return o == u })
 }
 
@@ -192,9 +199,9 @@
 // that can still be on time waits for an upstream where it will be.
 func (b *Broker) grantWaiting(p *pool, r *round) {
 	skipped := 0
-	for i := 0; i < len(p.queue) && skipped < maxSkippedRequests && len(r.open) > 0; {
+	for i := 0; i < len(p.queue) && skipped < maxSkippedRequests && r.hasRoom(); {
 		req := p.queue[i]
-		if r.noneOpenTo(req.ID.Entry) {
+		if r.noneOpenTo(req.ID.Entry) && r.noneHeldFor(req.ID.Entry) {
 			// Not counted as skipped, so that it does not hold up other entries.
 			i++
 			continue
@@ -211,7 +218,9 @@
 		}
 		b.bindVersion(r.now, p, req)
 		u, first := p.choose(r, req, stage)
+		u, first = p.chooseHeld(r, req, stage, u, first)
 		if u == nil || p.shouldWait(r, req, first) {
+			r.passOver(p, req)
 			skipped++
 			i++
 			continue
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -35,6 +35,14 @@
 	// pastVersions holds the software versions of upstreams that have left, and since
 	// when; zero until the next round.
 	pastVersions map[string]time.Duration
+	// pace holds the settings of slow start; nil if it is off. upstreamsSince is when the pool
+	// first had upstreams, if hadUpstreams is set.
+	pace           *Pace
+	hadUpstreams   bool
+	upstreamsSince time.Duration
+	paceChanges    []PaceChange
+	// opening is the number of upstreams in slow start as of the last round.
+	opening int
 }
 
 func newPool(name string) *pool {
@@ -59,7 +67,8 @@
 	// limiter holds what the upstream said of the requests that it takes; nil if nothing.
 	limiter *limiter
 	// paths holds the entries without a path to the upstream.
-	paths unavailablePaths
+	paths  unavailablePaths
+	window window
 	// trialEnd is when the last trial of a request on the upstream ends, lastTrialEnd the
 	// same for requests in that stage.
 	trialEnd     time.Duration
@@ -82,6 +91,9 @@
 		if u == nil {
 			u = &upstream{inFlight: map[ID]*request{}, sessions: newSessionCache(), roundingPoint: rendezvous.Point(x.ID, broker)}
 			p.upstreams[x.ID] = u
+			u.window.isNew = true
+		} else if u.Born > 0 && x.Born > u.Born {
+			u.window.isRestarted = true
 		}
 		u.Upstream = x
 		listed[x.ID] = true
@@ -161,6 +173,7 @@
 	u.prefillUntil = max(now, u.prefillUntil) + prefill
 	req.expectedEnd = u.prefillUntil + p.decodeTime(req, u)
 	u.inFlight[req.ID] = req
+	u.window.recordUse(now, len(u.inFlight))
 	u.tokens += req.tokens()
 	u.sessions.touch(req.Session)
 }
--- a/core/broker/speed.go
+++ b/core/broker/speed.go
@@ -131,6 +131,7 @@
 	if e.Outcome == Rejected && u.isBrittle() {
 		u.health.unavailableUntil = max(u.health.unavailableUntil, now+brittleRejectedDelay)
 	}
+	p.learnWindow(now, req, e)
 	if e.Outcome != Completed {
 		return
 	}
