--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -125,6 +125,9 @@
 func newCore(set *settings.Settings) *broker.Broker {
 	core := broker.New(1)
 	core.SetQuotaSlack(set.Routing.Quota.SlackTokens)
+	if pace, ok := brokerwire.Pace(set.Routing); ok {
+		core.SetPace(pace)
+	}
 	return core
 }
 
@@ -300,6 +303,7 @@
 	for _, x := range decisions.Suspicions {
 		s.log.Info("content suspected of a crash", brokerwire.SuspicionFields(x)...)
 	}
+	s.reportPace()
 	replies := map[string]*rpc.BrokerReply{}
 	replyTo := func(entry string) *rpc.BrokerReply {
 		if replies[entry] == nil {
--- a/internal/broker/rosterupdates.go
+++ b/internal/broker/rosterupdates.go
@@ -129,14 +129,15 @@
 // which is sent to entries at once.
 func rosterChanged(old, current *rpc.RosterEntry) bool {
 	return old.Address != current.Address || old.Born != current.Born || old.Pool != current.Pool || old.Slots != current.Slots || old.Leaving != current.Leaving ||
-		old.Gone != current.Gone || old.Silent != current.Silent || old.DataCentre != current.DataCentre || old.SoftwareVersion != current.SoftwareVersion || limitChanged(old.Limit, current.Limit)
+		old.Gone != current.Gone || old.Silent != current.Silent || old.DataCentre != current.DataCentre || old.SoftwareVersion != current.SoftwareVersion || limitChanged(old.Limit, current.Limit) ||
+		(old.PaceSlots == 0) != (current.PaceSlots == 0)
 }
 
 // estimatesChanged reports whether what the broker learned about an upstream changed so much
 // that entries need it. They use it only while they have no broker.
 func estimatesChanged(old, current *rpc.RosterEntry) bool {
 	return timeChanged(old.TokenUs, current.TokenUs) || timeChanged(old.CallUs, current.CallUs) ||
-		math.Abs(float64(old.Trouble)-float64(current.Trouble)) > minFailureRateChange
+		math.Abs(float64(old.Trouble)-float64(current.Trouble)) > minFailureRateChange || old.PaceSlots != current.PaceSlots
 }
 
 // timeChanged reports whether a learned time changed by more than minTimeChange.
--- a/internal/broker/rosterupdates_test.go
+++ b/internal/broker/rosterupdates_test.go
@@ -234,3 +234,12 @@
 func (f fakeReplica) Leadership() (leads bool, leader port.Leader) {
 	return false, port.Leader{Address: string(f)}
 }
+
+// TestSlowStartIsAnnouncedAtOnce guards against followers that hear of a slow start only after it
+// has ended, so that the next leader fills the upstream.
+func TestSlowStartIsAnnouncedAtOnce(t *testing.T) {
+	require.True(t, rosterChanged(&rpc.RosterEntry{}, &rpc.RosterEntry{PaceSlots: 1}))
+	require.True(t, rosterChanged(&rpc.RosterEntry{PaceSlots: 3}, &rpc.RosterEntry{}))
+	require.False(t, rosterChanged(&rpc.RosterEntry{PaceSlots: 1}, &rpc.RosterEntry{PaceSlots: 2}))
+	require.True(t, estimatesChanged(&rpc.RosterEntry{PaceSlots: 1}, &rpc.RosterEntry{PaceSlots: 2}))
+}
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -138,6 +138,9 @@
 	local := broker.New(1)
 	local.SetName(self.String())
 	local.SetQuotaSlack(set.Routing.Quota.SlackTokens)
+	if pace, ok := brokerwire.Pace(set.Routing); ok {
+		local.SetPace(pace)
+	}
 	return &Service{
 		set: set, log: log.Named("work"), metrics: newMetrics(), self: self.String(), started: time.Now(), elapsed: clock.SinceBoot, wakeSession: make(chan struct{}, 1), wakeLocal: make(chan struct{}, 1),
 		waiting: map[uint64]*acquisition{}, running: map[uint64]*acquisition{}, local: local, entries: 1, roster: map[string]*rpc.RosterEntry{},
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -14,6 +14,7 @@
 	"github.com/verbenastep/verbenastep/core/roster"
 	"github.com/verbenastep/verbenastep/core/suspects"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
 // milliseconds returns a duration on the wire; negative ones become zero.
@@ -190,13 +191,21 @@
 	permille              = 1000
 )
 
+// Pace returns the settings of slow start for a broker; ok is false if it is off.
+func Pace(r *settings.Routing) (p broker.Pace, ok bool) {
+	if r == nil || r.Pace == nil {
+		return broker.Pace{}, false
+	}
+	return broker.Pace{InitialSlots: r.Pace.InitialSlots, TimeFactor: r.Pace.TimeFactor}, true
+}
+
 // EncodeUpstream encodes an upstream and what was learned about it.
 func EncodeUpstream(e port.RosterEntry, l broker.Estimates) *rpc.RosterEntry {
 	return &rpc.RosterEntry{
 		Id: e.ID, Pool: e.Pool, Address: e.Address, DataCentre: e.DataCentre, Slots: uint32(e.Slots), Born: e.Born, Leaving: e.Leaving, Gone: e.Gone,
 		Silent: e.Silent, ColdMs: milliseconds(e.Cold), AgeMs: milliseconds(e.Age),
 		TokenUs: uint32(l.TokenTime * microsecondsPerSecond), CallUs: uint32(l.CallTime * microsecondsPerSecond), Trouble: uint32(l.FailureRate * permille),
-		SoftwareVersion: e.SoftwareVersion,
+		SoftwareVersion: e.SoftwareVersion, PaceSlots: uint32(max(0, l.Window)),
 	}
 }
 
@@ -209,7 +218,7 @@
 		},
 		Age: duration(e.AgeMs), Silent: e.Silent,
 	}
-	return entry, broker.Estimates{ID: e.Id, TokenTime: float64(e.TokenUs) / microsecondsPerSecond, CallTime: float64(e.CallUs) / microsecondsPerSecond, FailureRate: float64(e.Trouble) / permille}
+	return entry, broker.Estimates{ID: e.Id, TokenTime: float64(e.TokenUs) / microsecondsPerSecond, CallTime: float64(e.CallUs) / microsecondsPerSecond, FailureRate: float64(e.Trouble) / permille, Window: int(e.PaceSlots)}
 }
 
 // EncodeQuotaLevels encodes the fractions of quotas that are left, by workspace.
--- a/internal/brokerwire/codec_test.go
+++ b/internal/brokerwire/codec_test.go
@@ -42,3 +42,10 @@
 	require.Equal(t, int64(1796337205000), entry.Born)
 	require.Equal(t, int64(1796337205000), Upstreams([]port.RosterEntry{entry}, nil)[0].Born)
 }
+
+// TestSlowStartIsSent guards against a new broker that fills an upstream which the last one opened
+// slowly.
+func TestSlowStartIsSent(t *testing.T) {
+	_, learned := DecodeUpstream(EncodeUpstream(port.RosterEntry{Entry: roster.Entry{ID: "u"}}, broker.Estimates{Window: 3}))
+	require.Equal(t, 3, learned.Window)
+}
--- a/internal/settings/routing.go
+++ b/internal/settings/routing.go
@@ -33,6 +33,8 @@
 	Retry Retry `json:"retry,omitempty"`
 	// Quota is the tolerance in the enforcement of workspaces' quotas.
 	Quota Quota `json:"quota,omitempty"`
+	// Pace enables the slow start of upstreams; nil means off.
+	Pace *Pace `json:"pace,omitempty"`
 	// DataCentres maps each data centre to its region.
 	DataCentres map[string]string `json:"data_centres,omitempty"`
 }
@@ -65,6 +67,21 @@
 	SlackTokens float64 `json:"slack_tokens,omitempty"`
 }
 
+// Pace is the slow start of upstreams that have just started or recovered.
+type Pace struct {
+	// InitialSlots is how many slots are open at first; zero means DefaultInitialSlots.
+	InitialSlots int `json:"initial_slots,omitempty"`
+	// TimeFactor is by how much answers may take longer than expected for further slots to
+	// open; zero means DefaultTimeFactor.
+	TimeFactor float64 `json:"time_factor,omitempty"`
+}
+
+// Defaults for Pace.
+const (
+	DefaultInitialSlots = 1
+	DefaultTimeFactor   = 2.5
+)
+
 // Defaults for Routing, in milliseconds except for DefaultRetryRatio. A time of zero
 // is replaced by its default as well.
 const (
@@ -83,6 +100,10 @@
 	r.AnswerTTLMS = orDefault(r.AnswerTTLMS, DefaultAnswerTTLMS)
 	r.Retry.WindowMS = orDefault(r.Retry.WindowMS+r.Retry.WindowSeconds*msPerSecond, DefaultRetryMS)
 	r.Retry.WindowSeconds = 0
+	if r.Pace != nil {
+		r.Pace.InitialSlots = max(r.Pace.InitialSlots, DefaultInitialSlots)
+		r.Pace.TimeFactor = orDefault(r.Pace.TimeFactor, DefaultTimeFactor)
+	}
 }
 
 func orDefault(v, def float64) float64 {
