--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -52,6 +52,9 @@
 	minDecideDelay    = 2 * time.Millisecond
 	maxDecideDelay    = 25 * time.Millisecond
 	decideDelayFactor = 4
+	// entriesTimeout is how long a new broker waits for entries before it grants brittle
+	// upstreams. Entries look for a broker after 400 ms and connect within round trips.
+	entriesTimeout = 600 * time.Millisecond
 	// sendQueueLength is how many messages may wait for a slow entry.
 	sendQueueLength = 64
 )
@@ -124,6 +127,9 @@
 func newCore(set *settings.Settings) *broker.Broker {
 	core := broker.New(1)
 	core.SetQuotaSlack(set.Routing.Quota.SlackTokens)
+	if pace, ok := brokerwire.Pace(set.Routing); ok {
+		core.SetPace(pace)
+	}
 	return core
 }
 
@@ -278,6 +284,9 @@
 		s.core.LearnLimit(s.now(), l)
 	}
 	s.resetRollouts()
+	if leads {
+		s.core.AwaitEntries(s.now() + entriesTimeout)
+	}
 	s.tableVersion = 0
 	s.rosterReadAt = time.Time{}
 	// Send the entries the new state at once, so that they offer all waiting and
@@ -308,6 +317,7 @@
 	for _, x := range decisions.Suspicions {
 		s.log.Info("content suspected of a crash", brokerwire.SuspicionFields(x)...)
 	}
+	s.reportPace()
 	replies := map[string]*rpc.BrokerReply{}
 	replyTo := func(entry string) *rpc.BrokerReply {
 		if replies[entry] == nil {
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -247,6 +247,7 @@
 	defer placement.Stop()
 	started := time.Now()
 	limit := s.leaderlessTimeout()
+	silence := silence{elapsed: s.elapsed, limit: connectTimeout, since: s.elapsed()}
 	for {
 		err := error(nil)
 		select {
@@ -262,6 +263,10 @@
 				err = errNearerDaemon
 			}
 		case r := <-in:
+			if silence.isOver() {
+				return errBrokerTimeout
+			}
+			silence.restart(brokerTimeout)
 			timeout.Reset(brokerTimeout)
 			err = s.handle(address, r, time.Since(started) > limit)
 		case err = <-failed:
@@ -328,7 +333,7 @@
 	if s.rosterConfirmedAt == 0 {
 		return 0
 	}
-	return uint32(max(1, (s.now() - s.rosterConfirmedAt).Milliseconds()))
+	return uint32(max(1, (s.elapsed() - s.rosterConfirmedAt).Milliseconds()))
 }
 
 // send sends what is pending; an empty message is a heartbeat.
@@ -385,7 +390,7 @@
 	s.brokerHeardAt = s.now()
 	if s.rosterCurrent && len(r.Roster) == 0 {
 		// All pending parts of the roster have arrived.
-		s.rosterConfirmedAt = s.now()
+		s.rosterConfirmedAt = s.elapsed()
 	}
 	for _, g := range r.Grants {
 		s.handleGrant(brokerwire.DecodeGrant(s.self, g))
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -421,6 +421,8 @@
 	// Expired reports whether the request must not be sent any more, so that the grant has
 	// to be returned; nil if it never expires. Call it right before the request is sent.
 	Expired func() bool
+	// GrantedAt is when this entry got the grant, by clock.SinceBoot; zero if unknown.
+	GrantedAt time.Duration
 	// End frees the slot and reports how the request ended.
 	End func(e broker.End)
 }
