forward: one bound on what is held for callers; slow readers no longer stall upstreams

Callers that read slowly lost their streams: upstreams cut off a response that stays unread for some seconds, and the kernel ended a connection whose caller kept its window closed for 2.4 s (TCP_USER_TIMEOUT of 2 s counts closed windows too). Request bodies were bounded per request only. Cause: events were read at most eight ahead of the caller; writes had no deadline; the user timeout does not tell a caller that does not read from one that is gone. Change: an attempt reads on into a backlog, counted with all bodies and responses in one bound over the process (routing.buffer_mb, 32 by default). At the bound the slow caller that holds most is cut off; its response is aborted. A complete stream frees its upstream's slot before its caller has read it. Writes end at the caller's deadline, or 0.3 s after the last one later on. Bodies are read into memory that grows with what arrived, until the deadline (408). The entry itself checks whether a caller's machine acknowledges. Long bodies are sent without a copy. Metrics buffered_bytes and slow_callers_cut_off_total; at most five log lines of cut offs a second. Tests: TestManyLongResponsesShareABound takes its bound from the setting's default, now that the constant is gone (the same 32 MiB); the test entry serves with the real server's settings; TestReceivedEventComesBeforeSilence sets the fields that an exchange needs to write.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -31,8 +32,8 @@
 	// writeResultTimeout is how long a completed response waits for the result of
 	// writing its request before the connection is closed.
 	writeResultTimeout = 50 * time.Millisecond
-	// maxPendingProgress is the number of events that an attempt reads ahead of the
-	// caller.
+	// maxPendingProgress is the number of reports that pass to the exchange without a
+	// backlog. A caller that is no slower than its upstream is seldom behind by more.
 	maxPendingProgress = 8
 )
 
@@ -85,6 +86,10 @@
 	cancel context.CancelCauseFunc
 	// progress is closed once the attempt has ended, with err set.
 	progress chan progress
+	// backlog holds what does not fit into progress. abandoned is closed once nobody
+	// reads progress any more.
+	backlog   backlog
+	abandoned chan struct{}
 
 	// The goroutine sets these fields; the exchange reads them after the report that
 	// follows.
@@ -109,6 +114,12 @@
 	// isPathSound is set once the upstream's machine has acknowledged a request to which the
 	// upstream sends nothing.
 	isPathSound atomic.Bool
+	// read is what was read of a stream.
+	read streamTimes
+	// isReused is set if an earlier request was sent on the connection. isGrantEnded is set
+	// if the grant and the connection were given back before the caller had all events.
+	isReused     bool
+	isGrantEnded bool
 	// err is why the attempt ended; nil if the response is complete.
 	err error
 
@@ -116,8 +127,7 @@
 
 	// heardAt is when the upstream last sent a part of its response, or sentAt.
 	heardAt      time.Time
-	firstEventAt time.Time
-	events       int
+	relayed      streamTimes
 	recorded     bool
 	ended        bool
 	// streamEnded is set for a replacement whose stream ended with nothing to add.
@@ -129,12 +139,14 @@
 func (s *Service) startAttempt(ctx context.Context, q *request, offer port.BrokerOffer, lastEvent string) *upstreamAttempt {
 	a := &upstreamAttempt{
 		s: s, request: q, offer: offer, lastEvent: lastEvent,
-		progress: make(chan progress, maxPendingProgress), writeResult: make(chan error, 1),
+		progress: make(chan progress, maxPendingProgress), abandoned: make(chan struct{}), writeResult: make(chan error, 1),
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	go func() {
 		defer close(a.progress)
 		a.err = a.performOrRecover()
+		a.endBeforeCaller()
+		a.awaitBacklog()
 	}()
 	return a
 }
@@ -154,6 +166,9 @@
 // report passes progress to the exchange. It returns false if the attempt was canceled.
 func (a *upstreamAttempt) report(p progress) bool {
 	p.at = time.Now()
+	if p.kind == eventReceived {
+		return a.reportEvent(p)
+	}
 	select {
 	case a.progress <- p:
 		return true
@@ -162,16 +177,34 @@
 	}
 }
 
+// reportEvent passes an event to the exchange, or to the backlog if the caller is slow. It
+// never waits for the caller: the upstream would cut off a response that stays unread.
+func (a *upstreamAttempt) reportEvent(p progress) bool {
+	if a.ctx.Err() != nil {
+		return false
+	}
+	a.read.add(p.at)
+	if a.addToBacklog(p, false) {
+		return true
+	}
+	select {
+	case a.progress <- p:
+		return true
+	default:
+		return a.addToBacklog(p, true)
+	}
+}
+
 // perform makes the attempt. It returns nil once the response is complete.
 func (a *upstreamAttempt) perform() error {
 	c, err := a.connect()
 	if err != nil {
 		return err
 	}
-	a.conn = c
+	a.conn, a.isReused = c, c.reused
 	a.detachConn = context.AfterFunc(a.ctx, func() { _ = c.Close() })
 	a.sentAt = time.Now()
-	go a.sendRequest(a.encodeRequest())
+	go a.sendRequest(a.encodeHead())
 	if !a.report(progress{kind: requestSent}) {
 		return context.Cause(a.ctx)
 	}
@@ -211,8 +244,8 @@
 	return nil
 }
 
-// encodeRequest returns the request as it is sent to the upstream.
-func (a *upstreamAttempt) encodeRequest() []byte {
+// encodeHead returns the request as it is sent to the upstream, without its body.
+func (a *upstreamAttempt) encodeHead() []byte {
 	b := &bytes.Buffer{}
 	h := withoutHopByHop(a.header)
 	a.s.dialect.SetUpstreamHeaders(h, UpstreamRequestMeta{Upstream: a.ticket.Upstream, Workspace: a.workspace, Timeout: a.remaining(), LastEvent: a.lastEvent})
@@ -222,13 +255,18 @@
 		fmt.Fprintf(b, "Content-Length: %d\r\n", len(a.body))
 	}
 	b.WriteString("\r\n")
-	b.Write(a.body)
 	return b.Bytes()
 }
 
-// sendRequest writes the request and reports the result to writeResult.
-func (a *upstreamAttempt) sendRequest(request []byte) {
-	_, err := a.conn.Write(request)
+// sendRequest writes the request and reports the result to writeResult. A long body is not
+// copied.
+func (a *upstreamAttempt) sendRequest(head []byte) {
+	err := error(nil)
+	if len(a.body) <= bodyChunkBytes {
+		_, err = a.conn.Write(append(head, a.body...))
+	} else {
+		_, err = (&net.Buffers{head, a.body}).WriteTo(a.conn.Conn)
+	}
 	a.writeResult <- err
 }
 
@@ -294,10 +332,10 @@
 		switch {
 		case len(a.respBody)+n > maxResponseBytes:
 			err = errTooLarge
-		case !a.s.buffered.reserve(n, maxBufferedBytes):
+		case n == 0:
+		case !a.holding.reserveOrCutOff(a.ctx, n):
 			err = errBuffersFull
 		default:
-			a.reserved.Add(int64(n))
 			a.respBody = append(a.respBody, chunk[:n]...)
 		}
 		if err == io.EOF {
@@ -312,7 +350,7 @@
 
 // readEvents reports the events of a stream up to its end.
 func (a *upstreamAttempt) readEvents() error {
-	reader := bufio.NewReaderSize(a.resp.Body, readBufferBytes)
+	reader := &heldReader{Reader: bufio.NewReaderSize(a.resp.Body, readBufferBytes), hold: a.holdEvent}
 	for {
 		e, err := readEvent(reader)
 		if err == io.EOF {
@@ -327,6 +365,14 @@
 	}
 }
 
+// holdEvent counts bytes of events. It waits while the entry has no memory for them.
+func (a *upstreamAttempt) holdEvent(n int) error {
+	if !a.holding.reserveOrWait(a.ctx, n) {
+		return context.Cause(a.ctx)
+	}
+	return nil
+}
+
 // completeResponse returns the response, which is not a stream.
 func (a *upstreamAttempt) completeResponse() *response {
 	return &response{status: a.resp.StatusCode, header: withoutHopByHop(a.resp.Header), body: a.respBody}
@@ -338,15 +384,16 @@
 		return
 	}
 	a.ended = true
+	close(a.abandoned)
 	a.cancel(nil)
 	for range a.progress {
 		// Reports that nobody reads any more.
 	}
-	if a.granted {
+	if a.granted && !a.isGrantEnded {
 		if a.conn == nil && o == broker.Canceled {
 			o = broker.NotSent
 		}
-		a.end.Outcome, a.end.AnswerBegun = o, a.events > 0
+		a.end.Outcome, a.end.AnswerBegun = o, a.relayed.events > 0
 		a.endCheckedGrant(a.end)
 	}
 }
--- a/internal/forward/bounds.go
+++ b/internal/forward/bounds.go
@@ -5,15 +5,11 @@
 	"errors"
 	"io"
 	"net"
-	"sync/atomic"
 )
 
 const (
 	// maxResponseHeadBytes bounds a status line with its header.
 	maxResponseHeadBytes = 64 << 10
-	// maxBufferedBytes bounds the bodies that all requests together hold until their
-	// callers have them.
-	maxBufferedBytes = 32 << 20
 	// bodyChunkBytes is how much of a body is read at a time.
 	bodyChunkBytes = 16 << 10
 )
@@ -22,6 +18,7 @@
 var (
 	errTooLarge    = errors.New("the answer is too long")
 	errBuffersFull = errors.New("too many long answers wait for their callers")
+	errSlowCaller  = errors.New("the caller is too slow while memory is short")
 )
 
 // boundedReader reads from a connection to an upstream, which may send without end. While
@@ -49,35 +46,47 @@
 	return n, err
 }
 
-// readLine reads a line with its end, of at most maxBytes.
-func readLine(r *bufio.Reader, maxBytes int) ([]byte, error) {
-	line := []byte(nil)
+// holdStepBytes is how much of an event is read before it is counted.
+const holdStepBytes = readBufferBytes
+
+// heldReader reads lines and counts their bytes.
+type heldReader struct {
+	*bufio.Reader
+	// hold counts bytes; it may wait or fail.
+	hold   func(n int) error
+	unheld int
+}
+
+// appendLine appends a line with its end to buf, which may grow to maxBytes.
+func (r *heldReader) appendLine(buf []byte, maxBytes int) ([]byte, error) {
 	for {
 		part, err := r.ReadSlice('\n')
-		line = append(line, part...)
+		buf = append(buf, part...)
+		r.unheld += len(part)
+		if r.unheld >= holdStepBytes {
+			if holdErr := r.flush(); holdErr != nil {
+				return buf, holdErr
+			}
+		}
 		if err != bufio.ErrBufferFull {
-			return line, err
+			return buf, err
 		}
-		if len(line) > maxBytes {
-			return line, errTooLarge
+		if len(buf) > maxBytes {
+			return buf, errTooLarge
 		}
 	}
 }
 
-// byteBudget counts bytes that are held at a time. It is safe for concurrent use.
-type byteBudget struct{ used atomic.Int64 }
-
-// reserve adds bytes and returns true, or returns false if that would exceed the limit.
-func (b *byteBudget) reserve(n int, limit int64) bool {
-	if b.used.Add(int64(n)) > limit {
-		b.used.Add(int64(-n))
-		return false
+// flush counts the bytes that were read since the last call.
+func (r *heldReader) flush() error {
+	n := r.unheld
+	r.unheld = 0
+	if n == 0 {
+		return nil
 	}
-	return true
+	return r.hold(n)
 }
 
-func (b *byteBudget) release(n int64) { b.used.Add(-n) }
-
 // isLoss reports whether an error of a response means that the connection ended, rather than
 // that the upstream sent something else than a response.
 func isLoss(err error) bool {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -29,12 +29,10 @@
 	// more requests of one entry concurrently.
 	maxIdleConns = 8
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a connection to a caller
-	// that the network has dropped within about two seconds. userTimeout bounds the time for
-	// which sent bytes may stay unacknowledged.
+	// that the network has dropped while nothing is sent, within about two seconds.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
-	userTimeout       = 2 * time.Second
 	readBufferBytes   = 4 << 10
 )
 
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
 const (
@@ -100,7 +101,8 @@
 // is buffered stays so until the responses that exceed the bound together have failed.
 func TestManyLongResponsesShareABound(t *testing.T) {
 	const bodyBytes = 8 << 20
-	const held = maxBufferedBytes / bodyBytes
+	const limit = int64(settings.DefaultBufferMB * (1 << 20))
+	const held = int(limit / bodyBytes)
 	finish := make(chan struct{})
 	withheld := func(c net.Conn, r *http.Request, _ string) {
 		fmt.Fprintf(c, sealedHead+"Content-Length: %d\r\n\r\n", r.Header.Get("Id"), bodyBytes)
@@ -121,12 +123,12 @@
 	for range longCalls - held {
 		require.Equal(t, http.StatusBadGateway, (<-results).status, "a response beyond the bound")
 	}
-	require.LessOrEqual(t, r.service.buffered.used.Load(), int64(maxBufferedBytes+held*bodyChunkBytes))
+	require.LessOrEqual(t, r.service.buffers.used.Load(), limit+int64(held*bodyChunkBytes))
 	close(finish)
 	for range held {
 		if result := <-results; result.status != http.StatusBadGateway {
 			require.Len(t, result.body, bodyBytes)
 		}
 	}
-	require.Eventually(t, func() bool { return r.service.buffered.used.Load() == 0 }, time.Minute, time.Millisecond, "all of it is released")
+	require.Eventually(t, func() bool { return r.service.buffers.used.Load() == 0 }, time.Minute, time.Millisecond, "all of it is released")
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -33,8 +33,9 @@
 type exchange struct {
 	s *Service
 	*request
-	w   http.ResponseWriter
-	ctx context.Context
+	w      http.ResponseWriter
+	ctx    context.Context
+	caller callerLink
 	// current is the attempt whose response is relayed, replacement the attempt that
 	// takes over if it answers before current does; nil if there is none.
 	current     *upstreamAttempt
@@ -69,6 +70,7 @@
 	outcomeUpstreamError = "upstream_failed"
 	outcomeCallerGone    = "caller_gone"
 	outcomeAborted       = "cut"
+	outcomeSlowCaller    = "slow_caller"
 )
 
 // nextStep is what follows a report of an attempt.
@@ -173,7 +175,9 @@
 	if p.kind == responseStarted {
 		return x.handleResponse(a)
 	}
-	return x.relayEvent(a, p)
+	next := x.relayEvent(a, p)
+	x.holding.release(len(p.event.raw))
+	return next
 }
 
 // handleEnd handles the end of the current attempt.
@@ -322,7 +326,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(r.body)))
 	x.s.setConnectionClose(h)
 	x.w.WriteHeader(r.status)
-	if _, err := x.w.Write(r.body); err != nil {
-		x.outcome = outcomeCallerGone
+	if err := x.writeBody(r.body); err != nil {
+		x.recordWriteFailure(err)
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,7 +24,6 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/internal/clock"
-	"github.com/verbenastep/verbenastep/internal/egress"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/logging"
 	"github.com/verbenastep/verbenastep/internal/port"
@@ -71,13 +70,18 @@
 	notices        *notices
 	// elapsed counts suspensions of the machine.
 	elapsed func() time.Duration
-	// buffered counts the bodies of responses that are held in memory.
-	buffered byteBudget
+	buffers *buffers
+	// cutOffLoggedAt is the time of the last log line of a cut off; the lock of buffers
+	// guards it.
+	cutOffLoggedAt time.Time
 }
 
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
-	return &Service{set: set, log: log.Named("forward"), retryBudgets: newRetryBudgets(set.Routing.Retry), notices: newNotices(), elapsed: clock.SinceBoot}
+	s := &Service{set: set, log: log.Named("forward"), retryBudgets: newRetryBudgets(set.Routing.Retry), notices: newNotices(), elapsed: clock.SinceBoot}
+	s.buffers = newBuffers(set.Routing.BufferBytes())
+	s.buffers.onCutOff = s.recordCutOff
+	return s
 }
 
 // Name returns the service's name.
@@ -110,24 +114,32 @@
 	if s.metrics, err = newMetrics(registry.Registerer()); err != nil {
 		return err
 	}
+	if err = registerBuffered(registry.Registerer(), s.buffers); err != nil {
+		return err
+	}
 	upstreams, err := kernel.Find[port.Egress](k, port.NameEgress)
 	if err != nil {
 		return err
 	}
 	s.conns = newConnPool(upstreams, s.metrics.connections.Inc)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	config := net.ListenConfig{KeepAliveConfig: callerKeepAlive(), Control: egress.SetUserTimeout(userTimeout)}
+	config := net.ListenConfig{KeepAliveConfig: callerKeepAlive()}
 	if s.listener, err = config.Listen(s.ctx, "tcp", s.set.Addresses.Callers); err != nil {
 		return err
 	}
-	s.server = &http.Server{
-		Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: s.set.Limits.HeaderBytes,
-	}
+	s.server = s.newServer()
 	go func() { _ = s.server.Serve(s.listener) }()
 	go s.sweep()
 	return nil
 }
 
+// newServer returns the server for callers.
+func (s *Service) newServer() *http.Server {
+	return &http.Server{
+		Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: s.set.Limits.HeaderBytes, ConnContext: withCallerConn,
+	}
+}
+
 // routes returns the handler of all requests.
 func (s *Service) routes() http.Handler {
 	e := echo.New()
@@ -155,6 +167,9 @@
 	defer s.inFlight.End()
 	w, r := http.ResponseWriter(c.Response()), c.Request()
 	q, refusal := s.prepare(w, r)
+	if q != nil {
+		defer q.holding.end()
+	}
 	if refusal != nil {
 		s.recordRefusal(q, refusal)
 		s.writeError(w, refusal)
@@ -165,9 +180,10 @@
 	x := &exchange{s: s, request: q, w: w, ctx: ctx}
 	defer s.recordEnd(x)
 	s.retryBudgets.recordRequest(q.pool)
-	defer func() { s.buffered.release(q.reserved.Load()) }()
+	defer x.attendCaller(cancel)()
 	x.run()
-	if x.outcome == outcomeCallerGone {
+	x.extendWriteDeadline()
+	if q.holding.end() || x.outcome == outcomeCallerGone || x.outcome == outcomeSlowCaller {
 		// A handler that returns without a response sends an empty success.
 		panic(http.ErrAbortHandler)
 	}
@@ -218,6 +234,9 @@
 // recordEnd logs and counts a request that ended, also if its stream was aborted.
 func (s *Service) recordEnd(x *exchange) {
 	duration := time.Since(x.arrived)
+	if x.holding.wasCutOff() {
+		x.outcome, x.reason = outcomeSlowCaller, errSlowCaller.Error()
+	}
 	s.metrics.recordEnd(x)
 	importance := zap.Skip()
 	if x.outcome != outcomeAnswered {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -22,6 +22,20 @@
 	firstEvent     *prometheus.HistogramVec
 	longestPause   *prometheus.HistogramVec
 	connections    prometheus.Counter
+	cutOffs        *prometheus.CounterVec
+}
+
+// Reasons of cut offs.
+const (
+	cutOffByBound    = "bound"
+	cutOffByDeadline = "deadline"
+)
+
+// registerBuffered registers the gauge of the bytes that are held for callers.
+func registerBuffered(r prometheus.Registerer, b *buffers) error {
+	return r.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "verbenastep", Subsystem: "forward", Name: "buffered_bytes", Help: "Bytes of request bodies and responses that are held for callers.",
+	}, func() float64 { return float64(b.used.Load()) }))
 }
 
 func newMetrics(r prometheus.Registerer) (*metrics, error) {
@@ -41,8 +55,11 @@
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "verbenastep", Subsystem: "forward", Name: "upstream_connections_total", Help: "New connections to upstreams.",
 		}),
+		cutOffs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "verbenastep", Subsystem: "forward", Name: "slow_callers_cut_off_total", Help: "Slow callers that were disconnected, by reason.",
+		}, []string{"reason"}),
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.failedAttempts, m.firstEvent, m.longestPause, m.connections} {
+	for _, c := range []prometheus.Collector{m.requests, m.failedAttempts, m.firstEvent, m.longestPause, m.connections, m.cutOffs} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -106,28 +106,47 @@
 // recordStreamEnd records a stream that the upstream completed.
 func (x *exchange) recordStreamEnd(a *upstreamAttempt) {
 	x.possibleRuns++
-	if !a.firstEventAt.IsZero() {
-		a.end.TimeToFirstEvent = a.firstEventAt.Sub(a.sentAt)
-		a.end.DecodeTime = x.stream.lastEventAt.Sub(a.firstEventAt)
-	}
-	if x.engine != nil {
-		a.end.OutputTokens = max(0, a.events-1) * max(1, x.engine.EventTokens)
-	}
+	a.describeStream(&a.end, a.relayed)
 	x.outcome = outcomeAnswered
-	a.releaseConn(nil)
+	if !a.isGrantEnded {
+		a.releaseConn(nil)
+	}
 	a.finish(broker.Completed)
 	x.s.log.Debug("stream complete", x.logFields(zap.Int("events", x.stream.events))...)
 }
 
+// describeStream adds what was measured of a complete stream to the end of its grant.
+func (a *upstreamAttempt) describeStream(e *broker.End, s streamTimes) {
+	if s.events == 0 {
+		return
+	}
+	e.TimeToFirstEvent, e.DecodeTime, e.AnswerBegun = s.firstAt.Sub(a.sentAt), s.lastAt.Sub(s.firstAt), true
+	if a.engine != nil {
+		e.OutputTokens = (s.events - 1) * max(1, a.engine.EventTokens)
+	}
+}
+
+// endBeforeCaller ends the grant of a stream that is complete while its caller still reads:
+// the upstream can take another request.
+func (a *upstreamAttempt) endBeforeCaller() {
+	if a.err != nil || !a.hasBacklog() {
+		return
+	}
+	e := broker.End{Outcome: broker.Completed}
+	a.describeStream(&e, a.read)
+	a.releaseConn(nil)
+	a.isGrantEnded = true
+	a.endCheckedGrant(e)
+}
+
 // logFailure logs an attempt that did not succeed and counts it by its outcome.
 func (x *exchange) logFailure(a *upstreamAttempt, err error) {
 	x.reason = err.Error()
-	reused := a.conn != nil && a.conn.reused
 	silence := time.Duration(0)
 	if !a.heardAt.IsZero() {
 		silence = time.Since(a.heardAt)
 	}
 	x.s.metrics.failedAttempts.WithLabelValues(x.pool, a.end.Outcome.String()).Inc()
 	x.s.log.Info("try failed", x.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("address", a.ticket.Address), zap.Stringer("outcome", a.end.Outcome),
-		zap.Int("runs", x.possibleRuns), zap.Int("rejects", x.notRunAttempts), zap.Bool("reused", reused), zap.Duration("silent", silence), zap.Error(err))...)
+		zap.Int("runs", x.possibleRuns), zap.Int("rejects", x.notRunAttempts), zap.Bool("reused", a.isReused), zap.Duration("silent", silence), zap.Error(err))...)
 }
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -329,10 +329,12 @@
 	for range 100 {
 		ctx, cancel := context.WithCancel(context.Background())
 		q := &request{route: index.Match("127.0.0.1", "/resumable/x"), pool: "p", deadline: time.Now().Add(time.Minute), remaining: func() time.Duration { return time.Minute }, arrived: time.Now()}
+		q.holding = r.service.buffers.newHolding(q)
 		a := &upstreamAttempt{s: r.service, request: q, granted: true, recorded: true, progress: make(chan progress, 1), resp: &http.Response{StatusCode: 200}}
 		a.ctx, a.cancel = context.WithCancelCause(ctx)
 		r.service.retryBudgets.recordRequest("p")
 		x := &exchange{s: r.service, request: q, w: httptest.NewRecorder(), ctx: ctx, current: a, attempts: 1, silence: time.NewTimer(0)}
+		defer x.attendCaller(cancel)()
 		time.Sleep(time.Millisecond)
 		a.progress <- progress{kind: eventReceived, event: event{raw: []byte("id: 1\n\n"), id: "1"}, at: time.Now()}
 		x.advance()
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -61,8 +59,8 @@
 	latencyTargetAt time.Time
 	// fingerprint is a hash of method, request target, workspace and body.
 	fingerprint uint64
-	// reserved is the part of the service's buffered bytes that the request holds.
-	reserved atomic.Int64
+	// holding is what the request holds of the service's buffers.
+	holding *holding
 }
 
 // gatewayError is a final error response that the entry itself generates: the refusal
@@ -86,6 +84,7 @@
 		return nil, &gatewayError{status: http.StatusServiceUnavailable, code: "no_table", reason: "no route table is known yet", retryAfter: noTableRetryDelay}
 	}
 	q := &request{meta: s.dialect.Read(r.Header), arrived: arrived, tableVersion: index.Table.Version, method: r.Method, host: r.Host, header: r.Header}
+	q.holding = s.buffers.newHolding(q)
 	q.requestTarget = r.RequestURI
 	if !strings.HasPrefix(q.requestTarget, "/") {
 		q.requestTarget = r.URL.RequestURI()
@@ -97,10 +96,11 @@
 	if refusal := q.authenticate(index); refusal != nil {
 		return q, refusal
 	}
+	timeout := q.plan(index)
 	if refusal := q.readBody(w, r, index.Table.Limits.BodyBytes); refusal != nil {
 		return q, refusal
 	}
-	timeout := q.plan(index)
+	q.setFingerprint()
 	q.remaining = func() time.Duration { return arrivedAt + timeout - s.elapsed() }
 	return q, nil
 }
@@ -152,25 +152,8 @@
 	return nil
 }
 
-// readBody reads the whole body, up to maxBytes or the default.
-func (q *request) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) *gatewayError {
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	tooLarge := (*http.MaxBytesError)(nil)
-	if errors.As(err, &tooLarge) {
-		return &gatewayError{status: http.StatusRequestEntityTooLarge, code: "too_large", reason: "the body is longer than the table allows"}
-	}
-	if err != nil {
-		return &gatewayError{status: http.StatusBadRequest, code: "incomplete", reason: "the body did not arrive whole"}
-	}
-	q.body = body
-	return nil
-}
-
-// plan sets pool, deadline, latency target and fingerprint, and returns the time that
-// the request has in all.
+// plan sets pool, deadline and latency target, and returns the time that the request has
+// in all.
 func (q *request) plan(index *routes.Index) time.Duration {
 	q.pool = q.route.Pick(rand.Float64())
 	if p := index.Pool(q.pool); p != nil {
@@ -182,6 +165,11 @@
 	}
 	q.deadline = q.arrived.Add(timeout)
 	q.latencyTargetAt = q.arrived.Add(q.route.LatencyTarget() - latencyTargetMargin)
+	return timeout
+}
+
+// setFingerprint sets the fingerprint of a request that was read whole.
+func (q *request) setFingerprint() {
 	h := fnv.New64a()
 	for _, part := range []string{q.method, q.requestTarget, q.workspace} {
 		_, _ = io.WriteString(h, part)
@@ -189,7 +177,6 @@
 	}
 	_, _ = h.Write(q.body)
 	q.fingerprint = h.Sum64()
-	return timeout
 }
 
 // offer returns the description of the request for the broker.
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -122,6 +122,7 @@
 func (x *exchange) handleReplacementEvent(b *upstreamAttempt, p progress) nextStep {
 	switch {
 	case !x.stream.isAfterLast(p.event):
+		x.holding.release(len(p.event.raw))
 		return proceed
 	case !x.stream.canFollow(p.event):
 		x.recordFailure(b, errMissingEvents)
@@ -129,7 +130,9 @@
 		return proceed
 	}
 	x.takeOver(b)
-	return x.relayEvent(b, p)
+	next := x.relayEvent(b, p)
+	x.holding.release(len(p.event.raw))
+	return next
 }
 
 // takeOver ends the current attempt and goes on with the replacement.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -36,6 +35,22 @@
 	longestPause time.Duration
 }
 
+// streamTimes describes the events of one upstream's stream.
+type streamTimes struct {
+	events  int
+	firstAt time.Time
+	lastAt  time.Time
+}
+
+// add counts an event.
+func (s *streamTimes) add(at time.Time) {
+	if s.events == 0 {
+		s.firstAt = at
+	}
+	s.events++
+	s.lastAt = at
+}
+
 // event is one event of a stream; raw holds its bytes as received.
 type event struct {
 	raw []byte
@@ -44,12 +59,13 @@
 
 // readEvent reads one event including the blank line at its end. It returns io.EOF
 // if the stream ends between two events, errPartialEvent if it ends within one.
-func readEvent(r *bufio.Reader) (event, error) {
+func readEvent(r *heldReader) (event, error) {
 	e := event{}
 	hasContent := false
 	for {
-		line, err := readLine(r, maxEventBytes)
-		e.raw = append(e.raw, line...)
+		start, err := len(e.raw), error(nil)
+		e.raw, err = r.appendLine(e.raw, maxEventBytes)
+		line := e.raw[start:]
 		blank := len(bytes.TrimSpace(line)) == 0
 		hasContent = hasContent || !blank
 		if err == io.EOF && !hasContent {
@@ -66,7 +82,7 @@
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 && hasContent {
-			return e, nil
+			return e, r.flush()
 		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(value))
@@ -96,10 +112,7 @@
 // relayEvent relays one event of the current attempt. It skips an event that the caller
 // already has, and fails on a gap.
 func (x *exchange) relayEvent(a *upstreamAttempt, p progress) nextStep {
-	if a.firstEventAt.IsZero() {
-		a.firstEventAt = p.at
-	}
-	a.events++
+	a.relayed.add(p.at)
 	if x.stream.isAfterLast(p.event) {
 		if !x.stream.canFollow(p.event) {
 			x.recordFailure(a, errMissingEvents)
@@ -109,7 +122,7 @@
 		if err := x.writeEvent(a.resp, p.event, p.at); err != nil {
 			x.possibleRuns++
 			a.finish(broker.Canceled)
-			x.outcome = outcomeCallerGone
+			x.recordWriteFailure(err)
 			return stop
 		}
 	}
@@ -135,10 +148,14 @@
 		st.longestPause = max(st.longestPause, now.Sub(st.lastEventAt))
 	}
 	st.lastEventAt = now
-	if _, err := x.w.Write(e.raw); err != nil {
+	if len(e.raw) >= minWaitedWriteBytes {
+		x.holding.beginWaiting(time.Now())
+		defer x.holding.stopWaiting()
+	}
+	if err := x.write(e.raw); err != nil {
 		return err
 	}
-	if err := http.NewResponseController(x.w).Flush(); err != nil {
+	if err := x.flush(); err != nil {
 		return err
 	}
 	st.events++
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -248,7 +248,9 @@
 	s.conns = newConnPool(egress.New(&settings.Settings{}, zap.NewNop()), m.connections.Inc)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	t.Cleanup(s.cancel)
-	r := &testEntry{t: t, service: s, brokerClient: client, server: httptest.NewServer(s.routes())}
+	r := &testEntry{t: t, service: s, brokerClient: client, server: httptest.NewUnstartedServer(nil)}
+	r.server.Config = s.newServer()
+	r.server.Start()
 	t.Cleanup(r.server.Close)
 	return r
 }
--- a/internal/settings/routing.go
+++ b/internal/settings/routing.go
@@ -33,6 +33,9 @@
 	Retry Retry `json:"retry,omitempty"`
 	// Quota is the tolerance in the enforcement of workspaces' quotas.
 	Quota Quota `json:"quota,omitempty"`
+	// BufferMB bounds, in MiB, the request bodies and responses that an entry holds for
+	// all its callers together.
+	BufferMB float64 `json:"buffer_mb,omitempty"`
 	// DataCentres maps each data centre to its region.
 	DataCentres map[string]string `json:"data_centres,omitempty"`
 }
@@ -75,6 +78,16 @@
 	DefaultRetryMS     = 10_000.0
 )
 
+// DefaultBufferMB is the default of Routing.BufferMB.
+const DefaultBufferMB = 32.0
+
+const bytesPerMB = 1 << 20
+
+// BufferBytes returns BufferMB, or its default if it is not set, in bytes.
+func (r *Routing) BufferBytes() int64 {
+	return int64(orDefault(r.BufferMB, DefaultBufferMB) * bytesPerMB)
+}
+
 // applyDefaults sets the defaults of unset values.
 func (r *Routing) applyDefaults() {
 	r.HeartbeatMS = orDefault(r.HeartbeatMS, DefaultHeartbeatMS)
