broker: grants stay within an engine's memory at the greatest length of each answer

Callers of an engine lost their answers when it crashed for want of memory. Cause: memory was counted by the expected length of an answer; a request alone on an engine was not checked at all; each broker without the others counted the whole memory as its own. Change: offers carry the greatest length (WorkOffer.max_output_tokens, optional; a daemon without it is counted as before). A broker uses its share of the memory, or that of one slot where its share is less than a slot.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -44,6 +44,8 @@
 	// calls.
 	PromptTokens int
 	OutputTokens int
+	// MaxOutputTokens is the greatest length of the answer; zero if it is not known.
+	MaxOutputTokens int
 	// QuotaCharge is the number of tokens to take from the workspace's quota; zero if
 	// they were taken before.
 	QuotaCharge int
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -247,7 +247,7 @@
 	best, bestCost, bestFirst := (*upstream)(nil), time.Duration(0), time.Duration(0)
 	limit := p.maxTokenTime(r, req)
 	for _, u := range r.open {
-		if !p.fits(r.now, u, req) || !u.allows(r.now, stage) || (limit > 0 && p.tokenTime(u) >= limit) {
+		if !p.fits(r.now, r.share, u, req) || !u.allows(r.now, stage) || (limit > 0 && p.tokenTime(u) >= limit) {
 			continue
 		}
 		first := p.timeToFirstEvent(r.now, req, u)
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -48,7 +48,7 @@
 		PromptTokens: uint32(o.PromptTokens), OutputTokens: uint32(o.OutputTokens), Charge: uint32(o.QuotaCharge),
 		AimMs: int32((o.LatencyTarget - now).Milliseconds()), WaitMs: milliseconds(o.Deadline - now), Session: o.Session, SessionTokens: uint32(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: uint32(o.QuotaReserve * permille), LateMs: milliseconds(o.LatestUseful - o.LatencyTarget),
-		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
+		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts, MaxOutputTokens: uint32(o.MaxOutputTokens),
 	}
 }
 
@@ -60,7 +60,7 @@
 		Rank: int(o.Rank), PromptTokens: int(o.PromptTokens), OutputTokens: int(o.OutputTokens), QuotaCharge: int(o.Charge),
 		LatencyTarget: target, LatestUseful: target + duration(o.LateMs), Deadline: now + duration(o.WaitMs), Session: o.Session, SessionTokens: int(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, QuotaReserve: float64(o.Reserve) / permille,
-		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
+		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts, MaxOutputTokens: int(o.MaxOutputTokens),
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -126,10 +126,10 @@
 	// The exchange owns these fields.
 
 	// heardAt is when the upstream last sent a part of its response, or sentAt.
-	heardAt      time.Time
-	relayed      streamTimes
-	recorded     bool
-	ended        bool
+	heardAt  time.Time
+	relayed  streamTimes
+	recorded bool
+	ended    bool
 	// streamEnded is set for a replacement whose stream ended with nothing to add.
 	streamEnded bool
 	end         broker.End
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -201,6 +201,7 @@
 	if o.OutputTokens == 0 {
 		o.OutputTokens = min(max(1, q.meta.MaxTokens), defaultOutputTokens)
 	}
+	o.MaxOutputTokens = q.meta.MaxTokens
 	if n := len(q.meta.PromptParts); n > 0 {
 		o.Session = q.meta.PromptParts[n-1].ID
 		for _, p := range q.meta.PromptParts {
--- a/internal/forward/slow_test.go
+++ b/internal/forward/slow_test.go
@@ -227,4 +227,3 @@
 		require.Equal(t, c.lost, isUnacknowledged(&c.info), name)
 	}
 }
-
