--- a/internal/settings/routing.go
+++ b/internal/settings/routing.go
@@ -38,6 +38,9 @@
 	Rollout *Rollout `json:"rollout,omitempty"`
 	// Pace enables the slow start of upstreams; nil means off.
 	Pace *Pace `json:"pace,omitempty"`
+	// BufferMB bounds, in MiB, the request bodies and responses that an entry holds for
+	// all its callers together.
+	BufferMB float64 `json:"buffer_mb,omitempty"`
 	// DataCentres maps each data centre to its region.
 	DataCentres map[string]string `json:"data_centres,omitempty"`
 }
@@ -106,6 +109,16 @@
 	DefaultRetryMS     = 10_000.0
 )
 
+// DefaultBufferMB is the default of Routing.BufferMB.
+const DefaultBufferMB = 32.0
+
+const bytesPerMB = 1 << 20
+
+// BufferBytes returns BufferMB, or its default if it is not set, in bytes.
+func (r *Routing) BufferBytes() int64 {
+	return int64(orDefault(r.BufferMB, DefaultBufferMB) * bytesPerMB)
+}
+
 // applyDefaults sets the defaults of unset values.
 func (r *Routing) applyDefaults() {
 	r.HeartbeatMS = orDefault(r.HeartbeatMS, DefaultHeartbeatMS)
