--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -73,6 +73,7 @@
 	link    port.Link
 	roster  port.Roster
 	replica leadership
+	members port.Members
 	metrics *metrics
 	started time.Time
 	ctx     context.Context
@@ -86,6 +87,8 @@
 	leads bool
 	// leader is the daemon that leads, as far as this daemon knows.
 	leader port.Leader
+	// interim is this daemon's broker for the time without a leader.
+	interim interim
 	// tableVersion is that of the route table in use.
 	tableVersion uint64
 	// sessions holds the sessions of entries, direct or relayed, by entry. listeners
@@ -138,11 +141,7 @@
 
 // Needs returns the services that Start looks up.
 func (s *Service) Needs() []string {
-	needs := []string{port.NameLink, port.NameView, port.NameRoster, port.NameReplica, port.NameMetrics}
-	if s.set.Routing.Rollout != nil {
-		needs = append(needs, port.NameMembers)
-	}
-	return needs
+	return []string{port.NameLink, port.NameView, port.NameRoster, port.NameReplica, port.NameMembers, port.NameMetrics}
 }
 
 // Start registers the service with the link and starts to decide.
@@ -160,6 +159,9 @@
 	if s.replica, err = kernel.Find[leadership](k, port.NameReplica); err != nil {
 		return err
 	}
+	if s.members, err = kernel.Find[port.Members](k, port.NameMembers); err != nil {
+		return err
+	}
 	registry, err := kernel.Find[port.Metrics](k, port.NameMetrics)
 	if err != nil {
 		return err
@@ -226,6 +228,10 @@
 		}
 		s.setLeads(leads)
 	}
+	interimStarted := s.updateInterim(table != nil)
+	if interimStarted {
+		learned = maps.Clone(s.relay.estimates)
+	}
 	newTable := table != nil && table.Table.Version != s.tableVersion
 	if newTable {
 		s.tableVersion = table.Table.Version
@@ -236,7 +242,7 @@
 	}
 	s.rosterReadAt = time.Now()
 	list := s.roster.All()
-	if s.leads || leadershipChanged {
+	if s.leads || leadershipChanged || s.interim.active {
 		s.core.SetUpstreams(brokerwire.Upstreams(list, s.set.Routing.DataCentres))
 	}
 	s.core.SetEstimates(slices.Collect(maps.Values(learned)))
@@ -277,18 +283,11 @@
 		s.metrics.leadershipStarts.Inc()
 	}
 	s.log.Info("broker changed", zap.Bool("leads", leads), zap.Int("entries", len(s.sessions)))
-	quarantined, limits := s.core.QuarantinedContents(s.now()), s.core.Limits()
-	s.core = newCore(s.set)
-	s.core.LearnSuspects(s.now(), quarantined)
-	for _, l := range limits {
-		s.core.LearnLimit(s.now(), l)
-	}
-	s.resetRollouts()
+	s.endInterim()
+	s.replaceCore()
 	if leads {
 		s.core.AwaitEntries(s.now() + entriesTimeout)
 	}
-	s.tableVersion = 0
-	s.rosterReadAt = time.Time{}
 	// Send the entries the new state at once, so that they offer all waiting and
 	// running requests to a new broker.
 	s.levelsSentAt, s.sentLevels = time.Now(), map[string]float64{}
@@ -298,18 +297,33 @@
 	}
 }
 
+// replaceCore replaces the core by one that knows only the suspects and limits; refresh fills it.
+// The caller holds the lock.
+func (s *Service) replaceCore() {
+	quarantined, limits := s.core.QuarantinedContents(s.now()), s.core.Limits()
+	s.core = newCore(s.set)
+	s.core.LearnSuspects(s.now(), quarantined)
+	for _, l := range limits {
+		s.core.LearnLimit(s.now(), l)
+	}
+	s.resetRollouts()
+	s.tableVersion = 0
+	s.rosterReadAt = time.Time{}
+}
+
 // decide runs a round of decisions, sends them to the entries and returns the delay
 // before the next round.
 func (s *Service) decide() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateRollouts()
-	if !s.leads {
+	if !s.leads && !s.interim.active {
 		return heartbeatInterval
 	}
-	if s.awaitsRollouts() {
+	if s.leads && s.awaitsRollouts() {
 		return maxRolloutInterval
 	}
+	s.shareInterim()
 	started := time.Now()
 	defer func() { s.roundTime = time.Since(started) }()
 	decisions := s.core.Decide(s.now())
@@ -340,7 +354,9 @@
 			x.send(state)
 		}
 	}
-	s.sendLevels()
+	if s.leads {
+		s.sendLevels()
+	}
 	s.sendSuspects()
 	if delay, waits := s.core.NextDelay(); waits {
 		return s.rolloutDelay(delay)
@@ -353,7 +369,7 @@
 // leader, does not name the leader to its entries, so that they stay. An entry or a leader of
 // an earlier version knows no relays. The caller holds the lock.
 func (s *Service) reply(x *session) *rpc.BrokerReply {
-	r := &rpc.BrokerReply{Leads: s.leads, Entries: uint32(len(s.sessions)), Leader: s.leader.Address, LeaderTerm: s.leader.Term}
+	r := &rpc.BrokerReply{Leads: s.leads, Interim: s.interim.active && x.interim, Entries: uint32(len(s.sessions)), Leader: s.leader.Address, LeaderTerm: s.leader.Term}
 	if s.leads || !x.relayable || s.relay.unsupportedBy != "" && s.relay.unsupportedBy == s.leader.Address {
 		return r
 	}
--- a/internal/broker/metrics.go
+++ b/internal/broker/metrics.go
@@ -18,6 +18,7 @@
 	entries          prometheus.Gauge
 	leadershipStarts prometheus.Counter
 	relays           prometheus.Gauge
+	interim          prometheus.Gauge
 	paceOpening      prometheus.Gauge
 	paceChanges      *prometheus.CounterVec
 }
@@ -36,11 +37,12 @@
 		leadershipStarts: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "moves_total", Help: "Times that this daemon began to grant."}),
 	}
 	m.relays = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "relays", Help: "1 while this daemon relays its entries' requests to the leader."})
+	m.interim = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "interim", Help: "1 while this daemon grants to its own entries, since no daemon leads."})
 	m.paceOpening = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "slow_start_upstreams", Help: "Upstreams in slow start."})
 	m.paceChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "verbenastep", Subsystem: "broker", Name: "slow_start_changes_total", Help: "Slow starts of upstreams that began, were cut or ended.",
 	}, []string{"event"})
-	for _, c := range []prometheus.Collector{m.paceOpening, m.paceChanges, m.relays, m.grants, m.refusals, m.waitTime, m.leads, m.entries, m.leadershipStarts} {
+	for _, c := range []prometheus.Collector{m.paceOpening, m.paceChanges, m.relays, m.interim, m.grants, m.refusals, m.waitTime, m.leads, m.entries, m.leadershipStarts} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -193,6 +193,10 @@
 	}
 	s.relay.entries, s.relay.term = r.State.Entries, r.State.LeaderTerm
 	if !s.relay.up {
+		if s.interim.active {
+			s.endInterim()
+			s.replaceCore()
+		}
 		s.setRelayUp(true)
 		s.relay.leader, s.relay.unsupportedBy = address, ""
 		s.levelsSentAt, s.sentLevels = time.Time{}, map[string]float64{}
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -25,6 +25,8 @@
 	// once it has sent all its requests to the present leader.
 	relayable bool
 	complete  bool
+	// interim is true if the entry accepts grants of an interim broker.
+	interim bool
 	// hasRoster is true if the entry has a roster and gets its changes, hasFullRoster
 	// if this daemon sent the full roster. outdatedSince is the time from which on the
 	// entry's own roster may lack changes; zero if the entry has none.
@@ -64,7 +66,7 @@
 	defer cancel()
 	stop := context.AfterFunc(s.ctx, cancel)
 	defer stop()
-	x := &session{out: make(chan *rpc.BrokerReply, sendQueueLength), end: cancel, relayable: first.Relayable}
+	x := &session{out: make(chan *rpc.BrokerReply, sendQueueLength), end: cancel, relayable: first.Relayable, interim: first.Interim}
 	s.join(first, x)
 	defer s.leave(first.Entry, x)
 	return duplex.Server[*rpc.BrokerAsk, *rpc.BrokerReply]{
@@ -163,6 +165,8 @@
 	case s.relay.up && x.relayable:
 		s.learnLimits(ask.Limits)
 		s.forward(entry, x, ask)
+	case s.interim.active && x.interim:
+		s.applyInterim(entry, x, ask)
 	default:
 		s.learnLimits(ask.Limits)
 	}
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -32,7 +32,7 @@
 	settled chan struct{}
 	grant   broker.Grant
 	refusal *fault.Error
-	// decidedBy is byBroker or byEntry.
+	// decidedBy is byBroker, byInterim or byEntry.
 	decidedBy string
 	// grantedAt is the time of the grant by the service's elapsed.
 	grantedAt time.Duration
@@ -42,8 +42,9 @@
 
 // Values of the label "by": the leading broker or the entry's local broker.
 const (
-	byBroker = "broker"
-	byEntry  = "entry"
+	byBroker  = "broker"
+	byInterim = "interim"
+	byEntry   = "entry"
 )
 
 // Service is the "broker.client" service. It is safe for concurrent use.
@@ -70,8 +71,14 @@
 	mu sync.Mutex
 	// lastNumber is the number of the newest request.
 	lastNumber uint64
-	// attached is true while a broker grants in the session.
-	attached bool
+	// attached is true while a broker grants in the session; interim is true if that is an
+	// interim one, since interimSince.
+	attached     bool
+	interim      bool
+	interimSince time.Duration
+	// interimSessions counts the sessions with interim brokers since the last one with a
+	// leader.
+	interimSessions int
 	// brokerEntries is the number of entries that the last broker served, and
 	// liveEntries the number in the member list, counted at membersCountedAt. entries is
 	// the number of entries that share the upstreams; see updateShare.
@@ -232,7 +239,7 @@
 	s.waiting[s.lastNumber] = a
 	if s.attached {
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(s.now(), a.offer))
-		a.offer.Counted = true
+		a.offer.Counted = a.offer.Counted || !s.interim
 		wait.Notify(s.wakeSession)
 		return a
 	}
@@ -301,10 +308,14 @@
 	if g.VersionReason != "" {
 		s.metrics.versionGrants.WithLabelValues(a.offer.Pool, g.SoftwareVersion, g.VersionReason).Inc()
 	}
-	if by == byEntry && a.offer.QuotaCharge > 0 {
+	if by != byBroker && a.offer.QuotaCharge > 0 {
 		a.localCharge = a.offer.QuotaCharge
 		s.localUse[a.offer.Workspace] += int64(a.localCharge)
 	}
+	if by == byInterim && a.localCharge > 0 {
+		// The local broker may be the next one to grant.
+		s.local.SpendQuotas(s.now(), map[string]int64{a.offer.Workspace: int64(a.localCharge)})
+	}
 	a.offer.Running = g.Upstream
 	if g.SoftwareVersion != "" {
 		a.offer.SoftwareVersion, a.offer.VersionBound = g.SoftwareVersion, true
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -40,6 +40,9 @@
 	// soon as there is one, and new sessions put load on busy daemons.
 	minLeaderlessTimeout = 300 * time.Millisecond
 	maxLeaderlessTimeout = 8 * minLeaderlessTimeout
+	// maxInterimTime is how long an entry stays with an interim broker. Another daemon may know
+	// a leader that this one does not reach.
+	maxInterimTime = 2400 * time.Millisecond
 	// backOffDelay is how long a daemon is avoided after a session with it failed: the
 	// others need that long to elect another leader.
 	backOffDelay = 1500 * time.Millisecond
@@ -95,7 +98,7 @@
 		// A daemon without a relay for long is left for the next one.
 		candidates = []port.Leader{s.leader}
 		for i := range nearest {
-			candidates = append(candidates, port.Leader{Address: nearest[(i+s.failedSessions)%len(nearest)]})
+			candidates = append(candidates, port.Leader{Address: nearest[(i+s.failedSessions+s.interimSessions)%len(nearest)]})
 		}
 	}
 	s.leader = port.Leader{}
@@ -207,9 +210,11 @@
 	if s.localStale {
 		s.updateLocalBroker()
 	}
-	if wasAttached {
+	if wasAttached && !s.interim {
 		s.local.ResetQuotas(now)
 		s.local.LowerQuotas(now, s.quotaLevels)
+	}
+	if wasAttached {
 		s.local.ForgetSuspicions()
 	}
 	for _, a := range s.waiting {
@@ -319,7 +324,7 @@
 		s.rollouts.heardAt = 0
 	}
 	now := s.now()
-	ask := &rpc.BrokerAsk{Entry: s.self, RosterAgeMs: s.rosterAge(), Relayable: true}
+	ask := &rpc.BrokerAsk{Entry: s.self, RosterAgeMs: s.rosterAge(), Relayable: true, Interim: true}
 	s.rosterCurrent = ask.RosterAgeMs > 0
 	for _, a := range s.running {
 		ask.Offers = append(ask.Offers, brokerwire.EncodeOffer(now, a.offer))
@@ -364,7 +369,7 @@
 	s.local.LearnSuspects(s.now(), brokerwire.DecodeSuspects(s.now(), r.Suspects))
 	leader := port.Leader{Address: r.Leader, Term: r.LeaderTerm}
 	s.newestTerm = max(s.newestTerm, leader.Term)
-	if !r.Leads {
+	if !r.Leads && !r.Interim {
 		s.leader = leader
 		if s.attached && leader.Address == "" {
 			// The daemon looks for the leader, to lead or to relay to it.
@@ -384,23 +389,41 @@
 		}
 		return nil
 	}
+	if s.attached && s.interim != r.Interim {
+		s.loseBroker()
+	}
 	if !s.attached {
+		s.interim = r.Interim
 		s.attach(address, r.LeaderTerm)
 	}
-	s.brokerHeardAt = s.now()
-	if s.rosterCurrent && len(r.Roster) == 0 {
-		// All pending parts of the roster have arrived.
-		s.rosterConfirmedAt = s.elapsed()
+	if r.Interim && s.now()-s.interimSince > maxInterimTime {
+		s.interimSessions++
+		return errNotLeader
+	}
+	if !r.Interim {
+		s.brokerHeardAt = s.now()
+		if s.rosterCurrent && len(r.Roster) == 0 {
+			// All pending parts of the roster have arrived.
+			s.rosterConfirmedAt = s.elapsed()
+		}
 	}
 	for _, g := range r.Grants {
 		s.handleGrant(brokerwire.DecodeGrant(s.self, g))
 	}
 	for _, x := range r.Refusals {
-		s.settleRefusal(brokerwire.DecodeRefusal(s.self, x), byBroker)
+		s.settleRefusal(brokerwire.DecodeRefusal(s.self, x), s.grantedBy())
 	}
 	return nil
 }
 
+// grantedBy returns who grants in the session. The caller holds the lock.
+func (s *Service) grantedBy() string {
+	if s.interim {
+		return byInterim
+	}
+	return byBroker
+}
+
 // updateQuotaLevels replaces the quota levels or applies changes to them. A level of 1 is a
 // full quota, which is not stored. The caller holds the lock.
 func (s *Service) updateQuotaLevels(r *rpc.BrokerReply) {
@@ -479,7 +502,14 @@
 	s.failedSessions = 0
 	now := s.now()
 	s.pending.Complete = true
-	s.pending.Quotas = s.quotaReport(term)
+	if s.interim {
+		// What the entry uses meanwhile is reported to the next leader.
+		s.interimSince = now
+		s.pending.Quotas = brokerwire.EncodeQuotaReport(s.local.QuotaLevels(now), nil)
+	} else {
+		s.interimSessions = 0
+		s.pending.Quotas = s.quotaReport(term)
+	}
 	s.pending.Streams = brokerwire.EncodeStreams(now, s.local.Streams(now))
 	s.pending.Suspects = brokerwire.EncodeSuspects(now, s.local.QuarantinedContents(now))
 	s.pending.Limits = brokerwire.EncodeLimits(now, s.local.Limits())
@@ -490,10 +520,10 @@
 	for _, a := range s.waiting {
 		s.local.Cancel(a.offer.ID)
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(now, a.offer))
-		a.offer.Counted = true
+		a.offer.Counted = a.offer.Counted || !s.interim
 	}
 	wait.Notify(s.wakeSession)
-	s.log.Info("broker found", zap.String("address", address), zap.Int("waiting", len(s.waiting)), zap.Int("running", len(s.running)), zap.Int("entries", s.entries))
+	s.log.Info("broker found", zap.String("address", address), zap.String("by", s.grantedBy()), zap.Int("waiting", len(s.waiting)), zap.Int("running", len(s.running)), zap.Int("entries", s.entries))
 }
 
 // handleGrant settles a request, or returns the grant to the broker if the request no
@@ -509,7 +539,7 @@
 		s.returnVoid(a, g)
 		return
 	}
-	s.settleGrant(g, byBroker)
+	s.settleGrant(g, s.grantedBy())
 	s.local.Offer(s.now(), a.offer)
 }
 
