--- a/internal/broker/relay_test.go
+++ b/internal/broker/relay_test.go
@@ -85,6 +85,7 @@
 		require.NoError(t, l.Start(context.Background(), nil))
 		s := New(set, zap.NewNop())
 		s.view, s.roster, s.replica, s.link = fakeView{index, election}, &fakeRoster{list: []port.RosterEntry{upstream("u")}}, electedReplica{election, address}, l
+		s.members = liveEntries(n)
 		s.metrics, err = newMetrics(prometheus.NewRegistry())
 		require.NoError(t, err)
 		if !slices.Contains(unregistered, i) {
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -462,6 +462,17 @@
 	return brokerwire.EncodeQuotaReport(levels, used)
 }
 
+// interimQuotaReport returns what an interim broker needs to know of the quotas: the levels that
+// the last leader left, refilled since. A further one has served other entries meanwhile, or gets
+// them from entries that had none yet. What the entry uses is reported to the next leader. The
+// caller holds the lock.
+func (s *Service) interimQuotaReport() []*rpc.QuotaLevel {
+	if s.interimSessions > 0 || s.brokerHeardAt == 0 {
+		return nil
+	}
+	return brokerwire.EncodeQuotaReport(s.local.RefillLevels(s.quotaLevels, nil, s.now()-s.brokerHeardAt), nil)
+}
+
 // forgetReportedUse drops the local use that the broker of the session was told: the levels
 // that it sends from now on include it. The caller holds the lock.
 func (s *Service) forgetReportedUse() {
@@ -503,9 +514,8 @@
 	now := s.now()
 	s.pending.Complete = true
 	if s.interim {
-		// What the entry uses meanwhile is reported to the next leader.
 		s.interimSince = now
-		s.pending.Quotas = brokerwire.EncodeQuotaReport(s.local.QuotaLevels(now), nil)
+		s.pending.Quotas = s.interimQuotaReport()
 	} else {
 		s.interimSessions = 0
 		s.pending.Quotas = s.quotaReport(term)
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -501,3 +501,46 @@
 	now += suspension
 	require.EqualValues(t, suspension.Milliseconds(), s.firstMessage().RosterAgeMs)
 }
+
+// TestUseOfAnInterimBrokerIsReported guards against a workspace that gets a second quota from the
+// next leader, or from its entry, after an interim broker granted it the first one.
+func TestUseOfAnInterimBrokerIsReported(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
+	s.view = &view{changed: make(chan struct{})}
+	s.local.SetTable(routes.NewIndex(&routes.Table{Workspaces: []routes.Workspace{{Name: "w", TokensPerSecond: 1, TokenBurst: 100}}}))
+	handle := func(r *rpc.BrokerReply) {
+		s.pending = rpc.BrokerAsk{}
+		require.NoError(t, s.handle("a", r, false))
+	}
+	handle(&rpc.BrokerReply{Leads: true, LeaderTerm: 1, QuotasSet: true, Quotas: []*rpc.QuotaLevel{{Workspace: "w", Left: 700}}})
+	handle(&rpc.BrokerReply{})
+	require.False(t, s.attached)
+	handle(&rpc.BrokerReply{Interim: true})
+	require.True(t, s.attached)
+	require.InDelta(t, 0.7, brokerwire.DecodeQuotaLevels(s.pending.Quotas)["w"], 0.05, "the interim broker goes on from the leader's level")
+	handle(&rpc.BrokerReply{Interim: true})
+	require.Empty(t, s.pending.Quotas)
+	s.waiting[1] = &acquisition{offer: broker.Offer{ID: broker.ID{Entry: s.self, Number: 1}, Workspace: "w", QuotaCharge: 60}, settled: make(chan struct{})}
+	handle(&rpc.BrokerReply{Interim: true, Grants: []*rpc.WorkGrant{{Id: 1, Upstream: "u"}}})
+	require.Equal(t, byInterim, s.running[1].decidedBy)
+
+	handle(&rpc.BrokerReply{})
+	require.InDelta(t, 0.1, s.local.QuotaLevels(s.now())["w"], 0.05, "the local broker goes on from there")
+	handle(&rpc.BrokerReply{Leads: true, LeaderTerm: 2})
+	require.Equal(t, map[string]int64{"w": 60}, brokerwire.DecodeQuotaUse(s.pending.Quotas), "the leader learns of it")
+	require.Equal(t, byBroker, s.grantedBy())
+}
+
+// TestEntryLeavesAnInterimBroker guards against an entry that stays with a daemon without a leader
+// while the others have one.
+func TestEntryLeavesAnInterimBroker(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
+	s.view = &view{changed: make(chan struct{})}
+	s.members = fixedMembers{list: []port.Member{{Name: "x", Peers: "x", Replica: true}, {Name: "y", Peers: "y", Replica: true}}}
+	first := s.nextAddress()
+	require.NoError(t, s.handle(first, &rpc.BrokerReply{Interim: true}, false))
+	s.interimSince -= maxInterimTime
+	require.ErrorIs(t, s.handle(first, &rpc.BrokerReply{Interim: true}, false), errNotLeader)
+	s.detach(first, errNotLeader)
+	require.NotEqual(t, first, s.nextAddress())
+}
