core/broker: decisions under overload, enabled by SetOverload

Cause: while engines are full, a refused caller returns to compete with first arrivals from nothing, a workspace far above its usual rate raises the refusals of the others of its rank, and a request is refused once it can't start within twice its latency target although its caller waits longer.

Change, one module each; nothing changes without SetOverload: - commitments.go: a refusal within the room of its rank names a time at which the request is served if it returns. It is recognised by its fingerprint (method, target, workspace and content) and goes before the others of its rank. An early return ends the commitment. Room is booked by rank and by workspace: a tenth of the capacity of the rank, or what its load leaves. Other refusals name when the next room is expected. - fairshare.go: virtual token counters by workspace while the rank waits or is refused. A workspace more than four mean requests above the mean counter goes behind the others. The order of arrival is kept otherwise. - rankload.go: a short average shows a burst of a higher rank at its start. - lateservice.go: a request waits until its caller gives up (Offer.AbandonAt) or the answer would miss the deadline; the estimate of a late one counts the on-time arrivals of its rank.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -61,8 +61,11 @@
 	// LatestUseful is the time after which a late first event is of no use; zero
 	// means LatencyTarget.
 	LatestUseful time.Duration
-	// Fingerprint is a hash of the content by which requests that crash upstreams
-	// are recognised; zero if there is none.
+	// AbandonAt is when the caller gives up if no event has arrived; zero if that is not
+	// known.
+	AbandonAt time.Duration
+	// Fingerprint is a hash of the content by which requests that crash upstreams, or that
+	// return after a refusal, are recognised; zero if there is none.
 	Fingerprint uint64
 	// SharedParts are hashes of the parts of the prompt that it may share with others.
 	SharedParts []uint64
@@ -237,6 +240,7 @@
 	// late is true once the request can no longer be on time; it then waits behind
 	// the requests of its rank that still can.
 	late bool
+	requestOverload
 	// orphanedUntil is when a running request of a lost entry, or one that the upstream may
 	// go on with, is dropped; zero otherwise. ended is true once its end was reported.
 	orphanedUntil time.Duration
@@ -267,6 +271,8 @@
 	quotasResetAt time.Duration
 	// quotaSlackTokens is how many tokens a workspace may use beyond its quota.
 	quotaSlackTokens float64
+	// overload is nil unless SetOverload was called.
+	overload *overload
 	// pending collects the decisions that the next Decide returns.
 	pending Decisions
 }
@@ -306,6 +312,7 @@
 	p := b.pools[name]
 	if p == nil {
 		p = newPool(name)
+		p.overload = newPoolOverload(b.overload)
 		b.pools[name] = p
 	}
 	return p
@@ -493,6 +500,7 @@
 
 // refund returns the tokens of a request that did not run to its workspace's quota.
 func (b *Broker) refund(req *request) {
+	b.pool(req.Pool).overload.refundShare(req)
 	if bucket := b.buckets[req.Workspace]; bucket != nil && req.chargedTokens > 0 {
 		bucket.Refund(float64(req.chargedTokens))
 		req.chargedTokens = 0
@@ -538,6 +546,7 @@
 		p.release(req)
 	}
 	p.learn(now, req, e)
+	p.overload.settleShare(p, req, e)
 	req.assigned.notices.record(now, e.ID.Entry, e)
 	req.assigned.paths.record(now, e.ID.Entry, e.Outcome)
 }
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -218,6 +218,7 @@
 		}
 		p.queue = slices.Delete(p.queue, i, i+1)
 		p.admissions.record(r.now, req, true, 0)
+		p.overload.grantedRequest(req)
 		p.assign(r.now, req, u)
 		b.spendLimit(r.now, req)
 		b.startTrial(r.now, req, u, stage, first)
@@ -327,21 +328,22 @@
 			p.queue = slices.Delete(p.queue, i, i+1)
 			continue
 		}
-		wait := r.limitWait + p.queueWait(r.now, req, ahead, r.slots)
+		wait := r.limitWait + p.waitBehind(r, req, ahead)
 		first := r.now + wait + p.transits.grant(req) + p.minTimeToFirstEvent(r, req)
 		switch {
 		case first <= req.LatencyTarget-estimateMargin(req), req.late && first <= req.LatestUseful:
 			p.admissions.record(r.now, req, true, 0)
 			ahead += p.slotTime(req)
+			p.overload.waits(r.now, req)
 			i++
 			continue
-		case !req.late && first <= req.LatestUseful:
+		case !req.late && first-wait+p.lateWait(r, req, wait, ahead) <= req.LatestUseful:
 			p.admissions.record(r.now, req, true, 0)
 			late = append(late, req)
 		default:
 			reason := fmt.Sprintf("%d ms of waiting behind %.1f s of work on %.4g slots would be too late", wait.Milliseconds(), ahead, r.slots)
 			p.admissions.record(r.now, req, false, wait)
-			b.refuse(req, Overloaded, RetryDelay(req.ID.Number, wait), reason)
+			b.refuseOverloaded(p, r, req, wait, reason)
 		}
 		p.queue = slices.Delete(p.queue, i, i+1)
 	}
@@ -377,14 +379,10 @@
 }
 
 // queueWait estimates how long a request waits behind the requests ahead of it,
-// which hold slots for a total of ahead seconds, and behind requests of higher rank
-// that keep arriving. At least a twentieth of the slots is assumed to be left for it.
-func (p *pool) queueWait(now time.Duration, req *request, ahead, slots float64) time.Duration {
-	spare := slots - p.load.higherRanks(now, req.Rank)
-	if spare < slots/20 {
-		spare = slots / 20
-	}
-	return seconds(ahead / spare)
+// which hold slots for a total of ahead seconds, and behind requests of ranks before the
+// given one that keep arriving. At least a twentieth of the slots is assumed to be left for it.
+func (p *pool) queueWait(now time.Duration, rank int, ahead, slots float64) time.Duration {
+	return seconds(ahead / p.spareSlots(now, rank, slots))
 }
 
 // minTimeToFirstEvent estimates the time to a request's first event on the fastest
--- a/core/broker/decide_bench_test.go
+++ b/core/broker/decide_bench_test.go
@@ -45,3 +45,27 @@
 		s.broker.Decide(0)
 	}
 }
+
+// BenchmarkOverload measures the offer of a request and a round while 2,000 requests of 100
+// workspaces wait and no engine has a free slot, without and with the decisions under overload.
+func BenchmarkOverload(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(fmt.Sprint(on), func(b *testing.B) {
+			s := newOverloadSim(60, on)
+			offer := func(number uint64) {
+				s.broker.Offer(0, Offer{ID: ID{Entry: "entry", Number: number}, Pool: simPool, Workspace: fmt.Sprint("w", number%100), PromptTokens: 3000, OutputTokens: 100, Fingerprint: number, LatencyTarget: time.Hour, LatestUseful: time.Hour, Deadline: time.Hour})
+			}
+			for number := range uint64(2000) {
+				offer(number)
+				s.broker.Decide(0)
+			}
+			number := uint64(2000)
+			for b.Loop() {
+				number++
+				offer(number)
+				s.broker.Decide(0)
+				s.broker.Cancel(ID{Entry: "entry", Number: number})
+			}
+		})
+	}
+}
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -28,6 +28,8 @@
 	slotTimes float64
 	// admissions counts the fate of new requests.
 	admissions admissions
+	// overload is nil unless SetOverload was called.
+	overload *poolOverload
 	// lastServed is the time of the last round that had slots, or of the first round.
 	lastServed time.Duration
 	// started is true after the first round.
@@ -103,6 +105,7 @@
 	slotTime := p.slotTime(req)
 	p.slotTimes = movingAverage(p.slotTimes, slotTime, poolWeight)
 	p.load.add(now, req.Rank, slotTime)
+	p.overload.admit(now, p, req)
 	p.insert(req)
 }
 
@@ -114,7 +117,9 @@
 
 // compare puts requests that resume a stream first: their callers have a part of it, and
 // they can't use all upstreams. It orders the others by rank, then those that can meet their
-// latency target before those that can't, then by arrival. IDs break ties.
+// latency target before those that can't, then by arrival. IDs break ties. Under overload,
+// those that return as they were told to go before the others of their rank, and those of
+// workspaces that were granted less before those of the others.
 func compare(a, b *request) int {
 	switch {
 	case (a.Resumes != 0) != (b.Resumes != 0):
@@ -124,11 +129,20 @@
 		return 1
 	case a.Rank != b.Rank:
 		return a.Rank - b.Rank
+	case a.committed != b.committed:
+		if a.committed {
+			return -1
+		}
+		return 1
 	case a.late != b.late:
 		if b.late {
 			return -1
 		}
 		return 1
+	case a.shareTag < b.shareTag:
+		return -1
+	case a.shareTag > b.shareTag:
+		return 1
 	case a.arrived < b.arrived:
 		return -1
 	case a.arrived > b.arrived:
--- a/core/broker/shedding.go
+++ b/core/broker/shedding.go
@@ -78,10 +78,11 @@
 
 // RetryDelay returns when a caller that is refused because of overload should retry, given
 // the estimated wait and the number of its request: after the wait, plus up to as long
-// again, so that refused callers do not retry all at once. The extra delay is a
-// multiplicative hash of the number, which is deterministic.
+// again, so that refused callers do not retry all at once.
 func RetryDelay(number uint64, wait time.Duration) time.Duration {
-	spread := float64((number*2654435761)%1000) / 1000
-	after := wait + time.Duration(spread*float64(max(wait, minRetryDelay)))
+	after := wait + time.Duration(hashFraction(number)*float64(max(wait, minRetryDelay)))
 	return min(maxRetryDelay, max(minRetryDelay, after))
 }
+
+// hashFraction returns a multiplicative hash of a number, in [0, 1). It is deterministic.
+func hashFraction(number uint64) float64 { return float64((number*2654435761)%1000) / 1000 }
