Overload: setting, messages, followers, metrics and a log line

Cause: the decisions under overload need the time at which a caller gives up, followers refuse ranks that are shed without the leader, and operators must be able to enable the decisions and see them.

Change: - routing.overload enables them at brokers and at the local brokers of entries; without it nothing changes. - WorkOffer.abandon_ms (optional): when the caller gives up. Entries send it with the setting; a broker without the field uses late_ms. - RelayReply.commitments (optional): new commitments, 12 to 16 bytes each, ride with the next message to each follower. A follower passes requests on that return as told although it sheds their rank; its record is bounded and swept. - Requests that return are not counted in the admissions that decide on shedding: they would end it for the whole rank. - An early return no longer ends the commitment, since the early request may be another one with the same content; it gets no further one. - verbenastep_broker_overload_total{event}, and one log line at most every 5 s.

Tests: a follower passes returns on and refuses the others of the shed rank; commitments reach each follower once; expired ones are removed; offers carry the time; nothing is enabled without the setting.

--- a/core/broker/commitments.go
+++ b/core/broker/commitments.go
@@ -93,22 +93,13 @@
 	return true
 }
 
-// take removes and returns the commitment to a request.
-func (c *commitments) take(req *request) (commitment, bool) {
-	x, ok := c.byID[req.Fingerprint]
-	if !ok || req.Fingerprint == 0 || x.pool != req.Pool || x.rank != req.Rank {
-		return commitment{}, false
-	}
-	delete(c.byID, req.Fingerprint)
-	return x, true
-}
-
 // recognise marks a request that the broker refused before. One that returns when it was told
-// to is placed before the first arrivals of its rank; one that returns early is treated as a
-// first arrival, and its commitment ends.
+// to is placed before the first arrivals of its rank and uses up the commitment. One that
+// returns early is treated as a first arrival, and gets no further commitment. The commitment
+// remains: the early request may be another one with the same content.
 func (o *overload) recognise(now time.Duration, req *request) {
-	x, ok := o.commitments.take(req)
-	if !ok || x.IsExpired(now) {
+	x, ok := o.commitments.byID[req.Fingerprint]
+	if !ok || x.pool != req.Pool || x.rank != req.Rank || x.IsExpired(now) {
 		return
 	}
 	req.returned = true
@@ -116,6 +107,7 @@
 		o.stats.Early++
 		return
 	}
+	delete(o.commitments.byID, req.Fingerprint)
 	o.stats.Returned++
 	req.committed = true
 	// The caller counts the latency target from its first attempt.
--- a/core/broker/overload_test.go
+++ b/core/broker/overload_test.go
@@ -71,17 +71,21 @@
 	require.NotEqual(t, "second", nextGranted(t, b, r.RetryAfter), "the decision shows only if it is enabled")
 }
 
-// Guards against callers that gain by returning before they were told to, or again after.
+// Guards against callers that gain by returning before they were told to, and against other
+// requests with the same content that end a commitment.
 func TestOverloadEarlyReturnGainsNothing(t *testing.T) {
 	b, r := refusedCaller(t, true)
 	require.NotEqual(t, "second", nextGranted(t, b, r.RetryAfter/2))
 	stats, _ := b.OverloadStats()
 	require.EqualValues(t, 1, stats.Early)
-	o := overloadOffer("second", 2, r.RetryAfter)
-	o.Fingerprint = 7
-	b.Offer(r.RetryAfter, o)
+	require.EqualValues(t, 1, stats.Committed, "an early return gets no further commitment")
+	for n := range uint64(2) {
+		o := overloadOffer("third", n, r.RetryAfter)
+		o.Fingerprint = 7
+		b.Offer(r.RetryAfter, o)
+	}
 	stats, _ = b.OverloadStats()
-	require.Zero(t, stats.Returned, "the commitment ended with the early return")
+	require.EqualValues(t, 1, stats.Returned, "a commitment is for one request")
 }
 
 // Guards against a record that grows with the refusals of a long overload.
--- a/core/broker/shedding.go
+++ b/core/broker/shedding.go
@@ -44,9 +44,10 @@
 }
 
 // record counts the fate of a request in its first round; further calls for the same
-// request have no effect.
+// request have no effect. Requests that return as they were told to are not counted: followers
+// pass them on although they refuse the rank.
 func (a *admissions) record(now time.Duration, req *request, accepted bool, wait time.Duration) {
-	if req.admissionCounted {
+	if req.admissionCounted || req.committed {
 		return
 	}
 	req.admissionCounted = true
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -101,6 +101,8 @@
 	// levelsSentAt is when quota levels were last sent, and sentLevels what was sent.
 	levelsSentAt time.Time
 	sentLevels   map[string]float64
+	// overload is what was reported of the decisions under overload.
+	overload overloadReport
 	// roundTime is the duration of the last round of decisions.
 	roundTime time.Duration
 	// rosterReadAt is when the roster was last read, and rosterReadTime how long the
@@ -122,6 +124,7 @@
 func newCore(set *settings.Settings) *broker.Broker {
 	core := broker.New(1)
 	core.SetQuotaSlack(set.Routing.Quota.SlackTokens)
+	enableOverload(core, set)
 	return core
 }
 
@@ -264,6 +267,7 @@
 	s.log.Info("broker changed", zap.Bool("leads", leads), zap.Int("entries", len(s.sessions)))
 	quarantined, limits := s.core.QuarantinedContents(s.now()), s.core.Limits()
 	s.core = newCore(s.set)
+	s.overload = overloadReport{}
 	s.core.LearnSuspects(s.now(), quarantined)
 	for _, l := range limits {
 		s.core.LearnLimit(s.now(), l)
@@ -291,6 +295,8 @@
 	defer func() { s.roundTime = time.Since(started) }()
 	decisions := s.core.Decide(s.now())
 	s.metrics.record(decisions)
+	s.reportOverload()
+	s.queueCommitments()
 	for _, x := range decisions.Suspicions {
 		s.log.Info("content suspected of a crash", brokerwire.SuspicionFields(x)...)
 	}
--- a/internal/broker/metrics.go
+++ b/internal/broker/metrics.go
@@ -18,6 +18,7 @@
 	entries          prometheus.Gauge
 	leadershipStarts prometheus.Counter
 	relays           prometheus.Gauge
+	overload         *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) (*metrics, error) {
@@ -34,7 +35,8 @@
 		leadershipStarts: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "moves_total", Help: "Times that this daemon began to grant."}),
 	}
 	m.relays = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "verbenastep", Subsystem: "broker", Name: "relays", Help: "1 while this daemon relays its entries' requests to the leader."})
-	for _, c := range []prometheus.Collector{m.relays, m.grants, m.refusals, m.waitTime, m.leads, m.entries, m.leadershipStarts} {
+	m.overload = newOverloadCounter()
+	for _, c := range []prometheus.Collector{m.overload, m.relays, m.grants, m.refusals, m.waitTime, m.leads, m.entries, m.leadershipStarts} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -67,6 +67,8 @@
 	lost []string
 	// shedding holds the ranks of pools that the leader sheds.
 	shedding map[poolRank]shedding
+	// commitments holds the requests that the leader expects in spite of shedding.
+	commitments followerCommitments
 	// wake notifies the sender, end ends the stream to the leader.
 	wake chan struct{}
 	end  context.CancelCauseFunc
@@ -202,6 +204,7 @@
 	for _, x := range brokerwire.DecodeShedding(r.Shedding) {
 		s.relay.shedding[poolRank{x.Pool, uint32(x.Rank)}] = shedding{wait: x.Wait, until: time.Now().Add(sheddingDuration)}
 	}
+	s.relay.commitments.learn(s.now(), r.Commitments)
 	s.relayLevels(r.State)
 	s.core.LearnSuspects(s.now(), brokerwire.DecodeSuspects(s.now(), r.State.Suspects))
 	s.sendSuspects()
@@ -264,8 +267,9 @@
 }
 
 // refuseShed refuses the new requests of a message that the leader would refuse, and removes
-// them from it, so that a leader under overload spends no time on them. Resumed streams go
-// before others at the leader and are left to it. The caller holds the lock.
+// them from it, so that a leader under overload spends no time on them. Resumed streams,
+// and requests that return as they were told to, go before others at the leader and are left
+// to it. The caller holds the lock.
 func (s *Service) refuseShed(x *session, ask *rpc.BrokerAsk) {
 	if len(s.relay.shedding) == 0 || ask.Complete {
 		return
@@ -274,7 +278,7 @@
 	ask.Offers = slices.DeleteFunc(ask.Offers, func(o *rpc.WorkOffer) bool {
 		key := poolRank{o.Pool, o.Rank}
 		shed, ok := s.relay.shedding[key]
-		if !ok || o.Running != "" || o.Resumes != 0 {
+		if !ok || o.Running != "" || o.Resumes != 0 || s.relay.commitments.accepts(s.now(), o.Fingerprint) {
 			return false
 		}
 		if time.Now().After(shed.until) {
--- a/internal/broker/relayed.go
+++ b/internal/broker/relayed.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
 	"github.com/verbenastep/verbenastep/internal/duplex"
 )
@@ -24,6 +25,8 @@
 	// state and replies collect the next message to the follower.
 	state   *rpc.BrokerReply
 	replies []*rpc.RelayedReply
+	// commitments collects those that the follower is told with the next message.
+	commitments []broker.Commitment
 	// out has an element while a message waits.
 	out chan *rpc.RelayReply
 	end context.CancelFunc
@@ -98,7 +101,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &rpc.RelayReply{State: mergeState(y.state, s.reply(y.own)), Replies: y.replies, Shedding: brokerwire.EncodeShedding(s.core.Shedding(s.now()))}
-	y.state, y.replies = nil, nil
+	r.Commitments = brokerwire.EncodeCommitments(s.now(), y.commitments)
+	y.state, y.replies, y.commitments = nil, nil, nil
 	return r
 }
 
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -132,6 +132,9 @@
 	local := broker.New(1)
 	local.SetName(self.String())
 	local.SetQuotaSlack(set.Routing.Quota.SlackTokens)
+	if o := set.Routing.Overload; o != nil {
+		local.SetOverload(broker.Overload{MaxCommitments: o.MaxCommitments})
+	}
 	return &Service{
 		set: set, log: log.Named("work"), metrics: newMetrics(), self: self.String(), started: time.Now(), wakeSession: make(chan struct{}, 1), wakeLocal: make(chan struct{}, 1),
 		waiting: map[uint64]*acquisition{}, running: map[uint64]*acquisition{}, local: local, entries: 1, roster: map[string]*rpc.RosterEntry{},
@@ -204,6 +207,9 @@
 	a.offer.LatencyTarget = o.LatencyTargetAt.Sub(s.started)
 	a.offer.LatestUseful = a.offer.LatencyTarget + o.LatencyGrace
 	a.offer.Deadline = o.DeadlineAt.Sub(s.started)
+	if !o.AbandonAt.IsZero() {
+		a.offer.AbandonAt = o.AbandonAt.Sub(s.started)
+	}
 	if version, ok := s.local.StreamVersion(s.now(), o.Resumes); ok && o.Resumes != 0 && !o.VersionBound {
 		// The entry began the stream itself; the broker may be a new one.
 		a.offer.SoftwareVersion, a.offer.VersionBound = version, true
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -49,18 +49,24 @@
 		AimMs: int32((o.LatencyTarget - now).Milliseconds()), WaitMs: milliseconds(o.Deadline - now), Session: o.Session, SessionTokens: uint32(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: uint32(o.QuotaReserve * permille), LateMs: milliseconds(o.LatestUseful - o.LatencyTarget),
 		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
+		AbandonMs: milliseconds(o.AbandonAt - now),
 	}
 }
 
 // DecodeOffer decodes an entry's offer that was received at the given time.
 func DecodeOffer(now time.Duration, entry string, o *rpc.WorkOffer) broker.Offer {
 	target := now + time.Duration(o.AimMs)*time.Millisecond
+	abandonAt := time.Duration(0)
+	if o.AbandonMs > 0 {
+		abandonAt = now + duration(o.AbandonMs)
+	}
 	return broker.Offer{
 		ID: broker.ID{Entry: entry, Number: o.Id}, Pool: o.Pool, Workspace: o.Workspace, DataCentre: o.DataCentre, Region: o.Region,
 		Rank: int(o.Rank), PromptTokens: int(o.PromptTokens), OutputTokens: int(o.OutputTokens), QuotaCharge: int(o.Charge),
 		LatencyTarget: target, LatestUseful: target + duration(o.LateMs), Deadline: now + duration(o.WaitMs), Session: o.Session, SessionTokens: int(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, QuotaReserve: float64(o.Reserve) / permille,
 		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
+		AbandonAt: abandonAt,
 	}
 }
 
@@ -167,6 +173,24 @@
 	return out
 }
 
+// EncodeCommitments encodes commitments relative to the given time.
+func EncodeCommitments(now time.Duration, list []broker.Commitment) []*rpc.ReturnCommitment {
+	out := make([]*rpc.ReturnCommitment, 0, len(list))
+	for _, x := range list {
+		out = append(out, &rpc.ReturnCommitment{Fingerprint: x.Fingerprint, DueMs: milliseconds(x.Due - now)})
+	}
+	return out
+}
+
+// DecodeCommitments decodes commitments that were received at the given time.
+func DecodeCommitments(now time.Duration, list []*rpc.ReturnCommitment) []broker.Commitment {
+	out := make([]broker.Commitment, 0, len(list))
+	for _, x := range list {
+		out = append(out, broker.Commitment{Fingerprint: x.Fingerprint, Due: now + duration(x.DueMs)})
+	}
+	return out
+}
+
 // EncodeEnd encodes the end of a request.
 func EncodeEnd(e broker.End) *rpc.WorkEnd {
 	return &rpc.WorkEnd{
--- a/internal/brokerwire/codec_test.go
+++ b/internal/brokerwire/codec_test.go
@@ -42,3 +42,12 @@
 	require.Equal(t, int64(1796337205000), entry.Born)
 	require.Equal(t, int64(1796337205000), Upstreams([]port.RosterEntry{entry}, nil)[0].Born)
 }
+
+// TestOfferCarriesWhenTheCallerGivesUp guards against a broker that refuses requests whose
+// callers would wait, and against one that takes a missing time for the present.
+func TestOfferCarriesWhenTheCallerGivesUp(t *testing.T) {
+	sent := EncodeOffer(time.Second, broker.Offer{AbandonAt: 4 * time.Second})
+	require.Equal(t, 8*time.Second, DecodeOffer(5*time.Second, "e", sent).AbandonAt)
+	sent.AbandonMs = 0
+	require.Zero(t, DecodeOffer(5*time.Second, "e", sent).AbandonAt)
+}
--- a/internal/forward/parts_test.go
+++ b/internal/forward/parts_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
 // TestOfferNamesSharedPartsOfThePrompt guards against crashes that can't be held against a
@@ -51,3 +52,24 @@
 	q.meta.LastEvent = "4"
 	require.Zero(t, offered(func(*exchange) {}))
 }
+
+// TestOfferSaysWhenTheCallerGivesUp guards against a broker that refuses requests whose callers
+// would wait, or holds those whose callers have gone.
+func TestOfferSaysWhenTheCallerGivesUp(t *testing.T) {
+	e := newTestEntry(t)
+	arrived := time.Now()
+	abandonAfter := func(kind routes.Kind, latencyTargetMS int64) time.Duration {
+		q := &request{route: &routes.Route{Kind: kind, LatencyTargetMS: latencyTargetMS}, arrived: arrived, deadline: arrived.Add(5 * time.Second)}
+		return q.offer(e.service).AbandonAt.Sub(arrived)
+	}
+	set := *e.service.set
+	routing := *set.Routing
+	e.service.set = &set
+	set.Routing = &routing
+	require.Negative(t, abandonAfter(routes.Stream, 1000), "no time is stated without the setting")
+	routing.Overload = &settings.Overload{AbandonFactor: 4, AbandonMinMS: 2000}
+	require.Equal(t, 4*time.Second, abandonAfter(routes.Stream, 1000))
+	require.Equal(t, 2*time.Second, abandonAfter(routes.Stream, 400))
+	require.Equal(t, 5*time.Second, abandonAfter(routes.Stream, 2000))
+	require.Equal(t, 5*time.Second, abandonAfter(routes.Idempotent, 400))
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -197,6 +197,12 @@
 	// The request is served until twice its latency target, since a refused
 	// caller would be served later still.
 	o := port.BrokerOffer{LatencyTargetAt: q.latencyTargetAt, DeadlineAt: q.deadline, LatencyGrace: q.route.LatencyTarget()}
+	if x := s.set.Routing.Overload; x != nil {
+		o.AbandonAt = q.deadline
+		if abandonAt := q.arrived.Add(x.AbandonTime(q.route.LatencyTarget())); q.route.Kind == routes.Stream && abandonAt.Before(q.deadline) {
+			o.AbandonAt = abandonAt
+		}
+	}
 	o.Offer = broker.Offer{
 		Pool: q.pool, Workspace: q.workspace, DataCentre: s.set.DataCentre, Region: s.set.Region, Rank: q.rank,
 		QuotaCharge: q.chargedTokens, Fingerprint: q.fingerprint,
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -386,6 +386,9 @@
 	// LatencyGrace is how long after LatencyTargetAt the request is still served
 	// instead of refused.
 	LatencyGrace time.Duration
+	// AbandonAt is when the caller gives up if no event has arrived; zero if that is not
+	// known.
+	AbandonAt time.Time
 }
 
 // BrokerTicket is a granted slot. End must be called exactly once.
--- a/internal/settings/routing.go
+++ b/internal/settings/routing.go
@@ -33,6 +33,8 @@
 	Retry Retry `json:"retry,omitempty"`
 	// Quota is the tolerance in the enforcement of workspaces' quotas.
 	Quota Quota `json:"quota,omitempty"`
+	// Overload, if set, enables the decisions under overload.
+	Overload *Overload `json:"overload,omitempty"`
 	// DataCentres maps each data centre to its region.
 	DataCentres map[string]string `json:"data_centres,omitempty"`
 }
@@ -65,6 +67,23 @@
 	SlackTokens float64 `json:"slack_tokens,omitempty"`
 }
 
+// Overload configures the decisions under overload: times to return that refused callers can
+// rely on, fair sharing between the workspaces of a rank, and late service.
+type Overload struct {
+	// AbandonFactor is after how many times its latency target a caller gives up a stream of
+	// which it has no event, and AbandonMinMS the shortest time for that. Other requests are
+	// awaited until their deadline.
+	AbandonFactor float64 `json:"abandon_factor,omitempty"`
+	AbandonMinMS  float64 `json:"abandon_min_ms,omitempty"`
+	// MaxCommitments bounds the refused requests that the broker remembers.
+	MaxCommitments int `json:"max_commitments,omitempty"`
+}
+
+// AbandonTime returns after how long a caller gives up a stream of which it has no event.
+func (o Overload) AbandonTime(latencyTarget time.Duration) time.Duration {
+	return max(Milliseconds(o.AbandonMinMS), time.Duration(o.AbandonFactor*float64(latencyTarget)))
+}
+
 // Defaults for Routing, in milliseconds except for DefaultRetryRatio. A time of zero
 // is replaced by its default as well.
 const (
@@ -73,6 +92,10 @@
 	DefaultAnswerTTLMS = 2000.0
 	DefaultRetryRatio  = 0.1
 	DefaultRetryMS     = 10_000.0
+	// DefaultAbandonFactor and DefaultMaxCommitments have no unit.
+	DefaultAbandonFactor  = 4.0
+	DefaultAbandonMinMS   = 2000.0
+	DefaultMaxCommitments = 10_000
 )
 
 // applyDefaults sets the defaults of unset values.
@@ -83,6 +106,13 @@
 	r.AnswerTTLMS = orDefault(r.AnswerTTLMS, DefaultAnswerTTLMS)
 	r.Retry.WindowMS = orDefault(r.Retry.WindowMS+r.Retry.WindowSeconds*msPerSecond, DefaultRetryMS)
 	r.Retry.WindowSeconds = 0
+	if o := r.Overload; o != nil {
+		o.AbandonFactor = orDefault(o.AbandonFactor, DefaultAbandonFactor)
+		o.AbandonMinMS = orDefault(o.AbandonMinMS, DefaultAbandonMinMS)
+		if o.MaxCommitments == 0 {
+			o.MaxCommitments = DefaultMaxCommitments
+		}
+	}
 }
 
 func orDefault(v, def float64) float64 {
