--- a/core/broker/commitments.go
+++ b/core/broker/commitments.go
@@ -6,10 +6,10 @@
 	// DefaultMaxCommitments is the default bound of the commitments of a broker. It exceeds
 	// the refusals that name a time within maxRetryDelay at 2,000 requests a second.
 	DefaultMaxCommitments = 10_000
-	// minReturnShare is the part of a rank's capacity that is committed to refused requests
-	// at least; all that the load of the rank leaves is committed as well. Each request that
-	// returns late in place of a first arrival that could be on time costs half its value.
-	minReturnShare = 0.1
+	// DefaultReturnShare is the default part of a rank's capacity that is committed to refused
+	// requests at least; all that the load of the rank leaves is committed as well. Each request
+	// that returns late in place of a first arrival that could be on time costs half its value.
+	DefaultReturnShare = 0.1
 	// returnTolerance is how early a request may return: callers' clocks and the rounding of
 	// the time that they are told differ by less.
 	returnTolerance = 20 * time.Millisecond
@@ -157,7 +157,7 @@
 		return otherwise
 	}
 	spare := p.spareSlots(r.now, req.Rank, r.slots)
-	slots := max(minReturnShare*spare, spare-p.load.rank(r.now, req.Rank))
+	slots := max(x.overload.returnShare*spare, spare-p.load.rank(r.now, req.Rank))
 	slotTime := p.slotTime(req)
 	total, totalUntil := rank.room.due(r.now, slotTime, slots)
 	own, ownUntil := rank.shares.roomOf(r.now, req.Workspace).due(r.now, slotTime, slots/rank.shares.count())
--- a/core/broker/overload.go
+++ b/core/broker/overload.go
@@ -8,6 +8,9 @@
 	// MaxCommitments bounds the refused requests that are remembered; zero means
 	// DefaultMaxCommitments.
 	MaxCommitments int
+	// ReturnShare is the part of a rank's capacity that is committed to refused requests at
+	// least; zero means DefaultReturnShare.
+	ReturnShare float64
 }
 
 // OverloadStats counts decisions under overload since the broker was created.
@@ -30,6 +33,7 @@
 
 // overload is the state of the decisions under overload that belongs to no pool.
 type overload struct {
+	returnShare float64
 	commitments commitments
 	stats       OverloadStats
 }
@@ -62,7 +66,10 @@
 
 // SetOverload enables the decisions under overload. Call it before the first offer.
 func (b *Broker) SetOverload(x Overload) {
-	b.overload = &overload{commitments: newCommitments(x)}
+	if x.ReturnShare == 0 {
+		x.ReturnShare = DefaultReturnShare
+	}
+	b.overload = &overload{returnShare: x.ReturnShare, commitments: newCommitments(x)}
 	for _, p := range b.pools {
 		p.overload = newPoolOverload(b.overload)
 	}
--- a/internal/broker/overload.go
+++ b/internal/broker/overload.go
@@ -27,7 +27,7 @@
 // enableOverload enables the decisions under overload if the settings ask for them.
 func enableOverload(core *broker.Broker, set *settings.Settings) {
 	if o := set.Routing.Overload; o != nil {
-		core.SetOverload(broker.Overload{MaxCommitments: o.MaxCommitments})
+		core.SetOverload(broker.Overload{MaxCommitments: o.MaxCommitments, ReturnShare: o.ReturnShare})
 	}
 }
 
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -133,7 +133,7 @@
 	local.SetName(self.String())
 	local.SetQuotaSlack(set.Routing.Quota.SlackTokens)
 	if o := set.Routing.Overload; o != nil {
-		local.SetOverload(broker.Overload{MaxCommitments: o.MaxCommitments})
+		local.SetOverload(broker.Overload{MaxCommitments: o.MaxCommitments, ReturnShare: o.ReturnShare})
 	}
 	return &Service{
 		set: set, log: log.Named("work"), metrics: newMetrics(), self: self.String(), started: time.Now(), wakeSession: make(chan struct{}, 1), wakeLocal: make(chan struct{}, 1),
--- a/internal/settings/routing.go
+++ b/internal/settings/routing.go
@@ -77,6 +77,9 @@
 	AbandonMinMS  float64 `json:"abandon_min_ms,omitempty"`
 	// MaxCommitments bounds the refused requests that the broker remembers.
 	MaxCommitments int `json:"max_commitments,omitempty"`
+	// ReturnShare is the part of the capacity of a rank that is kept for refused requests that
+	// return when they were told to.
+	ReturnShare float64 `json:"return_share,omitempty"`
 }
 
 // AbandonTime returns after how long a caller gives up a stream of which it has no event.
@@ -92,10 +95,11 @@
 	DefaultAnswerTTLMS = 2000.0
 	DefaultRetryRatio  = 0.1
 	DefaultRetryMS     = 10_000.0
-	// DefaultAbandonFactor and DefaultMaxCommitments have no unit.
+	// DefaultAbandonFactor, DefaultMaxCommitments and DefaultReturnShare have no unit.
 	DefaultAbandonFactor  = 4.0
 	DefaultAbandonMinMS   = 2000.0
 	DefaultMaxCommitments = 10_000
+	DefaultReturnShare    = 0.1
 )
 
 // applyDefaults sets the defaults of unset values.
@@ -108,6 +112,7 @@
 	r.Retry.WindowSeconds = 0
 	if o := r.Overload; o != nil {
 		o.AbandonFactor = orDefault(o.AbandonFactor, DefaultAbandonFactor)
+		o.ReturnShare = orDefault(o.ReturnShare, DefaultReturnShare)
 		o.AbandonMinMS = orDefault(o.AbandonMinMS, DefaultAbandonMinMS)
 		if o.MaxCommitments == 0 {
 			o.MaxCommitments = DefaultMaxCommitments
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -72,6 +72,9 @@
 		{"window in two units", func(s *settings.Settings) {
 			s.Routing = &settings.Routing{Retry: settings.Retry{WindowMS: 1, WindowSeconds: 1}}
 		}, "$.routing.retry.window_s"},
+		{"return share above 1", func(s *settings.Settings) {
+			s.Routing = &settings.Routing{Overload: &settings.Overload{ReturnShare: 1.1}}
+		}, "$.routing.overload.return_share"},
 		{"negative grace", func(s *settings.Settings) { s.Routing = &settings.Routing{GraceSeconds: -1} }, "$.routing.grace_s"},
 	}...)
 	require.Empty(t, faultsOf(t, valid()))
@@ -123,3 +126,19 @@
 	_, err = settings.Parse("d1.json", bytes.Replace(data, []byte("12345"), []byte("1e3"), 1))
 	require.ErrorContains(t, err, "write integers without fraction or exponent")
 }
+
+// TestOverloadDefaults guards against a present but empty object that leaves its values at zero, and
+// against one that is enabled without being written.
+func TestOverloadDefaults(t *testing.T) {
+	parsed := func(r *settings.Routing) *settings.Overload {
+		s := valid()
+		s.Routing = r
+		data, err := json.Marshal(s)
+		require.NoError(t, err)
+		out, err := settings.Parse("d1.json", data)
+		require.NoError(t, err)
+		return out.Routing.Overload
+	}
+	require.Nil(t, parsed(&settings.Routing{}))
+	require.Equal(t, settings.Overload{AbandonFactor: 4, AbandonMinMS: 2000, MaxCommitments: 10_000, ReturnShare: 0.1}, *parsed(&settings.Routing{Overload: &settings.Overload{}}))
+}
