--- a/core/broker/overload.go
+++ b/core/broker/overload.go
@@ -29,6 +29,8 @@
 	GivenUp uint64
 	// Reordered requests were queued behind other workspaces of their rank that had used less.
 	Reordered uint64
+	// Preempted requests were refused while a burst of a higher rank began.
+	Preempted uint64
 }
 
 // overload is the state of the decisions under overload that belongs to no pool.
@@ -119,6 +121,9 @@
 	after := RetryDelay(req.ID.Number, wait)
 	if x := p.overload; x != nil {
 		after = x.retryAfter(r, p, req, after)
+		if usual := p.load.higherRanks(r.now, req.Rank); x.higherRanks(r.now, req.Rank, usual) > usual {
+			x.overload.stats.Preempted++
+		}
 		switch {
 		case req.committed:
 			x.overload.stats.Broken++
--- a/core/broker/overload_test.go
+++ b/core/broker/overload_test.go
@@ -189,6 +189,8 @@
 		t.Logf("rank %d without: %v", rank, without.byRank[rank])
 		t.Logf("rank %d with:    %v", rank, with.byRank[rank])
 	}
+	stats, _ := with.broker.OverloadStats()
+	require.Positive(t, stats.Preempted)
 	require.Zero(t, with.byRank[0].refusedOnce)
 	require.Greater(t, float64(with.byRank[0].onTime), 0.998*float64(with.byRank[0].callers), "the fair order may make single requests late")
 	require.Less(t, with.byRank[2].refusedLate, without.byRank[2].refusedLate)
--- a/internal/broker/overload.go
+++ b/internal/broker/overload.go
@@ -109,7 +109,7 @@
 func overloadEvents(x broker.OverloadStats) map[string]uint64 {
 	return map[string]uint64{
 		"committed": x.Committed, "returned": x.Returned, "returned_early": x.Early, "kept": x.Kept, "broken": x.Broken,
-		"served_late": x.Late, "given_up": x.GivenUp, "fair_order": x.Reordered,
+		"served_late": x.Late, "given_up": x.GivenUp, "fair_order": x.Reordered, "refused_for_burst": x.Preempted,
 	}
 }
 
