--- a/core/broker/pacedchoice.go
+++ b/core/broker/pacedchoice.go
@@ -100,7 +100,7 @@
 	if steady.slots == 0 || req.late || req.VersionBound || len(req.Avoid) > 0 {
 		return false
 	}
-	wait := p.queueWait(r.now, req, r.paced.ahead+p.slotTime(req), steady.slots)
+	wait := p.queueWait(r.now, req.Rank, r.paced.ahead+p.slotTime(req), steady.slots)
 	end := r.now + wait + p.transits.grant(req) + p.minTimeToFirstEvent(steady, req)
 	return end <= req.arrived+time.Duration(pacedWaitShare*float64(req.LatencyTarget-req.arrived))
 }
--- a/core/broker/shedding.go
+++ b/core/broker/shedding.go
@@ -44,9 +44,10 @@
 }
 
 // record counts the fate of a request in its first round; further calls for the same
-// request have no effect.
+// request have no effect. Requests that return as they were told to are not counted: followers
+// pass them on although they refuse the rank.
 func (a *admissions) record(now time.Duration, req *request, accepted bool, wait time.Duration) {
-	if req.admissionCounted {
+	if req.admissionCounted || req.committed {
 		return
 	}
 	req.admissionCounted = true
@@ -78,10 +79,11 @@
 
 // RetryDelay returns when a caller that is refused because of overload should retry, given
 // the estimated wait and the number of its request: after the wait, plus up to as long
-// again, so that refused callers do not retry all at once. The extra delay is a
-// multiplicative hash of the number, which is deterministic.
+// again, so that refused callers do not retry all at once.
 func RetryDelay(number uint64, wait time.Duration) time.Duration {
-	spread := float64((number*2654435761)%1000) / 1000
-	after := wait + time.Duration(spread*float64(max(wait, minRetryDelay)))
+	after := wait + time.Duration(hashFraction(number)*float64(max(wait, minRetryDelay)))
 	return min(maxRetryDelay, max(minRetryDelay, after))
 }
+
+// hashFraction returns a multiplicative hash of a number, in [0, 1). It is deterministic.
+func hashFraction(number uint64) float64 { return float64((number*2654435761)%1000) / 1000 }
--- a/internal/broker/metrics.go
+++ b/internal/broker/metrics.go
@@ -21,6 +21,7 @@
 	interim          prometheus.Gauge
 	paceOpening      prometheus.Gauge
 	paceChanges      *prometheus.CounterVec
+	overload         *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) (*metrics, error) {
@@ -42,7 +43,8 @@
 	m.paceChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "verbenastep", Subsystem: "broker", Name: "slow_start_changes_total", Help: "Slow starts of upstreams that began, were cut or ended.",
 	}, []string{"event"})
-	for _, c := range []prometheus.Collector{m.paceOpening, m.paceChanges, m.relays, m.interim, m.grants, m.refusals, m.waitTime, m.leads, m.entries, m.leadershipStarts} {
+	m.overload = newOverloadCounter()
+	for _, c := range []prometheus.Collector{m.overload, m.paceOpening, m.paceChanges, m.relays, m.interim, m.grants, m.refusals, m.waitTime, m.leads, m.entries, m.leadershipStarts} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/brokerwire/codec_test.go
+++ b/internal/brokerwire/codec_test.go
@@ -49,3 +49,12 @@
 	_, learned := DecodeUpstream(EncodeUpstream(port.RosterEntry{Entry: roster.Entry{ID: "u"}}, broker.Estimates{Window: 3}))
 	require.Equal(t, 3, learned.Window)
 }
+
+// TestOfferCarriesWhenTheCallerGivesUp guards against a broker that refuses requests whose
+// callers would wait, and against one that takes a missing time for the present.
+func TestOfferCarriesWhenTheCallerGivesUp(t *testing.T) {
+	sent := EncodeOffer(time.Second, broker.Offer{AbandonAt: 4 * time.Second})
+	require.Equal(t, 8*time.Second, DecodeOffer(5*time.Second, "e", sent).AbandonAt)
+	sent.AbandonMs = 0
+	require.Zero(t, DecodeOffer(5*time.Second, "e", sent).AbandonAt)
+}
--- a/internal/settings/routing.go
+++ b/internal/settings/routing.go
@@ -41,6 +41,8 @@
 	// BufferMB bounds, in MiB, the request bodies and responses that an entry holds for
 	// all its callers together.
 	BufferMB float64 `json:"buffer_mb,omitempty"`
+	// Overload, if set, enables the decisions under overload.
+	Overload *Overload `json:"overload,omitempty"`
 	// DataCentres maps each data centre to its region.
 	DataCentres map[string]string `json:"data_centres,omitempty"`
 }
@@ -99,6 +101,26 @@
 	DefaultTimeFactor   = 2.5
 )
 
+// Overload configures the decisions under overload: times to return that refused callers can
+// rely on, fair sharing between the workspaces of a rank, and late service.
+type Overload struct {
+	// AbandonFactor is after how many times its latency target a caller gives up a stream of
+	// which it has no event, and AbandonMinMS the shortest time for that. Other requests are
+	// awaited until their deadline.
+	AbandonFactor float64 `json:"abandon_factor,omitempty"`
+	AbandonMinMS  float64 `json:"abandon_min_ms,omitempty"`
+	// MaxCommitments bounds the refused requests that the broker remembers.
+	MaxCommitments int `json:"max_commitments,omitempty"`
+	// ReturnShare is the part of the capacity of a rank that is kept for refused requests that
+	// return when they were told to.
+	ReturnShare float64 `json:"return_share,omitempty"`
+}
+
+// AbandonTime returns after how long a caller gives up a stream of which it has no event.
+func (o Overload) AbandonTime(latencyTarget time.Duration) time.Duration {
+	return max(Milliseconds(o.AbandonMinMS), time.Duration(o.AbandonFactor*float64(latencyTarget)))
+}
+
 // Defaults for Routing, in milliseconds except for DefaultRetryRatio. A time of zero
 // is replaced by its default as well.
 const (
@@ -107,6 +129,11 @@
 	DefaultAnswerTTLMS = 2000.0
 	DefaultRetryRatio  = 0.1
 	DefaultRetryMS     = 10_000.0
+	// DefaultAbandonFactor, DefaultMaxCommitments and DefaultReturnShare have no unit.
+	DefaultAbandonFactor  = 4.0
+	DefaultAbandonMinMS   = 2000.0
+	DefaultMaxCommitments = 10_000
+	DefaultReturnShare    = 0.1
 )
 
 // DefaultBufferMB is the default of Routing.BufferMB.
@@ -131,6 +158,14 @@
 		r.Pace.InitialSlots = max(r.Pace.InitialSlots, DefaultInitialSlots)
 		r.Pace.TimeFactor = orDefault(r.Pace.TimeFactor, DefaultTimeFactor)
 	}
+	if o := r.Overload; o != nil {
+		o.AbandonFactor = orDefault(o.AbandonFactor, DefaultAbandonFactor)
+		o.ReturnShare = orDefault(o.ReturnShare, DefaultReturnShare)
+		o.AbandonMinMS = orDefault(o.AbandonMinMS, DefaultAbandonMinMS)
+		if o.MaxCommitments == 0 {
+			o.MaxCommitments = DefaultMaxCommitments
+		}
+	}
 }
 
 func orDefault(v, def float64) float64 {
