forward: a late copy without a name or a part of one answers no other request

A late copy of a rejection without an id let a request that may run once run twice. Cause: an answer without an id was taken for the one awaited, also from an upstream that names requests; a status line within a header was not noticed. Change: on a connection that has carried another request, an answer without an id is refused if an earlier one bore one, and so is a header with a second status line. The request's outcome is then unknown (502), or it is sent again if it may be. Upstreams that never name requests are as before. A tunnel keeps the bytes that its check for late ones found; its users closed it in any case.

--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -344,3 +344,18 @@
 	require.NoError(t, c.Close())
 	require.NoError(t, <-drained)
 }
+
+// TestLateBytesMakeTunnelUnclean guards against a request on a tunnel that a late copy of an
+// earlier answer, or a part of one, has reached: it would be taken for the next answer.
+func TestLateBytesMakeTunnelUnclean(t *testing.T) {
+	n := newTestNet(t, 2, 1)
+	n.entries[0].path.Set(netfault.Reset)
+	c, err := n.dial(0, 0)
+	require.NoError(t, err)
+	defer c.Close()
+	require.True(t, c.(*tunnelConn).IsClean())
+	_, err = c.Write([]byte("late"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !c.(*tunnelConn).IsClean() }, testTimeout, time.Millisecond)
+	require.False(t, c.(*tunnelConn).IsClean(), "bytes that were found are not forgotten")
+}
--- a/internal/egress/tunnel.go
+++ b/internal/egress/tunnel.go
@@ -261,7 +261,7 @@
 		return false
 	}
 	select {
-	case <-c.frames:
+	case c.rest = <-c.frames:
 		return false
 	default:
 		return true
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -285,6 +285,9 @@
 			continue
 		}
 		meta := a.s.dialect.ParseResponse(resp.StatusCode, resp.Header)
+		if a.isReused && isOfUnknownRequest(a.conn, resp, meta) {
+			return errStrayResponse
+		}
 		a.recordNotices(meta)
 		if meta.RequestID == "" || meta.RequestID == a.meta.RequestID {
 			a.resp, a.respMeta = resp, meta
@@ -409,6 +412,7 @@
 		_ = a.conn.Close()
 		return
 	}
+	a.conn.namesRequests = a.conn.namesRequests || a.respMeta.RequestID != ""
 	a.s.conns.put(a.ticket.Address, a.conn, a.resp.Header)
 }
 
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -53,6 +53,8 @@
 	idleSince        time.Duration
 	keepAliveTimeout time.Duration
 	reused           bool
+	// namesRequests is set once a response has named the request that it answers.
+	namesRequests bool
 }
 
 // isClean reports whether an idle connection is open and has no unread bytes,
