accept, forward, entry: a planned stop cuts off no request that has begun to arrive

Cause: closing a listener resets the connections in the kernel's queue; net/http counts a connection with half a header as idle or new and closes it. Change: package accept. The queue is emptied before the listener ends, with new connections held off by a backlog of zero; a connection is closed as idle only if no byte has arrived since its last request, and a new one after half a second without a byte. Entries of declared workspaces send Connection: close once they stop. Ruled out (trials): a socket filter or a least TTL on the listener, which would also cover handshakes in progress, are not supported by the kernel here. A connection that is being set up at that moment is still reset. Tests: new ones of drains and stops; the test entry of forward listens through accept.

--- /dev/null
+++ b/internal/accept/accept.go
@@ -0,0 +1,229 @@
+// Package accept listens for callers so that a planned stop cuts off no request that has begun
+// to arrive. The entries use it below their HTTP servers.
+//
+// Guarantees: a connection that waits in the kernel's queue at StopAccepting is accepted, and
+// CloseIdle closes no connection on which a part of a request has arrived. A connection that is
+// being set up at that moment is reset, and a request that arrives while its idle connection is
+// being closed is lost, as always in HTTP/1.1.
+package accept
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/verbenastep/verbenastep/internal/wait"
+)
+
+const (
+	// idlePollInterval is the interval at which WaitIdle looks at the connections.
+	idlePollInterval = 5 * time.Millisecond
+	// newConnTime is how long a new connection may carry no byte of a request before it
+	// counts as idle.
+	newConnTime = 500 * time.Millisecond
+	// handOverTimeout bounds the wait for the server to take a connection.
+	handOverTimeout = time.Second
+)
+
+// Listener is a TCP listener that knows its connections. It is safe for concurrent use.
+type Listener struct {
+	*net.TCPListener
+	keepAlive net.KeepAliveConfig
+	// isStopping is set once StopAccepting is called; last delivers the connections that it
+	// has accepted.
+	isStopping atomic.Bool
+	last       chan net.Conn
+	mu         sync.Mutex
+	conns      map[*conn]struct{}
+}
+
+// New returns a listener on top of another one, which must be a *net.TCPListener with the
+// given configuration of keep-alive.
+func New(ln net.Listener, keepAlive net.KeepAliveConfig) *Listener {
+	return &Listener{TCPListener: ln.(*net.TCPListener), keepAlive: keepAlive, last: make(chan net.Conn), conns: map[*conn]struct{}{}}
+}
+
+// conn is a caller's connection.
+type conn struct {
+	*net.TCPConn
+	listener   *Listener
+	acceptedAt time.Time
+	// hasInput is set once a byte has arrived since the last request ended, wasUsed once a
+	// request has ended.
+	hasInput atomic.Bool
+	wasUsed  atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	raw, err := l.AcceptTCP()
+	if err == nil {
+		return l.add(raw), nil
+	}
+	if l.isStopping.Load() {
+		if c, open := <-l.last; open {
+			return c, nil
+		}
+	}
+	return nil, err
+}
+
+func (l *Listener) add(raw *net.TCPConn) net.Conn {
+	c := &conn{TCPConn: raw, listener: l, acceptedAt: time.Now()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return c
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.hasInput.Load() {
+		c.hasInput.Store(true)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// OnStateChange must be called from the ConnState callback of the HTTP server.
+func OnStateChange(raw net.Conn, s http.ConnState) {
+	if c, ok := raw.(*conn); ok && s == http.StateIdle {
+		c.wasUsed.Store(true)
+		c.hasInput.Store(false)
+	}
+}
+
+// StopAccepting accepts what waits in the kernel's queue and closes the listener. The HTTP server
+// gets the last connections from Accept, which fails afterwards. Further calls do nothing.
+func (l *Listener) StopAccepting() {
+	if l.isStopping.Swap(true) {
+		return
+	}
+	_ = l.SetDeadline(time.Unix(1, 0))
+	defer close(l.last)
+	fds := []int{}
+	controlSocket(l, func(fd int) bool {
+		fds = acceptRest(fd)
+		return true
+	})
+	_ = l.TCPListener.Close()
+	for _, fd := range fds {
+		c, err := l.connOf(fd)
+		if err != nil {
+			continue
+		}
+		select {
+		case l.last <- c:
+		case <-time.After(handOverTimeout):
+			_ = c.Close() // the server has ended
+		}
+	}
+}
+
+// Close implements net.Listener. It does nothing once StopAccepting is called, which closes the
+// listener.
+func (l *Listener) Close() error {
+	if l.isStopping.Load() {
+		return nil
+	}
+	return l.TCPListener.Close()
+}
+
+// acceptRest takes the connections that wait on a listening socket and makes it refuse others.
+// Closing resets what waits, so nothing may come between the last look and the end.
+func acceptRest(fd int) []int {
+	// The kernel ignores requests for new connections while more than none waits.
+	_ = unix.Listen(fd, 0)
+	fds := []int{}
+	for {
+		c, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch err {
+		case nil:
+			fds = append(fds, c)
+		case unix.EINTR, unix.ECONNABORTED:
+		default:
+			_ = unix.Shutdown(fd, unix.SHUT_RDWR)
+			return fds
+		}
+	}
+}
+
+// connOf returns the connection of a socket.
+func (l *Listener) connOf(fd int) (net.Conn, error) {
+	file := os.NewFile(uintptr(fd), "caller")
+	defer file.Close()
+	raw, err := net.FileConn(file)
+	if err != nil {
+		return nil, err
+	}
+	tcp := raw.(*net.TCPConn)
+	_ = tcp.SetNoDelay(true)
+	_ = tcp.SetKeepAliveConfig(l.keepAlive)
+	return l.add(tcp), nil
+}
+
+// controlSocket runs a function on a socket and returns its result.
+func controlSocket(socket syscall.Conn, fn func(fd int) bool) bool {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	result := false
+	controlErr := raw.Control(func(fd uintptr) { result = fn(int(fd)) })
+	return controlErr == nil && result
+}
+
+// CloseIdle closes the connections that carry no request and returns how many are left.
+func (l *Listener) CloseIdle() int {
+	l.mu.Lock()
+	idle, busy := []*conn{}, 0
+	for c := range l.conns {
+		if c.isIdle() {
+			idle = append(idle, c)
+		} else {
+			busy++
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+	return busy
+}
+
+// WaitIdle closes connections as they become idle, until none is left or ctx ends.
+func (l *Listener) WaitIdle(ctx context.Context) {
+	for l.CloseIdle() > 0 && ctx.Err() == nil {
+		wait.Sleep(ctx, idlePollInterval)
+	}
+}
+
+// isIdle reports whether no part of a request has arrived since the last one ended.
+func (c *conn) isIdle() bool {
+	if c.hasInput.Load() || !c.wasUsed.Load() && time.Since(c.acceptedAt) < newConnTime {
+		return false
+	}
+	return !controlSocket(c, hasUnread)
+}
+
+// hasUnread reports whether a socket has bytes that were not read.
+func hasUnread(fd int) bool {
+	buf := [1]byte{}
+	n, _, err := syscall.Recvfrom(fd, buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -20,6 +21,7 @@
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/internal/accept"
 	"github.com/verbenastep/verbenastep/internal/answer"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
@@ -53,12 +55,14 @@
 	bodyMemory  *memoryPool
 	notRun      *notRunAttempts
 	server      *http.Server
-	ln          net.Listener
+	ln          *accept.Listener
 	ctx         context.Context
 	cancel      context.CancelFunc
 	// inFlight counts requests from acceptance to the end of their answer, and
 	// the claims that are still being resolved.
 	inFlight wait.Group
+	// isStopping is set once Stop is called.
+	isStopping atomic.Bool
 }
 
 // New returns a service that is not started yet.
@@ -93,16 +97,19 @@
 	if err != nil {
 		return err
 	}
-	s.ln = ln
+	s.ln = accept.New(ln, net.KeepAliveConfig{Enable: true})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.server = &http.Server{
 		Handler:           s.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.set.Limits.HeaderBytes,
-		ConnState:         s.conns.onStateChange,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			accept.OnStateChange(c, state)
+			s.conns.onStateChange(c, state)
+		},
 	}
-	go func() { _ = s.server.Serve(ln) }()
+	go func() { _ = s.server.Serve(s.ln) }()
 	go s.expireAnswers()
 	return nil
 }
@@ -147,7 +154,7 @@
 func (s *Service) routes() http.Handler {
 	e := echo.New()
 	e.HTTPErrorHandler = s.writeError
-	e.Use(resetWriteDeadline)
+	e.Use(resetWriteDeadline, s.closeConnectionAtStop)
 	e.POST("/v1/chat/completions", s.chatCompletions)
 	e.POST("/v1/completions", s.completions)
 	e.GET("/v1/models", s.listModels)
@@ -167,6 +174,16 @@
 	}
 }
 
+// closeConnectionAtStop makes callers of a stopping entry connect elsewhere.
+func (s *Service) closeConnectionAtStop(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if s.isStopping.Load() {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return next(c)
+	}
+}
+
 // writeError writes an error in the documented JSON form, unless the response
 // has already begun.
 func (s *Service) writeError(err error, c echo.Context) {
@@ -237,10 +254,13 @@
 	return data, err == nil
 }
 
-// Stop refuses new requests and waits for those in flight. If the context ends
-// first, it closes the callers' connections without a response, as a crash
+// Stop closes the listener and waits for the requests in flight and those that have begun
+// to arrive. If the context ends first, it closes the callers' connections without a response, as a crash
 // would, because another entry may still complete their requests.
 func (s *Service) Stop(ctx context.Context) error {
+	s.isStopping.Store(true)
+	s.ln.StopAccepting()
+	s.ln.WaitIdle(ctx)
 	err := s.server.Shutdown(ctx)
 	select {
 	case <-s.inFlight.Idle():
--- /dev/null
+++ b/internal/entry/stop_test.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const modelsRequest = "GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n\r\n"
+
+// readStatus reads a response and returns its status; zero if it did not come whole.
+func readStatus(r *bufio.Reader) int {
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// stop stops the entry as planned.
+func (e *testEntry) stop(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.NoError(t, e.Stop(ctx))
+}
+
+// TestStopAnswersWhatWasAccepted guards against requests that are cut off without an answer
+// since they were accepted just before the listener closed (report 2).
+func TestStopAnswersWhatWasAccepted(t *testing.T) {
+	e := newCluster(t).startEntry(t, "entry-1")
+	answered, cutOff := atomic.Int64{}, atomic.Int64{}
+	callers := sync.WaitGroup{}
+	for range 12 {
+		callers.Go(func() {
+			for {
+				c, err := net.DialTimeout("tcp", e.Address(), 500*time.Millisecond)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, modelsRequest)
+				if readStatus(bufio.NewReader(c)) == http.StatusOK {
+					answered.Add(1)
+				} else {
+					cutOff.Add(1)
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	e.stop(t)
+	callers.Wait()
+	require.Zero(t, cutOff.Load(), "of %d requests", cutOff.Load()+answered.Load())
+	require.Positive(t, answered.Load())
+}
+
+// TestStopAnswersHalfReadRequests guards against requests that are cut off since their header has
+// arrived in part when the entry stops: on a new connection and on an open one.
+func TestStopAnswersHalfReadRequests(t *testing.T) {
+	for name, isOpen := range map[string]bool{"new connection": false, "open connection": true} {
+		t.Run(name, func(t *testing.T) {
+			e := newCluster(t).startEntry(t, "entry-1")
+			c, err := net.Dial("tcp", e.Address())
+			require.NoError(t, err)
+			defer c.Close()
+			in := bufio.NewReader(c)
+			if isOpen {
+				_, _ = io.WriteString(c, modelsRequest)
+				require.Equal(t, http.StatusOK, readStatus(in))
+			}
+			_, err = io.WriteString(c, modelsRequest[:20])
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				e.stop(t)
+			}()
+			time.Sleep(200 * time.Millisecond)
+			_, err = io.WriteString(c, modelsRequest[20:])
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, readStatus(in))
+			<-ended
+		})
+	}
+}
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -26,7 +26,8 @@
 
 // Drain announces that the entry leaves the directory and serves callers that
 // still use an older directory answer. It then closes the listener and waits for
-// the requests in flight, which it aborts before the end of the grace period.
+// the requests in flight and those that have begun to arrive, which it aborts before
+// the end of the grace period.
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	s.drainAnnouncer.AnnounceDrain()
@@ -36,15 +37,18 @@
 	acceptTime := min(directoryTTLs*ttl+announceDelay, grace*acceptTenths/tenths)
 	s.log.Info("left the directory; serving callers that hold an older answer", zap.Duration("for", acceptTime), zap.Duration("grace", grace))
 	wait.Sleep(ctx, acceptTime)
-	s.server.SetKeepAlivesEnabled(false)
-	_ = s.listener.Close()
+	inTime, cancel := context.WithDeadline(ctx, began.Add(grace*drainTenths/tenths))
+	defer cancel()
+	s.listener.StopAccepting()
+	s.listener.WaitIdle(inTime)
 	select {
 	case <-s.inFlight.Idle():
 		s.log.Info("all requests ended", zap.Duration("after", time.Since(began)))
-	case <-time.After(time.Until(began.Add(grace * drainTenths / tenths))):
-		s.log.Warn("grace period ends; aborting requests in flight", zap.Duration("after", time.Since(began)))
-		_ = s.server.Close()
-	case <-ctx.Done():
+	case <-inTime.Done():
+		if ctx.Err() == nil {
+			s.log.Warn("grace period ends; aborting requests in flight", zap.Duration("after", time.Since(began)))
+			_ = s.server.Close()
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/forward/drain_test.go
@@ -0,0 +1,166 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/accept"
+	"github.com/verbenastep/verbenastep/internal/port"
+)
+
+type silentAnnouncer struct{}
+
+func (silentAnnouncer) AnnounceDrain() {}
+
+// endlessBroker grants one upstream to every request.
+type endlessBroker struct {
+	testBrokerClient
+	address string
+}
+
+func (c *endlessBroker) Acquire(_ context.Context, o port.BrokerOffer) (port.BrokerTicket, error) {
+	return port.BrokerTicket{Grant: broker.Grant{ID: o.ID, Upstream: "u", Address: c.address}, End: func(broker.End) {}}, nil
+}
+
+// newStoppingEntry returns an entry and a function that stops it as planned, within a grace
+// time of a second.
+func newStoppingEntry(t *testing.T) (r *testEntry, stop func()) {
+	t.Helper()
+	u := newUpstream(t, respondWith(http.StatusOK, "", "a"))
+	r = newTestEntry(t, u)
+	r.service.brokerClient = &endlessBroker{address: u.ln.Addr().String()}
+	r.service.drainAnnouncer, r.service.server, r.service.listener = silentAnnouncer{}, r.server.Config, r.server.Listener.(*accept.Listener)
+	return r, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		require.NoError(t, r.service.Drain(ctx))
+		_ = r.service.Stop(ctx)
+	}
+}
+
+const requestHead = "POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: attempt-1\r\nContent-Length: 4\r\n\r\n"
+
+// ask sends a request and reports whether it was answered, and whether the connection closes.
+func ask(c net.Conn, r *bufio.Reader) (answered, closes bool) {
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(c, requestHead+"body")
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return false, true
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil, resp.Close
+}
+
+// TestStopAnswersWhatWasAccepted guards against requests that are cut off without an answer
+// since they were accepted just before the listener closed (report 2).
+func TestStopAnswersWhatWasAccepted(t *testing.T) {
+	t.Parallel()
+	r, stop := newStoppingEntry(t)
+	answered, cutOff := atomic.Int64{}, atomic.Int64{}
+	callers := sync.WaitGroup{}
+	for range 24 {
+		callers.Go(func() {
+			for {
+				c, err := net.DialTimeout("tcp", r.server.Listener.Addr().String(), 500*time.Millisecond)
+				if err != nil {
+					return
+				}
+				if ok, _ := ask(c, bufio.NewReader(c)); ok {
+					answered.Add(1)
+				} else {
+					cutOff.Add(1)
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	stop()
+	callers.Wait()
+	require.Zero(t, cutOff.Load(), "of %d requests", cutOff.Load()+answered.Load())
+	require.Positive(t, answered.Load())
+}
+
+// TestStopAnswersOnOpenConnections guards against requests that are cut off on connections
+// which are kept open, by callers that honour "Connection: close".
+func TestStopAnswersOnOpenConnections(t *testing.T) {
+	t.Parallel()
+	r, stop := newStoppingEntry(t)
+	cutOff := atomic.Int64{}
+	callers := sync.WaitGroup{}
+	for i := range 24 {
+		callers.Go(func() {
+			c, err := net.Dial("tcp", r.server.Listener.Addr().String())
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			in := bufio.NewReader(c)
+			for closes := false; !closes; time.Sleep(time.Duration(i) * time.Millisecond) {
+				ok := false
+				if ok, closes = ask(c, in); !ok {
+					cutOff.Add(1)
+				}
+			}
+		})
+	}
+	stop()
+	callers.Wait()
+	require.Zero(t, cutOff.Load())
+}
+
+// TestStopAnswersHalfReadRequests guards against requests that are cut off since their header or
+// body has arrived in part when the entry stops: on a new connection and on an open one.
+func TestStopAnswersHalfReadRequests(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct{ sent, rest string }{
+		"header":          {requestHead[:30], requestHead[30:] + "body"},
+		"body":            {requestHead + "bo", "dy"},
+		"first byte only": {"P", requestHead[1:] + "body"},
+	} {
+		for _, isOpen := range []bool{false, true} {
+			t.Run(name+map[bool]string{false: ", new connection", true: ", open connection"}[isOpen], func(t *testing.T) {
+				t.Parallel()
+				r, stop := newStoppingEntry(t)
+				conn, err := net.Dial("tcp", r.server.Listener.Addr().String())
+				require.NoError(t, err)
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				if isOpen {
+					ok, closes := ask(conn, in)
+					require.True(t, ok)
+					require.False(t, closes)
+				}
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					stop()
+				}()
+				time.Sleep(350 * time.Millisecond)
+				_, err = io.WriteString(conn, c.sent)
+				require.NoError(t, err)
+				time.Sleep(200 * time.Millisecond) // the listener closes
+				_, err = io.WriteString(conn, c.rest)
+				require.NoError(t, err)
+				resp, err := http.ReadResponse(in, nil)
+				require.NoError(t, err, "cut off without an answer")
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				body, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.Equal(t, "a", strings.TrimSpace(string(body)))
+				<-ended
+			})
+		}
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -23,6 +23,7 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"github.com/verbenastep/verbenastep/internal/accept"
 	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/logging"
@@ -61,7 +62,7 @@
 	metrics        *metrics
 	conns          *connPool
 	server         *http.Server
-	listener       net.Listener
+	listener       *accept.Listener
 	ctx            context.Context
 	cancel         context.CancelFunc
 	draining       atomic.Bool
@@ -124,9 +125,11 @@
 	s.conns = newConnPool(upstreams, s.metrics.connections.Inc)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	config := net.ListenConfig{KeepAliveConfig: callerKeepAlive()}
-	if s.listener, err = config.Listen(s.ctx, "tcp", s.set.Addresses.Callers); err != nil {
+	listener, err := config.Listen(s.ctx, "tcp", s.set.Addresses.Callers)
+	if err != nil {
 		return err
 	}
+	s.listener = accept.New(listener, callerKeepAlive())
 	s.server = s.newServer()
 	go func() { _ = s.server.Serve(s.listener) }()
 	go s.sweep()
@@ -136,7 +139,8 @@
 // newServer returns the server for callers.
 func (s *Service) newServer() *http.Server {
 	return &http.Server{
-		Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: s.set.Limits.HeaderBytes, ConnContext: withCallerConn,
+		Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: s.set.Limits.HeaderBytes,
+		ConnContext: withCallerConn, ConnState: accept.OnStateChange,
 	}
 }
 
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -21,6 +21,7 @@
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/internal/accept"
 	"github.com/verbenastep/verbenastep/internal/egress"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -249,7 +250,7 @@
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	t.Cleanup(s.cancel)
 	r := &testEntry{t: t, service: s, brokerClient: client, server: httptest.NewUnstartedServer(nil)}
-	r.server.Config = s.newServer()
+	r.server.Listener, r.server.Config = accept.New(r.server.Listener, callerKeepAlive()), s.newServer()
 	r.server.Start()
 	t.Cleanup(r.server.Close)
 	return r
