check -table: review of a route table before it is sent

Cause: a table that the control daemons accept may still hold routes that nothing matches, pools that nothing uses and limits that contradict each other, which showed only in operation. Change: core/routes reviews a table (faults as Check finds them, warnings for the rest) and compares two tables; verbenastep check -table FILE prints both, -against asks a daemon's new read-only GET /operator/v1/table for the table in force.

--- a/api/client/operator.go
+++ b/api/client/operator.go
@@ -48,6 +48,13 @@
 	return out, o.call(ctx, http.MethodPost, operator.PathConfig, a, &out)
 }
 
+// Table returns the route table in force on the daemon. It fails with a fault of kind NotFound if
+// the daemon knows none.
+func (o *Operator) Table(ctx context.Context) (json.RawMessage, error) {
+	out := json.RawMessage{}
+	return out, o.call(ctx, http.MethodGet, operator.PathTable, nil, &out)
+}
+
 // Status returns the daemon's view of the system.
 func (o *Operator) Status(ctx context.Context) (operator.Status, error) {
 	out := operator.Status{}
--- a/api/operator/operator.go
+++ b/api/operator/operator.go
@@ -10,6 +10,8 @@
 	// PathConfig returns a Config by GET; by POST it takes an Apply and returns an
 	// Applied.
 	PathConfig = "/operator/v1/config"
+	// PathTable returns the route table in force on the daemon, in the project's own form.
+	PathTable = "/operator/v1/table"
 	// PathStatus returns a Status.
 	PathStatus = "/operator/v1/status"
 	// PathState returns a State.
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -52,6 +52,7 @@
 	metrics       port.Metrics
 	kernel        *kernel.Kernel
 	view          filesView
+	tables        port.TableView
 	replicatedLog port.Log
 	members       port.Members
 	server        *http.Server
@@ -77,6 +78,9 @@
 	if s.view, err = kernel.Find[filesView](k, port.NameView); err != nil {
 		return err
 	}
+	if s.tables, err = kernel.Find[port.TableView](k, port.NameView); err != nil {
+		return err
+	}
 	if s.replicatedLog, err = kernel.Find[port.Log](k, port.NameLog); err != nil {
 		return err
 	}
@@ -108,6 +112,7 @@
 	e.GET(operator.PathState, s.dump, s.authenticated)
 	e.GET(operator.PathConfig, s.getConfig, s.authenticated)
 	e.POST(operator.PathConfig, s.apply, s.authenticated)
+	e.GET(operator.PathTable, s.getTable, s.authenticated)
 	e.GET(operator.PathStatus, s.status, s.authenticated)
 	e.GET(operator.PathExplain, s.explain, s.authenticated)
 	s.replicaRoutes(e)
@@ -202,6 +207,14 @@
 	return c.JSON(http.StatusOK, operator.Config{Version: snap.Version, Digest: snap.Digest, Files: operator.Files(s.view.Files())})
 }
 
+// getTable answers the route table in force.
+func (s *Service) getTable(c echo.Context) error {
+	if index := s.tables.Routes(); index != nil {
+		return c.JSON(http.StatusOK, index.Table)
+	}
+	return fault.New(fault.NotFound, "publish a route table, or ask a daemon that serves one", "no route table is known here")
+}
+
 // readApply decodes a change from the body; it does not check the files in it.
 func readApply(c echo.Context) (operator.Apply, error) {
 	a := operator.Apply{}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -129,7 +129,7 @@
 
 	code, _ := get(t, set, "/readyz", "")
 	require.Equal(t, http.StatusServiceUnavailable, code, "a daemon without a configuration is not ready")
-	for _, path := range []string{operator.PathConfig, operator.PathState, operator.PathStatus, operator.PathExplain + "?key=k"} {
+	for _, path := range []string{operator.PathConfig, operator.PathState, operator.PathStatus, operator.PathTable, operator.PathExplain + "?key=k"} {
 		for _, key := range []string{"", "wrong", config.HashKey(plantedOperator), plantedUpstream} {
 			code, body := get(t, set, path, key)
 			require.Equal(t, http.StatusUnauthorized, code, path)
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -20,10 +20,23 @@
 }
 
 func checkCommand() *Command {
+	table, against := "", &operatorTarget{}
 	return &Command{
-		Name: "check", Summary: "check a folder of configuration files", Args: "FOLDER", Example: "verbenastep check examples/karoo",
-		Flags: func(*flag.FlagSet) {},
-		Run: func(_ context.Context, std IO, args []string) error {
+		Name: "check", Summary: "check a folder of configuration files, or a route table", Args: "[FOLDER]", Example: "verbenastep check examples/karoo",
+		Flags: func(f *flag.FlagSet) {
+			f.StringVar(&table, "table", "", "`FILE` with a route table to check instead of a folder")
+			f.StringVar(&against.addresses, "against", "", "administrative `ADDRESSES` of daemons, comma-separated, with whose route table the file is compared")
+			f.StringVar(&against.key, "key", "", "operator's `KEY` for -against; better given in "+operatorKeyEnv)
+		},
+		Run: func(ctx context.Context, std IO, args []string) error {
+			switch {
+			case table != "" && len(args) > 0:
+				return &usageError{problem: "name either a folder or -table"}
+			case table == "" && against.addresses != "":
+				return &usageError{problem: "-against needs -table"}
+			case table != "":
+				return checkTable(ctx, std, table, against)
+			}
 			files, err := readValidFolder(args)
 			if err != nil {
 				return err
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -111,6 +111,7 @@
 	onLostReply func()
 	refusal     *fault.Error
 	status      []operator.Status
+	table       json.RawMessage
 }
 
 func (d *fakeDaemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -125,6 +126,8 @@
 		d.apply(w, r)
 	case r.URL.Path == operator.PathConfig:
 		d.write(w, d.config)
+	case r.URL.Path == operator.PathTable && d.table != nil:
+		d.write(w, d.table)
 	case r.URL.Path == operator.PathStatus:
 		d.write(w, d.status[0])
 		if len(d.status) > 1 {
