--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -18,6 +18,7 @@
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
+	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -75,6 +76,8 @@
 	replica leadership
 	metrics *metrics
 	started time.Time
+	// elapsed counts suspensions of the machine; see package clock.
+	elapsed func() time.Duration
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
@@ -115,7 +118,7 @@
 // New returns the service; Start starts it.
 func New(set *settings.Settings, log *zap.Logger) *Service {
 	return &Service{
-		set: set, log: log.Named("broker"), started: time.Now(), wake: make(chan struct{}, 1),
+		set: set, log: log.Named("broker"), started: time.Now(), elapsed: clock.SinceBoot, wake: make(chan struct{}, 1),
 		core: newCore(set), sessions: map[string]*session{}, announced: map[string]*rpc.RosterEntry{},
 		announcedAt: map[string]time.Time{}, sentLevels: map[string]float64{}, listeners: map[*session]struct{}{},
 		relay: relay{wake: make(chan struct{}, 1), estimates: map[string]broker.Estimates{}, shedding: map[poolRank]shedding{}},
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -13,7 +13,6 @@
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
-	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/duplex"
 	"github.com/verbenastep/verbenastep/internal/wait"
 )
@@ -142,7 +141,7 @@
 	batch := time.NewTimer(0)
 	defer batch.Stop()
 	wake := (chan struct{})(nil)
-	heardAt, limit := clock.SinceBoot(), relayConnectTimeout
+	heardAt, limit := s.elapsed(), relayConnectTimeout
 	for {
 		err := error(nil)
 		select {
@@ -159,10 +158,10 @@
 		case r := <-in:
 			// After a pause of this process, the timer may not have fired yet. The leader
 			// may have given up the relay and the grants that waited here.
-			if clock.SinceBoot()-heardAt > limit {
+			if s.elapsed()-heardAt > limit {
 				return errRelayTimeout
 			}
-			heardAt, limit = clock.SinceBoot(), relayTimeout
+			heardAt, limit = s.elapsed(), relayTimeout
 			timeout.Reset(relayTimeout)
 			err = s.handleRelayReply(address, r)
 		case err = <-failed:
--- a/internal/broker/relay_test.go
+++ b/internal/broker/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/freeport"
 	"github.com/verbenastep/verbenastep/internal/link"
 	"github.com/verbenastep/verbenastep/internal/port"
@@ -46,6 +48,8 @@
 	leader port.Leader
 	// outside is the address of a daemon that is not a member of the log.
 	outside string
+	// paused is for how long the daemons were paused, in nanoseconds.
+	paused atomic.Int64
 }
 
 func (e *fakeElection) elect(address string) {
@@ -84,6 +88,7 @@
 		l := link.New(set, zap.NewNop())
 		require.NoError(t, l.Start(context.Background(), nil))
 		s := New(set, zap.NewNop())
+		s.elapsed = func() time.Duration { return clock.SinceBoot() + time.Duration(election.paused.Load()) }
 		s.view, s.roster, s.replica, s.link = fakeView{index, election}, &fakeRoster{list: []port.RosterEntry{upstream("u")}}, electedReplica{election, address}, l
 		s.metrics, err = newMetrics(prometheus.NewRegistry())
 		require.NoError(t, err)
@@ -231,6 +236,18 @@
 	}
 }
 
+// TestFollowerEndsItsRelayAfterPause guards against grants that waited for a follower which was
+// paused: the leader has given up its entries.
+func TestFollowerEndsItsRelayAfterPause(t *testing.T) {
+	_, addresses, election := startControls(t, 2)
+	election.elect(addresses[0])
+	e := connect(t, addresses[1], &rpc.BrokerAsk{Entry: "e", Relayable: true})
+	e.eventually(func() bool { return e.last.Leads }, "the follower relays")
+	election.paused.Store(int64(relayTimeout))
+	e.eventually(func() bool { return e.losses > 0 }, "the entry is told that the relay was lost")
+	e.eventually(func() bool { return e.last.Leads }, "the follower relays again")
+}
+
 // TestEntryOfEarlierVersionIsToldTheLeader checks that a follower does not relay for an entry
 // that would not offer its requests to it.
 func TestEntryOfEarlierVersionIsToldTheLeader(t *testing.T) {
