registry: the lease of an announcement runs on

Cause: a subscriber got the last announcement of an upstream with its whole lease, however old it was, and the end of the lease was measured by a clock that stands still in a suspension. After a hand-over, a dispatcher could take an upstream for live for twice the lease. Change: the lease ends by the clock that counts suspensions, and a new subscriber gets what is left of it. Result: TestLeaseOfAnnouncementRunsOn; with the lease passed on unchanged it fails (2000 ms instead of 1500 ms).

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -15,11 +15,13 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/api/upstream"
 	"github.com/verbenastep/verbenastep/core/config"
+	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -43,9 +45,10 @@
 
 // lastAnnouncement is the last announcement of an upstream.
 type lastAnnouncement struct {
-	state     *rpc.UpstreamState
-	pool      port.PoolRegion
-	expiresAt time.Time
+	state *rpc.UpstreamState
+	pool  port.PoolRegion
+	// expiresAt is when the announcement's lease ends, by the service's elapsed.
+	expiresAt time.Duration
 }
 
 // Service is the "upstream.registry" service. Its methods are safe for concurrent
@@ -58,6 +61,9 @@
 	// members lists the daemons to which upstreams may announce themselves.
 	members port.Members
 
+	// elapsed counts suspensions of the machine; see package clock.
+	elapsed func() time.Duration
+
 	mu sync.Mutex
 	// upstreams holds the announcements by the upstream's name.
 	upstreams   map[string]lastAnnouncement
@@ -68,7 +74,7 @@
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
 	return &Service{
-		set: set, log: log.Named("upstream"), upstreams: map[string]lastAnnouncement{},
+		set: set, log: log.Named("upstream"), elapsed: clock.SinceBoot, upstreams: map[string]lastAnnouncement{},
 		subscribers: map[port.PoolRegion]map[int]func(*rpc.UpstreamState){},
 	}
 }
@@ -167,7 +173,7 @@
 	if s.upstreams[a.Name].state.GetIncarnation() > a.Incarnation {
 		return false
 	}
-	s.upstreams[a.Name] = lastAnnouncement{state: state, pool: at, expiresAt: time.Now().Add(leaseMS * time.Millisecond)}
+	s.upstreams[a.Name] = lastAnnouncement{state: state, pool: at, expiresAt: s.elapsed() + leaseMS*time.Millisecond}
 	for _, fn := range s.subscribers[at] {
 		fn(state)
 	}
@@ -177,9 +183,9 @@
 // prune deletes the announcements whose lease has ended. The caller holds the
 // lock.
 func (s *Service) prune() {
-	now := time.Now()
+	now := s.elapsed()
 	for name, u := range s.upstreams {
-		if u.expiresAt.Before(now) {
+		if u.expiresAt <= now {
 			delete(s.upstreams, name)
 		}
 	}
@@ -203,7 +209,10 @@
 	s.prune()
 	for _, u := range s.upstreams {
 		if u.pool == at {
-			fn(u.state)
+			// The lease runs from the announcement, not from the subscription.
+			state := proto.Clone(u.state).(*rpc.UpstreamState)
+			state.LeaseMs = uint32(max(1, (u.expiresAt - s.elapsed()).Milliseconds()))
+			fn(state)
 		}
 	}
 	return func() {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -87,3 +88,22 @@
 	require.ErrorContains(t, err, http.StatusText(http.StatusConflict))
 	require.Equal(t, []port.PoolRegion{{Pool: "m", Region: "r"}}, s.PoolRegions())
 }
+
+// TestLeaseOfAnnouncementRunsOn guards against a dispatcher that takes an upstream for live because
+// its last announcement is passed on anew: to a later session, or after a suspension.
+func TestLeaseOfAnnouncementRunsOn(t *testing.T) {
+	s := New(&settings.Settings{}, zap.NewNop())
+	now := time.Hour
+	s.elapsed = func() time.Duration { return now }
+	require.True(t, s.accept(announcement(5)))
+	leases := func() []uint32 {
+		out := []uint32{}
+		s.Subscribe(port.PoolRegion{Pool: "m", Region: "r"}, func(u *rpc.UpstreamState) { out = append(out, u.LeaseMs) })()
+		return out
+	}
+	require.Equal(t, []uint32{leaseMS}, leases())
+	now += 500 * time.Millisecond
+	require.Equal(t, []uint32{leaseMS - 500}, leases())
+	now += leaseMS * time.Millisecond
+	require.Empty(t, leases())
+}
