core/broker: weigh fair sharing by quota

Cause: workspaces with different quotas were held to equal shares under overload.

Change: a workspace's weight is its quota over the mean quota of its rank, within [0.25, 4]; 1 without a quota. Weights are computed when the route table changes.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -295,7 +295,10 @@
 }
 
 // SetTable sets the route table.
-func (b *Broker) SetTable(x *routes.Index) { b.table = x }
+func (b *Broker) SetTable(x *routes.Index) {
+	b.table = x
+	b.overload.setTable(x)
+}
 
 // SetName sets the name that distinguishes the broker from others that share the
 // upstreams. Call it before SetUpstreams.
--- a/core/broker/fairshare.go
+++ b/core/broker/fairshare.go
@@ -91,7 +91,8 @@
 		s.sum = 0
 		return
 	}
-	req.shareCost = p.shareCost(req, req.OutputTokens)
+	req.shareWeight = x.overload.weights.of(req.Workspace)
+	req.shareCost = p.shareCost(req, req.OutputTokens) / req.shareWeight
 	w := s.of(now, req.Workspace)
 	s.cost = movingAverage(s.cost, req.shareCost, poolWeight)
 	s.forgetIdle(now)
@@ -147,7 +148,7 @@
 	if x == nil || req.shareCost == 0 || e.Outcome != Completed || p.engine == nil {
 		return
 	}
-	x.settle(req, p.shareCost(req, e.OutputTokens))
+	x.settle(req, p.shareCost(req, e.OutputTokens)/req.shareWeight)
 	req.shareCost = 0
 }
 
--- a/core/broker/overload.go
+++ b/core/broker/overload.go
@@ -36,6 +36,7 @@
 // overload is the state of the decisions under overload that belongs to no pool.
 type overload struct {
 	returnShare float64
+	weights     shareWeights
 	commitments commitments
 	stats       OverloadStats
 }
@@ -61,9 +62,10 @@
 	// returned is true if the broker refused the same request before.
 	returned bool
 	// shareTag is the position in the fair order of the request's rank; shareCost is what its
-	// workspace is charged, in output tokens.
-	shareTag  float64
-	shareCost float64
+	// workspace is charged, in output tokens over the weight of the workspace.
+	shareTag    float64
+	shareCost   float64
+	shareWeight float64
 }
 
 // SetOverload enables the decisions under overload. Call it before the first offer.
@@ -72,6 +74,7 @@
 		x.ReturnShare = DefaultReturnShare
 	}
 	b.overload = &overload{returnShare: x.ReturnShare, commitments: newCommitments(x)}
+	b.overload.setTable(b.table)
 	for _, p := range b.pools {
 		p.overload = newPoolOverload(b.overload)
 	}
--- a/core/broker/overload_test.go
+++ b/core/broker/overload_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/core/routes"
 )
 
 // refusedCaller returns a broker whose single engine is full and has a queue, with the refusal
@@ -217,6 +219,33 @@
 	require.Greater(t, float64(with.byRank[2].onTime), 0.99*float64(without.byRank[2].onTime))
 }
 
+// Guards against workspaces whose quotas differ and that are held to the same share, and against
+// one with a very small quota that starves.
+func TestOverloadShareFollowsQuota(t *testing.T) {
+	first, second := 0, 1
+	w := newShareWeights(routes.NewIndex(&routes.Table{Workspaces: []routes.Workspace{
+		{Name: "large", Rank: &first, TokensPerSecond: 3000},
+		{Name: "small", Rank: &first, TokensPerSecond: 1000},
+		{Name: "tiny", Rank: &first, TokensPerSecond: 1},
+		{Name: "unlimited", Rank: &first},
+		{Name: "other rank", Rank: &second, TokensPerSecond: 9},
+	}}))
+	require.InDelta(t, 3, w.of("large")/w.of("small"), 1e-9)
+	require.InDelta(t, minShareWeight, w.of("tiny"), 0)
+	require.InDelta(t, 1, w.of("unlimited"), 0)
+	require.InDelta(t, 1, w.of("other rank"), 0)
+	s := newOverloadSim(1, true)
+	p := s.broker.pool(simPool)
+	s.broker.overload.weights = w
+	p.overload.ranks[0].shares.activate(0)
+	cost := func(workspace string) float64 {
+		req := &request{Offer: Offer{Workspace: workspace, OutputTokens: 100}}
+		p.overload.charge(0, p, req)
+		return req.shareCost
+	}
+	require.InDelta(t, 3, cost("small")/cost("large"), 1e-9, "the larger quota is charged less for the same request")
+}
+
 // Guards against the loss of the order, of the promise between ranks, when low-rank callers
 // return as they were told to.
 func TestOverloadReturnNeverPassesHigherRank(t *testing.T) {
