core/broker: a refund adds no pool

Cause: the refund of a share looked its pool up by the call that creates it, so a refused offer of an unknown pool added one, also without routing.overload.

Change: the pool is looked up only. TestOverloadRefusalAddsNoPool fails without that.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -503,7 +503,9 @@
 
 // refund returns the tokens of a request that did not run to its workspace's quota.
 func (b *Broker) refund(req *request) {
-	b.pool(req.Pool).overload.refundShare(req)
+	if p := b.pools[req.Pool]; p != nil {
+		p.overload.refundShare(req)
+	}
 	if bucket := b.buckets[req.Workspace]; bucket != nil && req.chargedTokens > 0 {
 		bucket.Refund(float64(req.chargedTokens))
 		req.chargedTokens = 0
--- a/core/broker/overload_test.go
+++ b/core/broker/overload_test.go
@@ -253,3 +253,12 @@
 	high.late, high.shareTag = true, 1e9
 	require.Negative(t, compare(high, low))
 }
+
+// Guards against pools that a refused request of an unknown pool adds, with the setting or without.
+func TestOverloadRefusalAddsNoPool(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		b := newOverloadSim(1, on).broker
+		b.refuse(&request{Offer: Offer{Pool: "unknown"}}, LimitExceeded, 0, "")
+		require.NotContains(t, b.pools, "unknown")
+	}
+}
