forward: read whether a connection was reused before it is released

Cause: the log line of a failed attempt read a field of its connection after the connection was back in the pool, where the next request writes the field. Change: the attempt keeps the value.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -96,6 +96,9 @@
 	// it returns false if the connection is already being closed.
 	conn       *conn
 	detachConn func() bool
+	// reused is set if conn had carried another request. A released connection is no
+	// longer the attempt's to read.
+	reused bool
 	sentAt     time.Time
 	// writeResult receives the result of writing the request, since an upstream
 	// may respond before it has read the whole request.
@@ -168,7 +171,7 @@
 	if err != nil {
 		return err
 	}
-	a.conn = c
+	a.conn, a.reused = c, c.reused
 	a.detachConn = context.AfterFunc(a.ctx, func() { _ = c.Close() })
 	a.sentAt = time.Now()
 	go a.sendRequest(a.encodeRequest())
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -122,12 +122,11 @@
 // logFailure logs an attempt that did not succeed and counts it by its outcome.
 func (x *exchange) logFailure(a *upstreamAttempt, err error) {
 	x.reason = err.Error()
-	reused := a.conn != nil && a.conn.reused
 	silence := time.Duration(0)
 	if !a.heardAt.IsZero() {
 		silence = time.Since(a.heardAt)
 	}
 	x.s.metrics.failedAttempts.WithLabelValues(x.pool, a.end.Outcome.String()).Inc()
 	x.s.log.Info("try failed", x.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("address", a.ticket.Address), zap.Stringer("outcome", a.end.Outcome),
-		zap.Int("runs", x.possibleRuns), zap.Int("rejects", x.notRunAttempts), zap.Bool("reused", reused), zap.Duration("silent", silence), zap.Error(err))...)
+		zap.Int("runs", x.possibleRuns), zap.Int("rejects", x.notRunAttempts), zap.Bool("reused", a.reused), zap.Duration("silent", silence), zap.Error(err))...)
 }
