broker: a request that ends while all requests are reported frees its slot

Cause: an entry lists its running requests for a new leader when it finds it; one that ended before the message was sent was in it twice, as running and as ended. The leader handled the end first, ignored it, and then took the request for running for good: a slot less until the entry connected again, and a rollout that waited for ever in its settle phase (seen once in TestGoodVersionCompletes with the race detector, after a change of leader). Change: the ends of requests that the complete list offers as running are handled after it.

--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -171,7 +171,8 @@
 // apply passes an entry's message to the broker. The caller holds the lock.
 func (s *Service) apply(entry string, ask *rpc.BrokerAsk) {
 	now := s.now()
-	for _, e := range ask.Ends {
+	early, late := splitEnds(ask)
+	for _, e := range early {
 		s.core.End(now, brokerwire.DecodeEnd(entry, e))
 	}
 	for _, id := range ask.Cancels {
@@ -187,6 +188,9 @@
 	s.core.SpendQuotas(now, brokerwire.DecodeQuotaUse(ask.Quotas))
 	if ask.Complete {
 		s.resync(entry, ask.Offers)
+		for _, e := range late {
+			s.core.End(now, brokerwire.DecodeEnd(entry, e))
+		}
 	} else {
 		for _, o := range ask.Offers {
 			s.core.Offer(now, brokerwire.DecodeOffer(now, entry, o))
@@ -196,3 +200,23 @@
 		wait.Notify(s.wake)
 	}
 }
+
+// splitEnds returns the ends in a message that precede its offers, and those of requests that a
+// complete list offers as running: these ended after the list was made.
+func splitEnds(ask *rpc.BrokerAsk) (early, late []*rpc.WorkEnd) {
+	if !ask.Complete || len(ask.Ends) == 0 {
+		return ask.Ends, nil
+	}
+	running := map[uint64]bool{}
+	for _, o := range ask.Offers {
+		running[o.Id] = o.Running != ""
+	}
+	for _, e := range ask.Ends {
+		if running[e.Id] {
+			late = append(late, e)
+		} else {
+			early = append(early, e)
+		}
+	}
+	return early, late
+}
