--- a/core/rollout/analysis.go
+++ b/core/rollout/analysis.go
@@ -9,22 +9,31 @@
 // The analysis compares the answers of the target with those of the old version on the same
 // routes in the same seconds, for failures and for slow answers. It sums, over intervals,
 // the logarithm of the likelihood ratio between two hypotheses: the target is as bad as the
-// old version, or badExcess of its good answers are bad too. The sum restarts at zero, so
+// old version, or a fraction of its good answers are bad too. The sum restarts at zero, so
 // that a version that turns bad later is found as fast.
 const (
-	// badExcess is the fraction of bad answers from which on a version is to be found.
-	badExcess = 0.2
+	// badExcess is the fraction of bad answers from which on a version is to be found soon,
+	// smallExcess one that is found later, and largeExcess one that takes fewer answers.
+	badExcess   = 0.2
+	smallExcess = 0.07
+	largeExcess = 0.45
 	// verdictEvidence is the sum at which the target is judged bad. A good version reaches
 	// it about once in e^15 = 3,000,000 answers; one with badExcess reaches it after about
 	// 15 bad answers, or 45 where 14 in 100 answers of the old version fail.
 	verdictEvidence = 15
-	// suspicionEvidence is the sum from which on the target's part of the traffic does not
-	// grow.
-	suspicionEvidence = 6
+	// suspicionEvidence and slowSuspicion are the sums from which on the target's part of the
+	// traffic does not grow, for failures and for slow answers, which vary more.
+	suspicionEvidence = 5
+	slowSuspicion     = 8
+	// maxCarried is the most evidence that a new leader takes over. Its own must confirm it.
+	maxCarried = 10
 	// minFailures and minSlowness are the least fractions of bad answers that are expected
 	// of the target, so that single faults at a sound old version weigh little.
 	minFailures = 0.03
-	minSlowness = 0.05
+	minSlowness = 0.06
+	// slownessMargin multiplies the expected fraction of slow answers: which answers of an
+	// upstream are slow depends on few earlier ones, so that they are not independent.
+	slownessMargin = 1.35
 	// maxExpected is the fraction of bad answers of the old version from which on nothing
 	// is concluded from those of the target.
 	maxExpected = 0.5
@@ -33,12 +42,25 @@
 	maxInterval = 500 * time.Millisecond
 	// historyDecay is the weight of the past per interval; a rate is that of about 25 s.
 	historyDecay = 0.98
+	// fadeFactor lowers evidence per interval in which nothing is judged, so that what can't
+	// be confirmed is dropped within some ten seconds.
+	fadeFactor = 0.93
 	// minHistory is the number of old answers of a route from which on its target answers
-	// are judged.
-	minHistory = 10
-	// minOldAnswers is the number of old answers around an interval below which nothing is
-	// concluded from it.
-	minOldAnswers = 3
+	// are judged, and priorBad and priorAnswers are added to it, so that few old answers
+	// without a bad one don't make a usual fraction of them look bad at the target.
+	minHistory   = 10
+	priorBad     = 2
+	priorAnswers = 4
+	// disturbedWeight is the weight in the history of an interval in which more old answers
+	// are bad than usual. What is bad for long becomes usual.
+	disturbedWeight = 0.25
+	// minOldAnswers is the number of old answers around an interval, and minOldShare that as
+	// a fraction of the target's, below which nothing is concluded from it.
+	minOldAnswers = 8
+	minOldShare   = 0.12
+	// intervals is how many are kept: a request counts as slow in the interval in which it
+	// began if it took less than 1.5 s, otherwise in the oldest one that is not judged.
+	intervals = 4
 	// maxRoutes bounds the routes that are told apart.
 	maxRoutes = 256
 
@@ -54,10 +76,16 @@
 
 const (
 	failure kind = iota
+	// slowness and relativeSlowness are by the absolute and the relative time.
 	slowness
+	relativeSlowness
 	kinds
 )
 
+// excesses are the fractions of bad answers that are looked for. Times vary too much for a
+// small excess of slow answers.
+var excesses = [kinds][2]float64{failure: {badExcess, smallExcess}, slowness: {badExcess, largeExcess}, relativeSlowness: {badExcess, largeExcess}}
+
 // floor returns the least fraction of bad answers that is expected of the target.
 func (k kind) floor() float64 {
 	if k == failure {
@@ -91,6 +119,9 @@
 
 func (t tally) rate() float64 { return t.bad / math.Max(1, t.answers) }
 
+// cautious returns the rate with a prior that counts where there are few answers.
+func (t tally) cautious() float64 { return (t.bad + priorBad) / (t.answers + priorAnswers) }
+
 // exceeds reports whether the tally has significantly more bad answers than expected.
 func (t tally) exceeds(expected, variance float64) bool {
 	return t.bad-expected > 3*math.Sqrt(variance)+1.5
@@ -99,6 +130,13 @@
 // cell holds the answers of one route in one interval.
 type cell struct{ old, target [kinds]tally }
 
+func (c *cell) side(target bool) *[kinds]tally {
+	if target {
+		return &c.target
+	}
+	return &c.old
+}
+
 // interval holds the answers that arrived within one interval of time.
 type interval map[uint64]*cell
 
@@ -114,7 +152,34 @@
 // routeState is what is known of a route over all intervals.
 type routeState struct {
 	history [kinds]tally
-	sum     [kinds]evidence
+	sums    [kinds]sums
+}
+
+// sums holds the evidence for each of the excesses of a kind.
+type sums [2]evidence
+
+// add adds answers of which a fraction p is expected to be bad.
+func (s *sums) add(k kind, t tally, p float64) {
+	for i, excess := range excesses[k] {
+		s[i].add(likelihoodRatio(t, p, excess), t, p)
+	}
+}
+
+func (s *sums) fade() {
+	for i := range s {
+		s[i].fade()
+	}
+}
+
+// highest returns the highest evidence.
+func (s *sums) highest() *evidence {
+	best := &s[0]
+	for i := range s {
+		if s[i].sum > best.sum {
+			best = &s[i]
+		}
+	}
+	return best
 }
 
 // evidence is a sum of logarithms of likelihood ratios, with the answers since it was zero.
@@ -133,29 +198,44 @@
 	}
 }
 
+// fade lowers evidence to which nothing is added.
+func (e *evidence) fade() { e.sum *= fadeFactor }
+
 // analysis judges the target. It knows nothing of earlier leaders' answers.
 type analysis struct {
 	length time.Duration
 	// current is the number of the interval that is being filled; recent holds it and the
-	// ones before it, the latest last.
+	// ones before it, the latest last. Failures are counted when they become known, times
+	// when the request began: what is left of a burst are its long requests.
 	current int64
 	started bool
-	recent  [3]interval
+	recent  [intervals]interval
 	routes  map[uint64]*routeState
-	all     [kinds]evidence
-	speeds  speeds
-	runs    map[string]*failureRun
+	all     [kinds]sums
+	// judged counts the answers of the target that were compared.
+	judged [kinds]float64
+	speeds speeds
+	runs   map[string]*failureRun
+	// pending holds the judged cells of one interval.
+	pending []judgedCell
 	// verdict is why the target is bad; empty while it is not known to be.
 	verdict string
 }
 
+// judgedCell is the target's part of a cell, with the fraction of bad answers expected of it.
+type judgedCell struct {
+	tally
+	expected float64
+}
+
 // failureRun is the number of failures of an upstream since its last good answer.
 type failureRun struct {
 	failures int
 	counted  time.Duration
 }
 
-func newAnalysis(p Params) *analysis {
+// newAnalysis returns an analysis that continues from the evidence of an earlier leader.
+func newAnalysis(p Params, carried Evidence) *analysis {
 	a := &analysis{length: maxInterval, routes: map[uint64]*routeState{}, runs: map[string]*failureRun{}, speeds: newSpeeds()}
 	if p.RollbackTimeout > 0 {
 		a.length = min(maxInterval, p.RollbackTimeout/8)
@@ -163,6 +243,10 @@
 	for i := range a.recent {
 		a.recent[i] = interval{}
 	}
+	a.all[failure][0].sum = min(maxCarried, carried.Failures)
+	a.all[slowness][0].sum = min(maxCarried, carried.Slowness)
+	a.judged[failure], a.judged[slowness] = carried.Answers, carried.Times
+	a.speeds.knownSlow = carried.Slowness >= slowSuspicion/2
 	return a
 }
 
@@ -185,20 +269,18 @@
 	a.advance(now)
 	route := a.route(x.Route)
 	x.Route = route
-	c := a.recent[len(a.recent)-1].cell(route)
-	side := &c.old
-	if x.Target {
-		side = &c.target
-	}
+	side := a.recent[intervals-1].cell(route).side(x.Target)
 	if !x.Target || a.isCounted(now, x) {
 		side[failure].add(x.Failed)
 	}
 	if x.Failed || x.Time <= 0 {
 		return
 	}
-	if slow, known := a.speeds.learn(now, x); known {
-		side[slowness].add(slow)
-	}
+	judged := a.speeds.learn(now, x)
+	age := a.current - int64((now-x.Time)/a.length)
+	side = a.recent[max(1, intervals-1-age)].cell(route).side(x.Target)
+	side[slowness].addAll(judged[absolute])
+	side[relativeSlowness].addAll(judged[relative])
 }
 
 // isCounted reports whether an answer of the target counts. Of failures in turn at one
@@ -228,48 +310,76 @@
 	if !a.started {
 		a.current, a.started = number, true
 	}
-	if number > a.current+int64(len(a.recent)) {
-		a.current = number - int64(len(a.recent))
+	if number > a.current+intervals {
+		a.current = number - intervals
 	}
 	for a.current < number {
 		a.judge()
 		a.current++
 		copy(a.recent[:], a.recent[1:])
-		a.recent[len(a.recent)-1] = interval{}
+		a.recent[intervals-1] = interval{}
 	}
 }
 
-// judge judges the last interval but one.
+// judge judges an interval for each kind of bad answers, which is complete then.
 func (a *analysis) judge() {
-	around := a.recent[:]
 	for k := range kinds {
-		disturbed := a.disturbance(k, around)
-		total, ratio, expected := tally{}, 0.0, 0.0
-		for route, c := range around[1] {
-			t := c.target[k]
-			p, known := a.expect(k, route, around, disturbed)
-			if !known || t.answers == 0 {
-				continue
-			}
-			l := likelihoodRatio(t, p)
-			state := a.routes[route]
-			state.sum[k].add(l, t, p)
-			a.check(&state.sum[k], k, fmt.Sprintf("on route %x", route))
-			total.addAll(t)
-			ratio += l
-			expected += p * t.answers
+		around := a.recent[:3]
+		if k == failure {
+			around = a.recent[intervals-3:]
+		}
+		if !isComparable(k, around) {
+			continue
 		}
-		if total.answers > 0 {
-			a.all[k].add(ratio, total, expected/total.answers)
-			a.check(&a.all[k], k, "over all routes")
+		disturbed := a.disturbance(k, around)
+		for route, state := range a.routes {
+			a.judgeRoute(k, route, state, around, disturbed)
 		}
+		a.addToAll(k)
 		a.remember(k, around[1], disturbed)
 	}
 	a.checkSpeeds()
 }
 
+// judgeRoute judges the target's answers on a route in the middle one of three intervals.
+func (a *analysis) judgeRoute(k kind, route uint64, state *routeState, around []interval, disturbed float64) {
+	c := around[1][route]
+	p, known := a.expect(k, route, around, disturbed)
+	if c == nil || !known || c.target[k].answers == 0 {
+		state.sums[k].fade()
+		return
+	}
+	state.sums[k].add(k, c.target[k], p)
+	a.check(&state.sums[k], k, fmt.Sprintf("on route %x", route))
+	a.pending = append(a.pending, judgedCell{tally: c.target[k], expected: p})
+}
+
+// addToAll adds the judged cells of an interval to the evidence over all routes. They are
+// added as one, since the order within an interval is not known.
+func (a *analysis) addToAll(k kind) {
+	for i, excess := range excesses[k] {
+		ratio, total, expected := 0.0, tally{}, 0.0
+		for _, c := range a.pending {
+			ratio += likelihoodRatio(c.tally, c.expected, excess)
+			total.addAll(c.tally)
+			expected += c.expected * c.answers
+		}
+		if total.answers == 0 {
+			a.all[k].fade()
+			return
+		}
+		a.all[k][i].add(ratio, total, expected/total.answers)
+		if i == 0 {
+			a.judged[k] += total.answers
+		}
+	}
+	a.pending = a.pending[:0]
+	a.check(&a.all[k], k, "over all routes")
+}
+
 // check sets the verdict if the evidence suffices.
-func (a *analysis) check(e *evidence, k kind, where string) {
+func (a *analysis) check(s *sums, k kind, where string) {
+	e := s.highest()
 	if e.sum >= verdictEvidence && a.verdict == "" {
 		a.verdict = fmt.Sprintf("%.0f of %.0f answers of the target %s %s, %.1f were expected from the old version", e.seen.bad, e.seen.answers, k, where, e.expected)
 	}
@@ -282,22 +392,31 @@
 	}
 }
 
-// suspicion returns the highest evidence against the target.
-func (a *analysis) suspicion() float64 {
-	most := 0.0
+// evidence returns the highest evidence against the target.
+func (a *analysis) evidence() Evidence {
+	most := [kinds]float64{}
 	for k := range kinds {
-		most = math.Max(most, a.all[k].sum)
+		most[k] = a.all[k].highest().sum
 		for _, r := range a.routes {
-			most = math.Max(most, r.sum[k].sum)
+			most[k] = math.Max(most[k], r.sums[k].highest().sum)
 		}
 	}
-	return most
+	return Evidence{
+		Failures: most[failure], Slowness: math.Max(most[slowness], most[relativeSlowness]),
+		Answers: a.judged[failure], Times: a.judged[slowness],
+	}
 }
 
-// likelihoodRatio returns the logarithm of how much likelier the answers are if badExcess of
-// the good ones are bad, where the fraction p is expected to be.
-func likelihoodRatio(t tally, p float64) float64 {
-	bad := p + badExcess*(1-p)
+// isSuspecting reports whether the evidence leans towards a bad version.
+func (a *analysis) isSuspecting() bool {
+	e := a.evidence()
+	return e.Failures >= suspicionEvidence || e.Slowness >= slowSuspicion
+}
+
+// likelihoodRatio returns the logarithm of how much likelier the answers are if an excess
+// of the good ones are bad, where the fraction p is expected to be.
+func likelihoodRatio(t tally, p, excess float64) float64 {
+	bad := p + excess*(1-p)
 	return t.bad*math.Log(bad/p) + (t.answers-t.bad)*math.Log((1-bad)/(1-p))
 }
 
@@ -320,50 +439,65 @@
 	return worst
 }
 
+// isComparable reports whether there are enough old answers for a comparison.
+func isComparable(k kind, around []interval) bool {
+	old, target := 0.0, 0.0
+	for _, i := range around {
+		for _, c := range i {
+			old += c.old[k].answers
+			target += c.target[k].answers
+		}
+	}
+	return old >= math.Max(minOldAnswers, minOldShare*target)
+}
+
 // usual returns the fraction of bad answers of the old version on a route.
 func (a *analysis) usual(k kind, route uint64) float64 {
-	return math.Max(k.floor(), a.routes[route].history[k].rate())
+	return math.Max(k.floor(), a.routes[route].history[k].cautious())
 }
 
 // expect returns the fraction of bad answers that is expected of the target on a route, and
-// false if the old version gives nothing to compare with.
+// false if too little is known of the old version there, or if it is too bad itself.
 func (a *analysis) expect(k kind, route uint64, around []interval, disturbed float64) (float64, bool) {
 	h := a.routes[route].history[k]
-	oldAnswers := 0.0
-	for _, i := range around {
-		for _, c := range i {
-			oldAnswers += c.old[k].answers
-		}
-	}
-	if h.answers < minHistory || oldAnswers < minOldAnswers {
+	if h.answers < minHistory {
 		return 0, false
 	}
-	r := h.rate()
-	p := math.Max(k.floor(), r+math.Sqrt(r*(1-r)/h.answers)/2)
+	r := h.cautious()
+	p := r + math.Sqrt(r*(1-r)/h.answers)/2
+	if k != failure {
+		p *= slownessMargin
+	}
+	p = math.Max(p, k.floor())
+	lately := tally{}
 	for _, i := range around {
 		c := i[route]
 		if c == nil {
 			continue
 		}
+		lately.addAll(c.old[k])
 		if t := c.old[k]; t.exceeds(t.answers*r, t.answers*r*(1-r)) {
 			p = math.Max(p, t.rate())
 		}
 	}
-	p = math.Max(p, disturbed)
+	if disturbed > 0 {
+		p = math.Max(p, math.Max(disturbed, lately.cautious()))
+	}
 	return p, p < maxExpected
 }
 
-// remember adds the old answers of an interval to the routes' histories. A disturbance is
-// not what is usual.
+// remember adds the old answers of an interval to the routes' histories.
 func (a *analysis) remember(k kind, i interval, disturbed float64) {
+	weight := 1.0
+	if disturbed > 0 {
+		weight = disturbedWeight
+	}
 	for _, r := range a.routes {
 		r.history[k].answers *= historyDecay
 		r.history[k].bad *= historyDecay
 	}
 	for route, c := range i {
-		h := &a.routes[route].history[k]
-		if disturbed == 0 || h.answers < minHistory {
-			h.addAll(c.old[k])
-		}
+		h, t := &a.routes[route].history[k], c.old[k]
+		h.addAll(tally{answers: weight * t.answers, bad: weight * t.bad})
 	}
 }
--- a/core/rollout/book.go
+++ b/core/rollout/book.go
@@ -58,6 +58,9 @@
 		return r, Conflict
 	}
 	r.Term = max(r.Term, a.Term)
+	if a.Elapsed >= r.Elapsed && !a.Phase.IsFinal() {
+		r.Evidence = a.Evidence
+	}
 	r.Elapsed = max(r.Elapsed, a.Elapsed)
 	r.Requests = max(r.Requests, a.Requests)
 	r.Reserved = max(r.Reserved, a.Reserved)
--- a/core/rollout/controller.go
+++ b/core/rollout/controller.go
@@ -100,7 +100,7 @@
 	c := &Controller{params: p, record: r, created: now, createdElapsed: r.Elapsed}
 	c.lastCommit = now - p.permission()
 	c.exposure = newExposure(now, p, r)
-	c.analysis = newAnalysis(p)
+	c.analysis = newAnalysis(p, r.Evidence)
 	c.plan.enter(now, r.Phase)
 	if r.Phase == Shift && r.Reserved > c.exposure.bound(1) {
 		// Only a version that was trusted gets more than the bound.
@@ -123,6 +123,11 @@
 	return c.createdElapsed + now - c.created
 }
 
+// progress returns the elapsed fraction of the duration.
+func (c *Controller) progress(now time.Duration) float64 {
+	return float64(c.elapsed(now)) / float64(max(1, c.record.Duration))
+}
+
 // isPermitted reports whether the last committed command still permits grants to the target.
 func (c *Controller) isPermitted(now time.Duration) bool {
 	return now < c.lastCommit+c.params.permission()
@@ -142,7 +147,7 @@
 	case c.record.Phase == RolledBack || c.superseded || c.analysis.verdict != "" || !c.isPermitted(now):
 		return false
 	case c.record.Phase == Trial:
-		return c.exposure.isReserved()
+		return c.exposure.isBursting()
 	case c.plan.isTrusted():
 		return c.plan.mayTry()
 	}
@@ -162,6 +167,10 @@
 	} else if !a.Failed {
 		c.plan.countOldTime(a.Time)
 	}
+	if c.record.Phase == Settle {
+		// The old answers of the settle phase are the long ones of those before.
+		a.Time = 0
+	}
 	c.analysis.learn(now, a)
 }
 
@@ -175,10 +184,10 @@
 	c.exposure.measureRate(now)
 	c.analysis.advance(now)
 	phase, reason := c.nextPhase(now, f)
-	reserved := c.exposure.nextReservation(c.reservationShare(phase), c.plan.isTrusted())
+	reserved := c.exposure.nextReservation(c.reservationShare(now, phase), c.plan.isTrusted())
 	a := Advance{
 		Pool: c.record.Pool, Number: c.record.Number, Phase: phase, Elapsed: c.elapsed(now),
-		Requests: c.exposure.requests, Reserved: reserved, Term: c.term, Reason: reason,
+		Requests: c.exposure.requests, Reserved: reserved, Term: c.term, Evidence: c.analysis.evidence(), Reason: reason,
 	}
 	if phase == Settle || phase.IsFinal() {
 		a.Reserved = max(c.exposure.limit, c.exposure.used)
@@ -193,12 +202,12 @@
 }
 
 // reservationShare returns the fraction of the bound on the target's requests that may be
-// reserved in a phase.
-func (c *Controller) reservationShare(p Phase) float64 {
-	if p == Trial {
-		return trialReservation
+// reserved in a phase. A trial that takes long may use all of it.
+func (c *Controller) reservationShare(now time.Duration, p Phase) float64 {
+	if p != Trial {
+		return 1
 	}
-	return 1
+	return trialReservation + (1-trialReservation)*relaxation(c.progress(now))
 }
 
 // isProposalDue reports whether a command without a new phase is due.
--- a/core/rollout/exposure.go
+++ b/core/rollout/exposure.go
@@ -12,10 +12,12 @@
 	// slackReservation is the part of the slack that is used by design; the rest is for
 	// requests in transit at a change of leader.
 	slackReservation = 0.5
-	// minBlock is the smallest number of requests that are reserved in advance, and
-	// blockTime the time for which a block lasts. An unused block is lost with its leader.
-	minBlock  = 8
+	// blockTime is the time for which a block that is reserved in advance lasts, beyond a
+	// burst. An unused block is lost with its leader.
 	blockTime = 500 * time.Millisecond
+	// burst is the number of reserved requests with which a trial goes on. They are granted
+	// in turn, so that one or two upstreams of the target run under full load.
+	burst = 10
 	// rateInterval is the time over which the rate of requests is measured.
 	rateInterval = 500 * time.Millisecond
 )
@@ -33,6 +35,8 @@
 	// claimed is set once a command of this controller was committed. What was reserved
 	// until then belongs to earlier leaders.
 	claimed bool
+	// bursting is set while the target gets requests of a trial.
+	bursting bool
 	// perSecond is the rate of requests; measuredAt and measuredRequests are from its last
 	// measurement.
 	perSecond        float64
@@ -49,11 +53,18 @@
 
 func (e *exposure) countRequest() { e.requests++ }
 
-func (e *exposure) countTry() { e.used++ }
+func (e *exposure) countTry() {
+	e.used++
+	e.bursting = e.bursting && e.used < e.limit
+}
 
 // isReserved reports whether one more request of the target is within the reservation.
 func (e *exposure) isReserved() bool { return e.claimed && e.used < e.limit }
 
+// isBursting reports whether one more request of a trial is within the reservation, and
+// enough are for a burst.
+func (e *exposure) isBursting() bool { return e.isReserved() && e.bursting }
+
 // bound returns a fraction of the number of requests that a version may get until it is
 // trusted.
 func (e *exposure) bound(fraction float64) uint64 {
@@ -71,7 +82,7 @@
 
 // block returns how many requests are reserved in advance.
 func (e *exposure) block() uint64 {
-	return minBlock + uint64(math.Ceil(e.perSecond*blockTime.Seconds()))
+	return burst + uint64(math.Ceil(e.perSecond*blockTime.Seconds()))
 }
 
 // nextReservation returns the reservation to propose. That of a trusted version is not
@@ -102,6 +113,7 @@
 		e.used = max(e.used, r.Reserved)
 	}
 	e.claimed = true
+	e.bursting = e.bursting || e.used+burst <= max(e.limit, r.Reserved)
 	e.limit = max(e.limit, r.Reserved)
 	e.proposed = max(e.proposed, e.limit)
 }
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -11,7 +11,7 @@
 	// found at the least cost while it is on trial.
 	trialEnd = 0.40
 	// settleStart is when the shift ends at the earliest.
-	settleStart = 0.58
+	settleStart = 0.60
 	// minTrialEnd and minSettleStart hold instead where old requests take long to end.
 	minTrialEnd    = 0.25
 	minSettleStart = 0.42
@@ -19,17 +19,23 @@
 	// does.
 	relaxStart = 0.45
 	relaxEnd   = 0.62
+	// newLeaderTime is how long a new leader takes before it is content with less.
+	newLeaderTime = 0.08
 	// minObservation is how long answers of the target are observed in a trial.
 	minObservation = 0.10
-	// stepTime is how long each step of the shift lasts.
-	stepTime = 0.05
+	// stepTime is how long each step of the shift lasts, and lastStepTime the last one,
+	// whose answers must be judged before the old version gets no more.
+	stepTime     = 0.055
+	lastStepTime = 0.10
 )
 
 const (
-	// trialAnswers is how many answers of the target end a trial, and stepAnswers how many
-	// end the first step of the shift: a version that is bad on a fifth of its answers is
-	// under suspicion by then. minAnswers suffice where few requests come.
-	trialAnswers = 60
+	// trialAnswers and trialTimes are how many answers of the target are compared in a trial,
+	// for failures and for slow answers, and stepAnswers how many come in the first step of
+	// the shift: a version that is bad on a fifth of its answers is under suspicion by then.
+	// minAnswers suffice where few requests come.
+	trialAnswers = 50
+	trialTimes   = 30
 	stepAnswers  = 40
 	minAnswers   = 3
 	// drainFactor and drainMargin give the time that old requests take to end, from the
@@ -145,14 +151,29 @@
 	return max(0, min(1, (progress-relaxStart)/(relaxEnd-relaxStart)))
 }
 
-// hasEvidence reports whether the target gave enough answers.
-func (p *plan) hasEvidence(progress float64, wanted int) bool {
+// isEnough reports whether a number of answers suffices where that many are wanted.
+func (c *Controller) isEnough(now time.Duration, answers float64, wanted int) bool {
+	p := &c.plan
 	if p.requests == 0 {
-		return progress >= relaxEnd
+		return c.progress(now) >= relaxEnd
+	}
+	return answers >= math.Max(minAnswers, float64(wanted)*(1-c.leniency(now)))
+}
+
+// leniency returns how far the demands on evidence are relaxed, from 0 to 1. A new leader
+// knows of no answers yet.
+func (c *Controller) leniency(now time.Duration) float64 {
+	if c.createdElapsed > 0 && now < c.created+c.fraction(newLeaderTime) {
+		return 0
 	}
-	relaxed := relaxation(progress)
-	need := math.Max(minAnswers, float64(wanted)*(1-relaxed))
-	return float64(p.answers) >= need
+	return relaxation(c.progress(now))
+}
+
+// isJudged reports whether enough answers of the target were compared.
+func (c *Controller) isJudged(now time.Duration) bool {
+	judged := c.analysis.judged
+	return c.isEnough(now, judged[failure], trialAnswers) &&
+		(!c.analysis.speeds.isKnown() || judged[slowness] >= trialTimes*(1-c.leniency(now)))
 }
 
 // hasCapacity reports whether the target can carry the load, or what the old version could.
@@ -178,7 +199,7 @@
 func (c *Controller) nextPhase(now time.Duration, f Fleet) (Phase, string) {
 	p := &c.plan
 	p.observe(now, f)
-	progress := float64(c.elapsed(now)) / float64(max(1, c.record.Duration))
+	progress := c.progress(now)
 	if c.analysis.verdict != "" {
 		return RolledBack, c.analysis.verdict
 	}
@@ -203,17 +224,12 @@
 	return c.record.Phase, ""
 }
 
-// isSuspected reports whether the analysis leans towards a bad version. Towards the end of
-// the duration, less suspicion is heeded.
-func (c *Controller) isSuspected(progress float64) bool {
-	return c.analysis.suspicion() >= suspicionEvidence*(1+relaxation(progress)/2)
-}
-
 func (c *Controller) isTrialOver(now time.Duration, progress float64, f Fleet) bool {
 	p := &c.plan
-	observed := p.requests == 0 || p.hasAnswer && now-p.firstAnswer >= c.fraction(minObservation)
-	return progress >= p.trialFraction(c.record.Duration) && observed && p.hasEvidence(progress, trialAnswers) &&
-		!c.isSuspected(progress) && f.TargetSlots > 0 && (progress >= relaxEnd || p.hasCapacityForStep(f))
+	observed := p.requests == 0 || c.record.Evidence.Answers > trialAnswers ||
+		p.hasAnswer && now-p.firstAnswer >= c.fraction(minObservation)
+	return progress >= p.trialFraction(c.record.Duration) && observed && c.isJudged(now) &&
+		!c.analysis.isSuspecting() && f.TargetSlots > 0 && (progress >= relaxEnd || p.hasCapacityForStep(f))
 }
 
 // hasCapacityForStep reports whether the target can carry the first step of the shift.
@@ -231,8 +247,8 @@
 func (c *Controller) advanceShift(now time.Duration, progress float64, f Fleet) {
 	p := &c.plan
 	last := len(stepShares) - 1
-	due := now >= p.since+c.fraction(stepTime) && !c.isSuspected(progress)
-	if due && p.step < last && p.hasEvidence(progress, stepAnswers) {
+	due := now >= p.since+c.fraction(stepTime) && !c.analysis.isSuspecting()
+	if due && p.step < last && c.isEnough(now, float64(p.answers), stepAnswers) {
 		p.begin(now)
 		p.step++
 	}
@@ -242,8 +258,8 @@
 
 func (c *Controller) isShiftOver(now time.Duration, progress float64, f Fleet) bool {
 	p := &c.plan
-	return p.step == len(stepShares)-1 && now >= p.since+c.fraction(stepTime) &&
-		progress >= p.settleFraction(c.record.Duration) && !c.isSuspected(progress) && p.hasCapacity(progress, f)
+	return p.step == len(stepShares)-1 && now >= p.since+c.fraction(lastStepTime) &&
+		progress >= p.settleFraction(c.record.Duration) && !c.analysis.isSuspecting() && p.hasCapacity(progress, f)
 }
 
 // isSettled reports whether all entries know the settle phase and nothing runs on old
--- a/core/rollout/record.go
+++ b/core/rollout/record.go
@@ -69,10 +69,23 @@
 	Reserved uint64 `json:"reserved,omitempty"`
 	// Term is the highest term of a leader that advanced the record; see Controller.SetTerm.
 	Term uint64 `json:"term,omitempty"`
+	// Evidence is what the analysis holds against the target, so that a new leader need not
+	// find it again.
+	Evidence Evidence `json:"evidence,omitzero"`
 	// Reason is why the rollout ended.
 	Reason string `json:"reason,omitempty"`
 }
 
+// Evidence is the logarithm of how much likelier the target's answers are if the version is
+// bad, for failures and for slow answers.
+type Evidence struct {
+	Failures float64 `json:"failures,omitempty"`
+	Slowness float64 `json:"slowness,omitempty"`
+	// Answers and Times are how many answers of the target were compared for that.
+	Answers float64 `json:"answers,omitempty"`
+	Times   float64 `json:"times,omitempty"`
+}
+
 // Running reports whether the rollout is neither completed nor rolled back.
 func (r Record) Running() bool { return r.Number > 0 && !r.Phase.IsFinal() }
 
@@ -101,8 +114,10 @@
 	Reserved uint64        `json:"reserved,omitempty"`
 	// Term is that of the leader whose controller made the command, 0 for a command of an
 	// operator. A command of a lower term than the record's changes nothing.
-	Term   uint64 `json:"term,omitempty"`
-	Reason string `json:"reason,omitempty"`
+	Term uint64 `json:"term,omitempty"`
+	// Evidence replaces that of the record unless the command is older.
+	Evidence Evidence `json:"evidence,omitzero"`
+	Reason   string   `json:"reason,omitempty"`
 }
 
 // Status is the outcome of a command.
--- a/core/rollout/speeds.go
+++ b/core/rollout/speeds.go
@@ -2,47 +2,46 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
 const (
-	// slowFactor is how many times longer than the upstream's good answers a slow one takes.
-	slowFactor = 2.5
-	// goodQuantile is the quantile of an upstream's times that stands for its good answers;
-	// it holds for versions that are slow on less than two thirds.
-	goodQuantile = 0.3
-	// coldAnswers and coldTime are how many first answers of an upstream of the target, and
-	// of which time, are not judged.
+	// An upstream of the target is cold until it gave coldAnswers and coldTime has passed
+	// since its first one; requests that began before are not judged. A cold upstream
+	// answers later requests first, so answers alone can't be counted.
 	coldAnswers = 8
-	coldTime    = 1500 * time.Millisecond
-	// window is how many of an upstream's latest times are kept, minWindow how many of them
-	// tell which answers are slow.
-	window    = 24
-	minWindow = 8
-	// updateInterval is after how many answers the quantile is taken anew.
-	updateInterval = 4
-	// typicalWeight is the least weight of a new answer in the moving average of a route.
+	coldTime    = 500 * time.Millisecond
+	// settledAnswers is after how many answers an upstream's expected times have forgotten
+	// slow first answers: a broker's moving average gives them a tenth of the weight then.
+	settledAnswers = coldAnswers + 10
+	// typicalWeight is the least weight of a new answer in the moving average of a route,
+	// and offsetWeight that in the moving averages of an upstream.
 	typicalWeight = 0.02
-	// offsetWeight is the weight of a new answer in the moving average of an upstream.
-	offsetWeight = 1.0 / 16
+	offsetWeight  = 1.0 / 16
+	// expectationWeight is the weight of a new answer in what is expected of an upstream.
+	expectationWeight = 0.35
+	// maxRelativeVariance is the variance of relative times, as a fraction of that of
+	// absolute ones, up to which they tell more than these.
+	maxRelativeVariance = 0.4
+	// minSpread is the number of old answers from which on their spread is known.
+	minSpread = 30
 
 	// minSlowdown is the least factor between the versions, and slowdownDeviations the
 	// number of standard deviations of it, at which the target as a whole is slow. Single
-	// upstreams differ by a factor of up to 4.4, so two slow ones show nothing.
+	// upstreams differ by a factor of up to 4.4, so few slow ones show nothing.
 	minSlowdown        = 2.0
-	slowdownDeviations = 4
+	slowdownDeviations = 4.5
 	// minDeviation is the least standard deviation, of logarithms, among upstreams.
 	minDeviation = 0.3
 	// minUpstreams is how many upstreams of each version are compared at least, and
 	// minOffsetAnswers how many answers of each.
-	minUpstreams     = 2
-	minOffsetAnswers = 10
+	minUpstreams     = 3
+	minOffsetAnswers = 5
 	// slowIntervals is in how many intervals in turn the target must be slow.
 	slowIntervals = 3
 )
 
-// mean is a moving average of logarithms.
+// mean is a moving average.
 type mean struct {
 	value float64
 	count int
@@ -53,104 +52,164 @@
 	m.value += math.Max(minWeight, 1/float64(m.count)) * (x - m.value)
 }
 
+// measure is a way to compare the times of an upstream's answers, as logarithms.
+type measure int
+
+const (
+	// absolute times suit requests of about the same size.
+	absolute measure = iota
+	// relative times are divided by the expected time, so that the size of the request
+	// drops out, and multiplied by what was lately expected of the upstream. Without the
+	// latter, answers would seem to slow down while the expectation recovers from slow
+	// first answers or from a disturbance.
+	relative
+	measures
+)
+
 // upstreamSpeed is what is known of an upstream's times, as logarithms.
 type upstreamSpeed struct {
 	target  bool
 	first   time.Duration
 	answers int
-	// times are the latest times relative to what is typical of the route.
-	times  []float64
-	sorted []float64
-	next   int
-	// good is the goodQuantile of times; it is updated once per updateInterval answers.
-	good float64
-	// offset is the time relative to the old version on the same routes, apart from what
-	// is expected of the upstream.
-	offset mean
+	// warmAt is when the times by a measure are known to be usual; zero before.
+	warmAt  [measures]time.Duration
+	windows [measures]timeWindow
+	// expectation is the expected time, relative to that of the old version's upstreams.
+	expectation mean
+	// offsets are the times relative to the old version on the same routes.
+	offsets [measures]mean
+}
+
+// isCold reports whether a request that began at the given time may have been slow, or its
+// expected time too long, because the upstream had just started.
+func (u *upstreamSpeed) isCold(now, began time.Duration, m measure) bool {
+	needed := [measures]int{absolute: coldAnswers, relative: settledAnswers}[m]
+	if u.warmAt[m] == 0 && u.answers >= needed && now >= u.first+coldTime {
+		u.warmAt[m] = now
+	}
+	return u.warmAt[m] == 0 || began < u.warmAt[m]
+}
+
+// routeTimes are the typical times of the old version on a route, as logarithms.
+type routeTimes struct {
+	expected mean
+	typical  [measures]mean
 }
 
 // speeds judges which answers are slow, and whether the target is slow as a whole.
 type speeds struct {
 	upstreams map[string]*upstreamSpeed
-	// relative and absolute are the typical times of the old version per route: as a
-	// multiple of the expected time, and in seconds.
-	relative map[uint64]*mean
-	absolute map[uint64]*mean
+	routes    map[uint64]*routeTimes
+	// knownSlow is set if an earlier leader suspected the target of slow answers. The first
+	// answers that this leader sees are then judged too.
+	knownSlow bool
+	// within is the mean square of the old answers' distances from the mean of their
+	// upstream, and distances that from what is typical of the route, for absolute times.
+	within    [measures]mean
+	distances mean
 	// slowFor counts the intervals in turn in which the target was slow.
 	slowFor int
 }
 
 func newSpeeds() speeds {
-	return speeds{upstreams: map[string]*upstreamSpeed{}, relative: map[uint64]*mean{}, absolute: map[uint64]*mean{}}
+	return speeds{upstreams: map[string]*upstreamSpeed{}, routes: map[uint64]*routeTimes{}}
 }
 
-// learn adds an answer and reports whether it is slow, and whether that is known.
-func (s *speeds) learn(now time.Duration, x Answer) (slow, known bool) {
+// isKnown reports whether times of the old version are known.
+func (s *speeds) isKnown() bool { return len(s.routes) > 0 }
+
+func (s *speeds) upstream(now time.Duration, x Answer) *upstreamSpeed {
 	u := s.upstreams[x.Upstream]
 	if u == nil || u.target != x.Target {
 		u = &upstreamSpeed{target: x.Target, first: now}
 		s.upstreams[x.Upstream] = u
 	}
 	u.answers++
-	if x.Target && (u.answers <= coldAnswers || now < u.first+coldTime) {
-		return false, false
-	}
-	absolute := math.Log(x.Time.Seconds())
-	relative := absolute
-	if x.Expected > 0 {
-		relative -= math.Log(x.Expected.Seconds())
+	return u
+}
+
+func (s *speeds) route(x Answer) *routeTimes {
+	r := s.routes[x.Route]
+	if r == nil {
+		r = &routeTimes{}
+		if !x.Target {
+			s.routes[x.Route] = r
+		}
 	}
-	if !x.Target {
-		s.typical(s.relative, x.Route).add(relative, typicalWeight)
-		s.typical(s.absolute, x.Route).add(absolute, typicalWeight)
+	return r
+}
+
+// learn adds an answer and returns the answers that are judged by it, by each measure: the
+// upstream's first ones together, then each one.
+func (s *speeds) learn(now time.Duration, x Answer) [measures]tally {
+	u, r := s.upstream(now, x), s.route(x)
+	times := u.measure(x, r)
+	out := [measures]tally{}
+	for m := range measures {
+		if x.Target && !s.knownSlow && u.isCold(now, now-x.Time, m) {
+			continue
+		}
+		if !x.Target {
+			r.typical[m].add(times[m], typicalWeight)
+		}
+		if r.typical[m].count >= minHistory {
+			out[m] = s.compare(u, m, times[m]-r.typical[m].value)
+		}
 	}
-	usual := s.typical(s.absolute, x.Route)
-	if usual.count < minHistory {
-		return false, false
+	if s.within[relative].value > maxRelativeVariance*s.within[absolute].value {
+		out[relative] = tally{}
 	}
-	u.offset.add(absolute-usual.value, offsetWeight)
-	return u.judge(relative - s.typical(s.relative, x.Route).value)
+	return out
 }
 
-func (s *speeds) typical(times map[uint64]*mean, route uint64) *mean {
-	m := times[route]
-	if m == nil {
-		m = &mean{}
-		times[route] = m
+// measure returns the time of an answer by each measure.
+func (u *upstreamSpeed) measure(x Answer, r *routeTimes) [measures]float64 {
+	t := math.Log(x.Time.Seconds())
+	if x.Expected <= 0 {
+		return [measures]float64{t, t}
 	}
-	return m
+	e := math.Log(x.Expected.Seconds())
+	if !x.Target {
+		r.expected.add(e, typicalWeight)
+	}
+	expectation := e - r.expected.value
+	if u.expectation.count == 0 {
+		u.expectation.add(expectation, 1)
+	}
+	out := [measures]float64{t, t - e + u.expectation.value}
+	u.expectation.add(expectation, expectationWeight)
+	return out
 }
 
-// judge reports whether a time is slow for the upstream, and whether that is known, and
-// adds it.
-func (u *upstreamSpeed) judge(t float64) (slow, known bool) {
-	known = len(u.times) >= minWindow
-	slow = known && t > u.good+math.Log(slowFactor)
-	if len(u.times) < window {
-		u.times = append(u.times, t)
-	} else {
-		u.times[u.next%window] = t
-	}
-	u.next++
-	if len(u.times) <= minWindow || u.next%updateInterval == 0 {
-		u.sorted = append(u.sorted[:0], u.times...)
-		slices.Sort(u.sorted)
-		u.good = u.sorted[int(goodQuantile*float64(len(u.sorted)))]
-	}
-	return slow, known
+// compare adds a time, relative to what is typical of the route, and returns the answers that
+// are judged by it.
+func (s *speeds) compare(u *upstreamSpeed, m measure, t float64) tally {
+	if !u.target && u.offsets[m].count > 0 {
+		s.within[m].add(math.Pow(t-u.offsets[m].value, 2), typicalWeight)
+	}
+	if !u.target && m == absolute {
+		s.distances.add(t*t, typicalWeight)
+	}
+	u.offsets[m].add(t, offsetWeight)
+	if s.within[m].count < minSpread {
+		return tally{}
+	}
+	return u.windows[m].judge(t, math.Sqrt(s.within[m].value))
 }
 
 // judge reports whether the target's upstreams are slower than those of the old version, and
 // by which factor. It is called once per interval.
 func (s *speeds) judge() (factor float64, slower bool) {
-	target, old := []float64{}, []float64{}
+	target, old, answers := []float64{}, []float64{}, 0.0
 	for _, u := range s.upstreams {
+		o := u.offsets[absolute]
 		switch {
-		case u.offset.count < minOffsetAnswers:
+		case o.count < minOffsetAnswers:
 		case u.target:
-			target = append(target, u.offset.value)
+			target = append(target, o.value)
+			answers += math.Min(float64(o.count), 2/offsetWeight)
 		default:
-			old = append(old, u.offset.value)
+			old = append(old, o.value)
 		}
 	}
 	if len(target) < minUpstreams || len(old) < minUpstreams {
@@ -158,7 +217,8 @@
 		return 1, false
 	}
 	difference := average(target) - average(old)
-	spread := math.Max(minDeviation, deviation(old)) * math.Sqrt(1/float64(len(target))+1/float64(len(old)))
+	between := math.Pow(math.Max(minDeviation, deviation(old)), 2) * (1/float64(len(target)) + 1/float64(len(old)))
+	spread := math.Sqrt(between + s.distances.value/answers)
 	if difference < math.Max(math.Log(minSlowdown), slowdownDeviations*spread) {
 		s.slowFor = 0
 		return math.Exp(difference), false
