admin, cli, explain: verbenastep rollout, and the version that ran a request

Cause: operators order, follow and abort rollouts with the project's own command, and need to know which version ran a request and why. Change: /operator/v1/rollout, client calls and verbenastep rollout start, show and abort, with -follow for progress; explain names upstream, version and reason, and lists the decisions on the pool's rollout.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -111,6 +111,7 @@
 	e.GET(operator.PathStatus, s.status, s.authenticated)
 	e.GET(operator.PathExplain, s.explain, s.authenticated)
 	s.replicaRoutes(e)
+	s.rolloutRoutes(e)
 	return e
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -76,7 +76,7 @@
 		checkCommand(), diffCommand(), applyCommand(), getCommand(),
 		statusCommand(), dumpCommand(), explainCommand(),
 		whereCommand(), sendCommand(), standinCommand(),
-		replicasCommand(), backupCommand(), restoreCommand(),
+		rolloutCommand(), replicasCommand(), backupCommand(), restoreCommand(),
 		benchCommand(), logBenchCommand(), capacityCommand(), versionCommand(), completionCommand(),
 	}
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -107,10 +107,12 @@
 // broker or of its upstreams.
 func isRelated(l Line, own []Line) bool {
 	switch l.Message {
-	case "broker lost", "broker found", "route table in force", "daemon started", "settings reloaded":
+	case "broker lost", "broker found", "route table in force", "rollout in force", "daemon started", "settings reloaded":
 		return l.Daemon == own[0].Daemon
 	case "broker changed":
 		return l.text("leads") == "true"
+	case "rollout decided":
+		return l.text("pool") != "" && l.text("pool") == own[0].text("pool")
 	case "upstream changed":
 		return slices.ContainsFunc(own, func(o Line) bool { return o.text("upstream") != "" && o.text("upstream") == l.text("upstream") })
 	}
@@ -143,7 +145,7 @@
 	}
 	switch end.text("outcome") {
 	case "answered":
-		return fmt.Sprintf("answered with %s after %s s", end.text("status"), end.text("took"))
+		return fmt.Sprintf("answered with %s after %s s%s", end.text("status"), end.text("took"), versionCause(own))
 	case "limit_exceeded":
 		return fmt.Sprintf("workspace %s had used up its quota when the request asked for %s tokens", end.text("workspace"), end.text("charge"))
 	case "overloaded":
@@ -163,6 +165,16 @@
 	return strings.TrimSuffix(fmt.Sprintf("%s: %s; %s", end.text("outcome"), end.text("why"), attempt), "; ")
 }
 
+// versionCause names the software version that the last upstream had, and why it was chosen, if
+// a rollout had a part in that.
+func versionCause(own []Line) string {
+	l, ok := last(own, "granted")
+	if !ok || l.text("version_why") == "" {
+		return ""
+	}
+	return fmt.Sprintf(" by upstream %s at software version %s (%s)", l.text("upstream"), l.text("software"), l.text("version_why"))
+}
+
 // unfinished explains a request without a line about its end.
 func unfinished(all, own []Line) string {
 	final := own[len(own)-1]
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -20,6 +20,10 @@
 {"level":"info","ts":"2026-01-01T00:00:04Z","msg":"daemon started","daemon":"front-1"}
 {"level":"info","ts":"2026-01-01T00:00:05Z","logger":"forward","msg":"request refused","daemon":"front-1","request":"r4","status":404,"outcome":"no_route","why":"no route matches","table":7}
 {"level":"info","ts":"2026-01-01T00:00:06Z","logger":"forward","msg":"request ended","daemon":"front-1","request":"r5","outcome":"cut","events":3}
+{"level":"info","ts":"2026-01-01T00:00:06.9Z","logger":"broker","msg":"rollout decided","daemon":"core-1","pool":"p","from":"trial","to":"shift"}
+{"level":"info","ts":"2026-01-01T00:00:06.9Z","logger":"broker","msg":"rollout decided","daemon":"core-1","pool":"q","from":"trial","to":"shift"}
+{"level":"info","ts":"2026-01-01T00:00:07Z","logger":"forward","msg":"granted","daemon":"front-1","request":"r6","pool":"p","upstream":"u3","software":"v2","version_why":"rollout of v2: shift"}
+{"level":"info","ts":"2026-01-01T00:00:07.1Z","logger":"forward","msg":"request ended","daemon":"front-1","request":"r6","outcome":"answered","status":200,"took":0.1}
 `
 
 func TestLastLineStatesTheCause(t *testing.T) {
@@ -55,3 +59,13 @@
 	}
 	require.Equal(t, []string{"broker found", "grantedu1", "upstream changedu1", "try failedu1", "request ended"}, messages)
 }
+
+// TestVersionOfARolloutIsExplained guards against an operator who can't tell which software
+// version ran a request, and why.
+func TestVersionOfARolloutIsExplained(t *testing.T) {
+	lines, err := Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	r, _ := Explain(lines, "r6")
+	require.Equal(t, "answered with 200 after 0.1 s by upstream u3 at software version v2 (rollout of v2: shift)", r.Cause)
+	require.Len(t, r.Lines, 3, "decisions on the rollout of the request's pool are listed")
+}
