--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -116,7 +116,8 @@
 	isPathSound atomic.Bool
 	// read is what was read of a stream.
 	read streamTimes
-	// isReused is set if an earlier request was sent on the connection. isGrantEnded is set
+	// isReused is set if an earlier request was sent on the connection; a released connection is
+	// no longer the attempt's. isGrantEnded is set
 	// if the grant and the connection were given back before the caller had all events.
 	isReused     bool
 	isGrantEnded bool
