broker: slow start delays no request that needs the upstream

Cause: a request that may run on no upstream outside slow start, as its entry has no path to them, waited for a window up to a quarter of its latency target. Change: a request is kept waiting only if an upstream outside slow start passes fits for it; a version check in fits is thereby respected too.

--- a/core/broker/pacedchoice.go
+++ b/core/broker/pacedchoice.go
@@ -17,7 +17,9 @@
 	// held lists the upstreams whose window is full but that have free slots.
 	held []*upstream
 	// steady holds the capacity and the times of the upstreams that are not in slow start.
-	steady *round
+	// steadyUpstreams lists them.
+	steady          *round
+	steadyUpstreams []*upstream
 	// ahead is the time for which the requests that were passed over hold a slot, in seconds.
 	ahead float64
 }
@@ -45,6 +47,7 @@
 		}
 		if slots := p.usableSlots(u, u.capacity(r.now, r.share), r.share); slots > 0 {
 			steady.slots += slots
+			r.paced.steadyUpstreams = append(r.paced.steadyUpstreams, u)
 			steady.addTimes(p, u)
 		}
 	}
@@ -100,6 +103,9 @@
 	if steady.slots == 0 || req.late || req.VersionBound || len(req.Avoid) > 0 {
 		return false
 	}
+	if !slices.ContainsFunc(r.paced.steadyUpstreams, func(u *upstream) bool { return p.fits(r.now, u, req) }) {
+		return false
+	}
 	wait := p.queueWait(r.now, req, r.paced.ahead+p.slotTime(req), steady.slots)
 	end := r.now + wait + p.transits.grant(req) + p.minTimeToFirstEvent(steady, req)
 	return end <= req.arrived+time.Duration(pacedWaitShare*float64(req.LatencyTarget-req.arrived))
--- a/core/broker/window_test.go
+++ b/core/broker/window_test.go
@@ -122,3 +122,28 @@
 	require.Equal(t, 1, w.slots())
 	require.Equal(t, PaceBegun, w.TakePaceChanges()[0].Event)
 }
+
+// TestWindowDelaysNoRequestThatNeedsTheUpstream guards against a request that waits for a window
+// although it can't run on the upstreams that are not in slow start.
+func TestWindowDelaysNoRequestThatNeedsTheUpstream(t *testing.T) {
+	b := New(1)
+	b.SetPace(Pace{InitialSlots: 1, TimeFactor: 2.5})
+	list := []Upstream{{ID: "steady", Pool: "p", Slots: 1, Born: 1}, {ID: "opening", Pool: "p", Slots: 4, Born: 1}}
+	b.SetUpstreams(list)
+	b.Decide(0)
+	list[1].Born = 2
+	b.SetUpstreams(list)
+	offer := func(entry string, n uint64) string {
+		b.Offer(0, Offer{ID: ID{Entry: entry, Number: n}, Pool: "p", LatencyTarget: time.Second, LatestUseful: time.Second, Deadline: time.Second})
+		for _, g := range b.Decide(0).Grants {
+			return g.Upstream
+		}
+		return ""
+	}
+	require.NotEmpty(t, offer("e", 1))
+	require.NotEmpty(t, offer("e", 2))
+	require.Empty(t, offer("e", 3), "the steady upstream can serve it in time")
+	b.Cancel(ID{Entry: "e", Number: 3})
+	b.pools["p"].upstreams["steady"].paths.record(0, "f", PathUnavailable)
+	require.Equal(t, "opening", offer("f", 4))
+}
