broker: the reason of a rollback names the routes

Cause: the analysis knows routes by their hash, which says nothing to an operator. Change: the leader replaces the hashes in the reason by the names of the route table.

--- a/internal/broker/rollouts.go
+++ b/internal/broker/rollouts.go
@@ -255,6 +255,9 @@
 func (s *Service) propose(run *runningRollout, a rollout.Advance) {
 	x := s.rollouts
 	run.proposing = true
+	if table := s.table(); table != nil && a.Reason != "" {
+		a.Reason = brokerwire.NameRoutes(a.Reason, table.Table)
+	}
 	if a.Phase != run.record.Phase {
 		s.log.Info("rollout decided", zap.String("pool", a.Pool), zap.Uint64("number", a.Number), zap.String("from", string(run.record.Phase)), zap.String("to", string(a.Phase)), zap.String("reason", a.Reason))
 	}
@@ -315,13 +318,18 @@
 // isPoolRemoved reports whether the route table in force lacks a pool. It says nothing while the
 // table is older than the one that the log had with the rollouts. The caller holds the lock.
 func (s *Service) isPoolRemoved(pool string, tableVersion uint64) bool {
-	table := (*routes.Index)(nil)
-	if s.view != nil {
-		table = s.view.Routes()
-	}
+	table := s.table()
 	return table != nil && table.Table.Version >= tableVersion && table.Pool(pool) == nil
 }
 
+// table returns the route table in force, or nil.
+func (s *Service) table() *routes.Index {
+	if s.view == nil {
+		return nil
+	}
+	return s.view.Routes()
+}
+
 // listedVersions returns the software versions of a pool's upstreams in the roster. The caller
 // holds the lock.
 func (s *Service) listedVersions(pool string) []string {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -99,7 +99,7 @@
 	// reused is set if conn had carried another request. A released connection is no
 	// longer the attempt's to read.
 	reused bool
-	sentAt     time.Time
+	sentAt time.Time
 	// writeResult receives the result of writing the request, since an upstream
 	// may respond before it has read the whole request.
 	writeResult chan error
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -17,6 +17,7 @@
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/internal/brokerwire"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
@@ -199,7 +200,7 @@
 	o := port.BrokerOffer{LatencyTargetAt: q.latencyTargetAt, DeadlineAt: q.deadline, LatencyGrace: q.route.LatencyTarget()}
 	o.Offer = broker.Offer{
 		Pool: q.pool, Workspace: q.workspace, DataCentre: s.set.DataCentre, Region: s.set.Region, Rank: q.rank,
-		QuotaCharge: q.chargedTokens, Fingerprint: q.fingerprint, Route: hashText(q.route.Name),
+		QuotaCharge: q.chargedTokens, Fingerprint: q.fingerprint, Route: brokerwire.RouteHash(q.route.Name),
 	}
 	o.SharedParts = q.sharedParts()
 	if q.route.Kind == routes.Stream && q.route.Resumable {
