rollout: pools with few requests, and slowdowns of both versions

Cause: where few requests come, no answers could be compared and a rollout never ended; a slowdown of both versions by a factor of 2 was held against the target when the old one had few answers left. Change: few answers are compared with the old ones of about 5 s; without any comparison at the end of the trial's time the failures of both versions decide; the old answers of the same seconds weigh against the history of slow ones. Measured: go test of core/rollout.

--- a/core/rollout/analysis.go
+++ b/core/rollout/analysis.go
@@ -51,6 +51,10 @@
 	minHistory   = 10
 	priorBad     = 2
 	priorAnswers = 4
+	// historyWeight is the weight of the history, in answers, against the old answers of
+	// the same seconds, for slow answers. A slowdown of both versions that is below slowFactor
+	// changes their fraction without showing in few old answers.
+	historyWeight = 30
 	// disturbedWeight is the weight in the history of an interval in which more old answers
 	// are bad than usual. What is bad for long becomes usual.
 	disturbedWeight = 0.25
@@ -58,6 +62,17 @@
 	// a fraction of the target's, below which nothing is concluded from it.
 	minOldAnswers = 8
 	minOldShare   = 0.12
+	// Where few requests come, answers of up to fewAnswers in an interval are compared with
+	// as many old ones as came lately: recentDecay is the weight of the past per interval, so
+	// that these are from about 5 s.
+	fewAnswers  = 5
+	recentDecay = 0.9
+	// fewWanted is how many answers of the target decide without a comparison at the end of
+	// a trial in which too few requests came, and fewExcess the fraction of failures beyond
+	// that of the old version at which the target is bad then. Fewer answers suffice if most
+	// are good.
+	fewWanted = 5
+	fewExcess = 0.6
 	// intervals is how many are kept: a request counts as slow in the interval in which it
 	// began if it took less than 1.5 s, otherwise in the oldest one that is not judged.
 	intervals = 4
@@ -201,7 +216,7 @@
 // fade lowers evidence to which nothing is added.
 func (e *evidence) fade() { e.sum *= fadeFactor }
 
-// analysis judges the target. It knows nothing of earlier leaders' answers.
+// analysis judges the target. Of earlier leaders' answers it knows the evidence only.
 type analysis struct {
 	length time.Duration
 	// current is the number of the interval that is being filled; recent holds it and the
@@ -214,8 +229,12 @@
 	all     [kinds]sums
 	// judged counts the answers of the target that were compared.
 	judged [kinds]float64
-	speeds speeds
-	runs   map[string]*failureRun
+	// recentOld counts the old answers of about 5 s, and failures those of each version since
+	// the analysis began: the old one's, and the target's that count.
+	recentOld [kinds]float64
+	failures  struct{ old, target tally }
+	speeds    speeds
+	runs      map[string]*failureRun
 	// pending holds the judged cells of one interval.
 	pending []judgedCell
 	// verdict is why the target is bad; empty while it is not known to be.
@@ -270,7 +289,11 @@
 	route := a.route(x.Route)
 	x.Route = route
 	side := a.recent[intervals-1].cell(route).side(x.Target)
-	if !x.Target || a.isCounted(now, x) {
+	if !x.Target {
+		a.failures.old.add(x.Failed)
+		side[failure].add(x.Failed)
+	} else if a.isCounted(now, x) {
+		a.failures.target.add(x.Failed)
 		side[failure].add(x.Failed)
 	}
 	if x.Failed || x.Time <= 0 {
@@ -328,7 +351,11 @@
 		if k == failure {
 			around = a.recent[intervals-3:]
 		}
-		if !isComparable(k, around) {
+		a.recentOld[k] *= recentDecay
+		for _, c := range around[1] {
+			a.recentOld[k] += c.old[k].answers
+		}
+		if !a.isComparable(k, around) {
 			continue
 		}
 		disturbed := a.disturbance(k, around)
@@ -440,7 +467,7 @@
 }
 
 // isComparable reports whether there are enough old answers for a comparison.
-func isComparable(k kind, around []interval) bool {
+func (a *analysis) isComparable(k kind, around []interval) bool {
 	old, target := 0.0, 0.0
 	for _, i := range around {
 		for _, c := range i {
@@ -448,9 +475,25 @@
 			target += c.target[k].answers
 		}
 	}
+	if target <= fewAnswers {
+		old = math.Max(old, a.recentOld[k])
+	}
 	return old >= math.Max(minOldAnswers, minOldShare*target)
 }
 
+// judgeFew judges a target of which too few answers could be compared, and reports whether
+// that is possible.
+func (a *analysis) judgeFew() bool {
+	t := a.failures.target
+	if t.answers < fewWanted {
+		return 2*t.bad < t.answers
+	}
+	if t.rate() >= a.failures.old.rate()+fewExcess && a.verdict == "" {
+		a.verdict = fmt.Sprintf("%.0f of %.0f answers of the target failed, with too few requests for a comparison", t.bad, t.answers)
+	}
+	return true
+}
+
 // usual returns the fraction of bad answers of the old version on a route.
 func (a *analysis) usual(k kind, route uint64) float64 {
 	return math.Max(k.floor(), a.routes[route].history[k].cautious())
@@ -465,10 +508,6 @@
 	}
 	r := h.cautious()
 	p := r + math.Sqrt(r*(1-r)/h.answers)/2
-	if k != failure {
-		p *= slownessMargin
-	}
-	p = math.Max(p, k.floor())
 	lately := tally{}
 	for _, i := range around {
 		c := i[route]
@@ -480,6 +519,10 @@
 			p = math.Max(p, t.rate())
 		}
 	}
+	if k != failure {
+		p = slownessMargin * math.Max(p, (historyWeight*r+lately.bad)/(historyWeight+lately.answers))
+	}
+	p = math.Max(p, k.floor())
 	if disturbed > 0 {
 		p = math.Max(p, math.Max(disturbed, lately.cautious()))
 	}
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -172,6 +172,10 @@
 // isJudged reports whether enough answers of the target were compared.
 func (c *Controller) isJudged(now time.Duration) bool {
 	judged := c.analysis.judged
+	isFew := judged[failure] < minAnswers && c.leniency(now) == 1 && 2*c.plan.answers >= c.plan.tries
+	if isFew && c.analysis.judgeFew() {
+		return c.analysis.verdict == ""
+	}
 	return c.isEnough(now, judged[failure], trialAnswers) &&
 		(!c.analysis.speeds.isKnown() || judged[slowness] >= trialTimes*(1-c.leniency(now)))
 }
@@ -248,7 +252,9 @@
 	p := &c.plan
 	last := len(stepShares) - 1
 	due := now >= p.since+c.fraction(stepTime) && !c.analysis.isSuspecting()
-	if due && p.step < last && c.isEnough(now, float64(p.answers), stepAnswers) {
+	// Where few requests come, all of the step's answers are enough.
+	enough := c.isEnough(now, float64(p.answers), stepAnswers) || c.leniency(now) == 1 && p.answers >= p.tries
+	if due && p.step < last && enough {
 		p.begin(now)
 		p.step++
 	}
--- a/core/rollout/sim_test.go
+++ b/core/rollout/sim_test.go
@@ -1,11 +1,9 @@
 package rollout
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -37,6 +35,8 @@
 	utilisation float64
 	callTime    time.Duration
 	sizes       float64
+	// rate, if not zero, is the number of requests a second instead.
+	rate float64
 	// burst multiplies the rate in the middle third.
 	burst float64
 	// late is set if half of the target's upstreams start after half of the duration.
@@ -83,12 +83,6 @@
 	size  float64
 }
 
-type simEvent struct {
-	at     time.Duration
-	number int
-	do     func()
-}
-
 const (
 	simSlots   = 5
 	simEntries = 6
@@ -102,16 +96,15 @@
 // sim plays one rollout.
 type sim struct {
 	scenario
-	rng       *rand.Rand
-	params    Params
-	now       time.Duration
-	events    []simEvent
-	scheduled int
+	rng    *rand.Rand
+	params Params
+	now    time.Duration
+	// events are what happens, by the tick.
+	events    map[time.Duration][]func()
 	book      Book
 	upstreams []*simUpstream
 	queue     []simRequest
 	arrivals  float64
-	rate      float64
 	// leader is the controller in charge, nil while there is none; paused is an earlier one
 	// that goes on until pausedUntil.
 	leader      *Controller
@@ -137,7 +130,7 @@
 }
 
 func newSim(seed uint64, s scenario) *sim {
-	x := &sim{scenario: s, rng: rand.New(rand.NewPCG(seed, 80)), params: Params{Share: 0.1, Slack: 50, RollbackTimeout: 5 * time.Second}}
+	x := &sim{scenario: s, events: map[time.Duration][]func(){}, rng: rand.New(rand.NewPCG(seed, 80)), params: Params{Share: 0.1, Slack: 50, RollbackTimeout: 5 * time.Second}}
 	capacity := 0.0
 	for i := range 2 * s.upstreams {
 		u := &simUpstream{id: fmt.Sprint(i), target: i >= s.upstreams, factor: math.Exp(x.rng.Float64() * math.Log(4.4))}
@@ -149,7 +142,9 @@
 		}
 		x.upstreams = append(x.upstreams, u)
 	}
-	x.rate = s.utilisation * capacity
+	if s.rate == 0 {
+		x.rate = s.utilisation * capacity
+	}
 	r, _ := x.book.Start(Start{Pool: "p", Target: "v2", Duration: s.duration})
 	for i := range x.seen {
 		x.seen[i] = r
@@ -172,8 +167,8 @@
 }
 
 func (x *sim) at(t time.Duration, do func()) {
-	x.scheduled++
-	x.events = append(x.events, simEvent{at: t, number: x.scheduled, do: do})
+	tick := max(x.now+simTick, t.Truncate(simTick))
+	x.events[tick] = append(x.events[tick], do)
 }
 
 func (x *sim) fail(format string, args ...any) {
@@ -464,14 +459,10 @@
 // play runs the rollout for twice its duration at most.
 func (x *sim) play() Record {
 	for x.now < 2*x.duration {
-		slices.SortFunc(x.events, func(a, b simEvent) int {
-			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.number, b.number))
-		})
-		for len(x.events) > 0 && x.events[0].at <= x.now {
-			e := x.events[0]
-			x.events = x.events[1:]
-			e.do()
+		for i := 0; i < len(x.events[x.now]); i++ {
+			x.events[x.now][i]()
 		}
+		delete(x.events, x.now)
 		x.arrive()
 		x.control()
 		if x.leader == nil || x.isStalled() {
--- a/core/rollout/versions_test.go
+++ b/core/rollout/versions_test.go
@@ -94,3 +94,22 @@
 	require.Equal(t, Completed, r.Phase, r.Reason)
 	require.Greater(t, x.requests, 30_000)
 }
+
+// Guards against a rollout that never ends, and a bad version that is trusted, where few
+// requests come.
+func TestFewRequests(t *testing.T) {
+	for _, rate := range []float64{0.001, 0.3, 1, 3, 10, 30} {
+		s := production(version{route: -1})
+		s.rate = rate
+		if rate == 0.3 {
+			// In 12 s, failures of the noisy route alone could come.
+			s.duration = time.Minute
+		}
+		play(t, s, Completed)
+	}
+	for _, rate := range []float64{1, 3, 10, 30} {
+		s := production(version{fraction: 0.9, route: -1})
+		s.rate = rate
+		play(t, s, RolledBack)
+	}
+}
