rollout: design note; the target's requests are concentrated in the shift too

Cause: with the target's requests spread over all upstreams in the shift, too few answers of each came to tell slow ones, and none ran under full load.

--- a/core/rollout/controller.go
+++ b/core/rollout/controller.go
@@ -139,7 +139,9 @@
 	c.plan.countRequest()
 }
 
-// MayTry reports whether the target may get one more request now.
+// MayTry reports whether the target may get one more request now. In trial and shift, send
+// it to the usable upstream of the target that runs the most requests already: these then run
+// under full load, and give enough answers each to tell the slow ones from a slow upstream.
 func (c *Controller) MayTry(now time.Duration) bool {
 	switch {
 	case c.record.Phase == Settle || c.record.Phase == Completed:
--- a/core/rollout/sim_test.go
+++ b/core/rollout/sim_test.go
@@ -234,7 +234,7 @@
 	return x.now >= u.from && x.now >= u.downTill && u.running < simSlots
 }
 
-// pick returns the upstream for a request: the fullest of a target on trial, otherwise a
+// pick returns the upstream for a request: the fullest of a target in trial and shift, otherwise a
 // random one.
 func (x *sim) pick(target, concentrated bool) *simUpstream {
 	var best *simUpstream
@@ -265,7 +265,7 @@
 		gate = c.record.Gate()
 	}
 	if gate.AllowsTarget(central) && (c == nil || c.MayTry(x.now)) {
-		if u := x.pick(true, gate.Phase == Trial); u != nil {
+		if u := x.pick(true, gate.Phase == Trial || gate.Phase == Shift); u != nil {
 			if c != nil {
 				c.CountTry(x.now)
 			}
