--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -71,6 +71,7 @@
 		if c, open := <-l.last; open {
 			return c, nil
 		}
+		return nil, net.ErrClosed
 	}
 	return nil, err
 }
--- a/internal/forward/buffers.go
+++ b/internal/forward/buffers.go
@@ -14,8 +14,9 @@
 	// slowBytesPerSecond is the average rate below which a caller that sends a body, or
 	// reads a response that is complete, counts as slow.
 	slowBytesPerSecond = 256 << 10
-	// roomRetryInterval is the interval at which a request that needs memory asks again.
-	roomRetryInterval = 2 * time.Millisecond
+	// roomRetryInterval is the interval at which a request that needs memory asks again. Hundreds
+	// may wait at a time, and each looks at all that are waited for.
+	roomRetryInterval = 20 * time.Millisecond
 	// minCutOffLogInterval is the least time between two log lines of cut offs.
 	minCutOffLogInterval = 200 * time.Millisecond
 )
--- a/internal/forward/caller.go
+++ b/internal/forward/caller.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,11 +47,9 @@
 	controller *http.ResponseController
 	// writeUntil is the deadline of writes.
 	writeUntil time.Time
-	// isLost is set once the path to the caller is lost.
-	isLost atomic.Bool
 }
 
-// attendCaller sets the deadline for writes to the caller and begins to watch the path there.
+// attendCaller sets the deadline for writes to the caller and begins to watch whether it is there.
 // The returned function ends that. cancel ends the exchange's context.
 func (x *exchange) attendCaller(cancel context.CancelFunc) (stop func()) {
 	x.caller.controller = http.NewResponseController(x.w)
@@ -70,7 +67,11 @@
 	started := make(chan struct{})
 	timer = time.AfterFunc(callerCheckInterval, func() {
 		<-started
-		if x.ctx.Err() == nil && !x.endIfCallerLost(conn) {
+		switch {
+		case x.callerDisconnected():
+			// A write to a caller that closed its side only would wait until the deadline.
+			x.holding.abandon()
+		case x.ctx.Err() == nil && !x.endIfCallerLost(conn):
 			timer.Reset(callerCheckInterval)
 		}
 	})
@@ -83,7 +84,6 @@
 	if !isCallerLost(conn) {
 		return false
 	}
-	x.caller.isLost.Store(true)
 	x.s.log.Info("path to the caller is lost", x.logFields()...)
 	x.holding.abandon()
 	return true
@@ -163,11 +163,9 @@
 // recordWriteFailure sets the outcome of an exchange whose caller took no more bytes.
 func (x *exchange) recordWriteFailure(err error) {
 	x.outcome = outcomeCallerGone
-	if errors.Is(err, os.ErrDeadlineExceeded) && !x.caller.isLost.Load() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !x.callerDisconnected() {
 		x.outcome, x.reason = outcomeSlowCaller, "the caller took no bytes until its deadline"
-		if !x.holding.wasCutOff() {
-			x.s.metrics.cutOffs.WithLabelValues(cutOffByDeadline).Inc()
-		}
+		x.s.metrics.cutOffs.WithLabelValues(cutOffByDeadline).Inc()
 	}
 }
 
