forward: the counter of cut off callers is exported from the start

TestOperationsFilesReferToExistingMetrics of platform failed: docs/OPERATIONS.md names a metric that no daemon exported before the first cut off. Change: both reasons are created with the metrics. Measured: the test passes; the other tests of platform passed in the run that showed the fault.

--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -59,6 +59,9 @@
 			Namespace: "verbenastep", Subsystem: "forward", Name: "slow_callers_cut_off_total", Help: "Slow callers that were disconnected, by reason.",
 		}, []string{"reason"}),
 	}
+	for _, reason := range []string{cutOffByBound, cutOffByDeadline} {
+		m.cutOffs.WithLabelValues(reason) // exported before the first one
+	}
 	for _, c := range []prometheus.Collector{m.requests, m.failedAttempts, m.firstEvent, m.longestPause, m.connections, m.cutOffs} {
 		if err := r.Register(c); err != nil {
 			return nil, err
