--- a/core/rollout/analysis.go
+++ b/core/rollout/analysis.go
@@ -42,8 +42,8 @@
 	maxInterval = 500 * time.Millisecond
 	// historyDecay is the weight of the past per interval; a rate is that of about 25 s.
 	historyDecay = 0.98
-	// fadeFactor lowers evidence per interval in which nothing is judged, so that what can't
-	// be confirmed is dropped within some ten seconds.
+	// fadeFactor lowers the evidence of slow answers per interval in which none is judged, so
+	// that what can't be confirmed is dropped within some ten seconds. Failures can always be.
 	fadeFactor = 0.93
 	// minHistory is the number of old answers of a route from which on its target answers
 	// are judged, and priorBad and priorAnswers are added to it, so that few old answers
@@ -81,9 +81,11 @@
 
 	// maxRunFailures is how many failures in turn at one upstream count at once, and
 	// runInterval the time for one more: a crash ends everything that an upstream runs, and
-	// says as much about the version as one failure.
+	// says as much about the version as one failure. Requests that began runMargin after the
+	// first failure count each; it covers the time of messages.
 	maxRunFailures = 2
 	runInterval    = 400 * time.Millisecond
+	runMargin      = 100 * time.Millisecond
 )
 
 // kind of a bad answer.
@@ -180,9 +182,13 @@
 	}
 }
 
-func (s *sums) fade() {
+// fade lowers evidence to which nothing is added.
+func (s *sums) fade(k kind) {
+	if k == failure {
+		return
+	}
 	for i := range s {
-		s[i].fade()
+		s[i].sum *= fadeFactor
 	}
 }
 
@@ -213,9 +219,6 @@
 	}
 }
 
-// fade lowers evidence to which nothing is added.
-func (e *evidence) fade() { e.sum *= fadeFactor }
-
 // analysis judges the target. Of earlier leaders' answers it knows the evidence only.
 type analysis struct {
 	length time.Duration
@@ -247,9 +250,11 @@
 	expected float64
 }
 
-// failureRun is the number of failures of an upstream since its last good answer.
+// failureRun describes the failures of an upstream since its last good answer: how many there
+// are, and when the first and the last one that counted came.
 type failureRun struct {
 	failures int
+	first    time.Duration
 	counted  time.Duration
 }
 
@@ -319,7 +324,11 @@
 		return true
 	}
 	r.failures++
-	if r.failures > maxRunFailures && now < r.counted+runInterval {
+	if r.failures == 1 {
+		r.first = now
+	}
+	isNew := x.Time > 0 && now-x.Time >= r.first+runMargin
+	if r.failures > maxRunFailures && now < r.counted+runInterval && !isNew {
 		return false
 	}
 	r.counted = now
@@ -373,7 +382,7 @@
 	c := around[1][route]
 	p, known := a.expect(k, route, around, disturbed)
 	if c == nil || !known || c.target[k].answers == 0 {
-		state.sums[k].fade()
+		state.sums[k].fade(k)
 		return
 	}
 	state.sums[k].add(k, c.target[k], p)
@@ -392,7 +401,7 @@
 			expected += c.expected * c.answers
 		}
 		if total.answers == 0 {
-			a.all[k].fade()
+			a.all[k].fade(k)
 			return
 		}
 		a.all[k][i].add(ratio, total, expected/total.answers)
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -43,6 +43,9 @@
 	drainFactor = 1.2
 	drainMargin = 1500 * time.Millisecond
 
+	// minTrial is the time from the order before which the demands are not relaxed, however
+	// short the duration is.
+	minTrial = 3 * time.Second
 	// minSettle is the shortest settle phase, so that grants in transit are known.
 	minSettle = time.Second
 	// settleTimeout is the time after which the settle phase is taken as known to all
@@ -155,7 +158,7 @@
 func (c *Controller) isEnough(now time.Duration, answers float64, wanted int) bool {
 	p := &c.plan
 	if p.requests == 0 {
-		return c.progress(now) >= relaxEnd
+		return c.leniency(now) == 1
 	}
 	return answers >= math.Max(minAnswers, float64(wanted)*(1-c.leniency(now)))
 }
@@ -163,7 +166,7 @@
 // leniency returns how far the demands on evidence are relaxed, from 0 to 1. A new leader
 // knows of no answers yet.
 func (c *Controller) leniency(now time.Duration) float64 {
-	if c.createdElapsed > 0 && now < c.created+c.fraction(newLeaderTime) {
+	if c.createdElapsed > 0 && now < c.created+c.fraction(newLeaderTime) || c.elapsed(now) < minTrial {
 		return 0
 	}
 	return relaxation(c.progress(now))
--- a/core/rollout/sim_test.go
+++ b/core/rollout/sim_test.go
@@ -211,7 +211,7 @@
 		u.epoch++
 		u.downTill = x.now + 1500*time.Millisecond
 		for range u.running {
-			x.learn(Answer{Route: uint64(x.rng.IntN(simRoutes)), Target: target, Upstream: u.id, Failed: true})
+			x.learn(Answer{Route: uint64(x.rng.IntN(simRoutes)), Target: target, Upstream: u.id, Failed: true, Time: x.callTime})
 		}
 		if !target {
 			x.oldRunning -= u.running
--- a/core/rollout/versions_test.go
+++ b/core/rollout/versions_test.go
@@ -33,6 +33,16 @@
 	play(t, production(version{fraction: 1, route: -1}), RolledBack)
 }
 
+// Guards against failures of every answer that are taken for crashes of the few upstreams, and
+// against evidence that is dropped between bursts.
+func TestVersionThatFailsAlwaysIsRolledBackInASmallPool(t *testing.T) {
+	for _, d := range []time.Duration{12 * time.Second, time.Minute} {
+		s := production(version{fraction: 1, route: -1})
+		s.upstreams, s.duration = 8, d
+		play(t, s, RolledBack)
+	}
+}
+
 // Guards against a version that turns bad after the first good answers and is trusted by them.
 func TestVersionBadLaterIsRolledBack(t *testing.T) {
 	play(t, production(version{fraction: 0.3, since: 4 * time.Second, route: -1}), RolledBack)
