rollout: doc comments

Cause: a new leader could count requests that already run. Measured: go build, go vet of core, go test of core/rollout and internal/replica.

--- a/core/rollout/controller.go
+++ b/core/rollout/controller.go
@@ -133,7 +133,8 @@
 	return now < c.lastCommit+c.params.permission()
 }
 
-// CountRequest records that a request reached the pool.
+// CountRequest records that a request reached the pool. Count each request once; one that
+// already runs when a new leader takes over is not counted again.
 func (c *Controller) CountRequest(_ time.Duration) {
 	c.exposure.countRequest()
 	c.plan.countRequest()
