--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -142,3 +142,10 @@
 	require.Nil(t, parsed(&settings.Routing{}))
 	require.Equal(t, settings.Overload{AbandonFactor: 4, AbandonMinMS: 2000, MaxCommitments: 10_000, ReturnShare: 0.1}, *parsed(&settings.Routing{Overload: &settings.Overload{}}))
 }
+
+// TestBufferBoundHasADefault guards against an entry that holds nothing for slow callers since its
+// settings name no bound.
+func TestBufferBoundHasADefault(t *testing.T) {
+	require.EqualValues(t, 32<<20, (&settings.Routing{}).BufferBytes())
+	require.EqualValues(t, 3<<19, (&settings.Routing{BufferMB: 1.5}).BufferBytes())
+}
