--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -123,3 +123,10 @@
 	_, err = settings.Parse("d1.json", bytes.Replace(data, []byte("12345"), []byte("1e3"), 1))
 	require.ErrorContains(t, err, "write integers without fraction or exponent")
 }
+
+// TestBufferBoundHasADefault guards against an entry that holds nothing for slow callers since its
+// settings name no bound.
+func TestBufferBoundHasADefault(t *testing.T) {
+	require.EqualValues(t, 32<<20, (&settings.Routing{}).BufferBytes())
+	require.EqualValues(t, 3<<19, (&settings.Routing{BufferMB: 1.5}).BufferBytes())
+}
