--- a/internal/brokerclient/rollouts.go
+++ b/internal/brokerclient/rollouts.go
@@ -9,7 +9,6 @@
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/rollout"
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
-	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/versiongate"
 	"github.com/verbenastep/verbenastep/internal/wait"
@@ -24,14 +23,12 @@
 type rollouts struct {
 	view  port.RolloutView
 	gates *versiongate.Tracker
-	// elapsed counts suspensions of the machine.
-	elapsed func() time.Duration
 	// heardAt is when the broker of the session last sent a message; zero before its first.
 	heardAt time.Duration
 }
 
 func newRollouts(view port.RolloutView) *rollouts {
-	return &rollouts{view: view, gates: versiongate.New(), elapsed: clock.SinceBoot}
+	return &rollouts{view: view, gates: versiongate.New()}
 }
 
 // runRollouts applies the changes of rollouts as soon as the view has them.
@@ -88,19 +85,11 @@
 	if s.rollouts == nil {
 		return false
 	}
-	now, last := s.rollouts.elapsed(), s.rollouts.heardAt
+	now, last := s.elapsed(), s.rollouts.heardAt
 	s.rollouts.heardAt = now
 	return last != 0 && now-last > trialGrantTTL
 }
 
-// rolloutTime returns the time by which grants expire. The caller holds the lock.
-func (s *Service) rolloutTime() time.Duration {
-	if s.rollouts == nil {
-		return 0
-	}
-	return s.rollouts.elapsed()
-}
-
 // isVoid reports whether a grant of a software version that arrived at a time must not be acted
 // on any more: the version was rolled back meanwhile, or it is on trial and the grant is old. A
 // pool without another version uses the one that it has. The caller holds the lock.
@@ -117,7 +106,7 @@
 	case rollout.RolledBack:
 		return slices.ContainsFunc(s.listedVersions(pool), func(v string) bool { return v != version })
 	case rollout.Trial, rollout.Shift:
-		return s.rollouts.elapsed()-grantedAt > trialGrantTTL
+		return s.elapsed()-grantedAt > trialGrantTTL
 	}
 	return false
 }
--- a/internal/brokerclient/rollouts_test.go
+++ b/internal/brokerclient/rollouts_test.go
@@ -45,7 +45,7 @@
 	v := &rolloutView{record: rollout.Record{Pool: "p", Target: "v2", Number: 1, Phase: rollout.Trial}, now: time.Hour}
 	s.mu.Lock()
 	s.rollouts = newRollouts(v)
-	s.rollouts.elapsed = v.elapsed
+	s.elapsed = v.elapsed
 	s.mu.Unlock()
 	c[0].set(func(c *control) { c.leads, c.leader = true, c.address })
 	require.Eventually(t, s.isAttached, testTimeout, time.Millisecond)
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -545,7 +545,7 @@
 		wait.Notify(s.wakeSession)
 		return
 	}
-	if s.isVoid(a.offer.Pool, g.SoftwareVersion, s.rolloutTime()) {
+	if s.isVoid(a.offer.Pool, g.SoftwareVersion, s.elapsed()) {
 		s.returnVoid(a, g)
 		return
 	}
