broker, brokerclient, directory, view: faults of interim brokers and of the failover found in review

Callers would have waited or been refused beside idle upstreams while no daemon leads: an entry that moved left its slots occupied at the daemon before for 2 s; an interim broker began with the quota of one entry; entries left their only daemon every 2.4 s; an ex-leader forgot what it had learned. A request offered to an interim broker could be granted twice when its daemon began to lead. A replica whose messages can't be applied was asked again without delay. An entry that lost most others named no entries, although it can't tell a partition from a loss.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -231,6 +231,9 @@
 		if leads {
 			// A follower knows what the last leader learned.
 			maps.Copy(learned, s.relay.estimates)
+		} else {
+			// The interim broker goes on from what this daemon learned as the leader.
+			maps.Copy(s.relay.estimates, learned)
 		}
 		s.setLeads(leads)
 	}
@@ -243,6 +246,9 @@
 		s.tableVersion = table.Table.Version
 		s.core.SetTable(table)
 	}
+	if interimStarted {
+		s.core.LowerQuotas(s.now(), s.interim.quotaLevels)
+	}
 	if !rosterChanged && !newTable && time.Since(s.rosterReadAt) < rosterInterval {
 		return
 	}
--- a/internal/broker/interim.go
+++ b/internal/broker/interim.go
@@ -12,6 +12,9 @@
 // itself. A new leader is found within it where the others have elected one already.
 const interimDelay = 150 * time.Millisecond
 
+// maxInterimShare is less than 1, with which a broker acts as that of all entries.
+const maxInterimShare = 1 - 1e-9
+
 // interim is the broker of a control daemon for the time in which no daemon leads the log. It
 // serves the entries that are connected to this daemon, within their share of all upstreams and
 // quotas, as each of them would by itself: a few large shares are used better than many small
@@ -25,16 +28,27 @@
 	leaderSince     time.Time
 	// entries is the number of entries that the last leader served.
 	entries int
+	// quotaLevels is what the last interim broker left of the quotas; nil once a leader has
+	// served the entries.
+	quotaLevels map[string]float64
 }
 
 // updateInterim starts the interim broker once no leader has been known for a while, and ends it
 // when there is one. It returns true if it has started. The caller holds the lock.
 func (s *Service) updateInterim(hasTable bool) bool {
 	x := &s.interim
+	entries := 0
 	if s.leads {
-		x.entries = len(s.sessions)
+		entries = len(s.sessions)
 	} else if s.relay.up {
-		x.entries = int(s.relay.entries)
+		entries = int(s.relay.entries)
+	}
+	if entries > 0 && (entries > x.entries || time.Since(x.leaderSince) > entriesTimeout) {
+		// A leader that has just begun does not serve all entries yet.
+		x.entries = entries
+	}
+	if s.leads || s.relay.up {
+		x.quotaLevels = nil
 	}
 	if s.leads || s.relay.up || s.leader.Address != "" {
 		x.leaderlessSince = time.Time{}
@@ -73,6 +87,7 @@
 		return
 	}
 	s.interim.active = false
+	s.interim.quotaLevels = s.core.QuotaLevels(s.now())
 	s.metrics.interim.Set(0)
 	s.log.Info("interim broker ended", zap.Int("entries", len(s.sessions)))
 }
@@ -85,7 +100,7 @@
 	}
 	served, live := 0, 0
 	for _, x := range s.sessions {
-		if x.interim && x.complete {
+		if x.interim {
 			served++
 		}
 	}
@@ -94,16 +109,21 @@
 			live++
 		}
 	}
-	s.core.SetShare(float64(max(1, served)) / float64(max(1, served, live, s.interim.entries)))
+	share := float64(max(1, served)) / float64(max(1, served, live, s.interim.entries))
+	s.core.SetShare(min(share, maxInterimShare))
 }
 
 // applyInterim passes an entry's message to the interim broker, once the entry has sent all its
 // requests. The caller holds the lock.
 func (s *Service) applyInterim(entry string, x *session, ask *rpc.BrokerAsk) {
-	x.complete = x.complete || ask.Complete
-	if !x.complete {
+	if !x.complete && !ask.Complete {
 		s.learnLimits(ask.Limits)
 		return
 	}
+	if !x.complete {
+		// Quotas are charged at once.
+		x.complete = true
+		s.shareInterim()
+	}
 	s.apply(entry, ask)
 }
--- a/internal/broker/interim_test.go
+++ b/internal/broker/interim_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
@@ -110,3 +111,96 @@
 	election.elect(addresses[1])
 	e.eventually(func() bool { return !e.last.Interim && !e.last.Leads }, "the leader does not answer")
 }
+
+// withoutLeader returns entries that are connected to the daemons in turn, which have just lost
+// their leader and grant as interim brokers.
+func withoutLeader(t *testing.T, addresses []string, election *fakeElection, names ...string) []*fakeEntry {
+	t.Helper()
+	election.elect(addresses[0])
+	out := []*fakeEntry{}
+	for i, name := range names {
+		e := connect(t, addresses[i%len(addresses)], &rpc.BrokerAsk{Entry: name, Relayable: true, Interim: true})
+		e.eventually(func() bool { return e.last.Leads }, "the leader grants")
+		out = append(out, e)
+	}
+	election.elect("")
+	for _, e := range out {
+		e.eventually(func() bool { return e.last.Interim }, "an interim broker grants")
+	}
+	return out
+}
+
+// TestEntryTakesItsRequestsToTheNextInterimBroker guards against slots that stay occupied at the
+// daemon that an entry leaves, while the next one counts the same requests.
+func TestEntryTakesItsRequestsToTheNextInterimBroker(t *testing.T) {
+	s, addresses, election := startControls(t, 2)
+	names := []string{"e", "f"}
+	entries := withoutLeader(t, addresses, election, names...)
+	for _, e := range entries {
+		e.send(&rpc.BrokerAsk{Complete: true, Offers: offers(1)})
+		e.eventually(func() bool { return e.granted[1] }, "half of the slots")
+		e.end()
+	}
+	for i, service := range s {
+		require.Eventually(t, func() bool {
+			service.mu.Lock()
+			defer service.mu.Unlock()
+			return len(service.sessions) == 0 && service.core.Dump()[0].Upstreams[0].InFlight == 0
+		}, relayTestTimeout, relayTestPoll, "daemon %d keeps nothing of the entry that left", i)
+	}
+}
+
+// TestInterimBrokerStartsWithTheQuotaOfItsEntries guards against requests that are refused with the
+// quota unused, since the first entry's share alone is counted when they arrive together.
+func TestInterimBrokerStartsWithTheQuotaOfItsEntries(t *testing.T) {
+	s, addresses, election := startControls(t, 1)
+	s[0].mu.Lock()
+	s[0].members = liveEntries(10)
+	s[0].mu.Unlock()
+	entries := withoutLeader(t, addresses, election, "a", "b", "c", "d", "e")
+	for _, e := range entries {
+		o := testOffer(1)
+		o.Workspace, o.Charge = "w", 100
+		e.send(&rpc.BrokerAsk{Complete: true, Offers: []*rpc.WorkOffer{o}})
+	}
+	time.Sleep(40 * relayTestPoll)
+	for _, e := range entries {
+		e.mu.Lock()
+		require.Empty(t, e.refused, "500 of 1000 tokens are the part of five entries of ten")
+		e.mu.Unlock()
+	}
+}
+
+// TestOffersInFlightWaitForTheCompleteList guards against a request that a daemon grants as the
+// leader after it was offered to its interim broker, and once more with the entry's complete list.
+func TestOffersInFlightWaitForTheCompleteList(t *testing.T) {
+	_, addresses, election := startControls(t, 1)
+	e := withoutLeader(t, addresses, election, "e")[0]
+	e.send(&rpc.BrokerAsk{Complete: true})
+	election.elect(addresses[0])
+	e.eventually(func() bool { return e.last.Leads }, "the leader grants")
+	e.send(&rpc.BrokerAsk{Offers: offers(5)})
+	time.Sleep(20 * relayTestPoll)
+	require.Zero(t, e.grants())
+	e.send(&rpc.BrokerAsk{Complete: true, Offers: offers(5)})
+	e.eventually(func() bool { return e.granted[5] }, "the complete list counts")
+}
+
+// TestInterimBrokerKnowsWhatItsDaemonLearned guards against a daemon that led and forgets the speeds
+// and failures of upstreams with its leadership.
+func TestInterimBrokerKnowsWhatItsDaemonLearned(t *testing.T) {
+	s, addresses, election := startControls(t, 1)
+	election.elect(addresses[0])
+	e := connect(t, addresses[0], &rpc.BrokerAsk{Entry: "e", Relayable: true, Interim: true})
+	e.eventually(func() bool { return e.last.Leads }, "the leader grants")
+	s[0].mu.Lock()
+	s[0].core.SetEstimates([]broker.Estimates{{ID: "u", TokenTime: 5}})
+	s[0].mu.Unlock()
+	election.elect("")
+	e.eventually(func() bool { return e.last.Interim }, "an interim broker grants")
+	require.Eventually(t, func() bool {
+		s[0].mu.Lock()
+		defer s[0].mu.Unlock()
+		return s[0].core.Estimates()["u"].TokenTime == 5
+	}, relayTestTimeout, relayTestPoll)
+}
--- a/internal/broker/relay_test.go
+++ b/internal/broker/relay_test.go
@@ -81,7 +81,7 @@
 	addresses, err := freeport.Addresses(n)
 	require.NoError(t, err)
 	election := &fakeElection{}
-	index := routes.NewIndex(&routes.Table{Version: 1, Pools: []routes.Pool{{Name: "p"}}})
+	index := routes.NewIndex(&routes.Table{Version: 1, Pools: []routes.Pool{{Name: "p"}}, Workspaces: []routes.Workspace{{Name: "w", TokensPerSecond: 10, TokenBurst: 1000}}})
 	out := []*Service{}
 	for i, address := range addresses {
 		set := &settings.Settings{Name: address, Addresses: settings.Addresses{Peers: address}, Routing: &settings.Routing{}}
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -147,6 +147,11 @@
 	}
 	delete(s.sessions, entry)
 	s.metrics.entries.Set(float64(len(s.sessions)))
+	if s.interim.active {
+		// The entry takes its share and its running requests to the next daemon.
+		s.core.Resync(s.now(), entry, nil)
+		return
+	}
 	s.core.LoseEntry(s.now(), entry)
 }
 
@@ -161,6 +166,11 @@
 	s.sendRoster(x)
 	switch {
 	case s.leads:
+		x.complete = x.complete || ask.Complete
+		if !x.complete {
+			// The requests were offered to an interim broker, and come again.
+			ask.Offers = nil
+		}
 		s.apply(entry, ask)
 	case s.relay.up && x.relayable:
 		s.learnLimits(ask.Limits)
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -77,8 +77,9 @@
 	interim      bool
 	interimSince time.Duration
 	// interimSessions counts the sessions with interim brokers since the last one with a
-	// leader.
+	// leader; toldInterim is true once one of them was told the quotas.
 	interimSessions int
+	toldInterim     bool
 	// brokerEntries is the number of entries that the last broker served, and
 	// liveEntries the number in the member list, counted at membersCountedAt. entries is
 	// the number of entries that share the upstreams; see updateShare.
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -518,14 +518,14 @@
 	handle(&rpc.BrokerReply{Interim: true})
 	require.True(t, s.attached)
 	require.InDelta(t, 0.7, brokerwire.DecodeQuotaLevels(s.pending.Quotas)["w"], 0.05, "the interim broker goes on from the leader's level")
-	handle(&rpc.BrokerReply{Interim: true})
-	require.Empty(t, s.pending.Quotas)
 	s.waiting[1] = &acquisition{offer: broker.Offer{ID: broker.ID{Entry: s.self, Number: 1}, Workspace: "w", QuotaCharge: 60}, settled: make(chan struct{})}
 	handle(&rpc.BrokerReply{Interim: true, Grants: []*rpc.WorkGrant{{Id: 1, Upstream: "u"}}})
 	require.Equal(t, byInterim, s.running[1].decidedBy)
 
 	handle(&rpc.BrokerReply{})
 	require.InDelta(t, 0.1, s.local.QuotaLevels(s.now())["w"], 0.05, "the local broker goes on from there")
+	handle(&rpc.BrokerReply{Interim: true})
+	require.Empty(t, s.pending.Quotas, "a second interim broker is told no second quota")
 	handle(&rpc.BrokerReply{Leads: true, LeaderTerm: 2})
 	require.Equal(t, map[string]int64{"w": 60}, brokerwire.DecodeQuotaUse(s.pending.Quotas), "the leader learns of it")
 	require.Equal(t, byBroker, s.grantedBy())
@@ -540,6 +540,8 @@
 	first := s.nextAddress()
 	require.NoError(t, s.handle(first, &rpc.BrokerReply{Interim: true}, false))
 	s.interimSince -= maxInterimTime
+	require.NoError(t, s.handle(first, &rpc.BrokerReply{Interim: true}, false), "no leader is known")
+	s.view.(*view).setLeader(port.Leader{Address: "z", Term: 2})
 	require.ErrorIs(t, s.handle(first, &rpc.BrokerReply{Interim: true}, false), errNotLeader)
 	s.detach(first, errNotLeader)
 	require.NotEqual(t, first, s.nextAddress())
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +18,7 @@
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 const (
@@ -41,6 +43,8 @@
 	started time.Time
 	// isolation is used with a route table.
 	isolation isolation
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
 }
 
 // New returns the service.
@@ -57,23 +61,37 @@
 // Start looks up the member list.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
 	err := error(nil)
-	s.members, err = kernel.Find[members](k, port.NameMembers)
-	return err
+	if s.members, err = kernel.Find[members](k, port.NameMembers); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	if s.set.Routing != nil {
+		s.done.Go(func() { s.watchMembers(ctx) })
+	}
+	return nil
+}
+
+// watchMembers keeps the remembered member list current between answers.
+func (s *Service) watchMembers(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.isolation.members(time.Since(s.started), s.members.Live())
+		wait.Sleep(ctx, isolationInterval)
+	}
 }
 
 // Answer returns the callers' addresses of entries for a caller in a data centre,
 // the best first, and how long the answer may be cached. An empty dataCentre
-// means this daemon's. A daemon that is partitioned from the others returns none.
+// means this daemon's. A daemon that is partitioned from most others also names those that it has
+// lost.
 func (s *Service) Answer(dataCentre string) ([]string, time.Duration) {
 	if dataCentre == "" {
 		dataCentre = s.set.DataCentre
 	}
 	if s.set.Routing != nil {
-		ttl, live := settings.Milliseconds(s.set.Routing.AnswerTTLMS), s.members.Live()
-		if s.isolation.isIsolated(time.Since(s.started), live) {
-			return nil, ttl
-		}
-		return nearest(live, s.set.Routing.DataCentres, dataCentre), ttl
+		ttl := settings.Milliseconds(s.set.Routing.AnswerTTLMS)
+		members := s.isolation.members(time.Since(s.started), s.members.Live())
+		return nearest(members, s.set.Routing.DataCentres, dataCentre), ttl
 	}
 	return choose(s.members.Live(), dataCentre, rand.Float64), answerTTL
 }
@@ -95,8 +113,12 @@
 	}
 }
 
-// Stop does nothing.
-func (s *Service) Stop(context.Context) error { return nil }
+// Stop ends the watch of the member list.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.done.Wait()
+	return nil
+}
 
 // Health always returns nil.
 func (s *Service) Health() error { return nil }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -91,9 +91,10 @@
 	})
 }
 
-// TestPartitionedDaemonNamesNoEntries guards against callers that keep to the entries on the
-// small side of a network partition because an entry there answers them.
-func TestPartitionedDaemonNamesNoEntries(t *testing.T) {
+// TestPartitionedDaemonNamesLostEntries guards against callers that keep to the entries on the
+// small side of a network partition because an entry there answers them, and against entries that
+// name nobody after a real loss.
+func TestPartitionedDaemonNamesLostEntries(t *testing.T) {
 	members := func(entries, replicas int) []port.Member {
 		live := []port.Member{}
 		for range entries {
@@ -105,11 +106,14 @@
 		return live
 	}
 	i := isolation{}
-	require.False(t, i.isIsolated(0, members(1, 0)), "a daemon that has just started")
-	require.False(t, i.isIsolated(time.Second, members(9, 3)))
-	require.False(t, i.isIsolated(2*time.Second, members(2, 1)), "entries are lost, a control daemon is live")
-	require.False(t, i.isIsolated(3*time.Second, members(5, 0)), "all control daemons are lost, most entries are live")
-	require.True(t, i.isIsolated(4*time.Second, members(4, 0)))
-	require.True(t, i.isIsolated(4*time.Second+isolationWindow/2, members(4, 0)))
-	require.False(t, i.isIsolated(4*time.Second+2*isolationWindow, members(4, 0)), "the loss is long ago")
+	named := func(now time.Duration, entries, replicas int) int {
+		return countEntries(i.members(now, members(entries, replicas)))
+	}
+	require.Equal(t, 1, named(0, 1, 0), "a daemon that has just started")
+	require.Equal(t, 9, named(time.Second, 9, 3))
+	require.Equal(t, 2, named(2*time.Second, 2, 1), "entries are lost, a control daemon is live")
+	require.Equal(t, 5, named(3*time.Second, 5, 0), "all control daemons are lost, most entries are live")
+	require.Equal(t, 9, named(4*time.Second, 4, 0))
+	require.Equal(t, 9, named(4*time.Second+isolationWindow/2, 4, 0))
+	require.Equal(t, 4, named(4*time.Second+2*isolationWindow, 4, 0), "the loss is long ago")
 }
--- a/internal/directory/isolation.go
+++ b/internal/directory/isolation.go
@@ -7,41 +7,67 @@
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
-// isolationWindow is the time for which the number of live entries is remembered, in two halves.
-// A network partition that lasts longer leaves an entry with the members that it still reaches.
-const isolationWindow = time.Minute
+const (
+	// isolationWindow is the time for which the largest member list is remembered, in two
+	// halves. A network partition that lasts longer leaves an entry with the members that it
+	// still reaches.
+	isolationWindow = time.Minute
+	// isolationInterval is how often the member list is read.
+	isolationInterval = time.Second
+)
 
-// isolation finds out whether this daemon is partitioned from the others. Its own list of live
-// entries is then of little use to callers. It is safe for concurrent use.
+// isolation finds out whether this daemon is partitioned from most others, so that its list of
+// live entries is of little use to callers. It is safe for concurrent use.
 type isolation struct {
 	mu sync.Mutex
 	// halfStarted is the start of the current half of the window; current and previous are the
-	// highest numbers of live entries in it and in the one before.
+	// largest member lists in it and in the one before.
 	halfStarted       time.Duration
-	current, previous int
+	current, previous []port.Member
 }
 
-// isIsolated reports whether no control daemon is live and more than half of the entries have
-// been lost within the window.
-func (i *isolation) isIsolated(now time.Duration, live []port.Member) bool {
-	entries, replicas := 0, 0
-	for _, m := range live {
-		if m.Callers != "" {
-			entries++
-		}
-		if m.Replica {
-			replicas++
-		}
-	}
+// members returns the members to answer with: the live ones or, if no control daemon is live and
+// more than half of the entries have been lost within the window, the largest list of the window.
+// Whether these are out of reach or have failed can't be told; callers pass over those that don't
+// answer.
+func (i *isolation) members(now time.Duration, live []port.Member) []port.Member {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if elapsed := now - i.halfStarted; elapsed >= isolationWindow/2 {
 		i.previous = i.current
 		if elapsed >= isolationWindow {
-			i.previous = 0
+			i.previous = nil
+		}
+		i.current, i.halfStarted = nil, now
+	}
+	if countEntries(live) >= countEntries(i.current) {
+		i.current = live
+	}
+	largest := i.current
+	if countEntries(i.previous) > countEntries(largest) {
+		largest = i.previous
+	}
+	if hasReplica(live) || 2*countEntries(live) >= countEntries(largest) {
+		return live
+	}
+	return largest
+}
+
+func countEntries(members []port.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Callers != "" {
+			n++
+		}
+	}
+	return n
+}
+
+func hasReplica(members []port.Member) bool {
+	for _, m := range members {
+		if m.Replica {
+			return true
 		}
-		i.current, i.halfStarted = 0, now
 	}
-	i.current = max(i.current, entries)
-	return replicas == 0 && 2*entries < max(i.current, i.previous)
+	return false
 }
--- a/internal/logclient/logclient.go
+++ b/internal/logclient/logclient.go
@@ -120,9 +120,10 @@
 func (s *Service) recordAttempt(group, address string, failure error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed[group] = ""
 	if failure != nil {
 		s.failed[group] = address
+	} else if s.failed[group] == address {
+		s.failed[group] = ""
 	}
 }
 
--- a/internal/view/failover.go
+++ b/internal/view/failover.go
@@ -88,9 +88,10 @@
 }
 
 // ended records the end of a replica's watch.
-func (f *failover) ended(address string) {
+func (f *failover) ended(now time.Duration, address string) {
 	delete(f.open, address)
 	if f.source == address {
-		f.source = ""
+		// A replica whose messages can't be applied is not asked again and again.
+		f.source, f.nextWave = "", now+retryDelay
 	}
 }
--- a/internal/view/failover_test.go
+++ b/internal/view/failover_test.go
@@ -224,3 +224,18 @@
 		running.Wait()
 	})
 }
+
+// TestReplicaOfUnusableMessagesIsNotAskedInALoop guards against watches that begin again at once
+// where each ends with its first message, for example by data of a newer version.
+func TestReplicaOfUnusableMessagesIsNotAskedInALoop(t *testing.T) {
+	f, begun := newFailover(), 0
+	for now := time.Duration(0); now < time.Second; now += time.Millisecond {
+		begin, _ := f.next(now, []string{"a", "b", "c"})
+		begun += len(begin)
+		for _, address := range begin {
+			f.heard(now, address)
+			f.ended(now, address)
+		}
+	}
+	require.LessOrEqual(t, begun, 2*int(time.Second/retryDelay)+2)
+}
--- a/internal/view/watches.go
+++ b/internal/view/watches.go
@@ -75,7 +75,7 @@
 		cancel()
 		w.s.log.Debug("watch ended", zap.String("replica", p.Name), zap.Error(err))
 		w.mu.Lock()
-		w.failover.ended(p.Address)
+		w.failover.ended(w.now(), p.Address)
 		w.mu.Unlock()
 		wait.Notify(w.wake)
 	})
