forward: the refusal of a stalled sender is sent

Callers that stalled within a body of less than 256 KiB never got the 408, the 503 no_memory, or a 404 or 401: the connection, its goroutine and a planned stop waited for them. Cause: net/http reads up to 256 KiB of an unread body before the header of a response, and readBody had cleared the read deadline; refusals before the body had none. Change: after an error of the body its read deadline stays expired; a refusal before the body is read limits the reading to minWriteTime.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -44,13 +44,27 @@
 	if reader.waiting {
 		q.holding.stopWaiting()
 	}
-	_ = connection.SetReadDeadline(time.Time{})
+	// Before the header of a refusal net/http reads on in an unread body. An expired deadline
+	// ends that at once; a cleared one would let a stalled sender hold the refusal back.
+	after := time.Time{}
+	if err != nil {
+		after = time.Unix(1, 0)
+	}
+	_ = connection.SetReadDeadline(after)
 	if q.holding.wasCutOff() {
 		err = errBuffersFull
 	}
 	return bodyRefusal(err)
 }
 
+// limitUnreadBody bounds the time that net/http reads on in the body of a request that is
+// refused before its body is read, so that a stalled sender does not hold the refusal back.
+func limitUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.Body != nil && r.Body != http.NoBody {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(minWriteTime))
+	}
+}
+
 // bodyRefusal returns the refusal of a request whose body was not read whole; nil if err is.
 func bodyRefusal(err error) *gatewayError {
 	tooLarge := (*http.MaxBytesError)(nil)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -82,6 +82,7 @@
 	arrived, arrivedAt := time.Now(), s.elapsed()
 	index := s.waitForTable(r.Context())
 	if index == nil {
+		limitUnreadBody(w, r)
 		return nil, &gatewayError{status: http.StatusServiceUnavailable, code: "no_table", reason: "no route table is known yet", retryAfter: noTableRetryDelay}
 	}
 	q := &request{meta: s.dialect.Read(r.Header), arrived: arrived, tableVersion: index.Table.Version, method: r.Method, host: r.Host, header: r.Header}
@@ -92,9 +93,11 @@
 	}
 	path, _, _ := strings.Cut(q.requestTarget, "?")
 	if q.route = index.Match(r.Host, path); q.route == nil {
+		limitUnreadBody(w, r)
 		return q, &gatewayError{status: http.StatusNotFound, code: "no_route", reason: "no route matches host and path"}
 	}
 	if refusal := q.authenticate(index); refusal != nil {
+		limitUnreadBody(w, r)
 		return q, refusal
 	}
 	timeout := q.plan(index)
--- a/internal/forward/slow_test.go
+++ b/internal/forward/slow_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -180,6 +181,31 @@
 	require.Zero(t, r.service.buffers.used.Load())
 }
 
+// TestStalledSenderIsRefused guards against a refusal that is held back for as long as the sender
+// of a short body stalls: net/http reads up to 256 KiB of an unread body before it sends the
+// header. The connection, and a planned stop, then waited for good.
+func TestStalledSenderIsRefused(t *testing.T) {
+	t.Parallel()
+	for path, status := range map[string]int{"/once/x": http.StatusRequestTimeout, "/nowhere/x": http.StatusNotFound} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			t.Parallel()
+			r := newTestEntry(t, newUpstream(t, respondWith(http.StatusOK, "", "a")))
+			c, err := net.Dial("tcp", r.server.Listener.Addr().String())
+			require.NoError(t, err)
+			defer c.Close()
+			_, err = io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: 127.0.0.1\r\nWait: 300\r\nContent-Length: 20000\r\n\r\nsome")
+			require.NoError(t, err)
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+			in := bufio.NewReader(c)
+			resp, err := http.ReadResponse(in, nil)
+			require.NoError(t, err, "the refusal does not wait for the rest of the body")
+			require.Equal(t, status, resp.StatusCode)
+			_, err = io.ReadAll(in)
+			require.NoError(t, err, "the connection is closed")
+		})
+	}
+}
+
 // TestSlowSendersMakeRoom guards against bodies that take all memory by their number, and
 // against a request which is refused while slow senders hold the memory.
 func TestSlowSendersMakeRoom(t *testing.T) {
