broker: requests beyond an engine's memory are refused at once

Callers whose prompt and greatest output exceed the memory of an engine waited until they were late and got a time to return at, though no later try can fit. They counted as work ahead of others, and 64 of them at the head of the queue kept the broker from looking at any request behind them. Cause: the check of the memory only passes an upstream over. Change: such a request is refused when it is offered, or in the next round after the table changed, with the code exceeds_memory and without a time to return. In a broker with a share of the engines, requests that exceed its part of the memory neither count as skipped nor as work ahead.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -152,6 +152,8 @@
 	// Quarantined means that several upstreams crashed under requests with a content of
 	// this one.
 	Quarantined Code = "quarantined"
+	// ExceedsMemory means that prompt and greatest output exceed the memory of an engine.
+	ExceedsMemory Code = "exceeds_memory"
 )
 
 // Refusal rejects a request that did not run.
@@ -348,7 +350,7 @@
 		b.adopt(now, req)
 		return
 	}
-	if b.refuseQuarantined(now, req) {
+	if b.refuseTooLarge(b.pool(o.Pool), req) || b.refuseQuarantined(now, req) {
 		return
 	}
 	if wait, ok := b.charge(now, req); !ok {
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -212,7 +212,7 @@
 			i++
 			continue
 		}
-		if b.refuseQuarantined(r.now, req) {
+		if b.refuseTooLarge(p, req) || b.refuseQuarantined(r.now, req) {
 			p.queue = slices.Delete(p.queue, i, i+1)
 			continue
 		}
@@ -226,8 +226,10 @@
 		u, first := p.choose(r, req, stage)
 		u, first = p.chooseHeld(r, req, stage, u, first)
 		if u == nil || p.shouldWait(r, req, first) {
-			r.passOver(p, req)
-			skipped++
+			if !p.exceedsShare(r.share, req) {
+				r.passOver(p, req)
+				skipped++
+			}
 			i++
 			continue
 		}
@@ -340,7 +342,7 @@
 	late := []*request{}
 	for i := 0; i < len(p.queue); {
 		req := p.queue[i]
-		if b.refuseUnresumable(r.now, p, req) {
+		if b.refuseTooLarge(p, req) || b.refuseUnresumable(r.now, p, req) {
 			p.queue = slices.Delete(p.queue, i, i+1)
 			continue
 		}
@@ -349,7 +351,9 @@
 		switch {
 		case first <= req.LatencyTarget-estimateMargin(req), req.late && first <= req.LatestUseful:
 			p.admissions.record(r.now, req, true, 0)
-			ahead += p.slotTime(req)
+			if !p.exceedsShare(r.share, req) {
+				ahead += p.slotTime(req)
+			}
 			p.overload.waits(r.now, req)
 			i++
 			continue
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -199,12 +199,6 @@
 	return int64(r.PromptTokens + max(r.OutputTokens, r.MaxOutputTokens))
 }
 
-// memoryTokens returns how much of an engine's memory a broker with the given share may use,
-// in tokens: that share, or what one slot has if the share is less than a slot.
-func (p *pool) memoryTokens(u *upstream, share float64) int64 {
-	return int64(float64(p.engine.MemoryTokens) * min(1, max(share, 1/float64(max(1, u.Slots)))))
-}
-
 // release removes a request from its upstream's running ones.
 func (p *pool) release(req *request) {
 	u := req.assigned
@@ -240,8 +234,5 @@
 // fits reports whether an upstream with a free slot may run a request: its engine
 // has enough memory, it wants requests of the entry, which has a path to it, and the request does not avoid it.
 func (p *pool) fits(now time.Duration, share float64, u *upstream, req *request) bool {
-	if p.engine != nil && p.engine.MemoryTokens > 0 && u.tokens+req.tokens() > p.memoryTokens(u, share) {
-		return false
-	}
-	return p.allowsVersion(u, req) && req.isVersionAllowed(u.SoftwareVersion) && u.isOpenTo(now, req.ID.Entry) && !slices.Contains(req.Avoid, u.ID)
+	return p.hasMemory(share, u, req) && p.allowsVersion(u, req) && req.isVersionAllowed(u.SoftwareVersion) && u.isOpenTo(now, req.ID.Entry) && !slices.Contains(req.Avoid, u.ID)
 }
