broker: a local broker grants large requests

Callers of an entry without a broker were refused as overloaded where a request fits into an engine's memory but not into the entry's part of it, also on idle engines. Cause: a broker with a share of the engines used no more than its part, or that of one slot. Change: such a request is granted on engines where the broker runs nothing, on the fraction of the engines that equals its share, so that about one broker does so on an engine. Measured: TestLocalBrokerGrantsLargeRequests failed before (no grant) and passes; all tests of core/broker passed with -race on this code (125 s).

--- a/core/broker/largerequest_test.go
+++ b/core/broker/largerequest_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -58,3 +59,38 @@
 	b.Offer(0, newTimedOffer(1000, 10, 5, 5))
 	require.Contains(t, grantNumbers(b.Decide(0)), uint64(1000))
 }
+
+// TestLocalBrokerGrantsLargeRequests guards against requests that fit into an engine and that no
+// local broker grants since they exceed its part of the memory.
+func TestLocalBrokerGrantsLargeRequests(t *testing.T) {
+	const brokers, share = 4, 0.25
+	large, ofEngine := 0, map[string]int{}
+	for i := range brokers {
+		b := newEngineBroker(share, 8)
+		b.SetName(fmt.Sprint(i))
+		list := []Upstream{}
+		for n := range 40 {
+			list = append(list, Upstream{ID: fmt.Sprint("u", n), Pool: "p", Address: "a", Slots: 8})
+		}
+		b.SetUpstreams(list)
+		for n := range uint64(2 * maxSkippedRequests) {
+			b.Offer(0, newTimedOffer(n, 100, 50, 500))
+		}
+		b.Offer(0, newTimedOffer(1000, 10, 5, 5))
+		small := false
+		for _, g := range b.Decide(0).Grants {
+			if g.ID.Number == 1000 {
+				small = true
+				continue
+			}
+			large++
+			ofEngine[g.Upstream]++
+		}
+		require.True(t, small, "the small request behind the large ones is granted")
+		require.NotEmpty(t, ofEngine)
+		for id := range ofEngine {
+			require.LessOrEqual(t, ofEngine[id], i+1, "each broker grants one at a time on an engine")
+		}
+	}
+	require.InDelta(t, 40, large, 20, "about one broker for each engine")
+}
--- a/core/broker/memory.go
+++ b/core/broker/memory.go
@@ -12,13 +12,19 @@
 	return int64(float64(p.engine.MemoryTokens) * min(1, max(share, 1/float64(max(1, slots)))))
 }
 
-// hasMemory reports whether an upstream has enough memory for a request.
+// hasMemory reports whether an upstream has enough memory for a request. A request that exceeds
+// the part of a broker that shares the engine is granted on an engine on which the broker runs
+// nothing, and on that fraction of the engines only: about one of the brokers grants such
+// requests on an engine.
 func (p *pool) hasMemory(share float64, u *upstream, req *request) bool {
-	return !p.boundsMemory() || u.tokens+req.tokens() <= p.memoryTokens(u.Slots, share)
+	if !p.boundsMemory() || u.tokens+req.tokens() <= p.memoryTokens(u.Slots, share) {
+		return true
+	}
+	return share < 1 && len(u.inFlight) == 0 && u.roundingPoint < share && req.tokens() <= p.engine.MemoryTokens
 }
 
 // exceedsShare reports whether a request needs more memory than a broker with the given share
-// may use of an engine. It can't be granted here and holds up no other request.
+// may use of an engine. It waits for one of few engines and holds up no other request.
 func (p *pool) exceedsShare(share float64, req *request) bool {
 	return p.boundsMemory() && req.tokens() > p.memoryTokens(p.engine.Slots, share)
 }
