forward: an unnamed rejection is not held against its upstream

A rejection on a connection that has carried other requests, without the request's id, ended the grant as an invalid response: three of them put a sound upstream on probation, and what the response said of further requests (Server-Leaving, Retry-After) was lost. Cause: it may be a late copy of an earlier response, so it proves nothing of this request, and it was treated like one that is malformed. Change: the outcome is UnclearRejection, neutral for health, pace and rollout; the request still counts as one that may have run, a brittle upstream's slot is kept, and the notices are recorded. Of core/broker only the tests matching Unclear, Brittle and Health were run on this change.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -196,11 +196,15 @@
 	// PathLost means that the connection was lost, or stayed silent, while the upstream may
 	// have run the request, and that it is the fault of the entry's path to it.
 	PathLost
+	// UnclearRejection means that the upstream rejected a request without naming it on a
+	// connection that has carried others: it may have meant an earlier one, and may have run
+	// this one. It says nothing of the upstream's health.
+	UnclearRejection
 )
 
 // String returns the outcome's name in logs and metrics, "unknown" for other values.
 func (o Outcome) String() string {
-	names := [...]string{"", "done", "not_sent", "canceled", "broken", "full", "misdirected", "unreachable", "failed", "silent", "spoiled", "no_path", "path_lost"}
+	names := [...]string{"", "done", "not_sent", "canceled", "broken", "full", "misdirected", "unreachable", "failed", "silent", "spoiled", "no_path", "path_lost", "unclear"}
 	if int(o) >= len(names) {
 		return "unknown"
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,10 +39,11 @@
 
 // These texts are part of error responses to callers.
 var (
-	errStrayResponse   = errors.New("the answer belongs to another request")
-	errUnsealed        = errors.New("the answer lacks the upstream's seal")
-	errEncoded         = errors.New("the answer is encoded, which nobody asked for")
-	errUpstreamTimeout = errors.New("the upstream did not answer in the expected time")
+	errStrayResponse    = errors.New("the answer belongs to another request")
+	errUnnamedRejection = errors.New("the upstream rejected a request without naming it; it may be an earlier one")
+	errUnsealed         = errors.New("the answer lacks the upstream's seal")
+	errEncoded          = errors.New("the answer is encoded, which nobody asked for")
+	errUpstreamTimeout  = errors.New("the upstream did not answer in the expected time")
 )
 
 // response is a complete response of an upstream that is not a stream.
@@ -291,7 +292,7 @@
 		}
 		meta := a.s.dialect.ParseResponse(resp.StatusCode, resp.Header)
 		if a.isReused && isOfUnknownRequest(a.conn, resp, meta) {
-			return errStrayResponse
+			return a.unknownResponseError(resp, meta)
 		}
 		a.recordNotices(meta)
 		if meta.RequestID == "" || meta.RequestID == a.meta.RequestID {
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -60,6 +60,8 @@
 // response. The request may have run.
 func (x *exchange) lossOutcome(err error) broker.Outcome {
 	switch {
+	case errors.Is(err, errUnnamedRejection):
+		return broker.UnclearRejection
 	case errors.Is(err, errStrayResponse), errors.Is(err, errUnsealed), errors.Is(err, errEncoded), errors.Is(err, errMissingEvents), errors.Is(err, errNotResumed):
 		return broker.InvalidResponse
 	case x.callerDisconnected():
--- a/internal/forward/stray.go
+++ b/internal/forward/stray.go
@@ -13,7 +13,23 @@
 // request where earlier ones did, or its header contains a second status line. A copy that
 // says that its request did not run would let the current one run twice.
 func isOfUnknownRequest(c *conn, resp *http.Response, meta ResponseMeta) bool {
-	if c.namesRequests && meta.RequestID == "" || strings.Contains(resp.Status, statusLineStart) {
+	return c.namesRequests && meta.RequestID == "" || containsResponse(resp)
+}
+
+// unknownResponseError returns the error of a response for which isOfUnknownRequest holds. The
+// rejection of a sound upstream that does not name the request is one; whichever request it
+// answers, what it says of further ones holds.
+func (a *upstreamAttempt) unknownResponseError(resp *http.Response, meta ResponseMeta) error {
+	if !meta.NotExecuted && !meta.Misdirected || meta.RequestID != "" || containsResponse(resp) {
+		return errStrayResponse
+	}
+	a.recordNotices(meta)
+	return errUnnamedRejection
+}
+
+// containsResponse reports whether the header of a response contains a second status line.
+func containsResponse(resp *http.Response) bool {
+	if strings.Contains(resp.Status, statusLineStart) {
 		return true
 	}
 	for _, values := range resp.Header {
