accept: a request in service keeps its connection at a planned stop

At a planned stop callers lost requests that were being served or had just arrived. Cause: a request that net/http has buffered together with an earlier one causes no read, so that its connection looked idle; and a connection looks idle between the kernel's read of a request and the flag that is set after it. Change: the start of the handler marks the connection as busy until StateIdle, and a connection is closed only if two looks at least 4 ms apart find it idle without any input between them. Both entries use it. Measured: TestPipelinedRequestKeepsItsConnection failed with the former rules and passes.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -28,6 +28,10 @@
 	// newConnTime is how long a new connection may carry no byte of a request before it
 	// counts as idle.
 	newConnTime = 500 * time.Millisecond
+	// minIdleTime is the least time between the two looks that must find a connection idle
+	// before it is closed. Between the end of a read in the kernel and the record of it, and
+	// between two requests that the server has buffered, a busy connection looks idle.
+	minIdleTime = 4 * time.Millisecond
 	// handOverTimeout bounds the wait for the server to take a connection.
 	handOverTimeout = time.Second
 )
@@ -59,6 +63,39 @@
 	// request has ended.
 	hasInput atomic.Bool
 	wasUsed  atomic.Bool
+	// inputs counts the reads that brought bytes and the requests that began.
+	inputs atomic.Int64
+	// idleSince is when CloseIdle first found the connection idle after idleInputs, and zero if
+	// it did not; the lock of the listener guards both.
+	idleSince  time.Time
+	idleInputs int64
+}
+
+// connKey is the key of a connection in the contexts of its requests.
+type connKey struct{}
+
+// ConnContext must be called from the ConnContext callback of the HTTP server.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Handler returns a handler that marks the connection of each request as busy until OnStateChange
+// is called with StateIdle, and calls next. The server buffers a request that arrives together with
+// an earlier one, so that no read from the connection shows it.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.recordInput()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (c *conn) recordInput() {
+	c.inputs.Add(1)
+	if !c.hasInput.Load() {
+		c.hasInput.Store(true)
+	}
 }
 
 // Accept implements net.Listener.
@@ -87,8 +124,8 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.hasInput.Load() {
-		c.hasInput.Store(true)
+	if n > 0 {
+		c.recordInput()
 	}
 	return n, err
 }
@@ -189,12 +226,14 @@
 	return controlErr == nil && result
 }
 
-// CloseIdle closes the connections that carry no request and returns how many are left.
+// CloseIdle closes the connections that carry no request, and carried none when it was called at
+// least minIdleTime before. It returns how many are left.
 func (l *Listener) CloseIdle() int {
 	l.mu.Lock()
 	idle, busy := []*conn{}, 0
+	now := time.Now()
 	for c := range l.conns {
-		if c.isIdle() {
+		if c.staysIdle(now) {
 			idle = append(idle, c)
 		} else {
 			busy++
@@ -214,6 +253,21 @@
 	}
 }
 
+// staysIdle reports whether the connection is idle and has been since an earlier call, at least
+// minIdleTime ago. The caller holds the lock of the listener.
+func (c *conn) staysIdle(now time.Time) bool {
+	inputs := c.inputs.Load()
+	switch {
+	case !c.isIdle():
+		c.idleSince = time.Time{}
+		return false
+	case c.idleSince.IsZero() || inputs != c.idleInputs:
+		c.idleSince, c.idleInputs = now, inputs
+		return false
+	}
+	return now.Sub(c.idleSince) >= minIdleTime
+}
+
 // isIdle reports whether no part of a request has arrived since the last one ended.
 func (c *conn) isIdle() bool {
 	if c.hasInput.Load() || !c.wasUsed.Load() && time.Since(c.acceptedAt) < newConnTime {
--- /dev/null
+++ b/internal/accept/accept_test.go
@@ -0,0 +1,70 @@
+package accept
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestPipelinedRequestKeepsItsConnection guards against a request that is cut off at a planned
+// stop although it is being served: it arrived together with the one before it, so that the server
+// had buffered it and nothing was read from the connection after that one ended.
+func TestPipelinedRequestKeepsItsConnection(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New(raw, net.KeepAliveConfig{})
+	began, finish := make(chan struct{}), make(chan struct{})
+	server := &http.Server{ConnState: OnStateChange, ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/second" {
+			close(began)
+			<-finish
+		}
+	}))}
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	c, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	<-began
+	for range 3 {
+		require.Equal(t, 1, l.CloseIdle())
+		time.Sleep(2 * minIdleTime)
+	}
+	close(finish)
+	in := bufio.NewReader(c)
+	for range 2 {
+		resp, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+	require.Eventually(t, func() bool { return l.CloseIdle() == 0 }, 5*time.Second, 2*minIdleTime, "the connection is idle now")
+}
+
+// TestOneLookClosesNothing guards against the end of a connection between the kernel's read of a
+// request and the record of it: for a moment it looks idle.
+func TestOneLookClosesNothing(t *testing.T) {
+	now := time.Now()
+	c := &conn{}
+	c.wasUsed.Store(true)
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer raw.Close()
+	dialed, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer dialed.Close()
+	c.TCPConn = dialed.(*net.TCPConn)
+	require.False(t, c.staysIdle(now))
+	require.False(t, c.staysIdle(now.Add(minIdleTime/2)))
+	c.recordInput()
+	require.False(t, c.staysIdle(now.Add(minIdleTime)))
+	c.hasInput.Store(false)
+	require.False(t, c.staysIdle(now.Add(2*minIdleTime)), "a request came and ended meanwhile")
+	require.True(t, c.staysIdle(now.Add(3*minIdleTime)))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,7 +100,8 @@
 	s.ln = accept.New(ln, net.KeepAliveConfig{Enable: true})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.server = &http.Server{
-		Handler:           s.routes(),
+		Handler:           accept.Handler(s.routes()),
+		ConnContext:       accept.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.set.Limits.HeaderBytes,
--- a/internal/forward/caller.go
+++ b/internal/forward/caller.go
@@ -11,6 +11,8 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+
+	"github.com/verbenastep/verbenastep/internal/accept"
 )
 
 const (
@@ -39,7 +41,7 @@
 
 // withCallerConn is the ConnContext of the server.
 func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
+	return context.WithValue(accept.ConnContext(ctx, c), callerConnKey{}, c)
 }
 
 // callerLink is the connection of an exchange to its caller.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -139,7 +139,7 @@
 // newServer returns the server for callers.
 func (s *Service) newServer() *http.Server {
 	return &http.Server{
-		Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: s.set.Limits.HeaderBytes,
+		Handler: accept.Handler(s.routes()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: s.set.Limits.HeaderBytes,
 		ConnContext: withCallerConn, ConnState: accept.OnStateChange,
 	}
 }
