rollout: timeouts of cold upstreams are no failures

Operators saw a good version with a cold start rolled back: "10 of 10 answers of the target failed". An entry that repeats a slow request at another upstream ends the first attempt as timed out, and the broker passed that on as a failure.

A timeout now counts once its upstream is known to be warm when the request began, by the rule that slow answers have, or once timeouts in turn at the upstream have lasted 2 s: a version that never answers is never warm. It carries the time since the grant. While WarmUpTime is above zero the broker passes none on. The rule holds for both versions, so that their fractions of failures stay comparable.

The load of the second attempt is not simulated.

--- a/core/broker/rollout.go
+++ b/core/broker/rollout.go
@@ -216,7 +216,12 @@
 	switch e.Outcome {
 	case Completed:
 		a.Time, a.Expected = p.answerTime(req, e)
-	case UpstreamError, ConnectionLost, TimedOut, InvalidResponse:
+	case TimedOut:
+		if req.assigned.WarmUpTime > 0 {
+			return
+		}
+		a.Failed, a.TimedOut, a.Time = true, true, now-req.granted
+	case UpstreamError, ConnectionLost, InvalidResponse:
 		a.Failed = true
 	default:
 		return
--- a/core/broker/rollout_test.go
+++ b/core/broker/rollout_test.go
@@ -149,6 +149,22 @@
 	require.Zero(t, c.answers[2].Time, "a cold start is not slowness")
 }
 
+// TestTimeoutsTellHowLongTheyLasted guards against a cold start that counts as failures: the entry
+// repeated a slow request elsewhere and ended the first attempt.
+func TestTimeoutsTellHowLongTheyLasted(t *testing.T) {
+	b, c := rolloutPool(1), &countingController{left: 100}
+	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Trial}, nil)
+	b.SetRollout("p", c)
+	for i, warmUp := range []time.Duration{0, time.Second} {
+		b.pools["p"].upstreams["u2"].WarmUpTime = warmUp
+		b.Offer(0, Offer{ID: ID{Number: uint64(i)}, Pool: "p", LatencyTarget: time.Second, Deadline: 2 * time.Second, Route: 9})
+		grants := b.Decide(0).Grants
+		require.Len(t, grants, 1)
+		b.End(700*time.Millisecond, End{ID: grants[0].ID, Outcome: TimedOut})
+	}
+	require.Equal(t, []rollout.Answer{{Route: 9, Target: true, Upstream: "u2", Failed: true, TimedOut: true, Time: 700 * time.Millisecond}}, c.answers, "none while the upstream warms up")
+}
+
 // TestRetriesAreNotCountedAsRequests guards against a share that grows by requests that are
 // offered again.
 func TestRetriesAreNotCountedAsRequests(t *testing.T) {
--- a/core/rollout/analysis.go
+++ b/core/rollout/analysis.go
@@ -86,6 +86,10 @@
 	maxRunFailures = 2
 	runInterval    = 400 * time.Millisecond
 	runMargin      = 100 * time.Millisecond
+	// maxColdTimeouts is for how long timeouts in turn at an upstream that is not known to be
+	// warm are no failures: slow first answers time out too if the request is repeated at
+	// another upstream. An upstream that never answers is a failure from then on.
+	maxColdTimeouts = 2 * time.Second
 )
 
 // kind of a bad answer.
@@ -238,6 +242,8 @@
 	failures  struct{ old, target tally }
 	speeds    speeds
 	runs      map[string]*failureRun
+	// timeouts is when the first of the last timeouts in turn came, by upstream.
+	timeouts map[string]time.Duration
 	// pending holds the judged cells of one interval.
 	pending []judgedCell
 	// verdict is why the target is bad; empty while it is not known to be.
@@ -260,7 +266,7 @@
 
 // newAnalysis returns an analysis that continues from the evidence of an earlier leader.
 func newAnalysis(p Params, carried Evidence) *analysis {
-	a := &analysis{length: maxInterval, routes: map[uint64]*routeState{}, runs: map[string]*failureRun{}, speeds: newSpeeds()}
+	a := &analysis{length: maxInterval, routes: map[uint64]*routeState{}, runs: map[string]*failureRun{}, timeouts: map[string]time.Duration{}, speeds: newSpeeds()}
 	if p.RollbackTimeout > 0 {
 		a.length = min(maxInterval, p.RollbackTimeout/8)
 	}
@@ -291,6 +297,9 @@
 // learn counts an answer.
 func (a *analysis) learn(now time.Duration, x Answer) {
 	a.advance(now)
+	if a.isColdTimeout(now, x) {
+		return
+	}
 	route := a.route(x.Route)
 	x.Route = route
 	side := a.recent[intervals-1].cell(route).side(x.Target)
@@ -311,6 +320,23 @@
 	side[relativeSlowness].addAll(judged[relative])
 }
 
+// isColdTimeout reports whether an answer is a timeout that may be due to a cold start. It
+// applies to both versions, so that their fractions of failures stay comparable.
+func (a *analysis) isColdTimeout(now time.Duration, x Answer) bool {
+	if !x.Failed {
+		delete(a.timeouts, x.Upstream)
+	}
+	if !x.TimedOut {
+		return false
+	}
+	first, known := a.timeouts[x.Upstream]
+	if !known {
+		first = now
+		a.timeouts[x.Upstream] = now
+	}
+	return a.speeds.isCold(now, x) && now-first < maxColdTimeouts
+}
+
 // isCounted reports whether an answer of the target counts. Of failures in turn at one
 // upstream only some do.
 func (a *analysis) isCounted(now time.Duration, x Answer) bool {
--- a/core/rollout/controller.go
+++ b/core/rollout/controller.go
@@ -49,6 +49,9 @@
 	Upstream string
 	// Failed is set for a sealed 5xx, a lost connection, a timeout and an invalid response.
 	Failed bool
+	// TimedOut is set with Failed for a timeout. It may end an attempt that was only slow: a
+	// replacement answered first. Time tells how long the attempt lasted.
+	TimedOut bool
 	// Time is how long the upstream took, Expected how long it was expected to take; 0 if
 	// unknown.
 	Time     time.Duration
--- a/core/rollout/speeds.go
+++ b/core/rollout/speeds.go
@@ -128,6 +128,12 @@
 	return u
 }
 
+// isCold reports whether a request may have been slow because its upstream had just started.
+func (s *speeds) isCold(now time.Duration, x Answer) bool {
+	u := s.upstreams[x.Upstream]
+	return u == nil || u.target != x.Target || u.isCold(now, now-x.Time, absolute)
+}
+
 func (s *speeds) route(x Answer) *routeTimes {
 	r := s.routes[x.Route]
 	if r == nil {
--- a/core/rollout/versions_test.go
+++ b/core/rollout/versions_test.go
@@ -70,6 +70,23 @@
 	play(t, production(version{route: -1, cold: 8}), Completed)
 }
 
+// Guards against slow first answers that count as failures, since the entry repeats each slow
+// request at another upstream and reports a timeout.
+func TestColdStartWithTimeoutsIsNotHeldAgainstTheVersion(t *testing.T) {
+	for _, cold := range []float64{3, 5, 8} {
+		for _, upstreams := range []int{15, 60} {
+			s := production(version{route: -1, cold: cold})
+			s.upstreams = upstreams
+			play(t, s, Completed)
+		}
+	}
+}
+
+// Guards against timeouts that never count because no upstream of the version ever answers.
+func TestVersionThatNeverAnswersIsRolledBack(t *testing.T) {
+	play(t, production(version{fraction: 1, badTime: 100, route: -1}), RolledBack)
+}
+
 // Guards against crashes of single upstreams, beside each other in both versions, that are
 // held against the version.
 func TestCrashesAreNotHeldAgainstTheVersion(t *testing.T) {
