broker: failed answers tell the rollout how long they took

The broker set the time of completed answers only, so that the rule by which requests count each that began after the first failure never applied; failures in turn at an upstream counted as one crash, one more per 0.4 s.

Failures carry the time since the grant now. TestControllerLearnsFromEnds expected a failure without a time; it expects the time now, and failed before this change.

--- a/core/broker/rollout.go
+++ b/core/broker/rollout.go
@@ -222,7 +222,7 @@
 		}
 		a.Failed, a.TimedOut, a.Time = true, true, now-req.granted
 	case UpstreamError, ConnectionLost, InvalidResponse:
-		a.Failed = true
+		a.Failed, a.Time = true, now-req.granted
 	default:
 		return
 	}
--- a/core/broker/rollout_test.go
+++ b/core/broker/rollout_test.go
@@ -122,7 +122,8 @@
 }
 
 // TestControllerLearnsFromEnds guards against an analysis that misses answers, takes a cold
-// start for slowness, or learns from requests that did not run.
+// start for slowness, or learns from requests that did not run. A failure without a time can't be
+// told from what a crash ended.
 func TestControllerLearnsFromEnds(t *testing.T) {
 	b, c := rolloutPool(1), &countingController{left: 100}
 	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Trial}, nil)
@@ -137,12 +138,12 @@
 		b.End(took, End{ID: grants[0].ID, Outcome: o, TimeToFirstEvent: took})
 	}
 	end(Completed, 40*time.Millisecond)
-	end(UpstreamError, 0)
+	end(UpstreamError, 30*time.Millisecond)
 	end(NotSent, 0)
 	end(Canceled, 0)
 	require.Equal(t, []rollout.Answer{
 		{Route: 9, Target: true, Upstream: "u2", Time: 40 * time.Millisecond, Expected: 60 * time.Millisecond},
-		{Route: 9, Target: true, Upstream: "u2", Failed: true},
+		{Route: 9, Target: true, Upstream: "u2", Failed: true, Time: 30 * time.Millisecond},
 	}, c.answers)
 	b.pools["p"].upstreams["u2"].WarmUpTime = time.Second
 	end(Completed, 400*time.Millisecond)
--- a/core/rollout/controller.go
+++ b/core/rollout/controller.go
@@ -52,8 +52,8 @@
 	// TimedOut is set with Failed for a timeout. It may end an attempt that was only slow: a
 	// replacement answered first. Time tells how long the attempt lasted.
 	TimedOut bool
-	// Time is how long the upstream took, Expected how long it was expected to take; 0 if
-	// unknown.
+	// Time is how long the upstream took, or since when it had the request if that failed.
+	// Expected is how long it was expected to take. 0 if unknown.
 	Time     time.Duration
 	Expected time.Duration
 }
