broker: running requests of unlisted upstreams are kept

A rollout could be completed while requests ran on the old version. A new leader whose roster did not list their upstream yet when the entry reported them forgot them, so that OldRunning was too low.

The broker keeps such requests apart until they end, their upstream is listed or 5 s after their deadline have passed; those of a lost entry for 5 s. RolloutFleet counts them, as old ones unless they are known to run at the target.

TestRequestsOfUnlistedUpstreamsRun failed before: OldRunning 0 in place of 1.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -262,6 +262,8 @@
 type Broker struct {
 	table    *routes.Index
 	requests map[ID]*request
+	// unlisted holds the running requests whose upstreams are not listed yet.
+	unlisted map[ID]unlistedRequest
 	pools    map[string]*pool
 	buckets  map[string]*limits.Bucket
 	suspects *suspects.Tracker[ID]
@@ -304,7 +306,7 @@
 // of each upstream and quota.
 func New(share float64) *Broker {
 	return &Broker{
-		requests: map[ID]*request{}, pools: map[string]*pool{}, buckets: map[string]*limits.Bucket{},
+		requests: map[ID]*request{}, unlisted: map[ID]unlistedRequest{}, pools: map[string]*pool{}, buckets: map[string]*limits.Bucket{},
 		suspects: suspects.New[ID](), limiters: map[string]*limiter{}, streams: map[uint64]StreamOrigin{}, share: share,
 	}
 }
@@ -343,6 +345,9 @@
 	if _, known := b.requests[o.ID]; known {
 		return
 	}
+	if _, known := b.unlisted[o.ID]; known {
+		return
+	}
 	req := &request{Offer: o, arrived: now, contents: o.contents()}
 	if o.Running != "" {
 		b.adopt(now, req)
@@ -360,8 +365,8 @@
 	b.pool(o.Pool).enqueue(now, req)
 }
 
-// adopt records a request that another broker granted. It ignores the request if
-// its upstream is unknown.
+// adopt records a request that another broker granted. If its upstream is not listed, the
+// request is kept apart until it is.
 func (b *Broker) adopt(now time.Duration, req *request) {
 	p := b.pool(req.Pool)
 	u := p.upstreams[req.Running]
@@ -370,6 +375,7 @@
 		b.recordStream(now, req, req.SoftwareVersion)
 	}
 	if u == nil {
+		b.keepUnlisted(now, req)
 		return
 	}
 	if !req.VersionBound {
@@ -554,6 +560,7 @@
 // End releases the slot of a granted request and updates the estimates. It ignores
 // unknown requests, so a repeated end has no effect.
 func (b *Broker) End(now time.Duration, e End) {
+	delete(b.unlisted, e.ID)
 	req := b.requests[e.ID]
 	if req == nil || req.assigned == nil || req.ended {
 		return
@@ -580,6 +587,7 @@
 // Resync replaces the state of an entry by the offers that it sends when it
 // connects again.
 func (b *Broker) Resync(now time.Duration, entry string, offers []Offer) {
+	b.resyncUnlisted(entry)
 	running := map[ID]bool{}
 	for _, o := range offers {
 		running[o.ID] = o.Running != ""
@@ -620,6 +628,7 @@
 // LoseEntry drops the waiting requests of a disconnected entry. Its running
 // requests keep their slots until they should have ended.
 func (b *Broker) LoseEntry(now time.Duration, entry string) {
+	b.loseUnlisted(now, entry)
 	for id, req := range b.requests {
 		if id.Entry != entry || req.ended {
 			continue
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -43,6 +43,7 @@
 // the previous call.
 func (b *Broker) Decide(now time.Duration) Decisions {
 	b.dropOrphans(now)
+	b.placeUnlisted(now)
 	for _, p := range b.pools {
 		p.expireVersions(now)
 		p.startWindows(now)
--- a/core/broker/rollout.go
+++ b/core/broker/rollout.go
@@ -265,6 +265,15 @@
 			}
 		}
 	}
+	for _, x := range b.unlisted {
+		if x.Pool != pool || now >= x.until {
+			continue
+		}
+		f.Load++
+		if !x.VersionBound || !v.isTarget(x.SoftwareVersion) {
+			f.OldRunning++
+		}
+	}
 	for _, u := range p.order {
 		if u.isLeaving() || u.Silent || u.health.isUnavailable(now) {
 			continue
--- a/core/broker/rollout_test.go
+++ b/core/broker/rollout_test.go
@@ -178,3 +178,48 @@
 	}
 	require.Equal(t, 2, c.requests, "upstreams to avoid are no sign of another attempt where that is sent")
 }
+
+// TestRequestsOfUnlistedUpstreamsRun guards against a rollout that is completed while requests run
+// on the old version: a new leader does not list their upstream yet when the entry reports them.
+func TestRequestsOfUnlistedUpstreamsRun(t *testing.T) {
+	target, old := Upstream{ID: "u2", Pool: "p", Slots: 4, SoftwareVersion: "v2"}, Upstream{ID: "u0", Pool: "p", Slots: 4, SoftwareVersion: "v1"}
+	newLeader := func() *Broker {
+		b := New(1)
+		b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Settle}, nil)
+		b.SetRollout("p", &countingController{left: 100})
+		b.SetUpstreams([]Upstream{target})
+		runs := Offer{ID: ID{Entry: "e", Number: 1}, Pool: "p", Running: "u0", VersionBound: true, SoftwareVersion: "v1", Deadline: time.Minute}
+		b.Resync(0, "e", []Offer{runs})
+		b.Offer(0, runs)
+		b.Decide(0)
+		require.Equal(t, 1, b.RolloutFleet(0, "p").OldRunning)
+		return b
+	}
+	end := End{ID: ID{Entry: "e", Number: 1}, Outcome: Completed}
+
+	b := newLeader()
+	b.End(time.Second, end)
+	require.Zero(t, b.RolloutFleet(time.Second, "p").OldRunning, "ended before the upstream is listed")
+
+	b = newLeader()
+	b.SetUpstreams([]Upstream{old, target})
+	b.Decide(time.Second)
+	require.Equal(t, rollout.Fleet{TargetSlots: 4, OldSlots: 4, Load: 1, OldRunning: 1}, b.RolloutFleet(time.Second, "p"))
+	require.Len(t, b.pools["p"].upstreams["u0"].inFlight, 1)
+	b.End(2*time.Second, end)
+	require.Zero(t, b.RolloutFleet(2*time.Second, "p").OldRunning, "ended after it is listed")
+
+	b = newLeader()
+	require.Equal(t, 1, b.RolloutFleet(time.Minute, "p").OldRunning)
+	b.Decide(time.Minute + maxUnlistedTime)
+	require.Empty(t, b.unlisted, "the upstream is gone")
+
+	b = newLeader()
+	b.LoseEntry(time.Second, "e")
+	require.Equal(t, 1, b.RolloutFleet(2*time.Second, "p").OldRunning)
+	require.Zero(t, b.RolloutFleet(time.Second+maxUnlistedTime, "p").OldRunning, "nobody reports the end")
+
+	b = newLeader()
+	b.Resync(time.Second, "e", nil)
+	require.Zero(t, b.RolloutFleet(time.Second, "p").OldRunning, "the entry says that it ended")
+}
