rollouts: interim grants and followers obey the entry's view

An entry accepted from an interim broker whose view was older what its own view forbids: the target in trial and shift, old versions in settle, and replaced versions after the completion. A control daemon that does not lead used its own replica's records only, which may be behind or cut off.

The entry returns such grants of interim brokers, when they arrive and again before the request is sent, except for streams that are bound to an old version in settle. Grants of the leader, which knows the newest phase, are judged as before. A follower takes the newer of its replica's and its view's record of each pool; a tracker ignores an older record than it has. Record.IsNewer replaces the copy in the view.

TestInterimGrantsObeyTheView, TestInterimGrantIsReturnedBeforeSending and TestFollowerUsesTheNewerRecord cover it.

--- a/core/rollout/record.go
+++ b/core/rollout/record.go
@@ -89,6 +89,14 @@
 // Running reports whether the rollout is neither completed nor rolled back.
 func (r Record) Running() bool { return r.Number > 0 && !r.Phase.IsFinal() }
 
+// IsNewer reports whether the record is of a later order or phase than another one of the pool.
+func (r Record) IsNewer(than Record) bool {
+	if r.Number != than.Number {
+		return r.Number > than.Number
+	}
+	return r.Phase.order() > than.Phase.order()
+}
+
 // Gate returns the gate of the record's phase.
 func (r Record) Gate() Gate { return Gate{Target: r.Target, Phase: r.Phase} }
 
--- a/internal/broker/rollouts.go
+++ b/internal/broker/rollouts.go
@@ -54,7 +54,9 @@
 	params  rollout.Params
 	replica rolloutReplica
 	members port.Members
-	gates   *versiongate.Tracker
+	// view may be ahead of the replica of a daemon that does not lead; nil in tests.
+	view  port.RolloutView
+	gates *versiongate.Tracker
 	// elapsed counts suspensions of the machine, so that a daemon that was paused does not
 	// act on an expired permission.
 	elapsed func() time.Duration
@@ -117,7 +119,12 @@
 	if err != nil {
 		return err
 	}
+	view, err := kernel.Find[port.RolloutView](k, port.NameView)
+	if err != nil {
+		return err
+	}
 	x := newRollouts(*s.set.Routing.Rollout, replica, members)
+	x.view = view
 	if x.metrics, err = newRolloutMetrics(registry.Registerer()); err != nil {
 		return err
 	}
@@ -158,6 +165,9 @@
 		s.beginTerm(now)
 	}
 	records, tableVersion := x.replica.Rollouts()
+	if !s.leads && x.view != nil {
+		records = newest(records, x.view.Rollouts())
+	}
 	for _, r := range x.gates.Update(records, s.listedVersions) {
 		if s.leads {
 			s.log.Info("rollout changed", recordFields(r)...)
@@ -172,6 +182,21 @@
 	}
 }
 
+// newest returns the newer record of each pool out of two lists.
+func newest(list, other []rollout.Record) []rollout.Record {
+	out := slices.Clone(list)
+	for _, r := range other {
+		i := slices.IndexFunc(out, func(x rollout.Record) bool { return x.Pool == r.Pool })
+		switch {
+		case i < 0:
+			out = append(out, r)
+		case r.IsNewer(out[i]):
+			out[i] = r
+		}
+	}
+	return out
+}
+
 // beginTerm prepares the controllers for a term of this daemon, and reads the log up to its
 // begin. The caller holds the lock.
 func (s *Service) beginTerm(now time.Duration) {
--- a/internal/broker/rollouts_test.go
+++ b/internal/broker/rollouts_test.go
@@ -147,3 +147,26 @@
 		require.Equal(t, phase, r.Phase, version)
 	}
 }
+
+// fakeRollouts is a view of rollouts.
+type fakeRollouts []rollout.Record
+
+func (f fakeRollouts) Rollouts() []rollout.Record { return f }
+
+// TestFollowerUsesTheNewerRecord guards against an interim broker that grants an old version, or one
+// on trial, by a replica that is behind the daemon's view or cut off.
+func TestFollowerUsesTheNewerRecord(t *testing.T) {
+	c := newControlled(t)
+	c.leads = false
+	newer := rollout.Record{Pool: "p", Target: "v2", Number: 1, Phase: rollout.Settle}
+	older := rollout.Record{Pool: "p", Target: "v1", Number: 0, Phase: rollout.Completed}
+	for _, view := range []fakeRollouts{{newer}, {older}, {}, {{Pool: "q", Target: "v3", Number: 1, Phase: rollout.Trial}}} {
+		c.rollouts.view = view
+		c.update(t, rolloutInterval)
+		r, ok := c.rollouts.gates.Record("p")
+		require.True(t, ok)
+		require.Equal(t, rollout.Settle, r.Phase, "a phase never goes back")
+	}
+	_, ok := c.rollouts.gates.Record("q")
+	require.True(t, ok)
+}
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -36,6 +36,8 @@
 	decidedBy string
 	// grantedAt is the time of the grant by the service's elapsed.
 	grantedAt time.Duration
+	// isBound is set if the offer named the software version, as one that resumes a stream does.
+	isBound bool
 	// localCharge is the number of tokens that the entry granted by itself.
 	localCharge int
 }
@@ -242,6 +244,7 @@
 		// The entry began the stream itself; the broker may be a new one.
 		a.offer.SoftwareVersion, a.offer.VersionBound = version, true
 	}
+	a.isBound = a.offer.VersionBound
 	s.waiting[s.lastNumber] = a
 	if s.attached {
 		s.pending.Offers = append(s.pending.Offers, brokerwire.EncodeOffer(s.now(), a.offer))
--- a/internal/brokerclient/rollouts.go
+++ b/internal/brokerclient/rollouts.go
@@ -111,6 +111,28 @@
 	return false
 }
 
+// isForbidden reports whether the local broker would not grant a software version to a request, by
+// the entry's view of the rollout. The grants of an interim broker, which may have an older view,
+// must not go beyond it; the leader knows the newest phase. A rolled back version is left to isVoid.
+// The caller holds the lock.
+func (s *Service) isForbidden(a *acquisition, version string) bool {
+	if s.rollouts == nil {
+		return false
+	}
+	s.syncRollouts()
+	r, ok := s.rollouts.gates.Record(a.offer.Pool)
+	switch gate := r.Gate(); {
+	case !ok || r.Phase == rollout.RolledBack:
+		return false
+	case version == r.Target:
+		return !gate.AllowsTarget(false)
+	case r.Phase == rollout.Completed:
+		return slices.Contains(s.rollouts.gates.Replaced(a.offer.Pool), version)
+	default:
+		return !gate.AllowsOld(false) && !a.isBound
+	}
+}
+
 // returnVoid returns a grant that must not be acted on, and offers its request again. The caller
 // holds the lock.
 func (s *Service) returnVoid(a *acquisition, g broker.Grant) {
@@ -131,6 +153,6 @@
 	return func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.isVoid(a.offer.Pool, a.grant.SoftwareVersion, a.grantedAt)
+		return s.isVoid(a.offer.Pool, a.grant.SoftwareVersion, a.grantedAt) || a.decidedBy == byInterim && s.isForbidden(a, a.grant.SoftwareVersion)
 	}
 }
--- a/internal/brokerclient/rollouts_test.go
+++ b/internal/brokerclient/rollouts_test.go
@@ -11,6 +11,7 @@
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/rollout"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/versiongate"
 )
 
 // rolloutView is a view with one rollout, whose clock the test sets.
@@ -146,3 +147,55 @@
 	last := s.pending.Rollouts[len(s.pending.Rollouts)-1]
 	require.Equal(t, []any{"p", uint64(1), "settle"}, []any{last.Pool, last.Number, last.Phase})
 }
+
+// TestInterimGrantsObeyTheView guards against requests that an interim broker, whose view is older,
+// sends where the entry's own view forbids it.
+func TestInterimGrantsObeyTheView(t *testing.T) {
+	s, _, v := newRolloutEntry(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster["old"] = &rpc.RosterEntry{Id: "old", Pool: "p", SoftwareVersion: "v1"}
+	number := uint64(900)
+	accepts := func(version string, interim, isBound bool) bool {
+		number++
+		a := &acquisition{offer: broker.Offer{ID: broker.ID{Number: number}, Pool: "p"}, isBound: isBound, settled: make(chan struct{})}
+		s.interim = interim
+		s.waiting[number] = a
+		s.handleGrant(broker.Grant{ID: a.offer.ID, Upstream: "u", SoftwareVersion: version})
+		_, waits := s.waiting[number]
+		delete(s.waiting, number)
+		return !waits
+	}
+	for _, c := range []struct {
+		phase                         rollout.Phase
+		target, old, boundOld, leader bool
+	}{
+		{rollout.Trial, false, true, true, true},
+		{rollout.Shift, false, true, true, true},
+		{rollout.Settle, true, false, true, true},
+		{rollout.Completed, true, false, false, true},
+	} {
+		v.set(c.phase, 0)
+		require.Equal(t, c.target, accepts("v2", true, false), c.phase)
+		require.Equal(t, c.old, accepts("v1", true, false), c.phase)
+		require.Equal(t, c.boundOld, accepts("v1", true, true), c.phase)
+		require.Equal(t, c.leader, accepts("v2", false, false), c.phase)
+	}
+	require.True(t, accepts("v3", true, false), "a version that was introduced later")
+}
+
+// TestInterimGrantIsReturnedBeforeSending guards against a request that is sent to the old version
+// after the entry learned, between the grant and the sending, that the version settles.
+func TestInterimGrantIsReturnedBeforeSending(t *testing.T) {
+	s, _, v := newRolloutEntry(t)
+	for _, isBound := range []bool{false, true} {
+		v.set(rollout.Trial, 0)
+		a := &acquisition{offer: broker.Offer{Pool: "p", VersionBound: true}, isBound: isBound, grant: broker.Grant{SoftwareVersion: "v1"}, decidedBy: byInterim, grantedAt: v.elapsed()}
+		require.False(t, s.expiry(a)())
+		v.set(rollout.Settle, 0)
+		require.Equal(t, !isBound, s.expiry(a)())
+		s.mu.Lock()
+		s.rollouts.gates = versiongate.New()
+		s.mu.Unlock()
+	}
+}
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -545,7 +545,7 @@
 		wait.Notify(s.wakeSession)
 		return
 	}
-	if s.isVoid(a.offer.Pool, g.SoftwareVersion, s.elapsed()) {
+	if s.isVoid(a.offer.Pool, g.SoftwareVersion, s.elapsed()) || s.interim && s.isForbidden(a, g.SoftwareVersion) {
 		s.returnVoid(a, g)
 		return
 	}
--- a/internal/versiongate/versiongate.go
+++ b/internal/versiongate/versiongate.go
@@ -40,6 +40,10 @@
 			t.pools[r.Pool] = x
 		}
 		old := x.record
+		if old.IsNewer(r) {
+			// A new leader has not applied all of its log yet.
+			continue
+		}
 		x.record = r
 		if old.Number != r.Number || old.Phase != r.Phase {
 			changed = append(changed, r)
@@ -78,6 +82,14 @@
 	return x.record, true
 }
 
+// Replaced returns the versions that the rollouts of a pool replaced, as long as they are listed.
+func (t *Tracker) Replaced(pool string) []string {
+	if x := t.pools[pool]; x != nil {
+		return x.retired
+	}
+	return nil
+}
+
 // Records returns all records in no particular order.
 func (t *Tracker) Records() []rollout.Record {
 	out := make([]rollout.Record, 0, len(t.pools))
--- a/internal/view/rollouts.go
+++ b/internal/view/rollouts.go
@@ -10,9 +10,6 @@
 	"github.com/verbenastep/verbenastep/core/rollout"
 )
 
-// phaseOrder lists the phases of a rollout in order; both final ones are last.
-var phaseOrder = map[rollout.Phase]int{rollout.Trial: 1, rollout.Shift: 2, rollout.Settle: 3, rollout.Completed: 4, rollout.RolledBack: 4}
-
 // applyRollouts takes over the records that are newer than the known ones, since of two
 // replicas that are watched for a moment one may be behind. It reports whether there was one.
 // The caller holds s.mu.
@@ -30,7 +27,7 @@
 		switch {
 		case i < 0:
 			list = append(list, r)
-		case isNewer(r, list[i]):
+		case r.IsNewer(list[i]):
 			list[i] = r
 		default:
 			continue
@@ -44,14 +41,6 @@
 	return changed, nil
 }
 
-// isNewer reports whether a record of a pool is of a later order or phase than another.
-func isNewer(r, old rollout.Record) bool {
-	if r.Number != old.Number {
-		return r.Number > old.Number
-	}
-	return phaseOrder[r.Phase] > phaseOrder[old.Phase]
-}
-
 // Rollouts returns the last rollout of each pool, as of its last change of phase. The caller
 // must not change the list.
 func (s *Service) Rollouts() []rollout.Record {
