broker: rollouts obey slow start

In the shift, an upstream of the target in slow start got a request beyond its window in each round, and its answers were slow. While the target alone is granted, the wait for steady upstreams counted those of the old version, which take no requests: requests were kept from upstreams in slow start and came late.

The shift uses the slow-start capacity; a trial loads one upstream fully, as before. addSteady leaves out upstreams that the rollout restricts. TestShiftObeysSlowStart (3 running, 2 allowed) and TestRequestsDoNotWaitForGatedUpstreams (101 steady slots in place of 1) failed before. All tests of the package passed with the race detector.

--- a/core/broker/pacedchoice.go
+++ b/core/broker/pacedchoice.go
@@ -32,7 +32,8 @@
 	r.paced.held = append(r.paced.held, u)
 }
 
-// addSteady collects the upstreams that are not in slow start, if any is.
+// addSteady collects the upstreams that are not in slow start, if any is, without those that the
+// pool's rollout restricts: no request can wait for them.
 func (p *pool) addSteady(r *round) {
 	if p.opening == 0 {
 		return
@@ -42,6 +43,9 @@
 	}
 	steady := &round{now: r.now, share: r.share, minCallTimes: map[string]float64{}}
 	for _, u := range p.order {
+		if p.versions.isRestricted(u) {
+			continue
+		}
 		if u.isLeaving() || u.Silent || u.health.isUnavailable(r.now) || !u.window.isOpen() || u.limitWait(r.now, r.share) > 0 {
 			continue
 		}
--- a/core/broker/rollout.go
+++ b/core/broker/rollout.go
@@ -136,6 +136,12 @@
 	v.mayTry = now-v.onlyTargetSince >= onlyVersionDelay
 }
 
+// isRestricted reports whether an upstream gets few or no new requests because of its software
+// version.
+func (v *versionGate) isRestricted(u *upstream) bool {
+	return v != nil && (v.onTrial() && v.isTarget(u.SoftwareVersion) || !v.allows(u.SoftwareVersion, false))
+}
+
 // passesOver reports whether a round leaves an upstream out because of its software version.
 // It adds an upstream of a version that gets few requests to the open ones without counting
 // its slots: the others must be able to carry the load. The requests of a trial go to one
@@ -145,10 +151,15 @@
 		return false
 	}
 	onTrial := v.onTrial() && v.isTarget(u.SoftwareVersion)
-	if !onTrial && v.allows(u.SoftwareVersion, false) {
+	if !v.isRestricted(u) {
 		return false
 	}
-	isFull := u.Silent || len(u.inFlight) >= u.capacity(r.now, r.share) || u.limitWait(r.now, r.share) > 0
+	capacity := u.capacity(r.now, r.share)
+	if v.gate.Phase == rollout.Shift {
+		// The part of the traffic grows; a trial is to load one upstream fully.
+		capacity = u.pacedCapacity(r.now, r.share)
+	}
+	isFull := u.Silent || len(u.inFlight) >= capacity || u.limitWait(r.now, r.share) > 0
 	switch {
 	case isFull, !v.allows(u.SoftwareVersion, true):
 		return true
--- a/core/broker/rollout_test.go
+++ b/core/broker/rollout_test.go
@@ -223,3 +223,46 @@
 	b.Resync(time.Second, "e", nil)
 	require.Zero(t, b.RolloutFleet(time.Second, "p").OldRunning, "the entry says that it ended")
 }
+
+// TestShiftObeysSlowStart guards against a new upstream of the target that gets more requests than
+// its slow start opens: each one beyond it is slow.
+func TestShiftObeysSlowStart(t *testing.T) {
+	b := New(1)
+	b.SetPace(Pace{InitialSlots: 2, TimeFactor: 2})
+	b.SetRollout("p", &countingController{left: 1000})
+	old, target := Upstream{ID: "u0", Pool: "p", Slots: 400, SoftwareVersion: "v1"}, Upstream{ID: "u2", Pool: "p", Slots: 40, SoftwareVersion: "v2", Born: 1}
+	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Shift}, nil)
+	b.SetUpstreams([]Upstream{old})
+	b.Decide(0)
+	b.Decide(20 * time.Second)
+	b.SetUpstreams([]Upstream{old, target})
+	for i := range 10 {
+		now := 20*time.Second + time.Duration(i)*time.Millisecond
+		for n := range 5 {
+			b.Offer(now, Offer{ID: ID{Entry: "e", Number: uint64(10*i + n)}, Pool: "p", LatencyTarget: now + 2*time.Second, Deadline: now + 5*time.Second})
+		}
+		b.Decide(now)
+		u := b.pools["p"].upstreams["u2"]
+		require.LessOrEqual(t, len(u.inFlight), u.pacedCapacity(now, 1))
+	}
+	require.NotEmpty(t, b.pools["p"].upstreams["u2"].inFlight)
+}
+
+// TestRequestsDoNotWaitForGatedUpstreams guards against requests that are kept from upstreams in
+// slow start since idle upstreams of a version that gets no requests could serve them.
+func TestRequestsDoNotWaitForGatedUpstreams(t *testing.T) {
+	b := New(1)
+	b.SetPace(Pace{InitialSlots: 1, TimeFactor: 2})
+	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Settle}, nil)
+	list := []Upstream{{ID: "t0", Pool: "p", Slots: 1, SoftwareVersion: "v2", Born: 1}, {ID: "o0", Pool: "p", Slots: 100, SoftwareVersion: "v1", Born: 1}}
+	b.SetUpstreams(list)
+	b.Decide(0)
+	b.Decide(20 * time.Second)
+	b.SetUpstreams(append(list, Upstream{ID: "t1", Pool: "p", Slots: 20, SoftwareVersion: "v2", Born: 2}))
+	p := b.pools["p"]
+	p.startWindows(20 * time.Second)
+	r := p.newRound(20*time.Second, 1)
+	require.NotNil(t, r.paced)
+	require.InDelta(t, 1, r.paced.steady.slots, 0.5)
+	require.Len(t, r.paced.steadyUpstreams, 1)
+}
