rollouts: controllers tick during commits; live entries are checked one by one

- While a command was being committed, up to 1 s, the controller was not called, which asks for a Tick every 100 ms.
It ticks always; its command is dropped while one is in flight, and a later Tick returns it again.
- EntriesKnown and EntriesLive were compared as counts: a session of a daemon that is not listed any more made up for a live entry that did not know the phase, and the rollout could be completed early.
Each daemon is looked up among the sessions.
- An order before any route table exists was answered as malformed (400), which callers don't repeat.
It is unavailable (503) now.

--- a/internal/broker/rollouts.go
+++ b/internal/broker/rollouts.go
@@ -264,14 +264,13 @@
 		run.controller.Committed(now, r)
 		x.metrics.record(r)
 	}
-	if run.proposing {
-		return
-	}
-	if isRemoved {
+	// A command that is dropped here is returned again by a later Tick.
+	a, ok := run.controller.Tick(now, s.fleet(r))
+	switch {
+	case run.proposing:
+	case isRemoved:
 		s.propose(run, rollout.Advance{Pool: r.Pool, Number: r.Number, Phase: rollout.RolledBack, Term: x.term, Reason: reasonPoolRemoved})
-		return
-	}
-	if a, ok := run.controller.Tick(now, s.fleet(r)); ok {
+	case ok:
 		s.propose(run, a)
 	}
 }
@@ -312,17 +311,27 @@
 	if r.Phase != rollout.Settle {
 		return f
 	}
-	for _, session := range s.sessions {
-		if brokerwire.KnowsPhase(session.rollouts[r.Pool], r) {
-			f.EntriesKnown++
+	// Whether the phase is known, by the daemon's name; all sessions of a name must know it.
+	known := map[string]bool{}
+	for entry, session := range s.sessions {
+		name := entry
+		if h, ok := port.ParseHolder(entry); ok {
+			name = h.Name
 		}
+		before, seen := known[name]
+		known[name] = (before || !seen) && brokerwire.KnowsPhase(session.rollouts[r.Pool], r)
 	}
 	for _, m := range s.rollouts.members.Live() {
-		if m.Callers != "" {
-			f.EntriesLive++
+		if _, seen := known[m.Name]; m.Callers != "" && !seen {
+			known[m.Name] = false
+		}
+	}
+	for _, isKnown := range known {
+		f.EntriesLive++
+		if isKnown {
+			f.EntriesKnown++
 		}
 	}
-	f.EntriesLive = max(f.EntriesLive, len(s.sessions))
 	return f
 }
 
--- a/internal/broker/rollouts_test.go
+++ b/internal/broker/rollouts_test.go
@@ -170,3 +170,48 @@
 	_, ok := c.rollouts.gates.Record("q")
 	require.True(t, ok)
 }
+
+// liveMembers is a fixed list of live daemons.
+type liveMembers []port.Member
+
+func (l liveMembers) Live() []port.Member { return l }
+
+func (l liveMembers) Find(string) (port.Member, bool) { return port.Member{}, false }
+
+// TestEachLiveEntryMustKnowThePhase guards against a rollout that is completed while a live entry
+// does not know the settle phase: a session of a daemon that is no longer listed counted for it.
+func TestEachLiveEntryMustKnowThePhase(t *testing.T) {
+	c := newControlled(t)
+	c.rollouts.members = liveMembers{{Name: "a", Callers: "x"}, {Name: "b", Callers: "y"}}
+	r := rollout.Record{Pool: "p", Target: "v2", Number: 1, Phase: rollout.Settle}
+	knows := &session{rollouts: map[string]*rpc.KnownRollout{"p": {Pool: "p", Number: 1, Phase: "settle"}}}
+	name := func(n string) string { return port.Holder{Name: n, Incarnation: 1, Address: "x"}.String() }
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer clear(c.sessions)
+	c.sessions[name("a")], c.sessions[name("gone")] = knows, knows
+	f := c.fleet(r)
+	require.Equal(t, []int{2, 3}, []int{f.EntriesKnown, f.EntriesLive})
+	c.sessions[name("b")] = knows
+	f = c.fleet(r)
+	require.Equal(t, f.EntriesLive, f.EntriesKnown)
+}
+
+// TestControllerTicksWhileACommandIsCommitted guards against a verdict that waits for a commit,
+// which may take a second: the controller was not called meanwhile.
+func TestControllerTicksWhileACommandIsCommitted(t *testing.T) {
+	c := newControlled(t)
+	run := c.update(t, 0)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	run.proposing = true
+	c.now += 2 * time.Second
+	before, _ := c.log.book.Record("p")
+	c.updateRollouts()
+	after, _ := c.log.book.Record("p")
+	require.Equal(t, before, after, "the command is dropped")
+	_, due := run.controller.Tick(c.now+time.Millisecond, rollout.Fleet{})
+	require.False(t, due, "the controller has just returned a command")
+	_, due = run.controller.Tick(c.now+time.Second, rollout.Fleet{})
+	require.True(t, due, "a later one returns it again")
+}
--- a/internal/rollouts/rollouts.go
+++ b/internal/rollouts/rollouts.go
@@ -177,7 +177,7 @@
 		return index.Pool(pool) != nil, nil
 	}
 	if p.Version == 0 {
-		return false, nil
+		return false, fault.New(fault.Unavailable, "publish a configuration, or ask again once there is one", "there is no route table yet")
 	}
 	t, err := routes.Decode(p.Table)
 	if err != nil {
