brokerclient: one check against grants read after a pause

Two mechanisms ended a session whose message was read after a pause of the entry: silence, after 0.6 s before the first message and 0.4 s after each one, and wasPaused, after 1.5 s and for messages with grants only. Both use the same clock. silence is checked first, for each message and with shorter limits, so wasPaused never applied; it is removed.

--- a/internal/brokerclient/rollouts.go
+++ b/internal/brokerclient/rollouts.go
@@ -14,17 +14,15 @@
 	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
-// trialGrantTTL is how long after its arrival a grant of a version on trial may be acted on, and
-// the longest pause between two messages of the broker after which one is accepted. Together
-// they are less than the time within which a bad version gets no more requests.
+// trialGrantTTL is how long after its arrival a grant of a version on trial may be acted on. With
+// brokerTimeout, the longest pause before a message that is accepted, it is less than the time
+// within which a bad version gets no more requests.
 const trialGrantTTL = 1500 * time.Millisecond
 
 // rollouts is what the entry knows of rollouts. The service's lock guards it.
 type rollouts struct {
 	view  port.RolloutView
 	gates *versiongate.Tracker
-	// heardAt is when the broker of the session last sent a message; zero before its first.
-	heardAt time.Duration
 }
 
 func newRollouts(view port.RolloutView) *rollouts {
@@ -79,17 +77,6 @@
 	return out
 }
 
-// wasPaused reports whether so much time passed since the broker's last message that its grants
-// may have expired, and records the message. The caller holds the lock.
-func (s *Service) wasPaused() bool {
-	if s.rollouts == nil {
-		return false
-	}
-	now, last := s.elapsed(), s.rollouts.heardAt
-	s.rollouts.heardAt = now
-	return last != 0 && now-last > trialGrantTTL
-}
-
 // isVoid reports whether a grant of a software version that arrived at a time must not be acted
 // on any more: the version was rolled back meanwhile, or it is on trial and the grant is old. A
 // pool without another version uses the one that it has. The caller holds the lock.
--- a/internal/brokerclient/rollouts_test.go
+++ b/internal/brokerclient/rollouts_test.go
@@ -125,12 +125,28 @@
 	v.set(rollout.Settle, time.Minute)
 	require.False(t, ticket.Expired(), "the version is trusted")
 
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rollouts.heardAt = v.elapsed()
-	require.False(t, s.wasPaused())
+	quiet := silence{elapsed: v.elapsed}
+	for _, limit := range []time.Duration{connectTimeout, brokerTimeout} {
+		require.Less(t, limit, trialGrantTTL)
+		quiet.restart(limit)
+		require.False(t, quiet.isOver())
+		v.set(rollout.Trial, limit+1)
+		require.True(t, quiet.isOver(), "the message may be as old as the pause")
+	}
+}
+
+// TestMessageReadAfterAPauseEndsTheSession guards against an entry that was paused and then obeys
+// the grants of a message that waited meanwhile.
+func TestMessageReadAfterAPauseEndsTheSession(t *testing.T) {
+	s, c, v := newRolloutEntry(t)
 	v.set(rollout.Trial, trialGrantTTL+1)
-	require.True(t, s.wasPaused(), "the message may be as old as the pause")
+	sessions := func() (n int) {
+		c.set(func(c *control) { n = c.sessions })
+		return n
+	}
+	before := sessions()
+	require.Eventually(t, func() bool { return sessions() > before }, testTimeout, time.Millisecond)
+	require.Eventually(t, s.isAttached, testTimeout, time.Millisecond)
 }
 
 // TestEntryReportsPhases guards against a rollout that waits for entries which know its phase, and
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -320,9 +320,6 @@
 	defer s.mu.Unlock()
 	s.pending = rpc.BrokerAsk{}
 	s.answered = false
-	if s.rollouts != nil {
-		s.rollouts.heardAt = 0
-	}
 	now := s.now()
 	ask := &rpc.BrokerAsk{Entry: s.self, RosterAgeMs: s.rosterAge(), Relayable: true, Interim: true}
 	s.rosterCurrent = ask.RosterAgeMs > 0
@@ -357,9 +354,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answered = true
-	if s.wasPaused() && len(r.Grants) > 0 {
-		return errBrokerTimeout
-	}
 	if r.Leads {
 		s.brokerEntries = int(r.Entries)
 	}
