--- a/core/broker/rollout_test.go
+++ b/core/broker/rollout_test.go
@@ -122,7 +122,8 @@
 }
 
 // TestControllerLearnsFromEnds guards against an analysis that misses answers, takes a cold
-// start for slowness, or learns from requests that did not run.
+// start for slowness, or learns from requests that did not run. A failure without a time can't be
+// told from what a crash ended.
 func TestControllerLearnsFromEnds(t *testing.T) {
 	b, c := rolloutPool(1), &countingController{left: 100}
 	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Trial}, nil)
@@ -137,18 +138,34 @@
 		b.End(took, End{ID: grants[0].ID, Outcome: o, TimeToFirstEvent: took})
 	}
 	end(Completed, 40*time.Millisecond)
-	end(UpstreamError, 0)
+	end(UpstreamError, 30*time.Millisecond)
 	end(NotSent, 0)
 	end(Canceled, 0)
 	require.Equal(t, []rollout.Answer{
 		{Route: 9, Target: true, Upstream: "u2", Time: 40 * time.Millisecond, Expected: 60 * time.Millisecond},
-		{Route: 9, Target: true, Upstream: "u2", Failed: true},
+		{Route: 9, Target: true, Upstream: "u2", Failed: true, Time: 30 * time.Millisecond},
 	}, c.answers)
 	b.pools["p"].upstreams["u2"].WarmUpTime = time.Second
 	end(Completed, 400*time.Millisecond)
 	require.Zero(t, c.answers[2].Time, "a cold start is not slowness")
 }
 
+// TestTimeoutsTellHowLongTheyLasted guards against a cold start that counts as failures: the entry
+// repeated a slow request elsewhere and ended the first attempt.
+func TestTimeoutsTellHowLongTheyLasted(t *testing.T) {
+	b, c := rolloutPool(1), &countingController{left: 100}
+	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Trial}, nil)
+	b.SetRollout("p", c)
+	for i, warmUp := range []time.Duration{0, time.Second} {
+		b.pools["p"].upstreams["u2"].WarmUpTime = warmUp
+		b.Offer(0, Offer{ID: ID{Number: uint64(i)}, Pool: "p", LatencyTarget: time.Second, Deadline: 2 * time.Second, Route: 9})
+		grants := b.Decide(0).Grants
+		require.Len(t, grants, 1)
+		b.End(700*time.Millisecond, End{ID: grants[0].ID, Outcome: TimedOut})
+	}
+	require.Equal(t, []rollout.Answer{{Route: 9, Target: true, Upstream: "u2", Failed: true, TimedOut: true, Time: 700 * time.Millisecond}}, c.answers, "none while the upstream warms up")
+}
+
 // TestRetriesAreNotCountedAsRequests guards against a share that grows by requests that are
 // offered again.
 func TestRetriesAreNotCountedAsRequests(t *testing.T) {
@@ -161,3 +178,91 @@
 	}
 	require.Equal(t, 2, c.requests, "upstreams to avoid are no sign of another attempt where that is sent")
 }
+
+// TestRequestsOfUnlistedUpstreamsRun guards against a rollout that is completed while requests run
+// on the old version: a new leader does not list their upstream yet when the entry reports them.
+func TestRequestsOfUnlistedUpstreamsRun(t *testing.T) {
+	target, old := Upstream{ID: "u2", Pool: "p", Slots: 4, SoftwareVersion: "v2"}, Upstream{ID: "u0", Pool: "p", Slots: 4, SoftwareVersion: "v1"}
+	newLeader := func() *Broker {
+		b := New(1)
+		b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Settle}, nil)
+		b.SetRollout("p", &countingController{left: 100})
+		b.SetUpstreams([]Upstream{target})
+		runs := Offer{ID: ID{Entry: "e", Number: 1}, Pool: "p", Running: "u0", VersionBound: true, SoftwareVersion: "v1", Deadline: time.Minute}
+		b.Resync(0, "e", []Offer{runs})
+		b.Offer(0, runs)
+		b.Decide(0)
+		require.Equal(t, 1, b.RolloutFleet(0, "p").OldRunning)
+		return b
+	}
+	end := End{ID: ID{Entry: "e", Number: 1}, Outcome: Completed}
+
+	b := newLeader()
+	b.End(time.Second, end)
+	require.Zero(t, b.RolloutFleet(time.Second, "p").OldRunning, "ended before the upstream is listed")
+
+	b = newLeader()
+	b.SetUpstreams([]Upstream{old, target})
+	b.Decide(time.Second)
+	require.Equal(t, rollout.Fleet{TargetSlots: 4, OldSlots: 4, Load: 1, OldRunning: 1}, b.RolloutFleet(time.Second, "p"))
+	require.Len(t, b.pools["p"].upstreams["u0"].inFlight, 1)
+	b.End(2*time.Second, end)
+	require.Zero(t, b.RolloutFleet(2*time.Second, "p").OldRunning, "ended after it is listed")
+
+	b = newLeader()
+	require.Equal(t, 1, b.RolloutFleet(time.Minute, "p").OldRunning)
+	b.Decide(time.Minute + maxUnlistedTime)
+	require.Empty(t, b.unlisted, "the upstream is gone")
+
+	b = newLeader()
+	b.LoseEntry(time.Second, "e")
+	require.Equal(t, 1, b.RolloutFleet(2*time.Second, "p").OldRunning)
+	require.Zero(t, b.RolloutFleet(time.Second+maxUnlistedTime, "p").OldRunning, "nobody reports the end")
+
+	b = newLeader()
+	b.Resync(time.Second, "e", nil)
+	require.Zero(t, b.RolloutFleet(time.Second, "p").OldRunning, "the entry says that it ended")
+}
+
+// TestShiftObeysSlowStart guards against a new upstream of the target that gets more requests than
+// its slow start opens: each one beyond it is slow.
+func TestShiftObeysSlowStart(t *testing.T) {
+	b := New(1)
+	b.SetPace(Pace{InitialSlots: 2, TimeFactor: 2})
+	b.SetRollout("p", &countingController{left: 1000})
+	old, target := Upstream{ID: "u0", Pool: "p", Slots: 400, SoftwareVersion: "v1"}, Upstream{ID: "u2", Pool: "p", Slots: 40, SoftwareVersion: "v2", Born: 1}
+	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Shift}, nil)
+	b.SetUpstreams([]Upstream{old})
+	b.Decide(0)
+	b.Decide(20 * time.Second)
+	b.SetUpstreams([]Upstream{old, target})
+	for i := range 10 {
+		now := 20*time.Second + time.Duration(i)*time.Millisecond
+		for n := range 5 {
+			b.Offer(now, Offer{ID: ID{Entry: "e", Number: uint64(10*i + n)}, Pool: "p", LatencyTarget: now + 2*time.Second, Deadline: now + 5*time.Second})
+		}
+		b.Decide(now)
+		u := b.pools["p"].upstreams["u2"]
+		require.LessOrEqual(t, len(u.inFlight), u.pacedCapacity(now, 1))
+	}
+	require.NotEmpty(t, b.pools["p"].upstreams["u2"].inFlight)
+}
+
+// TestRequestsDoNotWaitForGatedUpstreams guards against requests that are kept from upstreams in
+// slow start since idle upstreams of a version that gets no requests could serve them.
+func TestRequestsDoNotWaitForGatedUpstreams(t *testing.T) {
+	b := New(1)
+	b.SetPace(Pace{InitialSlots: 1, TimeFactor: 2})
+	b.SetGate("p", rollout.Gate{Target: "v2", Phase: rollout.Settle}, nil)
+	list := []Upstream{{ID: "t0", Pool: "p", Slots: 1, SoftwareVersion: "v2", Born: 1}, {ID: "o0", Pool: "p", Slots: 100, SoftwareVersion: "v1", Born: 1}}
+	b.SetUpstreams(list)
+	b.Decide(0)
+	b.Decide(20 * time.Second)
+	b.SetUpstreams(append(list, Upstream{ID: "t1", Pool: "p", Slots: 20, SoftwareVersion: "v2", Born: 2}))
+	p := b.pools["p"]
+	p.startWindows(20 * time.Second)
+	r := p.newRound(20*time.Second, 1)
+	require.NotNil(t, r.paced)
+	require.InDelta(t, 1, r.paced.steady.slots, 0.5)
+	require.Len(t, r.paced.steadyUpstreams, 1)
+}
--- a/internal/broker/rollouts.go
+++ b/internal/broker/rollouts.go
@@ -54,7 +54,9 @@
 	params  rollout.Params
 	replica rolloutReplica
 	members port.Members
-	gates   *versiongate.Tracker
+	// view may be ahead of the replica of a daemon that does not lead; nil in tests.
+	view  port.RolloutView
+	gates *versiongate.Tracker
 	// elapsed counts suspensions of the machine, so that a daemon that was paused does not
 	// act on an expired permission.
 	elapsed func() time.Duration
@@ -117,7 +119,12 @@
 	if err != nil {
 		return err
 	}
+	view, err := kernel.Find[port.RolloutView](k, port.NameView)
+	if err != nil {
+		return err
+	}
 	x := newRollouts(*s.set.Routing.Rollout, replica, members)
+	x.view = view
 	if x.metrics, err = newRolloutMetrics(registry.Registerer()); err != nil {
 		return err
 	}
@@ -158,6 +165,9 @@
 		s.beginTerm(now)
 	}
 	records, tableVersion := x.replica.Rollouts()
+	if !s.leads && x.view != nil {
+		records = newest(records, x.view.Rollouts())
+	}
 	for _, r := range x.gates.Update(records, s.listedVersions) {
 		if s.leads {
 			s.log.Info("rollout changed", recordFields(r)...)
@@ -172,6 +182,21 @@
 	}
 }
 
+// newest returns the newer record of each pool out of two lists.
+func newest(list, other []rollout.Record) []rollout.Record {
+	out := slices.Clone(list)
+	for _, r := range other {
+		i := slices.IndexFunc(out, func(x rollout.Record) bool { return x.Pool == r.Pool })
+		switch {
+		case i < 0:
+			out = append(out, r)
+		case r.IsNewer(out[i]):
+			out[i] = r
+		}
+	}
+	return out
+}
+
 // beginTerm prepares the controllers for a term of this daemon, and reads the log up to its
 // begin. The caller holds the lock.
 func (s *Service) beginTerm(now time.Duration) {
@@ -239,14 +264,13 @@
 		run.controller.Committed(now, r)
 		x.metrics.record(r)
 	}
-	if run.proposing {
-		return
-	}
-	if isRemoved {
+	// A command that is dropped here is returned again by a later Tick.
+	a, ok := run.controller.Tick(now, s.fleet(r))
+	switch {
+	case run.proposing:
+	case isRemoved:
 		s.propose(run, rollout.Advance{Pool: r.Pool, Number: r.Number, Phase: rollout.RolledBack, Term: x.term, Reason: reasonPoolRemoved})
-		return
-	}
-	if a, ok := run.controller.Tick(now, s.fleet(r)); ok {
+	case ok:
 		s.propose(run, a)
 	}
 }
@@ -287,17 +311,27 @@
 	if r.Phase != rollout.Settle {
 		return f
 	}
-	for _, session := range s.sessions {
-		if brokerwire.KnowsPhase(session.rollouts[r.Pool], r) {
-			f.EntriesKnown++
+	// Whether the phase is known, by the daemon's name; all sessions of a name must know it.
+	known := map[string]bool{}
+	for entry, session := range s.sessions {
+		name := entry
+		if h, ok := port.ParseHolder(entry); ok {
+			name = h.Name
 		}
+		before, seen := known[name]
+		known[name] = (before || !seen) && brokerwire.KnowsPhase(session.rollouts[r.Pool], r)
 	}
 	for _, m := range s.rollouts.members.Live() {
-		if m.Callers != "" {
-			f.EntriesLive++
+		if _, seen := known[m.Name]; m.Callers != "" && !seen {
+			known[m.Name] = false
+		}
+	}
+	for _, isKnown := range known {
+		f.EntriesLive++
+		if isKnown {
+			f.EntriesKnown++
 		}
 	}
-	f.EntriesLive = max(f.EntriesLive, len(s.sessions))
 	return f
 }
 
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -322,9 +322,6 @@
 	defer s.mu.Unlock()
 	s.pending = rpc.BrokerAsk{}
 	s.answered = false
-	if s.rollouts != nil {
-		s.rollouts.heardAt = 0
-	}
 	now := s.now()
 	ask := &rpc.BrokerAsk{Entry: s.self, RosterAgeMs: s.rosterAge(), Relayable: true, Interim: true}
 	s.rosterCurrent = ask.RosterAgeMs > 0
@@ -359,9 +356,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answered = true
-	if s.wasPaused() && len(r.Grants) > 0 {
-		return errBrokerTimeout
-	}
 	if r.Leads {
 		s.brokerEntries = int(r.Entries)
 	}
@@ -571,7 +565,7 @@
 		wait.Notify(s.wakeSession)
 		return
 	}
-	if s.isVoid(a.offer.Pool, g.SoftwareVersion, s.elapsed()) {
+	if s.isVoid(a.offer.Pool, g.SoftwareVersion, s.elapsed()) || s.interim && s.isForbidden(a, g.SoftwareVersion) {
 		s.returnVoid(a, g)
 		return
 	}
