forward: late writes to a caller are bounded in all

A caller that took each write within 0.3 s could keep its connection, and the memory of what is ready, for minutes after its deadline. Cause: each write after the deadline was given minWriteTime, without a total. Change: the extensions end 3 s after the first one.

--- a/internal/forward/caller.go
+++ b/internal/forward/caller.go
@@ -19,6 +19,9 @@
 	// minWriteTime is the least time that a caller has to take a write. One that still reads
 	// at its deadline gets what is ready.
 	minWriteTime = 300 * time.Millisecond
+	// maxLateWriteTime bounds the time in which a caller gets what is ready at its deadline.
+	// One that takes a little at a time would hold memory and its connection for minutes.
+	maxLateWriteTime = 3 * time.Second
 	// writeChunkBytes is how much is written to a caller at once.
 	writeChunkBytes = 64 << 10
 	// minWaitedWriteBytes is the size of an event from which its write counts as waiting
@@ -47,8 +50,10 @@
 // callerLink is the connection of an exchange to its caller.
 type callerLink struct {
 	controller *http.ResponseController
-	// writeUntil is the deadline of writes.
+	// writeUntil is the deadline of writes, lateUntil the latest one; zero until the first
+	// extension.
 	writeUntil time.Time
+	lateUntil  time.Time
 }
 
 // attendCaller sets the deadline for writes to the caller and begins to watch whether it is there.
@@ -119,7 +124,7 @@
 }
 
 // write writes to the caller. The caller has until its deadline, and afterwards minWriteTime
-// for each write.
+// for each write and maxLateWriteTime for all.
 func (x *exchange) write(data []byte) error {
 	x.extendWriteDeadline()
 	_, err := x.w.Write(data)
@@ -129,12 +134,20 @@
 // flush sends what was written.
 func (x *exchange) flush() error { return x.caller.controller.Flush() }
 
-// extendWriteDeadline gives the next write minWriteTime if the deadline is nearer.
+// extendWriteDeadline gives the next write minWriteTime if the deadline is nearer, until
+// maxLateWriteTime after the first extension.
 func (x *exchange) extendWriteDeadline() {
-	until := time.Now().Add(minWriteTime)
+	now := time.Now()
+	until := now.Add(minWriteTime)
 	if until.Before(x.caller.writeUntil) || x.holding.wasCutOff() {
 		return
 	}
+	if x.caller.lateUntil.IsZero() {
+		x.caller.lateUntil = now.Add(maxLateWriteTime)
+	}
+	if until.After(x.caller.lateUntil) {
+		until = x.caller.lateUntil
+	}
 	x.caller.writeUntil = until
 	_ = x.caller.controller.SetWriteDeadline(until)
 }
