Test: the clock of a client is set before the client starts

newRolloutEntry replaced the clock of a running client, which its sessions read without a lock: TestGrantOfRolledBackVersionIsReturned failed once with the race detector beside busy processes.

--- a/internal/brokerclient/rollouts_test.go
+++ b/internal/brokerclient/rollouts_test.go
@@ -42,12 +42,12 @@
 
 // newRolloutEntry returns an entry with a running rollout of pool p to v2, and its broker.
 func newRolloutEntry(t *testing.T) (*Service, *control, *rolloutView) {
-	s, c := newEntry(t, 1)
 	v := &rolloutView{record: rollout.Record{Pool: "p", Target: "v2", Number: 1, Phase: rollout.Trial}, now: time.Hour}
-	s.mu.Lock()
-	s.rollouts = newRollouts(v)
-	s.elapsed = v.elapsed
-	s.mu.Unlock()
+	// Set before the start: the sessions of the client read the clock without a lock.
+	s, c := newEntryWith(t, 1, func(s *Service) {
+		s.rollouts = newRollouts(v)
+		s.elapsed = v.elapsed
+	})
 	c[0].set(func(c *control) { c.leads, c.leader = true, c.address })
 	require.Eventually(t, s.isAttached, testTimeout, time.Millisecond)
 	return s, c[0], v
