One bound of rollout orders, one name for replaced versions and expired grants

The limits of an order's body and duration stood in platform and in admin, the defaults of decisions under overload in settings and in core/broker; a grant that must not be used any more was void, expired or late, and versions that a rollout replaced were also called retired, which at an entry means upstreams that leave. Measured: the tests of the changed packages pass.

--- a/core/broker/rollout.go
+++ b/core/broker/rollout.go
@@ -30,8 +30,8 @@
 // versionGate restricts the software versions of a pool during and after a rollout.
 type versionGate struct {
 	gate rollout.Gate
-	// retired lists the versions that a completed rollout replaced.
-	retired []string
+	// replaced lists the versions that a completed rollout replaced.
+	replaced []string
 	// controller is nil at a local broker, and at the broker of all entries until it has
 	// one; the target gets no requests on trial then.
 	controller RolloutController
@@ -60,8 +60,8 @@
 }
 
 // SetGate sets which software versions of a pool get new requests; the zero Gate allows all.
-// retired lists the versions that a completed rollout replaced; others are allowed then.
-func (b *Broker) SetGate(pool string, g rollout.Gate, retired []string) {
+// replaced lists the versions that a completed rollout replaced; others are allowed then.
+func (b *Broker) SetGate(pool string, g rollout.Gate, replaced []string) {
 	if g == (rollout.Gate{}) && (b.pools[pool] == nil || b.pools[pool].versions == nil) {
 		return
 	}
@@ -72,7 +72,7 @@
 	if p.versions.gate != g {
 		p.versions.gate, p.versions.onlyTargetSince = g, -1
 	}
-	p.versions.retired = retired
+	p.versions.replaced = replaced
 	p.dropOpenVersions()
 }
 
@@ -109,7 +109,7 @@
 	case bound && v.gate.Phase == rollout.Settle:
 		return true
 	case v.gate.Phase == rollout.Completed:
-		return !slices.Contains(v.retired, version)
+		return !slices.Contains(v.replaced, version)
 	}
 	return v.gate.AllowsOld(v.central)
 }
--- a/internal/admin/rollout.go
+++ b/internal/admin/rollout.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -14,12 +13,6 @@
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
-const (
-	// maxOrderBytes bounds an order of a rollout, maxOrderSeconds its duration.
-	maxOrderBytes   = 64 << 10
-	maxOrderSeconds = 1e9
-)
-
 func (s *Service) rolloutRoutes(e *echo.Echo) {
 	e.GET(operator.PathRollout, s.showRollout, s.authenticated)
 	e.POST(operator.PathRollout, s.startRollout, s.authenticated)
@@ -42,10 +35,10 @@
 		return err
 	}
 	o := operator.RolloutOrder{}
-	if err := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxOrderBytes)).Decode(&o); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, port.MaxRolloutOrderBytes)).Decode(&o); err != nil {
 		return fault.New(fault.Malformed, "send an order as docs/OPERATORS.md shows", "the body is not readable: %v", err)
 	}
-	r, err := orders.Order(c.Request().Context(), o.Pool, o.Target, time.Duration(min(o.Seconds, maxOrderSeconds)*float64(time.Second)))
+	r, err := orders.Order(c.Request().Context(), o.Pool, o.Target, port.RolloutDuration(o.Seconds))
 	if err != nil {
 		return err
 	}
--- a/internal/brokerclient/rollouts.go
+++ b/internal/brokerclient/rollouts.go
@@ -77,10 +77,10 @@
 	return out
 }
 
-// isVoid reports whether a grant of a software version that arrived at a time must not be acted
+// isExpired reports whether a grant of a software version that arrived at a time must not be acted
 // on any more: the version was rolled back meanwhile, or it is on trial and the grant is old. A
 // pool without another version uses the one that it has. The caller holds the lock.
-func (s *Service) isVoid(pool, version string, grantedAt time.Duration) bool {
+func (s *Service) isExpired(pool, version string, grantedAt time.Duration) bool {
 	if s.rollouts == nil {
 		return false
 	}
@@ -100,7 +100,7 @@
 
 // isForbidden reports whether the local broker would not grant a software version to a request, by
 // the entry's view of the rollout. The grants of an interim broker, which may have an older view,
-// must not go beyond it; the leader knows the newest phase. A rolled back version is left to isVoid.
+// must not go beyond it; the leader knows the newest phase. A rolled back version is left to isExpired.
 // The caller holds the lock.
 func (s *Service) isForbidden(a *acquisition, version string) bool {
 	if s.rollouts == nil {
@@ -120,9 +120,9 @@
 	}
 }
 
-// returnVoid returns a grant that must not be acted on, and offers its request again. The caller
+// returnExpired returns a grant that must not be acted on, and offers its request again. The caller
 // holds the lock.
-func (s *Service) returnVoid(a *acquisition, g broker.Grant) {
+func (s *Service) returnExpired(a *acquisition, g broker.Grant) {
 	s.log.Info("late grant dropped", zap.String("pool", a.offer.Pool), zap.String("upstream", g.Upstream), zap.String("software", g.SoftwareVersion), zap.String("why", g.VersionReason))
 	s.metrics.droppedGrants.Inc()
 	a.offer.Avoid = append(slices.Clip(a.offer.Avoid), g.Upstream)
@@ -140,6 +140,6 @@
 	return func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.isVoid(a.offer.Pool, a.grant.SoftwareVersion, a.grantedAt) || a.decidedBy == byInterim && s.isForbidden(a, a.grant.SoftwareVersion)
+		return s.isExpired(a.offer.Pool, a.grant.SoftwareVersion, a.grantedAt) || a.decidedBy == byInterim && s.isForbidden(a, a.grant.SoftwareVersion)
 	}
 }
--- a/internal/brokerclient/rollouts_test.go
+++ b/internal/brokerclient/rollouts_test.go
@@ -101,8 +101,8 @@
 	s.mu.Lock()
 	// Another version serves, so that the pool can do without the target.
 	s.roster["old"] = &rpc.RosterEntry{Id: "old", Pool: "p", SoftwareVersion: "v1"}
-	require.True(t, s.isVoid("p", "v2", v.elapsed()))
-	require.False(t, s.isVoid("p", "v1", v.elapsed()))
+	require.True(t, s.isExpired("p", "v2", v.elapsed()))
+	require.False(t, s.isExpired("p", "v1", v.elapsed()))
 	a := &acquisition{offer: broker.Offer{ID: broker.ID{Number: 99}, Pool: "p"}, settled: make(chan struct{})}
 	s.waiting[99] = a
 	s.handleGrant(broker.Grant{ID: a.offer.ID, Upstream: "u", SoftwareVersion: "v2"})
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -517,8 +517,8 @@
 		wait.Notify(s.wakeSession)
 		return
 	}
-	if s.isVoid(a.offer.Pool, g.SoftwareVersion, s.elapsed()) || s.interim && s.isForbidden(a, g.SoftwareVersion) {
-		s.returnVoid(a, g)
+	if s.isExpired(a.offer.Pool, g.SoftwareVersion, s.elapsed()) || s.interim && s.isForbidden(a, g.SoftwareVersion) {
+		s.returnExpired(a, g)
 		return
 	}
 	s.settleGrant(g, s.grantedBy())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -256,8 +256,8 @@
 }
 
 // Stop closes the listener and waits for the requests in flight and those that have begun
-// to arrive. If the context ends first, it closes the callers' connections without a response, as a crash
-// would, because another entry may still complete their requests.
+// to arrive. If the context ends first, it closes the callers' connections without a response, as
+// a crash would, because another entry may still complete their requests.
 func (s *Service) Stop(ctx context.Context) error {
 	s.isStopping.Store(true)
 	s.ln.StopAccepting()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -118,8 +118,8 @@
 	// read is what was read of a stream.
 	read streamTimes
 	// isReused is set if an earlier request was sent on the connection; a released connection is
-	// no longer the attempt's. isGrantEnded is set
-	// if the grant and the connection were given back before the caller had all events.
+	// no longer the attempt's. isGrantEnded is set if the grant and the connection were given
+	// back before the caller had all events.
 	isReused     bool
 	isGrantEnded bool
 	// err is why the attempt ended; nil if the response is complete.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -320,6 +320,19 @@
 	Rollouts() []rollout.Record
 }
 
+// MaxRolloutOrderBytes bounds the body of a call that orders a rollout.
+const MaxRolloutOrderBytes = 64 << 10
+
+// maxOrderSeconds is longer than any duration that Rollouts accepts, and fits into a
+// time.Duration.
+const maxOrderSeconds = 1e9
+
+// RolloutDuration returns the duration of an order that names it in seconds. What would not fit
+// becomes one that Rollouts rejects.
+func RolloutDuration(seconds float64) time.Duration {
+	return time.Duration(max(-maxOrderSeconds, min(seconds, maxOrderSeconds)) * float64(time.Second))
+}
+
 // Rollouts orders rollouts and reads them back. Errors are *fault.Error; after one of kind
 // fault.Unavailable or fault.Unknown the call may have taken effect, and may be repeated.
 type Rollouts interface {
--- a/internal/settings/routing.go
+++ b/internal/settings/routing.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/verbenastep/verbenastep/core/broker"
 )
 
 // Routing holds the settings of a daemon that serves a published route table.
@@ -132,8 +134,8 @@
 	// DefaultAbandonFactor, DefaultMaxCommitments and DefaultReturnShare have no unit.
 	DefaultAbandonFactor  = 4.0
 	DefaultAbandonMinMS   = 2000.0
-	DefaultMaxCommitments = 10_000
-	DefaultReturnShare    = 0.1
+	DefaultMaxCommitments = broker.DefaultMaxCommitments
+	DefaultReturnShare    = broker.DefaultReturnShare
 )
 
 // DefaultBufferMB is the default of Routing.BufferMB.
--- a/internal/versiongate/versiongate.go
+++ b/internal/versiongate/versiongate.go
@@ -10,7 +10,7 @@
 
 // Setter is a broker whose gates are set.
 type Setter interface {
-	SetGate(pool string, g rollout.Gate, retired []string)
+	SetGate(pool string, g rollout.Gate, replaced []string)
 }
 
 // Tracker holds the newest record of each pool.
@@ -20,9 +20,9 @@
 
 type tracked struct {
 	record rollout.Record
-	// retired lists the versions other than the target that the pool had when its rollout
+	// replaced lists the versions other than the target that the pool had when its rollout
 	// was completed, as long as they are listed.
-	retired []string
+	replaced []string
 }
 
 // New returns a tracker without records.
@@ -50,11 +50,11 @@
 		}
 		switch {
 		case r.Phase != rollout.Completed:
-			x.retired = nil
+			x.replaced = nil
 		case old.Running() && old.Number == r.Number:
-			x.retired = others(listed(r.Pool), r.Target)
-		case len(x.retired) > 0:
-			x.retired = common(x.retired, listed(r.Pool))
+			x.replaced = others(listed(r.Pool), r.Target)
+		case len(x.replaced) > 0:
+			x.replaced = common(x.replaced, listed(r.Pool))
 		}
 	}
 	return changed
@@ -66,10 +66,10 @@
 func (t *Tracker) Apply(b Setter) {
 	for pool, x := range t.pools {
 		g := x.record.Gate()
-		if g.Phase == rollout.Completed && len(x.retired) == 0 {
+		if g.Phase == rollout.Completed && len(x.replaced) == 0 {
 			g = rollout.Gate{}
 		}
-		b.SetGate(pool, g, x.retired)
+		b.SetGate(pool, g, x.replaced)
 	}
 }
 
@@ -85,7 +85,7 @@
 // Replaced returns the versions that the rollouts of a pool replaced, as long as they are listed.
 func (t *Tracker) Replaced(pool string) []string {
 	if x := t.pools[pool]; x != nil {
-		return x.retired
+		return x.replaced
 	}
 	return nil
 }
--- a/internal/versiongate/versiongate_test.go
+++ b/internal/versiongate/versiongate_test.go
@@ -26,7 +26,7 @@
 	require.Len(t, tracker.Update([]rollout.Record{running}, versions), 1)
 	require.Empty(t, tracker.Update([]rollout.Record{running}, versions))
 	require.Len(t, tracker.Update([]rollout.Record{completed}, versions), 1)
-	require.Equal(t, []string{"v1", ""}, tracker.pools["p"].retired)
+	require.Equal(t, []string{"v1", ""}, tracker.pools["p"].replaced)
 	for _, now := range []struct {
 		listed []string
 		gate   rollout.Gate
