Streams keep their software version through a restart of all entries

Callers saw text of two software versions in one stream, or streams that could never be resumed, after all entries had been killed at once. Cause: an entry that has just started knows only the versions in service now (a full roster omits what is gone) and took the only one for that of a stream that nobody knew; a caller that names no request was not recognised; a new leader knew no stream of entries that were lost with the one before; a resumption had no stream of its own.

Change: only a leader that has led for two heartbeat intervals and 0.5 s concludes from the versions in service (Broker.TrustVersionsFrom); the leader has a follower remember each stream that it grants, and followers tell the next one; streams outlive a change of brokers in a daemon; a resumption may be resumed; a caller that names no request is known by its content; refusals say when a leader will be sure.

TestUnknownStreamIsResumedAtTheOnlyVersion wanted the fault itself and is replaced by a stricter one; TestOffersNameTheStream wanted a resumption without a stream of its own.

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -70,11 +70,12 @@
 	Fingerprint uint64
 	// SharedParts are hashes of the parts of the prompt that it may share with others.
 	SharedParts []uint64
-	// Stream identifies the stream that the request begins, if the caller may resume it;
-	// zero otherwise. Resumes is the Stream of the request that began the stream which
-	// this one resumes; zero if it resumes none.
-	Stream  uint64
-	Resumes uint64
+	// Stream identifies the stream that the request begins or goes on with, if the caller may
+	// resume it; zero otherwise. Resumes is the Stream of the request whose stream this one
+	// resumes, or its ContentStream if ResumesContent is set; zero if it resumes none.
+	Stream         uint64
+	Resumes        uint64
+	ResumesContent bool
 	// SoftwareVersion is the only software version at which the request may run if
 	// VersionBound is set. Of a running request it is the version at which it runs.
 	SoftwareVersion string
@@ -132,6 +133,8 @@
 	// without a rollout.
 	SoftwareVersion string
 	VersionReason   string
+	// Streams is what the broker recorded of the stream that the request begins.
+	Streams []StreamOrigin
 }
 
 // Code is the reason why a request is refused. A refused request did not run.
@@ -275,9 +278,10 @@
 	// limiters holds, by upstream, what upstreams said of the requests that they take.
 	limiters map[string]*limiter
 	// streams holds the streams that may be resumed; nextStreamSweep is when expired ones
-	// are next removed.
-	streams         map[uint64]StreamOrigin
-	nextStreamSweep time.Duration
+	// are next removed. versionsTrustedFrom is described at TrustVersionsFrom.
+	streams             map[uint64]streamRecord
+	nextStreamSweep     time.Duration
+	versionsTrustedFrom time.Duration
 	// share is the fraction of all capacity and quotas that this broker may use: 1
 	// for the broker of all entries, less for the local broker of an entry.
 	share float64
@@ -312,7 +316,7 @@
 func New(share float64) *Broker {
 	return &Broker{
 		requests: map[ID]*request{}, unlisted: map[ID]unlistedRequest{}, pools: map[string]*pool{}, buckets: map[string]*limits.Bucket{},
-		suspects: suspects.New[ID](), limiters: map[string]*limiter{}, streams: map[uint64]StreamOrigin{}, share: share,
+		suspects: suspects.New[ID](), limiters: map[string]*limiter{}, streams: map[uint64]streamRecord{}, versionsTrustedFrom: never, share: share,
 	}
 }
 
--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -240,13 +240,13 @@
 		p.assign(r.now, req, u)
 		b.spendLimit(r.now, req)
 		b.startTrial(r.now, req, u, stage, first)
-		b.recordStream(r.now, req, u.SoftwareVersion)
+		streams := b.recordStream(r.now, req, u.SoftwareVersion)
 		reason := p.countTry(r.now, u)
 		r.closeIfFull(u)
 		b.pending.Grants = append(b.pending.Grants, Grant{
 			ID: req.ID, Upstream: u.ID, Address: u.Address, Born: u.Born, ExpectedTimeToFirstEvent: first, Waited: r.now - req.arrived,
 			FreeSlots: u.capacity(r.now, b.share) - len(u.inFlight), Queued: len(p.queue),
-			SoftwareVersion: u.SoftwareVersion, VersionReason: reason,
+			SoftwareVersion: u.SoftwareVersion, VersionReason: reason, Streams: streams,
 		})
 	}
 	p.open = r.open
--- a/core/broker/streams.go
+++ b/core/broker/streams.go
@@ -1,8 +1,12 @@
 package broker
 
 import (
+	"encoding/binary"
 	"fmt"
+	"hash/fnv"
 	"maps"
+	"math"
+	"slices"
 	"time"
 )
 
@@ -19,64 +23,135 @@
 	// versionMemory is how long a software version counts as serving after its last
 	// upstream has left: as long as streams that it began may be resumed.
 	versionMemory = time.Minute
+	// untrustedRetryDelay is the retry delay of a resumption that a broker refuses because it
+	// does not know enough of the past: another one has usually begun by then.
+	untrustedRetryDelay = time.Second
+	// never is a time that is not reached.
+	never = time.Duration(math.MaxInt64)
 )
 
-// StreamOrigin is the software version of the upstream that began a stream. Events of
-// different versions must not be joined in one stream.
+// StreamOrigin is a software version at which a stream began. Events of different versions
+// must not be joined in one stream.
 type StreamOrigin struct {
-	// Stream identifies the stream; see Offer.Stream.
+	// Stream identifies the stream, see Offer.Stream; or, if Content is set, all streams of
+	// requests with one content, see ContentStream.
 	Stream          uint64
+	Content         bool
 	SoftwareVersion string
 	// Until is when the stream can't be resumed any more.
 	Until time.Duration
 }
 
-// recordStream records the software version at which a request begins a stream.
-func (b *Broker) recordStream(now time.Duration, req *request, version string) {
-	if req.Stream != 0 && req.Resumes == 0 {
-		b.LearnStreams(now, []StreamOrigin{{Stream: req.Stream, SoftwareVersion: version, Until: max(now, req.Deadline) + streamTTL}})
-	}
+// streamRecord is what a broker knows of the beginning of a stream. Several versions mean that
+// those who remember it disagree, or that requests with one content began at each of them.
+type streamRecord struct {
+	content  bool
+	versions []string
+	until    time.Duration
+}
+
+// ContentStream identifies the streams of requests with one content, for callers that resume a
+// stream without naming the request that began it. It is zero without a fingerprint.
+func ContentStream(fingerprint, session uint64) uint64 {
+	if fingerprint == 0 {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = h.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, fingerprint), session)) // Write of a hash never fails
+	return h.Sum64()
+}
+
+// TrustVersionsFrom tells the broker from when on it knows of all upstreams that served lately
+// and of all streams that others remember. From then on it resumes a stream that nobody knows
+// at the pool's only version, and one without a name by its content. Without a call it never
+// does: a broker that has just begun, or serves a part of the entries only, knows the versions
+// that serve now, which may not have begun the stream.
+func (b *Broker) TrustVersionsFrom(at time.Duration) { b.versionsTrustedFrom = at }
+
+// recordStream records the software version at which a request begins or resumes a stream, and
+// returns what it recorded. An earlier attempt of the request brought no event, or ran at the
+// same version.
+func (b *Broker) recordStream(now time.Duration, req *request, version string) []StreamOrigin {
+	if req.Stream == 0 {
+		return nil
+	}
+	until := max(now, req.Deadline) + streamTTL
+	origins := []StreamOrigin{{Stream: req.Stream, SoftwareVersion: version, Until: until}}
+	if content := ContentStream(req.Fingerprint, req.Session); content != 0 {
+		origins = append(origins, StreamOrigin{Stream: content, Content: true, SoftwareVersion: version, Until: until})
+	}
+	delete(b.streams, req.Stream)
+	b.LearnStreams(now, origins)
+	return origins
 }
 
-// LearnStreams adds streams that another broker recorded, and removes expired ones.
+// LearnStreams adds streams that another daemon recorded. What it says of a stream may be older
+// than what is known: if they differ, the version is not certain.
 func (b *Broker) LearnStreams(now time.Duration, list []StreamOrigin) {
 	for _, o := range list {
-		b.streams[o.Stream] = o
+		b.addOrigin(now, o)
 	}
 	if now < b.nextStreamSweep {
 		return
 	}
 	b.nextStreamSweep = now + streamSweepInterval
-	maps.DeleteFunc(b.streams, func(_ uint64, o StreamOrigin) bool { return o.Until < now })
+	maps.DeleteFunc(b.streams, func(_ uint64, r streamRecord) bool { return r.until < now })
 }
 
-// Streams returns the streams that may still be resumed, in no particular order.
+// addOrigin adds a version to the record of a stream.
+func (b *Broker) addOrigin(now time.Duration, o StreamOrigin) {
+	r := b.streams[o.Stream]
+	if r.until < now {
+		r = streamRecord{content: o.Content}
+	}
+	if !slices.Contains(r.versions, o.SoftwareVersion) {
+		r.versions = append(r.versions[:len(r.versions):len(r.versions)], o.SoftwareVersion)
+	}
+	r.until = max(r.until, o.Until)
+	b.streams[o.Stream] = r
+}
+
+// Streams returns the streams that may still be resumed, in no particular order; those whose
+// version is not certain with each one.
 func (b *Broker) Streams(now time.Duration) []StreamOrigin {
 	out := make([]StreamOrigin, 0, len(b.streams))
-	for _, o := range b.streams {
-		if o.Until >= now {
-			out = append(out, o)
+	for stream, r := range b.streams {
+		if r.until < now {
+			continue
+		}
+		for _, version := range r.versions {
+			out = append(out, StreamOrigin{Stream: stream, Content: r.content, SoftwareVersion: version, Until: r.until})
 		}
 	}
 	return out
 }
 
 // StreamVersion returns the software version that began a stream, and false if it is not
-// known.
+// known for certain.
 func (b *Broker) StreamVersion(now time.Duration, stream uint64) (string, bool) {
-	o, ok := b.streams[stream]
-	return o.SoftwareVersion, ok && o.Until >= now
+	r, ok := b.streams[stream]
+	if !ok || r.until < now || len(r.versions) != 1 {
+		return "", false
+	}
+	return r.versions[0], true
 }
 
 // bindVersion binds a request that resumes a stream to the software version that began it,
-// if that is known or the pool has no other.
+// if that is known, or if nobody knows the stream and the pool has had no other version.
 func (b *Broker) bindVersion(now time.Duration, p *pool, req *request) {
 	if req.Resumes == 0 || req.VersionBound {
 		return
 	}
-	if version, ok := b.StreamVersion(now, req.Resumes); ok {
-		req.SoftwareVersion, req.VersionBound = version, true
-	} else if version, ok := p.onlyVersion(); ok {
+	isTrusted := now >= b.versionsTrustedFrom
+	r, isKnown := b.streams[req.Resumes]
+	isKnown = isKnown && r.until >= now
+	version, ok := b.StreamVersion(now, req.Resumes)
+	if ok && req.ResumesContent {
+		ok = isTrusted
+	} else if !isKnown && isTrusted {
+		version, ok = p.onlyVersion()
+	}
+	if ok {
 		req.SoftwareVersion, req.VersionBound = version, true
 	}
 }
@@ -103,11 +178,16 @@
 	if now-req.arrived < maxVersionWait && now < req.LatencyTarget {
 		return false
 	}
-	reason := "it is not known which software version began the stream"
-	if req.VersionBound {
+	reason, retryDelay := "it is not known which software version began the stream", minRetryDelay
+	switch {
+	case req.VersionBound:
 		reason = fmt.Sprintf("no upstream of software version %q, which began the stream, takes requests", req.SoftwareVersion)
+	case b.versionsTrustedFrom == never:
+		retryDelay = untrustedRetryDelay
+	case now < b.versionsTrustedFrom:
+		retryDelay = b.versionsTrustedFrom - now + minRetryDelay
 	}
-	b.refuse(req, VersionUnavailable, minRetryDelay, reason)
+	b.refuse(req, VersionUnavailable, retryDelay, reason)
 	return true
 }
 
--- a/core/broker/streams_test.go
+++ b/core/broker/streams_test.go
@@ -104,11 +104,23 @@
 }
 
 // TestUnknownStreamIsResumedAtTheOnlyVersion guards against resumed streams that are refused
-// where no two versions serve. A version whose upstreams have just left counts.
+// where no two versions serve. A version whose upstreams have just left counts, and a broker
+// that has just begun does not know the versions of the past.
 func TestUnknownStreamIsResumedAtTheOnlyVersion(t *testing.T) {
 	b := newVersionBroker(8, "v1", "v1")
 	b.Offer(0, resumption(1, 77))
-	require.Len(t, b.Decide(0).Grants, 1)
+	require.Empty(t, b.Decide(maxVersionWait/2).Grants)
+	d := b.Decide(maxVersionWait)
+	require.Empty(t, d.Grants)
+	require.Equal(t, VersionUnavailable, d.Refusals[0].Code)
+	require.Equal(t, untrustedRetryDelay, d.Refusals[0].RetryAfter)
+	b.TrustVersionsFrom(3 * time.Second)
+	b.Offer(maxVersionWait, resumption(2, 77))
+	d = b.Decide(2 * maxVersionWait)
+	require.Empty(t, d.Grants)
+	require.GreaterOrEqual(t, d.Refusals[0].RetryAfter, 3*time.Second-2*maxVersionWait, "it is served when it returns")
+	b.Offer(3*time.Second, resumption(3, 77))
+	require.Len(t, b.Decide(3*time.Second).Grants, 1)
 	for name, list := range map[string][]Upstream{
 		"left":       versioned(8, "v2"),
 		"known gone": append(versioned(8, "v2"), Upstream{ID: "z", Pool: "p", Gone: true, SoftwareVersion: "v1"}),
@@ -117,6 +129,7 @@
 		if name == "left" {
 			b = newVersionBroker(8, "v1")
 		}
+		b.TrustVersionsFrom(0)
 		b.SetUpstreams(list)
 		b.Decide(time.Second)
 		b.Offer(time.Second, resumption(1, 77))
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -205,7 +205,7 @@
 	d.recentDecisions.add(explanation)
 	return Grant{
 		ID: r.offer.ID, Workspace: r.offer.Workspace, Tier: r.offer.Tier, Waited: now - r.arrivedAt,
-		Upstream: u.Name, Address: u.Address, Incarnation: u.Incarnation, Explanation: explanation,
+		Upstream: u.Name, Address: u.Address, Incarnation: u.Incarnation, Version: u.Version, Explanation: explanation,
 	}
 }
 
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -136,6 +136,8 @@
 	Upstream    string
 	Address     string
 	Incarnation uint64
+	// Version is the upstream's version of the model; empty if it states none.
+	Version     string
 	Explanation Explanation
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -299,6 +299,7 @@
 	s.replaceCore()
 	if leads {
 		s.core.AwaitEntries(s.now() + entriesTimeout)
+		s.trustVersions()
 	}
 	// Send the entries the new state at once, so that they offer all waiting and
 	// running requests to a new broker.
@@ -309,16 +310,17 @@
 	}
 }
 
-// replaceCore replaces the core by one that knows only the suspects and limits; refresh fills it.
-// The caller holds the lock.
+// replaceCore replaces the core by one that knows only the suspects, limits and streams; refresh
+// fills it. The caller holds the lock.
 func (s *Service) replaceCore() {
-	quarantined, limits := s.core.QuarantinedContents(s.now()), s.core.Limits()
+	quarantined, limits, streams := s.core.QuarantinedContents(s.now()), s.core.Limits(), s.core.Streams(s.now())
 	s.core = newCore(s.set)
 	s.overload = overloadReport{}
 	s.core.LearnSuspects(s.now(), quarantined)
 	for _, l := range limits {
 		s.core.LearnLimit(s.now(), l)
 	}
+	s.core.LearnStreams(s.now(), streams)
 	s.resetRollouts()
 	s.tableVersion = 0
 	s.rosterReadAt = time.Time{}
@@ -348,6 +350,7 @@
 	}
 	s.reportPace()
 	replies := map[string]*rpc.BrokerReply{}
+	granted := map[string][]broker.Grant{}
 	replyTo := func(entry string) *rpc.BrokerReply {
 		if replies[entry] == nil {
 			replies[entry] = &rpc.BrokerReply{}
@@ -357,6 +360,7 @@
 	for _, g := range decisions.Grants {
 		r := replyTo(g.ID.Entry)
 		r.Grants = append(r.Grants, brokerwire.EncodeGrant(g))
+		granted[g.ID.Entry] = append(granted[g.ID.Entry], g)
 	}
 	for _, x := range decisions.Refusals {
 		r := replyTo(x.ID.Entry)
@@ -367,6 +371,7 @@
 			state := s.reply(x)
 			state.Grants, state.Refusals = r.Grants, r.Refusals
 			x.send(state)
+			s.queueStreams(x, granted[entry])
 		}
 	}
 	if s.leads {
--- a/internal/broker/overload_test.go
+++ b/internal/broker/overload_test.go
@@ -48,7 +48,7 @@
 func TestOverloadCommitmentsReachAllFollowers(t *testing.T) {
 	s := newOverloadService(t, &settings.Overload{})
 	s.leads = true
-	followers := []*relayed{newRelayed(func() {}), newRelayed(func() {})}
+	followers := []*relayed{newRelayed("follower", func() {}), newRelayed("follower", func() {})}
 	for _, y := range followers {
 		s.listeners[y.own] = struct{}{}
 	}
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -62,9 +62,11 @@
 	unsupportedBy string
 	// entries is the number of entries that the leader serves.
 	entries uint32
-	// asks and lost collect the next message to the leader.
-	asks []*rpc.BrokerAsk
-	lost []string
+	// asks and lost collect the next message to the leader. streams are those that a new
+	// leader has yet to be told of.
+	asks    []*rpc.BrokerAsk
+	lost    []string
+	streams []broker.StreamOrigin
 	// shedding holds the ranks of pools that the leader sheds.
 	shedding map[poolRank]shedding
 	// commitments holds the requests that the leader expects in spite of shedding.
@@ -89,6 +91,9 @@
 	until time.Time
 }
 
+// notify has what waits sent to the leader.
+func (r *relay) notify() { wait.Notify(r.wake) }
+
 // runRelay keeps a relay to the leader while another daemon leads.
 func (s *Service) runRelay() {
 	for s.ctx.Err() == nil {
@@ -124,7 +129,7 @@
 	defer timeout.Stop()
 	s.mu.Lock()
 	s.relay.end = cancel
-	s.relay.asks, s.relay.lost = nil, nil
+	s.relay.asks, s.relay.lost, s.relay.streams = nil, nil, nil
 	clear(s.relay.shedding)
 	s.mu.Unlock()
 	stream, err := rpc.NewDRPCBrokerClient(s.link.Conn(address)).Relay(ctx)
@@ -180,7 +185,7 @@
 func (s *Service) takeRelayAsk() *rpc.RelayAsk {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ask := &rpc.RelayAsk{Asks: s.relay.asks, Lost: s.relay.lost}
+	ask := &rpc.RelayAsk{Asks: s.relay.asks, Lost: s.relay.lost, Streams: s.takeStreams(&s.relay.streams, s.relay.notify)}
 	s.relay.asks, s.relay.lost = nil, nil
 	return ask
 }
@@ -202,8 +207,10 @@
 		s.relay.leader, s.relay.unsupportedBy = address, ""
 		s.levelsSentAt, s.sentLevels = time.Time{}, map[string]float64{}
 		s.log.Info("relaying to the leader", zap.String("leader", address), zap.Int("entries", len(s.sessions)))
+		s.reportStreams()
 		s.replyToListeners()
 	}
+	s.core.LearnStreams(s.now(), brokerwire.DecodeStreams(s.now(), r.Streams))
 	for _, e := range r.State.Roster {
 		if _, l := brokerwire.DecodeUpstream(e); e.Gone {
 			delete(s.relay.estimates, e.Id)
--- a/internal/broker/relayed.go
+++ b/internal/broker/relayed.go
@@ -18,6 +18,8 @@
 // relayed is the leader's side of the stream of a follower that relays the sessions of its
 // entries. Its fields are guarded by the service's lock.
 type relayed struct {
+	// name is that of the follower.
+	name string
 	// own receives what all entries get; the follower passes it on.
 	own *session
 	// entries holds the sessions of the follower's entries.
@@ -25,15 +27,17 @@
 	// state and replies collect the next message to the follower.
 	state   *rpc.BrokerReply
 	replies []*rpc.RelayedReply
-	// commitments collects those that the follower is told with the next message.
+	// commitments collects those that the follower is told with the next message, streams
+	// those that it is to remember.
 	commitments []broker.Commitment
+	streams     []broker.StreamOrigin
 	// out has an element while a message waits.
 	out chan *rpc.RelayReply
 	end context.CancelFunc
 }
 
-func newRelayed(end context.CancelFunc) *relayed {
-	y := &relayed{entries: map[string]*session{}, out: make(chan *rpc.RelayReply, 1), end: end}
+func newRelayed(name string, end context.CancelFunc) *relayed {
+	y := &relayed{name: name, entries: map[string]*session{}, out: make(chan *rpc.RelayReply, 1), end: end}
 	y.own = &session{via: y, end: end}
 	return y
 }
@@ -49,6 +53,11 @@
 	if len(y.replies) > maxRelayedReplies {
 		y.end()
 	}
+	y.notify()
+}
+
+// notify has what waits sent with the next message.
+func (y *relayed) notify() {
 	select {
 	case y.out <- nil:
 	default:
@@ -84,7 +93,7 @@
 	defer cancel()
 	stop := context.AfterFunc(s.ctx, cancel)
 	defer stop()
-	y := newRelayed(cancel)
+	y := newRelayed(first.Relay, cancel)
 	s.joinRelay(first.Relay, y)
 	defer s.leaveRelay(first.Relay, y)
 	return duplex.Server[*rpc.RelayAsk, *rpc.RelayReply]{
@@ -102,6 +111,7 @@
 	defer s.mu.Unlock()
 	r := &rpc.RelayReply{State: mergeState(y.state, s.reply(y.own)), Replies: y.replies, Shedding: brokerwire.EncodeShedding(s.core.Shedding(s.now()))}
 	r.Commitments = brokerwire.EncodeCommitments(s.now(), y.commitments)
+	r.Streams = s.takeStreams(&y.streams, y.notify)
 	y.state, y.replies, y.commitments = nil, nil, nil
 	return r
 }
@@ -115,6 +125,7 @@
 	y.own.send(s.reply(y.own))
 	if s.leads {
 		s.sendRoster(y.own)
+		y.streams = s.core.Streams(s.now())
 	}
 }
 
@@ -137,6 +148,7 @@
 		return
 	}
 	s.sendRoster(y.own)
+	s.core.LearnStreams(s.now(), brokerwire.DecodeStreams(s.now(), r.Streams))
 	for _, entry := range r.Lost {
 		if x := y.entries[entry]; x != nil {
 			delete(y.entries, entry)
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -173,15 +173,22 @@
 		}
 		s.apply(entry, ask)
 	case s.relay.up && x.relayable:
-		s.learnLimits(ask.Limits)
+		s.remember(ask)
 		s.forward(entry, x, ask)
 	case s.interim.active && x.interim:
 		s.applyInterim(entry, x, ask)
 	default:
-		s.learnLimits(ask.Limits)
+		s.remember(ask)
 	}
 }
 
+// remember keeps what an entry says that a later broker of this daemon, or the next leader, may
+// need. The caller holds the lock.
+func (s *Service) remember(ask *rpc.BrokerAsk) {
+	s.learnLimits(ask.Limits)
+	s.core.LearnStreams(s.now(), brokerwire.DecodeStreams(s.now(), ask.Streams))
+}
+
 // apply passes an entry's message to the broker. The caller holds the lock.
 func (s *Service) apply(entry string, ask *rpc.BrokerAsk) {
 	now := s.now()
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -241,7 +241,7 @@
 	if !o.AbandonAt.IsZero() {
 		a.offer.AbandonAt = o.AbandonAt.Sub(s.started)
 	}
-	if version, ok := s.local.StreamVersion(s.now(), o.Resumes); ok && o.Resumes != 0 && !o.VersionBound {
+	if version, ok := s.local.StreamVersion(s.now(), o.Resumes); ok && o.Resumes != 0 && !o.ResumesContent && !o.VersionBound {
 		// The entry began the stream itself; the broker may be a new one.
 		a.offer.SoftwareVersion, a.offer.VersionBound = version, true
 	}
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -49,7 +49,7 @@
 		PromptTokens: uint32(o.PromptTokens), OutputTokens: uint32(o.OutputTokens), Charge: uint32(o.QuotaCharge),
 		AimMs: int32((o.LatencyTarget - now).Milliseconds()), WaitMs: milliseconds(o.Deadline - now), Session: o.Session, SessionTokens: uint32(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, Reserve: uint32(o.QuotaReserve * permille), LateMs: milliseconds(o.LatestUseful - o.LatencyTarget),
-		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
+		Stream: o.Stream, Resumes: o.Resumes, ResumesContent: o.ResumesContent, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
 		Route: o.Route, Counted: o.Counted, MaxOutputTokens: uint32(o.MaxOutputTokens),
 		AbandonMs: milliseconds(o.AbandonAt - now),
 	}
@@ -67,7 +67,7 @@
 		Rank: int(o.Rank), PromptTokens: int(o.PromptTokens), OutputTokens: int(o.OutputTokens), QuotaCharge: int(o.Charge),
 		LatencyTarget: target, LatestUseful: target + duration(o.LateMs), Deadline: now + duration(o.WaitMs), Session: o.Session, SessionTokens: int(o.SessionTokens),
 		Fingerprint: o.Fingerprint, Avoid: o.Avoid, Running: o.Running, QuotaReserve: float64(o.Reserve) / permille,
-		Stream: o.Stream, Resumes: o.Resumes, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
+		Stream: o.Stream, Resumes: o.Resumes, ResumesContent: o.ResumesContent, SoftwareVersion: o.SoftwareVersion, VersionBound: o.VersionBound, SharedParts: o.SharedParts,
 		Route: o.Route, Counted: o.Counted, MaxOutputTokens: int(o.MaxOutputTokens),
 		AbandonAt: abandonAt,
 	}
@@ -77,7 +77,7 @@
 func EncodeStreams(now time.Duration, list []broker.StreamOrigin) []*rpc.StreamOrigin {
 	out := make([]*rpc.StreamOrigin, 0, len(list))
 	for _, o := range list {
-		out = append(out, &rpc.StreamOrigin{Stream: o.Stream, SoftwareVersion: o.SoftwareVersion, LeftMs: milliseconds(o.Until - now)})
+		out = append(out, &rpc.StreamOrigin{Stream: o.Stream, Content: o.Content, SoftwareVersion: o.SoftwareVersion, LeftMs: milliseconds(o.Until - now)})
 	}
 	return out
 }
@@ -86,7 +86,7 @@
 func DecodeStreams(now time.Duration, list []*rpc.StreamOrigin) []broker.StreamOrigin {
 	out := make([]broker.StreamOrigin, 0, len(list))
 	for _, o := range list {
-		out = append(out, broker.StreamOrigin{Stream: o.Stream, SoftwareVersion: o.SoftwareVersion, Until: now + duration(o.LeftMs)})
+		out = append(out, broker.StreamOrigin{Stream: o.Stream, Content: o.Content, SoftwareVersion: o.SoftwareVersion, Until: now + duration(o.LeftMs)})
 	}
 	return out
 }
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		explanation = nil
 	}
-	return &rpc.Grant{Id: g.ID.Number, Upstream: g.Upstream, Address: g.Address, Incarnation: g.Incarnation, Why: explanation}
+	return &rpc.Grant{Id: g.ID.Number, Upstream: g.Upstream, Address: g.Address, Incarnation: g.Incarnation, Why: explanation, Version: g.Version}
 }
 
 func encodeRefusal(r sched.Refusal) *rpc.Refusal {
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -39,11 +39,13 @@
 	// logDown makes every call of the log fail.
 	logDown           bool
 	upstreamAddresses map[string]string
-	schedulerError    *fault.Error
-	members           []port.Member
-	events            []promise.Event
-	releaseOutcomes   []sched.Outcome
-	config            *config.Config
+	// upstreamVersion is the model version of the upstreams granted from now on.
+	upstreamVersion string
+	schedulerError  *fault.Error
+	members         []port.Member
+	events          []promise.Event
+	releaseOutcomes []sched.Outcome
+	config          *config.Config
 }
 
 // newCluster returns a cluster whose recorded events are checked against all
@@ -96,10 +98,12 @@
 type ticket struct {
 	cluster *cluster
 	address string
+	version string
 }
 
 func (t *ticket) Upstream() string             { return "up-1" }
 func (t *ticket) Address() string              { return t.address }
+func (t *ticket) Version() string              { return t.version }
 func (t *ticket) Explanation() json.RawMessage { return json.RawMessage(`{"reason":"only one"}`) }
 func (t *ticket) Release(r sched.Release) {
 	t.cluster.mu.Lock()
@@ -113,7 +117,7 @@
 	if c.schedulerError != nil {
 		return nil, c.schedulerError
 	}
-	return &ticket{cluster: c, address: c.upstreamAddresses[r.Pool]}, nil
+	return &ticket{cluster: c, address: c.upstreamAddresses[r.Pool], version: c.upstreamVersion}, nil
 }
 
 func (c *cluster) Snapshot() port.Snapshot        { return port.Snapshot{Version: 1, Config: c.config} }
--- a/internal/entry/move.go
+++ b/internal/entry/move.go
@@ -15,8 +15,8 @@
 // moveTimeout limits finding another engine and moving a stream to it.
 const moveTimeout = 5 * time.Second
 
-// move transfers the stream from a leaving engine to one that the scheduler
-// grants. If that fails, the stream continues on its engine.
+// move transfers the stream from a leaving engine to one of the same model version that
+// the scheduler grants. If that fails, the stream continues on its engine.
 func (x *execution) move(e claims.Effect) claims.Event {
 	ctx, cancel := context.WithTimeout(x.ctx, moveTimeout)
 	defer cancel()
@@ -24,8 +24,12 @@
 	if err != nil {
 		return x.interrupted(claims.MoveFailed)
 	}
-	err = errSameEngine
-	if t.Address() != e.Address {
+	switch {
+	case t.Address() == e.Address:
+		err = errSameEngine
+	case t.Version() != x.ticket.Version():
+		err = errOtherVersion
+	default:
 		err = transferStream(ctx, e.Address, t.Address(), e.Stream)
 	}
 	if err != nil {
@@ -46,6 +50,10 @@
 // errSameEngine reports that the scheduler granted no other engine.
 var errSameEngine = &engine.StatusError{Body: "the scheduler granted the same engine"}
 
+// errOtherVersion reports that the scheduler granted an engine of another model version, whose
+// text does not fit that of the stream.
+var errOtherVersion = &engine.StatusError{Body: "the scheduler granted an engine of another model version"}
+
 // transferStream exports a stream from one engine and imports it into another.
 // If the target refuses the stream, transferStream imports it into its source again
 // and returns the refusal.
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -196,11 +196,18 @@
 }
 
 // TestLeavingEngine checks that the stream of a leaving engine moves with its KV
-// cache to another engine, or stays if that one refuses, without missing bytes or
-// a second execution.
+// cache to another engine, or stays if that one refuses or has another model version,
+// without missing bytes or a second execution.
 func TestLeavingEngine(t *testing.T) {
-	for _, plan := range []standin.FaultPlan{{}, {Fault: standin.Refuse}} {
-		t.Run("target "+string(plan.Fault), func(t *testing.T) {
+	for name, target := range map[string]struct {
+		plan    standin.FaultPlan
+		version string
+	}{
+		"accepts":          {},
+		"refuses":          {plan: standin.FaultPlan{Fault: standin.Refuse}},
+		"of other version": {version: "v2"},
+	} {
+		t.Run("target "+name, func(t *testing.T) {
 			c := newCluster(t)
 			from := c.startRunner(t, 40)
 			e := c.startEntry(t, "entry-1")
@@ -211,13 +218,16 @@
 			}()
 			require.Eventually(t, func() bool { return total(from.Executions()) == 1 }, 5*time.Second, time.Millisecond)
 			to := c.startRunner(t, 500)
-			to.SetFaultPlan(plan)
+			to.SetFaultPlan(target.plan)
+			c.mu.Lock()
+			c.upstreamVersion = target.version
+			c.mu.Unlock()
 			from.Leave()
 			got := <-responses
 			answer, complete := joinDeltas(got.body)
 			require.True(t, complete, got.body)
 			require.Equal(t, answerTo("draft #40"), answer)
-			moved := plan.Fault == ""
+			moved := target.plan.Fault == "" && target.version == ""
 			require.Equal(t, moved, testutil.ToFloat64(e.observer.streamsMoved) == 1)
 			require.Zero(t, total(to.Executions()))
 			require.Equal(t, 1, total(from.Executions()))
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -199,12 +199,17 @@
 		QuotaCharge: q.chargedTokens, Fingerprint: q.fingerprint, Route: brokerwire.RouteHash(q.route.Name),
 	}
 	o.SharedParts = q.sharedParts()
-	if q.route.Kind == routes.Stream && q.route.Resumable {
-		o.Stream, o.Resumes = q.streams()
+	if q.engine != nil {
+		q.describeWork(&o.Offer)
 	}
-	if q.engine == nil {
-		return o
+	if q.route.Kind == routes.Stream && q.route.Resumable {
+		q.nameStreams(&o.Offer)
 	}
+	return o
+}
+
+// describeWork sets what the request asks of an engine.
+func (q *request) describeWork(o *broker.Offer) {
 	o.QuotaReserve = quotaReservePerRank * float64(min(q.route.Rank, ranksPerWorkspaceRank-1))
 	o.PromptTokens = q.meta.PromptTokens
 	o.OutputTokens = q.meta.ExpectedOutputTokens
@@ -219,7 +224,6 @@
 		}
 		o.SessionTokens = min(o.SessionTokens, o.PromptTokens)
 	}
-	return o
 }
 
 const (
@@ -239,13 +243,17 @@
 	return out
 }
 
-// streams returns the identity of the stream that the request begins, or of the one that it
-// resumes; the other one is zero.
-func (q *request) streams() (begins, resumes uint64) {
-	if q.meta.LastEvent != "" && q.meta.ResumedRequest != "" {
-		return 0, hashText(q.meta.ResumedRequest)
+// nameStreams sets the stream that the request begins or goes on with, and the one that it
+// resumes. A caller that does not name the latter is known by the content, once all else is set.
+func (q *request) nameStreams(o *broker.Offer) {
+	o.Stream = hashText(q.meta.RequestID)
+	if q.meta.LastEvent == "" {
+		return
+	}
+	o.Resumes = hashText(q.meta.ResumedRequest)
+	if o.Resumes == 0 {
+		o.Resumes, o.ResumesContent = broker.ContentStream(o.Fingerprint, o.Session), true
 	}
-	return hashText(q.meta.RequestID), 0
 }
 
 // hashText returns a hash of a text; zero if the text is empty.
--- a/internal/forward/version_test.go
+++ b/internal/forward/version_test.go
@@ -65,7 +65,8 @@
 
 // TestOffersNameTheStream guards against a stream that can't be recognised when its caller
 // resumes it at another entry: the offer of the request that began it and that of the one
-// that resumes it must name the same stream.
+// that resumes it must name the same stream. So must that of a caller that resumes the
+// resumption, or does not name the request.
 func TestOffersNameTheStream(t *testing.T) {
 	t.Parallel()
 	upstreams := []*scriptedUpstream{newUpstream(t, streamEvents(1, 5, true))}
@@ -74,7 +75,14 @@
 	require.Zero(t, begun.Resumes)
 	resumed := offersOf(t, nil, "resumable", upstreams, "Id", "second", "Resumed", "first", "Last", "2")[0]
 	require.Equal(t, begun.Stream, resumed.Resumes)
-	require.Zero(t, resumed.Stream)
+	require.False(t, resumed.ResumesContent)
+	third := offersOf(t, nil, "resumable", upstreams, "Id", "third", "Resumed", "second", "Last", "4")[0]
+	require.NotZero(t, resumed.Stream)
+	require.Equal(t, resumed.Stream, third.Resumes)
+	unnamed := offersOf(t, nil, "resumable", upstreams, "Id", "other", "Last", "2")[0]
+	require.True(t, unnamed.ResumesContent)
+	require.NotZero(t, unnamed.Resumes)
+	require.Equal(t, broker.ContentStream(begun.Fingerprint, begun.Session), unnamed.Resumes)
 	again := offersOf(t, nil, "resumable", upstreams, "Id", "second", "Resumed", "first")[0]
 	require.Zero(t, again.Resumes, "a caller without any event begins anew")
 	require.NotZero(t, again.Stream)
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -193,6 +193,8 @@
 type Ticket interface {
 	Upstream() string
 	Address() string
+	// Version returns the upstream's version of the model; empty if it states none.
+	Version() string
 	// Explanation returns the decision's explanation, a sched.Explanation as JSON.
 	Explanation() json.RawMessage
 	Release(r sched.Release)
--- a/internal/schedclient/client.go
+++ b/internal/schedclient/client.go
@@ -102,6 +102,9 @@
 // Address returns the upstream's address.
 func (t *ticket) Address() string { return t.acquisition.grant.Address }
 
+// Version returns the upstream's version of the model.
+func (t *ticket) Version() string { return t.acquisition.grant.Version }
+
 // Explanation returns the decision's explanation.
 func (t *ticket) Explanation() json.RawMessage { return t.acquisition.grant.Why }
 
