A new leader is sure of the versions after one heartbeat interval

Change: one heartbeat interval and 0.5 s, in which every live upstream reports; an unknown stream is waited for for a second, whatever its latency target, which its first event has met or missed before.

--- a/core/broker/streams.go
+++ b/core/broker/streams.go
@@ -165,8 +165,7 @@
 }
 
 // refuseUnresumable refuses a waiting request that resumes a stream if its software version
-// is still unknown, or has no upstream, after maxVersionWait or its latency target. It
-// returns true if it did.
+// is still unknown, or has no upstream, after maxVersionWait. It returns true if it did.
 func (b *Broker) refuseUnresumable(now time.Duration, p *pool, req *request) bool {
 	if req.Resumes == 0 && !req.VersionBound {
 		return false
@@ -175,7 +174,7 @@
 	if req.VersionBound && p.serves(req.SoftwareVersion) {
 		return false
 	}
-	if now-req.arrived < maxVersionWait && now < req.LatencyTarget {
+	if now-req.arrived < maxVersionWait {
 		return false
 	}
 	reason, retryDelay := "it is not known which software version began the stream", minRetryDelay
--- a/internal/broker/streams.go
+++ b/internal/broker/streams.go
@@ -12,18 +12,16 @@
 const (
 	// maxReportedStreams bounds the streams in one message between daemons.
 	maxReportedStreams = 2000
-	// versionHeartbeats and versionSettleTime are how many heartbeat intervals, and how much
-	// longer, a new leader waits before it takes the versions that it knows for all that
-	// served lately: live upstreams report within an interval, and other control daemons send
-	// a restarted one their whole rosters after the next heartbeat.
-	versionHeartbeats = 2
+	// versionSettleTime is how much longer than a heartbeat interval a new leader waits before it
+	// takes the versions that it knows for all that served lately: live upstreams report within
+	// an interval, upon which other control daemons send a restarted one their whole rosters.
 	versionSettleTime = 500 * time.Millisecond
 )
 
 // trustVersions tells the core of a new leader when its knowledge of versions is complete. The
 // caller holds the lock.
 func (s *Service) trustVersions() {
-	s.core.TrustVersionsFrom(s.now() + versionHeartbeats*settings.Milliseconds(s.set.Routing.HeartbeatMS) + versionSettleTime)
+	s.core.TrustVersionsFrom(s.now() + settings.Milliseconds(s.set.Routing.HeartbeatMS) + versionSettleTime)
 }
 
 // queueStreams lets a follower remember the streams that were granted to a session, so that
