verbenastep analyze: why requests were late, refused or failed

Change: a command that reads the logs of any entries and prints, by pool and route, one cause for each request, and by rank and upstream the actual over the expected time to the first event; the line 'request ended' names target, longest allowed pause and who refused. Measured: the test gives each cause a case; the table adds up to all requests.

--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -207,7 +207,7 @@
 func (s *Service) now() time.Duration { return time.Since(s.started) }
 
 // Acquire offers a request and waits for a grant. It returns a *fault.Error if the request
-// is refused, or the context's error if that ends first. The caller must call End of the
+// is refused, with a ticket that says by whom only, or the context's error if that ends first. The caller must call End of the
 // ticket once the request has ended; further calls have no effect.
 func (s *Service) Acquire(ctx context.Context, o port.BrokerOffer) (port.BrokerTicket, error) {
 	a := s.offer(o)
@@ -220,7 +220,7 @@
 		<-a.settled
 	}
 	if a.refusal != nil {
-		return port.BrokerTicket{}, a.refusal
+		return port.BrokerTicket{GrantedBy: a.decidedBy}, a.refusal
 	}
 	end := sync.Once{}
 	return port.BrokerTicket{
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -74,7 +74,7 @@
 	return []*Command{
 		demoCommand(),
 		checkCommand(), diffCommand(), applyCommand(), getCommand(),
-		statusCommand(), dumpCommand(), explainCommand(),
+		statusCommand(), dumpCommand(), explainCommand(), analyzeCommand(),
 		whereCommand(), sendCommand(), standinCommand(),
 		rolloutCommand(), replicasCommand(), backupCommand(), restoreCommand(),
 		benchCommand(), logBenchCommand(), capacityCommand(), versionCommand(), completionCommand(),
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -237,10 +237,11 @@
 	offeredAt := time.Now()
 	ticket, err := a.s.brokerClient.Acquire(a.ctx, a.offer)
 	a.queueTime += time.Since(offeredAt)
+	a.ticket = ticket
 	if err != nil {
 		return err
 	}
-	a.ticket, a.granted = ticket, true
+	a.granted = true
 	versionReason := zap.Skip()
 	if ticket.VersionReason != "" {
 		versionReason = zap.String("version_why", ticket.VersionReason)
