forward: idle connections serve mixed requests

Cause: a request that may not be repeated took no connection that had been idle for over 1.5 s, although most upstreams state for how long they keep them, and closed the ones that the next request, which may be repeated, could have used. New connections take a millisecond of an engine and a round trip each. Change: the stated keep-alive time, less a second, counts for all requests; 1.5 s where none is stated; a connection that is too old for one request only goes back.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// maxIdleTime is the longest idle time after which a connection is reused for
-	// a repeatable request. maxIdleTimeAtMostOnce is the same for other requests, which
-	// are lost if the upstream closes the connection at the same moment.
+	// maxIdleTime is the longest idle time after which a connection is reused.
+	// maxIdleTimeAtMostOnce is the same for a request that may not be repeated and is lost if
+	// the upstream closes the connection at the same moment, where it does not state when it will.
 	maxIdleTime           = 4 * time.Second
 	maxIdleTimeAtMostOnce = 1500 * time.Millisecond
 	// keepAliveMargin is subtracted from the keep-alive timeout that the upstream
@@ -88,11 +88,11 @@
 // atMostOnce is set for a request that may not be repeated.
 func (c *conn) isReusable(now time.Duration, atMostOnce bool) bool {
 	limit := maxIdleTime
-	if atMostOnce {
-		limit = maxIdleTimeAtMostOnce
-	}
-	if c.keepAliveTimeout > 0 {
+	switch {
+	case c.keepAliveTimeout > 0:
 		limit = min(limit, c.keepAliveTimeout-keepAliveMargin)
+	case atMostOnce:
+		limit = maxIdleTimeAtMostOnce
 	}
 	return now-c.idleSince < limit
 }
@@ -121,6 +121,11 @@
 		if c == nil {
 			break
 		}
+		if now := p.elapsed(); !c.isReusable(now, atMostOnce) && c.isReusable(now, false) {
+			// It serves the next request that may be repeated.
+			p.putBack(address, c)
+			break
+		}
 		if c.isReusable(p.elapsed(), atMostOnce) && c.isClean() && egress.IsTunnel(c.Conn) == p.egress.IsPathLost(address) {
 			c.reused = true
 			return c, nil
@@ -149,6 +154,13 @@
 	return c
 }
 
+// putBack returns a connection that takeIdle removed.
+func (p *connPool) putBack(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[address] = append(p.idle[address], c)
+}
+
 // put adds a connection whose response has ended, or closes it if the pool holds
 // enough for the address. h is the response header.
 func (p *connPool) put(address string, c *conn, h http.Header) {
--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -35,3 +36,44 @@
 	require.Equal(t, 2, dials)
 	p.sweep(true)
 }
+
+// TestIdleConnectionsServeMixedRequests guards against connections that are closed and set up
+// again under a mix of requests: one that may not be repeated took none that had been idle for
+// over 1.5 s, although its upstream states that it keeps them for longer, and closed those that
+// the next request, which may be repeated, could have used.
+func TestIdleConnectionsServeMixedRequests(t *testing.T) {
+	const atMostOnce = true
+	for name, x := range map[string]struct {
+		header http.Header
+		idle   time.Duration
+		// dials is the number of connections that a request which may not be repeated, and
+		// after it one that may, set up.
+		dials int
+	}{
+		"the upstream keeps it":           {http.Header{"Keep-Alive": {"timeout=5"}}, 3 * time.Second, 0},
+		"the upstream is about to close":  {http.Header{"Keep-Alive": {"timeout=3"}}, 2500 * time.Millisecond, 2},
+		"the upstream states nothing":     {nil, 2 * time.Second, 1},
+		"idle for too long for any":       {nil, maxIdleTime, 2},
+		"idle for a short time, unstated": {nil, time.Second, 0},
+	} {
+		u := newUpstream(t, sendNothing)
+		dials, elapsed := 0, time.Hour
+		p := newConnPool(egress.New(&settings.Settings{}, zap.NewNop()), func() { dials++ })
+		p.elapsed = func() time.Duration { return elapsed }
+		address := u.ln.Addr().String()
+		kept, err := p.get(t.Context(), address, atMostOnce)
+		require.NoError(t, err)
+		p.put(address, kept, x.header)
+		elapsed += x.idle
+		dials = 0
+		once, err := p.get(t.Context(), address, atMostOnce)
+		require.NoError(t, err)
+		if once == kept {
+			p.put(address, once, x.header)
+		}
+		_, err = p.get(t.Context(), address, !atMostOnce)
+		require.NoError(t, err)
+		require.Equal(t, x.dials, dials, name)
+		p.sweep(true)
+	}
+}
