forward: the stated keep-alive time decides how long a connection is kept

Cause: connections that upstreams keep for longer were closed after 4 s of idling. Change: where an upstream states its keep-alive time, that less a second decides; 4 s and 1.5 s stay for those that state none.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// maxIdleTime is the longest idle time after which a connection is reused.
-	// maxIdleTimeAtMostOnce is the same for a request that may not be repeated and is lost if
-	// the upstream closes the connection at the same moment, where it does not state when it will.
+	// maxIdleTime is the longest idle time after which a connection is reused whose upstream does
+	// not state for how long it keeps it. maxIdleTimeAtMostOnce is the same for requests that may
+	// not be repeated: they are lost if the upstream closes the connection at the same moment.
 	maxIdleTime           = 4 * time.Second
 	maxIdleTimeAtMostOnce = 1500 * time.Millisecond
 	// keepAliveMargin is subtracted from the keep-alive timeout that the upstream
@@ -87,14 +87,14 @@
 // isReusable reports whether an idle connection may carry another request;
 // atMostOnce is set for a request that may not be repeated.
 func (c *conn) isReusable(now time.Duration, atMostOnce bool) bool {
-	limit := maxIdleTime
+	idle := now - c.idleSince
 	switch {
 	case c.keepAliveTimeout > 0:
-		limit = min(limit, c.keepAliveTimeout-keepAliveMargin)
+		return idle < c.keepAliveTimeout-keepAliveMargin
 	case atMostOnce:
-		limit = maxIdleTimeAtMostOnce
+		return idle < maxIdleTimeAtMostOnce
 	}
-	return now-c.idleSince < limit
+	return idle < maxIdleTime
 }
 
 // connPool holds idle connections by address. It is safe for concurrent use.
--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -51,6 +51,7 @@
 		dials int
 	}{
 		"the upstream keeps it":           {http.Header{"Keep-Alive": {"timeout=5"}}, 3 * time.Second, 0},
+		"the upstream keeps it for long":  {http.Header{"Keep-Alive": {"timeout=30"}}, 20 * time.Second, 0},
 		"the upstream is about to close":  {http.Header{"Keep-Alive": {"timeout=3"}}, 2500 * time.Millisecond, 2},
 		"the upstream states nothing":     {nil, 2 * time.Second, 1},
 		"idle for too long for any":       {nil, maxIdleTime, 2},
