--- a/core/broker/streams.go
+++ b/core/broker/streams.go
@@ -142,13 +142,12 @@
 	if req.Resumes == 0 || req.VersionBound {
 		return
 	}
-	isTrusted := now >= b.versionsTrustedFrom
-	r, isKnown := b.streams[req.Resumes]
-	isKnown = isKnown && r.until >= now
 	version, ok := b.StreamVersion(now, req.Resumes)
-	if ok && req.ResumesContent {
-		ok = isTrusted
-	} else if !isKnown && isTrusted {
+	switch {
+	case ok && !req.ResumesContent:
+	case now < b.versionsTrustedFrom:
+		ok = false
+	case !ok && b.streams[req.Resumes].until < now:
 		version, ok = p.onlyVersion()
 	}
 	if ok {
