--- a/internal/analyze/analyze.go
+++ b/internal/analyze/analyze.go
@@ -35,11 +35,11 @@
 	outcomeLoaded  = "overloaded"
 	reasonShed     = "all requests of its rank"
 	byBroker       = "broker"
-
-	millisecondsPerSecond = 1000
 )
 
-// line holds the fields of the two messages; times are in seconds unless named otherwise.
+const millisecondsPerSecond = 1000
+
+// line holds the fields of the two messages; decode turns all times into seconds.
 type line struct {
 	Route    string  `json:"route"`
 	Pool     string  `json:"pool"`
@@ -54,7 +54,7 @@
 	First    float64 `json:"first"`
 	Pause    float64 `json:"longest_pause"`
 	Took     float64 `json:"took"`
-	Target   float64 `json:"target"`
+	Target   float64 `json:"target_ms"`
 	MaxPause float64 `json:"max_pause_ms"`
 }
 
@@ -158,7 +158,10 @@
 	if err != nil {
 		return x, err
 	}
-	return x, json.Unmarshal(data, &x)
+	err = json.Unmarshal(data, &x)
+	x.Target /= millisecondsPerSecond
+	x.MaxPause /= millisecondsPerSecond
+	return x, err
 }
 
 // first returns the time from the arrival to the first event, or to the answer of a call.
@@ -180,7 +183,7 @@
 		return RefusedFull
 	case x.Outcome != outcomeAnswer:
 		return otherPrefix + x.Outcome
-	case x.Target == 0 || x.first() <= x.Target && (x.MaxPause == 0 || x.Pause*millisecondsPerSecond <= x.MaxPause):
+	case x.Target == 0 || x.first() <= x.Target && (x.MaxPause == 0 || x.Pause <= x.MaxPause):
 		return OnTime
 	case x.first() <= x.Target:
 		return LatePause
--- a/internal/analyze/analyze_test.go
+++ b/internal/analyze/analyze_test.go
@@ -16,7 +16,7 @@
 	for range strings.Count(grant, "g") {
 		out += `{"ts":"2026-01-01T00:00:01Z","msg":"granted","request":"` + id + `","pool":"p","upstream":"u","rank":2,"expected":0.25}` + "\n"
 	}
-	return out + `{"ts":"2026-01-01T00:00:02Z","msg":"request ended","request":"` + id + `","pool":"p","route":"r","target":0.4,"max_pause_ms":300,"took":1,` + end + "}\n"
+	return out + `{"ts":"2026-01-01T00:00:02Z","msg":"request ended","request":"` + id + `","pool":"p","route":"r","target_ms":400,"max_pause_ms":300,"took":1,` + end + "}\n"
 }
 
 // TestEachRequestHasOneCause guards against a table that takes a late or refused request for
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -249,7 +249,7 @@
 	s.log.Info("request ended", x.logFields(importance, zap.String("outcome", x.outcome), zap.Int("status", x.status), zap.String("why", x.reason),
 		zap.Int("runs", x.possibleRuns), zap.Int("rejects", x.notRunAttempts), zap.Int("charge", x.chargedTokens), zap.Duration("waited", x.queueTime), zap.Duration("first", x.timeToFirstEvent),
 		zap.Int("events", x.stream.events), zap.Duration("longest_pause", x.stream.longestPause), zap.Duration("took", duration),
-		zap.Duration("target", x.route.LatencyTarget()), zap.Int64("max_pause_ms", x.route.GapMS), zap.String("by", x.current.ticket.GrantedBy))...)
+		zap.Int64("target_ms", x.route.LatencyTargetMS), zap.Int64("max_pause_ms", x.route.GapMS), zap.String("by", x.current.ticket.GrantedBy))...)
 }
 
 // Ready returns nil, or the reason why callers should not use this entry.
