--- a/core/broker/streams.go
+++ b/core/broker/streams.go
@@ -100,17 +100,24 @@
 
 // addOrigin adds a version to the record of a stream.
 func (b *Broker) addOrigin(now time.Duration, o StreamOrigin) {
-	r := b.streams[o.Stream]
-	if r.until < now {
-		r = streamRecord{content: o.Content}
+	r := streamRecord{content: o.Content}
+	if b.knowsStream(now, o.Stream) {
+		r = b.streams[o.Stream]
 	}
 	if !slices.Contains(r.versions, o.SoftwareVersion) {
-		r.versions = append(r.versions[:len(r.versions):len(r.versions)], o.SoftwareVersion)
+		r.versions = append(r.versions, o.SoftwareVersion)
 	}
 	r.until = max(r.until, o.Until)
 	b.streams[o.Stream] = r
 }
 
+// knowsStream reports whether the beginning of a stream is remembered, be its version certain or
+// not.
+func (b *Broker) knowsStream(now time.Duration, stream uint64) bool {
+	r, ok := b.streams[stream]
+	return ok && r.until >= now
+}
+
 // Streams returns the streams that may still be resumed, in no particular order; those whose
 // version is not certain with each one.
 func (b *Broker) Streams(now time.Duration) []StreamOrigin {
@@ -129,11 +136,11 @@
 // StreamVersion returns the software version that began a stream, and false if it is not
 // known for certain.
 func (b *Broker) StreamVersion(now time.Duration, stream uint64) (string, bool) {
-	r, ok := b.streams[stream]
-	if !ok || r.until < now || len(r.versions) != 1 {
+	versions := b.streams[stream].versions
+	if !b.knowsStream(now, stream) || len(versions) != 1 {
 		return "", false
 	}
-	return r.versions[0], true
+	return versions[0], true
 }
 
 // bindVersion binds a request that resumes a stream to the software version that began it,
@@ -147,7 +154,7 @@
 	case ok && !req.ResumesContent:
 	case now < b.versionsTrustedFrom:
 		ok = false
-	case !ok && b.streams[req.Resumes].until < now:
+	case !b.knowsStream(now, req.Resumes):
 		version, ok = p.onlyVersion()
 	}
 	if ok {
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -207,8 +207,9 @@
 func (s *Service) now() time.Duration { return time.Since(s.started) }
 
 // Acquire offers a request and waits for a grant. It returns a *fault.Error if the request
-// is refused, with a ticket that says by whom only, or the context's error if that ends first. The caller must call End of the
-// ticket once the request has ended; further calls have no effect.
+// is refused, with a ticket that only says by whom, or the context's error if that ends first.
+// The caller must call End of a ticket with a grant once the request has ended; further calls
+// have no effect.
 func (s *Service) Acquire(ctx context.Context, o port.BrokerOffer) (port.BrokerTicket, error) {
 	a := s.offer(o)
 	select {
