--- a/core/broker/streamsim_test.go
+++ b/core/broker/streamsim_test.go
@@ -15,7 +15,7 @@
 	simDuration  = 5 * time.Minute
 	simEntries   = 3
 	simDeadline  = 12 * time.Second
-	simSettling  = 2900 * time.Millisecond
+	simSettling  = 1700 * time.Millisecond
 	simContents  = 40
 	simDaemons   = 3
 	simUpstreams = 3
