forward: the log of a planned stop says where requests stand

The log could not tell the hypotheses apart: the line that says that requests are aborted did not say how many and at which point, and no line of a request said when it came relative to the stop.

The lines of a stop now count the requests in flight that wait for a grant, were sent, and have a part of their response. A request that ends or is refused during a stop logs its stage, when it arrived after the begin of the stop, what was left until the abort, and its number on its connection. verbenastep_forward_drain_requests_total counts them by stage and outcome. No behaviour changes.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -65,6 +65,8 @@
 	wasUsed  atomic.Bool
 	// inputs counts the reads that brought bytes and the requests that began.
 	inputs atomic.Int64
+	// requests counts the requests that began.
+	requests atomic.Int64
 	// idleSince is when CloseIdle first found the connection idle after idleInputs, and zero if
 	// it did not; the lock of the listener guards both.
 	idleSince  time.Time
@@ -86,11 +88,21 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.recordInput()
+			c.requests.Add(1)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// RequestNumber returns the number of a request on its connection, from 1, by the request's
+// context; zero if the connection is not one of a Listener.
+func RequestNumber(ctx context.Context) int64 {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		return c.requests.Load()
+	}
+	return 0
+}
+
 func (c *conn) recordInput() {
 	c.inputs.Add(1)
 	if !c.hasInput.Load() {
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -13,12 +13,17 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/internal/accept"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
+// stopTimeout bounds the wait for an expected state of a stop.
+const stopTimeout = 5 * time.Second
+
 type silentAnnouncer struct{}
 
 func (silentAnnouncer) AnnounceDrain() {}
@@ -164,3 +169,27 @@
 		}
 	}
 }
+
+// TestStopLogsWhereRequestsStand guards against a planned stop whose log does not tell how many
+// requests it waits for or aborts, in which stage they are and when they came.
+func TestStopLogsWhereRequestsStand(t *testing.T) {
+	t.Parallel()
+	r, stop := newStoppingEntry(t)
+	lines, logs := observer.New(zap.InfoLevel)
+	r.service.log = zap.New(lines)
+	u := newUpstream(t, sendNothing)
+	r.service.brokerClient = &endlessBroker{address: u.ln.Addr().String()}
+	go r.call("once", "body")
+	require.Eventually(t, func() bool { return u.requests() == 1 }, stopTimeout, time.Millisecond)
+	stop()
+	for _, text := range []string{"left the directory", "accepting no more connections", "grace period ends"} {
+		found := logs.Filter(func(e observer.LoggedEntry) bool { return strings.HasPrefix(e.Message, text) }).All()
+		require.Len(t, found, 1, text)
+		require.Equal(t, map[string]any{"waiting": int64(0), "sent": int64(1), "responding": int64(0)}, found[0].ContextMap()["in_flight"], text)
+	}
+	require.Eventually(t, func() bool { return logs.FilterMessage("request ended").Len() == 1 }, stopTimeout, time.Millisecond)
+	fields := logs.FilterMessage("request ended").All()[0].ContextMap()["drain"].(map[string]any)
+	require.Equal(t, "sent", fields["stage"])
+	require.Equal(t, int64(1), fields["on_connection"])
+	require.Negative(t, fields["arrived"])
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -52,6 +52,8 @@
 	notRunAttempts int
 	triedUpstreams []string
 	stream         stream
+	// stage is how far the request has come; setStage changes it.
+	stage stage
 	// upstreamError is the newest sealed server error of an upstream, relayed if
 	// no other attempt succeeds.
 	upstreamError *response
@@ -170,6 +172,7 @@
 	a.heardAt = p.at
 	if p.kind == requestSent {
 		x.recordGrant(a)
+		x.advanceStage(stageSent)
 		x.watchSilence()
 		return proceed
 	}
@@ -237,6 +240,7 @@
 		x.respondNoResponse()
 		return stop
 	}
+	x.advanceStage(stageWaiting)
 	x.current = x.startAttempt()
 	return proceed
 }
@@ -300,6 +304,7 @@
 
 // respondError responds with an error of the entry.
 func (x *exchange) respondError(r *gatewayError) {
+	x.setStage(stageResponding)
 	x.status, x.outcome, x.reason = r.status, r.code, r.reason
 	x.s.writeError(x.w, r)
 }
@@ -316,6 +321,7 @@
 	if x.stream.headerSent {
 		x.abortStream()
 	}
+	x.setStage(stageResponding)
 	x.status, x.outcome = r.status, outcomeAnswered
 	if r.status >= http.StatusInternalServerError {
 		x.outcome = outcomeUpstreamError
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -65,10 +65,12 @@
 	listener       *accept.Listener
 	ctx            context.Context
 	cancel         context.CancelFunc
-	draining       atomic.Bool
-	inFlight       wait.Group
-	retryBudgets   *retryBudgets
-	notices        *notices
+	// drain is nil until a planned stop begins.
+	drain        atomic.Pointer[drain]
+	stages       stages
+	inFlight     wait.Group
+	retryBudgets *retryBudgets
+	notices      *notices
 	// elapsed counts suspensions of the machine.
 	elapsed func() time.Duration
 	buffers *buffers
@@ -181,7 +183,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, context.DeadlineExceeded)
 	defer cancel()
-	x := &exchange{s: s, request: q, w: w, ctx: ctx}
+	x := &exchange{s: s, request: q, w: w, ctx: ctx, stage: stageEnded}
+	x.setStage(stageWaiting)
+	defer x.setStage(stageEnded)
 	defer s.recordEnd(x)
 	s.retryBudgets.recordRequest(q.pool)
 	defer x.attendCaller(cancel)()
@@ -219,7 +223,7 @@
 
 // setConnectionClose makes callers of a draining entry connect elsewhere.
 func (s *Service) setConnectionClose(h http.Header) {
-	if s.draining.Load() {
+	if s.isDraining() {
 		h.Set("Connection", "close")
 	}
 }
@@ -232,7 +236,10 @@
 		id, version = q.meta.RequestID, q.tableVersion
 	}
 	s.metrics.requests.WithLabelValues("", "", r.code).Inc()
-	s.log.Info("request refused", zap.String("request", id), zap.Uint64("table", version), zap.Int("status", r.status), zap.String("outcome", r.code), zap.String("why", r.reason))
+	if s.isDraining() {
+		s.metrics.drained.WithLabelValues(stageWaiting.String(), r.code).Inc()
+	}
+	s.log.Info("request refused", zap.String("request", id), zap.Uint64("table", version), zap.Int("status", r.status), zap.String("outcome", r.code), zap.String("why", r.reason), s.drainFields(q, stageWaiting))
 }
 
 // recordEnd logs and counts a request that ended, also if its stream was aborted.
@@ -242,6 +249,9 @@
 		x.outcome, x.reason = outcomeSlowCaller, errSlowCaller.Error()
 	}
 	s.metrics.recordEnd(x)
+	if s.isDraining() {
+		s.metrics.drained.WithLabelValues(x.stage.String(), x.outcome).Inc()
+	}
 	importance := zap.Skip()
 	if x.outcome != outcomeAnswered {
 		importance = logging.Important()
@@ -249,13 +259,13 @@
 	s.log.Info("request ended", x.logFields(importance, zap.String("outcome", x.outcome), zap.Int("status", x.status), zap.String("why", x.reason),
 		zap.Int("runs", x.possibleRuns), zap.Int("rejects", x.notRunAttempts), zap.Int("charge", x.chargedTokens), zap.Duration("waited", x.queueTime), zap.Duration("first", x.timeToFirstEvent),
 		zap.Int("events", x.stream.events), zap.Duration("longest_pause", x.stream.longestPause), zap.Duration("took", duration),
-		zap.Int64("target_ms", x.route.LatencyTargetMS), zap.Int64("max_pause_ms", x.route.GapMS), zap.String("by", x.current.ticket.GrantedBy))...)
+		zap.Int64("target_ms", x.route.LatencyTargetMS), zap.Int64("max_pause_ms", x.route.GapMS), zap.String("by", x.current.ticket.GrantedBy), s.drainFields(x.request, x.stage))...)
 }
 
 // Ready returns nil, or the reason why callers should not use this entry.
 func (s *Service) Ready() error {
 	switch {
-	case s.draining.Load():
+	case s.isDraining():
 		return errDraining
 	case s.view.Routes() == nil:
 		return errNoTable
@@ -289,5 +299,5 @@
 func (s *Service) Dump() any {
 	return struct {
 		Leaving bool `json:"leaving"`
-	}{s.draining.Load()}
+	}{s.isDraining()}
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -23,6 +23,7 @@
 	longestPause   *prometheus.HistogramVec
 	connections    prometheus.Counter
 	cutOffs        *prometheus.CounterVec
+	drained        *prometheus.CounterVec
 }
 
 // Reasons of cut offs.
@@ -59,10 +60,13 @@
 			Namespace: "verbenastep", Subsystem: "forward", Name: "slow_callers_cut_off_total", Help: "Slow callers that were disconnected, by reason.",
 		}, []string{"reason"}),
 	}
+	m.drained = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "verbenastep", Subsystem: "forward", Name: "drain_requests_total", Help: "Requests that ended while the entry drained, by stage and outcome.",
+	}, []string{"stage", "outcome"})
 	for _, reason := range []string{cutOffByBound, cutOffByDeadline} {
 		m.cutOffs.WithLabelValues(reason) // exported before the first one
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.failedAttempts, m.firstEvent, m.longestPause, m.connections, m.cutOffs} {
+	for _, c := range []prometheus.Collector{m.requests, m.failedAttempts, m.firstEvent, m.longestPause, m.connections, m.cutOffs, m.drained} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -15,6 +15,7 @@
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/config"
 	"github.com/verbenastep/verbenastep/core/routes"
+	"github.com/verbenastep/verbenastep/internal/accept"
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
@@ -54,6 +55,8 @@
 	header        http.Header
 	body          []byte
 	arrived       time.Time
+	// numberOnConn is the number of the request on its caller's connection, from 1.
+	numberOnConn int64
 	// deadline bounds timers. remaining also counts suspensions of the machine.
 	deadline        time.Time
 	remaining       func() time.Duration
@@ -85,7 +88,7 @@
 		limitUnreadBody(w, r)
 		return nil, &gatewayError{status: http.StatusServiceUnavailable, code: "no_table", reason: "no route table is known yet", retryAfter: noTableRetryDelay}
 	}
-	q := &request{meta: s.dialect.Read(r.Header), arrived: arrived, tableVersion: index.Table.Version, method: r.Method, host: r.Host, header: r.Header}
+	q := &request{meta: s.dialect.Read(r.Header), arrived: arrived, numberOnConn: accept.RequestNumber(r.Context()), tableVersion: index.Table.Version, method: r.Method, host: r.Host, header: r.Header}
 	q.holding = s.buffers.newHolding(q)
 	q.requestTarget = r.RequestURI
 	if !strings.HasPrefix(q.requestTarget, "/") {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -141,6 +141,7 @@
 		x.s.setConnectionClose(h)
 		x.w.WriteHeader(resp.StatusCode)
 		st.headerSent = true
+		x.setStage(stageResponding)
 		st.softwareVersion = x.current.ticket.SoftwareVersion
 		x.status = resp.StatusCode
 		x.timeToFirstEvent = now.Sub(x.arrived)
