Tests: a draining entry begins work that it must abort (failing)

Four ways in which callers lose answers at a planned stop, shown on the present code with a grace period of a second: 8 of 8 streams sent on open connections after the stop began and one on a new connection are cut off at the abort; what still waits for a grant, or was sent and has no answer yet, is closed without an answer.

--- /dev/null
+++ b/internal/forward/drainadmission_test.go
@@ -0,0 +1,215 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/port"
+)
+
+const (
+	// drainEventTokens is the number of tokens in an event, drainTokenTime the time per token of
+	// the upstreams in these tests.
+	drainEventTokens = 10
+	drainTokenTime   = time.Millisecond
+)
+
+// paceUpstream sends streams of as many tokens as the request states in its header Tokens, one
+// event every drainEventTokens.
+func paceUpstream(c net.Conn, r *http.Request, _ string) {
+	tokens, _ := strconv.Atoi(r.Header.Get("Tokens"))
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+	for i := 1; i*drainEventTokens <= tokens; i++ {
+		time.Sleep(drainEventTokens * drainTokenTime)
+		e := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
+			return
+		}
+	}
+	_, _ = io.WriteString(c, "0\r\n\r\n")
+}
+
+// paceBroker grants one upstream to every request and knows its time per token. Requests wait
+// for their grants while held is open.
+type paceBroker struct {
+	endlessBroker
+	held chan struct{}
+}
+
+func (c *paceBroker) Acquire(ctx context.Context, o port.BrokerOffer) (port.BrokerTicket, error) {
+	select {
+	case <-c.held:
+	case <-ctx.Done():
+		return port.BrokerTicket{}, ctx.Err()
+	}
+	return c.endlessBroker.Acquire(ctx, o)
+}
+
+func (c *paceBroker) ExpectedDuration(o broker.Offer, _ string) (time.Duration, bool) {
+	return time.Duration(o.MaxOutputTokens) * drainTokenTime, true
+}
+
+// caller is a caller that keeps one connection open.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (r *testEntry) connect(t *testing.T) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", r.server.Listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(2 * stopTimeout))
+	return &caller{t: t, conn: c, in: bufio.NewReader(c)}
+}
+
+// send sends a request for a stream of a number of tokens.
+func (c *caller) send(route string, tokens int) {
+	c.t.Helper()
+	_, err := fmt.Fprintf(c.conn, "POST /%s/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: attempt-1\r\nTokens: %d\r\nContent-Length: 0\r\n\r\n", route, tokens)
+	require.NoError(c.t, err)
+}
+
+// receive returns the status of the response, and an error if the response is incomplete.
+func (c *caller) receive() (*http.Response, error) {
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp, err
+}
+
+// requireRefusal checks that a response says that the request did not run and that the caller
+// should connect elsewhere soon.
+func requireRefusal(t *testing.T, resp *http.Response, err error) {
+	t.Helper()
+	require.NoError(t, err, "cut off without a complete answer")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.True(t, resp.Close)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
+
+// newPacedEntry returns an entry with a planned stop of a second before an upstream that
+// streams at a known pace.
+func newPacedEntry(t *testing.T) (r *testEntry, b *paceBroker, u *scriptedUpstream, stop func()) {
+	t.Helper()
+	u = newUpstream(t, paceUpstream)
+	r, stop = newStoppingEntry(t)
+	held := make(chan struct{})
+	close(held)
+	b = &paceBroker{endlessBroker: endlessBroker{address: u.ln.Addr().String()}, held: held}
+	r.service.brokerClient, r.service.dialect = b, tokenDialect{}
+	return r, b, u, stop
+}
+
+// tokenDialect also reads the length of the response from the header Tokens.
+type tokenDialect struct{ testDialect }
+
+func (d tokenDialect) Read(h http.Header) RequestMeta {
+	m := d.testDialect.Read(h)
+	m.MaxTokens, _ = strconv.Atoi(h.Get("Tokens"))
+	m.HasTokenCounts = m.MaxTokens > 0
+	return m
+}
+
+// TestDrainBeginsNothingOnOpenConnectionsThatItMustAbort guards against streams that are cut off at
+// the end of the grace period: their callers sent them after the stop began, on connections that
+// had carried a stream whose header did not say that they close.
+func TestDrainBeginsNothingOnOpenConnectionsThatItMustAbort(t *testing.T) {
+	t.Parallel()
+	r, _, u, stop := newPacedEntry(t)
+	callers := sync.WaitGroup{}
+	for i := range 8 {
+		c := r.connect(t)
+		c.send("stream", 400+20*i) // until after the listener closes
+		callers.Go(func() {
+			first, err := c.receive()
+			require.NoError(t, err)
+			require.False(t, first.Close)
+			c.send("stream", 2000)
+			if resp, err := c.receive(); err == nil || resp != nil {
+				requireRefusal(t, resp, err)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return u.requests() == 8 }, stopTimeout, time.Millisecond)
+	time.Sleep(50 * time.Millisecond) // the headers of the streams are sent
+	stop()
+	callers.Wait()
+	require.Equal(t, 8, u.requests(), "requests that can't end in time reach no upstream")
+}
+
+// TestDrainBeginsNothingOnNewConnectionsThatItMustAbort guards against streams that are cut off at
+// the end of the grace period: their callers still had an answer of the directory that named the
+// entry. A stream that ends in time is served.
+func TestDrainBeginsNothingOnNewConnectionsThatItMustAbort(t *testing.T) {
+	t.Parallel()
+	r, _, _, stop := newPacedEntry(t)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	require.Eventually(t, r.service.isDraining, stopTimeout, time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
+	short, long := r.connect(t), r.connect(t)
+	short.send("stream", 100)
+	long.send("stream", 2000)
+	resp, err := long.receive()
+	requireRefusal(t, resp, err)
+	resp, err = short.receive()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	<-stopped
+}
+
+// TestDrainRefusesWhatWaitsForAGrantTooLong guards against requests that are closed without an
+// answer, or cut off after a late grant, since they waited for an upstream when the stop began.
+func TestDrainRefusesWhatWaitsForAGrantTooLong(t *testing.T) {
+	t.Parallel()
+	for name, tokens := range map[string]int{"long": 600, "short": 20} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, b, u, stop := newPacedEntry(t)
+			b.held = make(chan struct{})
+			c := r.connect(t)
+			c.send("stream", tokens)
+			require.Eventually(t, func() bool { return r.service.stages.count()[stageWaiting] == 1 }, stopTimeout, time.Millisecond)
+			go stop()
+			resp, err := c.receive()
+			requireRefusal(t, resp, err)
+			require.Zero(t, u.requests())
+		})
+	}
+}
+
+// TestDrainAnswersWhatHasNoAnswerYet guards against callers that see a closed connection at the
+// end of the grace period where an answer is possible: the request was sent and may have run.
+func TestDrainAnswersWhatHasNoAnswerYet(t *testing.T) {
+	t.Parallel()
+	r, _, _, stop := newPacedEntry(t)
+	u := newUpstream(t, sendNothing)
+	r.service.brokerClient = &endlessBroker{address: u.ln.Addr().String()}
+	c := r.connect(t)
+	c.send("once", 0)
+	require.Eventually(t, func() bool { return u.requests() == 1 }, stopTimeout, time.Millisecond)
+	go stop()
+	resp, err := c.receive()
+	require.NoError(t, err, "cut off without an answer")
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.True(t, resp.Close)
+}
