forward: a draining entry begins only what it can end

Cause: admission knew nothing of the end of the process. Requests that arrived after the stop began, on new connections until 3.2 s and on open ones later, waited for a grant and were sent like any other, however little of the grace period was left; at its end all connections were closed. Class: work is accepted whose service can't end within the time that the process has left.

Change: broker.ExpectedDuration estimates how long a request with its longest response takes, from what the brokers have learned of the upstreams. A draining entry refuses what can't end before the abort with a 503 that says that it did not run, Retry-After and Connection: close: on arrival, while it waits for a grant, and with the grant of a slow upstream in hand, which goes back to the broker. This holds for retries, replacements and resumptions as well. A refusal costs the caller a round trip to another entry. What is still in flight at the end gets a final answer where none has begun, and its handlers end before the process does. The drains of all services together are bounded by the grace period.

--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -307,6 +307,14 @@
 	return s.entries
 }
 
+// ExpectedDuration estimates the time from the grant of a request to the end of its response by
+// what the brokers have learned of the upstreams.
+func (s *Service) ExpectedDuration(o broker.Offer, upstream string) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.local.ExpectedDuration(o, upstream)
+}
+
 // settleGrant delivers a grant to a request that still waits. The caller holds the lock.
 func (s *Service) settleGrant(g broker.Grant, by string) {
 	a, ok := s.waiting[g.ID.Number]
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,8 @@
 	link   *link.Service
 	events *eventlog.Service
 	log    *zap.Logger
+	// drainTime bounds the drain of all services together; zero for no bound.
+	drainTime time.Duration
 }
 
 // New assembles the services without starting any. Adapters to other systems pass
@@ -50,6 +52,9 @@
 	log = log.With(zap.String("daemon", set.Name))
 	self := port.Holder{Name: set.Name, Incarnation: uint64(time.Now().UnixNano()), Address: set.Addresses.Peers}
 	d := &Daemon{kernel: kernel.New(), link: link.New(set, log), events: eventlog.New(self), log: log}
+	if set.Routing != nil {
+		d.drainTime = set.Routing.DrainTime()
+	}
 	registry := metrics.New()
 	if err := registry.Registerer().Register(d.link.Collector()); err != nil {
 		return nil, err
@@ -116,13 +121,23 @@
 // flight.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.events.Record(promise.Event{Kind: promise.Drain})
-	drained := d.kernel.Drain(ctx)
+	drained := d.drain(ctx)
 	stopped := d.kernel.Stop(ctx)
 	d.events.Record(promise.Event{Kind: promise.Stopped})
 	d.log.Info("daemon stopped")
 	return errors.Join(drained, stopped)
 }
 
+// drain drains all services, within the grace period if the daemon has one.
+func (d *Daemon) drain(ctx context.Context) error {
+	if d.drainTime > 0 {
+		bounded, cancel := context.WithTimeout(ctx, d.drainTime)
+		defer cancel()
+		ctx = bounded
+	}
+	return d.kernel.Drain(ctx)
+}
+
 // Kill simulates a crash within the process, for tests: it closes the link to the
 // other daemons first, so that no lease is released, no leadership transferred
 // and no departure announced, and then stops all services without draining.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -235,9 +235,14 @@
 // acquire waits for the grant of an upstream.
 func (a *upstreamAttempt) acquire() error {
 	offeredAt := time.Now()
-	ticket, err := a.s.brokerClient.Acquire(a.ctx, a.offer)
+	ctx, release := a.waitContext()
+	defer release()
+	ticket, err := a.s.brokerClient.Acquire(ctx, a.offer)
 	a.queueTime += time.Since(offeredAt)
 	a.ticket = ticket
+	if err != nil && a.ctx.Err() == nil && errors.Is(context.Cause(ctx), errCannotFinish) {
+		return errCannotFinish
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/core/routes"
 	"github.com/verbenastep/verbenastep/internal/settings"
 	"github.com/verbenastep/verbenastep/internal/wait"
 )
@@ -17,11 +21,29 @@
 	// directoryTTLs is the number of TTLs for which callers may use a directory
 	// answer.
 	directoryTTLs = 3
-	// acceptTenths and drainTenths are the latest moments, in tenths of the grace
-	// period, at which new connections are accepted and requests may end.
+	// acceptTenths is the latest moment, in tenths of the grace period, at which new
+	// connections are accepted.
 	acceptTenths = 4
-	drainTenths  = 9
 	tenths       = 10
+	// durationFactor and durationMargin are applied to the expected duration of a request: an
+	// estimate is an average, and the response still has to reach the caller.
+	durationFactor = 1.5
+	durationMargin = 200 * time.Millisecond
+	// drainRetryDelay is the Retry-After of requests that a draining entry does not begin. Other
+	// entries can serve them at once.
+	drainRetryDelay = 50 * time.Millisecond
+	// abortTimeout bounds the time in which aborted requests deliver their last response.
+	abortTimeout = 250 * time.Millisecond
+)
+
+// codeDraining is the code of the refusal of a request that the entry can't end before it stops.
+const codeDraining = "draining"
+
+// errCannotFinish is returned by attempts that are not begun since the entry stops; the request did
+// not run. errAborted is the cause of the end of requests at the end of the grace period.
+var (
+	errCannotFinish error = fault.New(codeDraining, "send the request to another entry", "the entry stops before the request can end").After(drainRetryDelay)
+	errAborted            = errors.New("the entry stops; the grace period is over")
 )
 
 // drain is a planned stop that has begun.
@@ -32,15 +54,16 @@
 }
 
 // Drain announces that the entry leaves the directory and serves callers that
-// still use an older directory answer. It then closes the listener and waits for
-// the requests in flight and those that have begun to arrive, which it aborts before
-// the end of the grace period.
+// still use an older directory answer, as far as their requests can end in time. It then closes
+// the listener and waits for the requests in flight and those that have begun to arrive. Before the
+// end of the grace period, or when ctx is canceled, it aborts them.
 func (s *Service) Drain(ctx context.Context) error {
-	grace := settings.Milliseconds(s.set.Routing.GraceMS)
 	ttl := settings.Milliseconds(s.set.Routing.AnswerTTLMS)
+	grace := settings.Milliseconds(s.set.Routing.GraceMS)
 	began := time.Now()
-	d := &drain{began: began, end: began.Add(grace * drainTenths / tenths)}
+	d := &drain{began: began, end: began.Add(s.set.Routing.DrainTime())}
 	s.drain.Store(d)
+	s.beginDrain()
 	s.drainAnnouncer.AnnounceDrain()
 	acceptTime := min(directoryTTLs*ttl+announceDelay, grace*acceptTenths/tenths)
 	s.log.Info("left the directory; serving callers that hold an older answer", zap.Duration("for", acceptTime), zap.Duration("grace", grace),
@@ -55,17 +78,82 @@
 	case <-s.inFlight.Idle():
 		s.log.Info("all requests ended", zap.Duration("after", time.Since(began)))
 	case <-inTime.Done():
-		if ctx.Err() == nil {
-			s.log.Warn("grace period ends; aborting requests in flight", zap.Duration("after", time.Since(began)), zap.Object("in_flight", s.stages.count()))
-			_ = s.server.Close()
-		}
+		s.log.Warn("grace period ends; aborting requests in flight", zap.Duration("after", time.Since(began)), zap.Bool("ordered", errors.Is(ctx.Err(), context.Canceled)),
+			zap.Object("in_flight", s.stages.count()))
+		s.abortRequests()
 	}
 	return nil
 }
 
+// abortRequests ends the requests in flight: those without a response yet get one that says
+// whether they may have run, streams are broken off.
+func (s *Service) abortRequests() {
+	s.abort()
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	s.listener.WaitIdle(ctx)
+	if left := s.stages.count(); left != (stageCounts{}) {
+		s.log.Warn("requests did not end; closing their connections", zap.Object("in_flight", left))
+	}
+	_ = s.server.Close()
+}
+
 // isDraining reports whether a planned stop has begun.
 func (s *Service) isDraining() bool { return s.drain.Load() != nil }
 
+// latestStart returns the latest time at which an upstream may begin the request so that it ends
+// before the entry aborts it: at any time if its deadline is earlier, and never if nothing tells
+// how long it takes, as with streams of plain services. upstream is empty if none is granted yet.
+func (d *drain) latestStart(s *Service, q *request, upstream string) time.Time {
+	if !q.deadline.After(d.end) {
+		return q.deadline
+	}
+	if q.route.Kind == routes.Stream && q.engine == nil {
+		return d.began
+	}
+	expected, known := s.brokerClient.ExpectedDuration(q.offer(s).Offer, upstream)
+	if !known {
+		return d.began
+	}
+	return d.end.Add(-time.Duration(durationFactor*float64(expected)) - durationMargin)
+}
+
+// refuseAtDrain returns the refusal of a request that a draining entry can't end in time, or nil.
+func (s *Service) refuseAtDrain(q *request) *gatewayError {
+	d := s.drain.Load()
+	if d == nil || !time.Now().After(d.latestStart(s, q, "")) {
+		return nil
+	}
+	return &gatewayError{status: http.StatusServiceUnavailable, code: codeDraining, reason: errCannotFinish.Error(), retryAfter: drainRetryDelay}
+}
+
+// waitContext returns the context of a wait for a grant. It ends with errCannotFinish at the latest
+// time at which the request may begin, if the entry drains.
+func (a *upstreamAttempt) waitContext() (ctx context.Context, release func()) {
+	ctx, cancel := context.WithCancelCause(a.ctx)
+	unregister := context.AfterFunc(a.s.drainBegan, func() {
+		latest := a.s.drain.Load().latestStart(a.s, a.request, "")
+		timer := time.AfterFunc(time.Until(latest), func() { cancel(errCannotFinish) })
+		context.AfterFunc(ctx, func() { timer.Stop() })
+	})
+	return ctx, func() {
+		unregister()
+		cancel(nil)
+	}
+}
+
+// returnUnfinishable returns the grant if the entry drains and the request can't end in time at
+// the upstream. It reports whether it did.
+func (a *upstreamAttempt) returnUnfinishable() bool {
+	d := a.s.drain.Load()
+	if d == nil || !time.Now().After(d.latestStart(a.s, a.request, a.ticket.Upstream)) {
+		return false
+	}
+	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), a.s.drainFields(a.request, stageWaiting))...)
+	a.returnGrant()
+	return true
+}
+
 // drainFields returns the field of a log line that says where a request stands in a planned
 // stop: its stage, when it arrived after the begin of the stop, what is left until requests are
 // aborted, and its number on its connection. It is empty without a planned stop.
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -180,7 +180,7 @@
 	u := newUpstream(t, sendNothing)
 	r.service.brokerClient = &endlessBroker{address: u.ln.Addr().String()}
 	go r.call("once", "body")
-	require.Eventually(t, func() bool { return u.requests() == 1 }, stopTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return r.service.stages.count()[stageSent] == 1 }, stopTimeout, time.Millisecond)
 	stop()
 	for _, text := range []string{"left the directory", "accepting no more connections", "grace period ends"} {
 		found := logs.Filter(func(e observer.LoggedEntry) bool { return strings.HasPrefix(e.Message, text) }).All()
--- a/internal/forward/drainadmission_test.go
+++ b/internal/forward/drainadmission_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/core/routes"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
@@ -112,7 +113,9 @@
 	held := make(chan struct{})
 	close(held)
 	b = &paceBroker{endlessBroker: endlessBroker{address: u.ln.Addr().String()}, held: held}
-	r.service.brokerClient, r.service.dialect = b, tokenDialect{}
+	table := testTable()
+	table.Pools[0].Engine = &routes.Engine{Slots: 4, EventTokens: drainEventTokens}
+	r.service.brokerClient, r.service.dialect, r.service.view = b, tokenDialect{}, testView{routes.NewIndex(table)}
 	return r, b, u, stop
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -281,9 +281,12 @@
 
 // callerDisconnected reports whether the caller closed its connection.
 func (x *exchange) callerDisconnected() bool {
-	return x.ctx.Err() != nil && !errors.Is(context.Cause(x.ctx), context.DeadlineExceeded)
+	return x.ctx.Err() != nil && !errors.Is(context.Cause(x.ctx), context.DeadlineExceeded) && !x.isAborted()
 }
 
+// isAborted reports whether the request is aborted since the entry stops.
+func (x *exchange) isAborted() bool { return errors.Is(context.Cause(x.ctx), errAborted) }
+
 // respondNoResponse responds to a request after its last attempt failed.
 func (x *exchange) respondNoResponse() {
 	switch {
@@ -293,6 +296,8 @@
 		x.abortStream()
 	case x.upstreamError != nil:
 		x.writeResponse(x.upstreamError)
+	case x.possibleRuns == 0 && x.isAborted():
+		x.respondError(&gatewayError{status: http.StatusServiceUnavailable, code: codeDraining, reason: errAborted.Error(), retryAfter: drainRetryDelay})
 	case x.possibleRuns == 0:
 		x.respondError(&gatewayError{status: http.StatusServiceUnavailable, code: "not_run", reason: "no upstream took the request: " + x.reason, retryAfter: notRunRetryDelay})
 	case x.remaining() <= 0:
@@ -304,7 +309,6 @@
 
 // respondError responds with an error of the entry.
 func (x *exchange) respondError(r *gatewayError) {
-	x.setStage(stageResponding)
 	x.status, x.outcome, x.reason = r.status, r.code, r.reason
 	x.s.writeError(x.w, r)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -65,8 +65,13 @@
 	listener       *accept.Listener
 	ctx            context.Context
 	cancel         context.CancelFunc
-	// drain is nil until a planned stop begins.
+	// drain is nil until a planned stop begins, which ends drainBegan. aborted ends when the
+	// requests in flight are aborted.
 	drain        atomic.Pointer[drain]
+	drainBegan   context.Context
+	beginDrain   context.CancelFunc
+	aborted      context.Context
+	abort        context.CancelFunc
 	stages       stages
 	inFlight     wait.Group
 	retryBudgets *retryBudgets
@@ -82,6 +87,8 @@
 // New returns the service.
 func New(set *settings.Settings, log *zap.Logger) *Service {
 	s := &Service{set: set, log: log.Named("forward"), retryBudgets: newRetryBudgets(set.Routing.Retry), notices: newNotices(), elapsed: clock.SinceBoot}
+	s.drainBegan, s.beginDrain = context.WithCancel(context.Background())
+	s.aborted, s.abort = context.WithCancel(context.Background())
 	s.buffers = newBuffers(set.Routing.BufferBytes())
 	s.buffers.onCutOff = s.recordCutOff
 	return s
@@ -176,6 +183,9 @@
 	if q != nil {
 		defer q.holding.end()
 	}
+	if refusal == nil {
+		refusal = s.refuseAtDrain(q)
+	}
 	if refusal != nil {
 		s.recordRefusal(q, refusal)
 		s.writeError(w, refusal)
@@ -183,6 +193,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, context.DeadlineExceeded)
 	defer cancel()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
+	defer context.AfterFunc(s.aborted, func() { abort(errAborted) })()
 	x := &exchange{s: s, request: q, w: w, ctx: ctx, stage: stageEnded}
 	x.setStage(stageWaiting)
 	defer x.setStage(stageEnded)
--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -27,7 +27,7 @@
 		if err := a.acquire(); err != nil {
 			return nil, err
 		}
-		if a.returnExcluded() {
+		if a.returnExcluded() || a.returnUnfinishable() {
 			continue
 		}
 		c, err := a.s.conns.get(a.ctx, a.ticket.Address, !a.route.Repeatable())
@@ -35,7 +35,7 @@
 			return nil, err
 		}
 		// The setup of a connection takes time in which a notice may arrive.
-		if !a.returnExcluded() && !a.returnOutdated() {
+		if !a.returnExcluded() && !a.returnOutdated() && !a.returnUnfinishable() {
 			return c, nil
 		}
 		_ = c.Close()
@@ -49,9 +49,7 @@
 	}
 	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("software", a.ticket.SoftwareVersion),
 		zap.String("version_why", a.ticket.VersionReason), zap.Bool("expired", true))...)
-	a.granted, a.offer.Counted = false, true
-	a.offer.Avoid = append(slices.Clip(a.offer.Avoid), a.ticket.Upstream)
-	a.endGrant(broker.End{Outcome: broker.NotSent})
+	a.returnGrant()
 	return true
 }
 
@@ -67,10 +65,15 @@
 	}
 	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.Int64("born", n.born), zap.Bool("leaving", n.leaving),
 		zap.Duration("retry_after", max(0, time.Until(n.pausedUntil))))...)
+	a.returnGrant()
+	return true
+}
+
+// returnGrant returns a grant that is not used. The upstream is avoided from then on.
+func (a *upstreamAttempt) returnGrant() {
 	a.granted, a.offer.Counted = false, true
 	a.offer.Avoid = append(slices.Clip(a.offer.Avoid), a.ticket.Upstream)
 	a.endGrant(broker.End{Outcome: broker.NotSent})
-	return true
 }
 
 // returnOutdated returns the grant if it is too old to be used. It reports whether it did.
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -48,7 +48,7 @@
 func (x *exchange) unsentOutcome(err error) broker.Outcome {
 	failed := (*egress.DialError)(nil)
 	switch {
-	case x.callerDisconnected():
+	case x.callerDisconnected() || x.isAborted():
 		return broker.NotSent
 	case errors.As(err, &failed) && failed.IsUpstreamDown():
 		return broker.Unreachable
@@ -64,7 +64,7 @@
 		return broker.UnclearRejection
 	case errors.Is(err, errStrayResponse), errors.Is(err, errUnsealed), errors.Is(err, errEncoded), errors.Is(err, errMissingEvents), errors.Is(err, errNotResumed):
 		return broker.InvalidResponse
-	case x.callerDisconnected():
+	case x.callerDisconnected() || x.isAborted():
 		return broker.Canceled
 	case errors.Is(err, errUpstreamTimeout), errors.Is(err, context.DeadlineExceeded):
 		return broker.TimedOut
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -33,6 +33,10 @@
 
 func (b *scriptedBroker) Entries() int { return 1 }
 
+func (b *scriptedBroker) ExpectedDuration(broker.Offer, string) (time.Duration, bool) {
+	return 0, true
+}
+
 func (b *scriptedBroker) ReportLimit(broker.RequestLimit, time.Time) {}
 
 func (b *scriptedBroker) Acquire(ctx context.Context, o port.BrokerOffer) (port.BrokerTicket, error) {
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -195,6 +195,10 @@
 
 func (c *testBrokerClient) Entries() int { return 1 }
 
+func (c *testBrokerClient) ExpectedDuration(broker.Offer, string) (time.Duration, bool) {
+	return 0, true
+}
+
 func (c *testBrokerClient) ReportLimit(broker.RequestLimit, time.Time) {}
 
 func (c *testBrokerClient) outcomes() []broker.Outcome {
--- a/internal/settings/routing.go
+++ b/internal/settings/routing.go
@@ -148,6 +148,21 @@
 	return int64(orDefault(r.BufferMB, DefaultBufferMB) * bytesPerMB)
 }
 
+const (
+	// stopTenths and maxStopTime bound the part of the grace period that is kept for the stop
+	// of the process itself.
+	stopTenths  = 1
+	maxStopTime = time.Second
+	tenths      = 10
+)
+
+// DrainTime returns how long after the stop signal requests may be in flight; the rest of the
+// grace period is for the stop of the process.
+func (r *Routing) DrainTime() time.Duration {
+	grace := Milliseconds(r.GraceMS)
+	return grace - min(grace*stopTenths/tenths, maxStopTime)
+}
+
 // applyDefaults sets the defaults of unset values.
 func (r *Routing) applyDefaults() {
 	r.HeartbeatMS = orDefault(r.HeartbeatMS, DefaultHeartbeatMS)
