A repeated SIGTERM cuts no request in flight

Callers saw their answers end without a last byte when a supervisor sent SIGTERM twice, or two restarts overlapped.

Cause: the second signal of any kind canceled the drain, and with it everything in flight, without a line in the log.

The supervisor kills the process at the end of the grace period anyway, so a second SIGTERM has nothing to add: it is logged and changes nothing. SIGINT after the first signal, which a person at a terminal sends, still stops at once, and says so in a warning.

Evidence: TestProcessAnswersAfterRepeatedSIGTERM runs the built command; before, its request was cut off (unexpected EOF) after the second SIGTERM, now it is answered and the process exits with 0. go test -race -count=3 ./cmd/verbenastepd passes.

--- a/cmd/verbenastepd/main.go
+++ b/cmd/verbenastepd/main.go
@@ -6,8 +6,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,35 +54,24 @@
 	w := flag.CommandLine.Output()
 	fmt.Fprint(w, "usage: verbenastepd -settings FILE [-check]\nexample: verbenastepd -settings examples/local/daemon-1.json\n\n")
 	flag.PrintDefaults()
-	fmt.Fprint(w, "\nexit codes: 0 stopped gracefully, 1 failed, 2 faulty settings; docs/SETTINGS.md explains them\n")
+	fmt.Fprint(w, "\nsignals: SIGTERM or SIGINT drains the daemon; after that SIGINT stops it without waiting, and SIGTERM changes nothing; SIGHUP reloads the settings\n")
+	fmt.Fprint(w, "exit codes: 0 stopped gracefully, 1 failed, 2 faulty settings; docs/SETTINGS.md explains them\n")
 }
 
-// serve runs the daemon until a signal and returns the exit code. The first
-// signal drains the daemon; a second one stops it at once.
+// serve runs the daemon until it was told to stop and returns the exit code.
 func serve(file string, set *settings.Settings, log *zap.Logger) int {
 	d, err := daemon.New(set, log, platform.Services(set, log)...)
 	if err != nil {
 		log.Error("daemon could not be created", zap.Error(err))
 		return exitFailed
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	go watchSettings(file, set, log, reload)
+	received := subscribe()
+	go watchSettings(file, set, log, received.reload)
 	if err := d.Start(context.Background()); err != nil {
 		log.Error("daemon did not start", zap.Error(err))
 		return exitFailed
 	}
-	<-signals
-	log.Info("draining; a second signal stops the daemon without waiting")
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		<-signals
-		cancel()
-	}()
-	if err := d.Stop(ctx); err != nil {
+	if err := stopAfterSignal(received.stop, log, d.Stop); err != nil {
 		log.Error("daemon stopped early", zap.Error(err))
 		return exitFailed
 	}
--- /dev/null
+++ b/cmd/verbenastepd/process_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/internal/freeport"
+	"github.com/verbenastep/verbenastep/internal/settings"
+)
+
+const (
+	processTimeout   = 30 * time.Second
+	pollInterval     = 20 * time.Millisecond
+	directoryRequest = "GET /v1/directory HTTP/1.1\r\nHost: x\r\n\r\n"
+)
+
+// process is a daemon that runs as a process of its own.
+type process struct {
+	*exec.Cmd
+	t       *testing.T
+	callers string
+	// lines delivers the lines of its log.
+	lines chan string
+	// logs is the reading end of its standard error.
+	logs *os.File
+}
+
+// build builds the command of this package.
+func build(t *testing.T) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "verbenastepd")
+	out, err := exec.Command("go", "build", "-o", file, ".").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return file
+}
+
+// startProcess starts a daemon that is its own only replica.
+func startProcess(t *testing.T) *process {
+	t.Helper()
+	a, err := freeport.Addresses(4)
+	require.NoError(t, err)
+	data, err := json.Marshal(&settings.Settings{
+		Name: "daemon-1", Region: "r", DataCentre: "dc", Addresses: settings.Addresses{Callers: a[0], Peers: a[1], Upstreams: a[2], Admin: a[3]},
+		Roles: []settings.Role{settings.Replica}, DataFolder: t.TempDir(), Replicas: []settings.Peer{{Name: "daemon-1", Address: a[1]}}, Seeds: []string{a[1]},
+	})
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(file, data, 0o600))
+	p := &process{t: t, Cmd: exec.Command(build(t), "-settings", file), callers: a[0], lines: make(chan string, 1000)}
+	in, out, err := os.Pipe()
+	require.NoError(t, err)
+	p.logs, p.Stderr = in, out
+	require.NoError(t, p.Start())
+	require.NoError(t, out.Close())
+	t.Cleanup(func() { _ = p.Process.Kill() })
+	go func() {
+		defer close(p.lines)
+		for s := bufio.NewScanner(in); s.Scan(); {
+			p.lines <- s.Text()
+		}
+	}()
+	p.awaitLine("daemon started")
+	return p
+}
+
+// awaitLine waits for a line of the log.
+func (p *process) awaitLine(text string) {
+	p.t.Helper()
+	timeout, last := time.After(processTimeout), ""
+	for {
+		select {
+		case line, open := <-p.lines:
+			require.True(p.t, open, "the process ended before it logged %q, after %q", text, last)
+			if strings.Contains(line, text) {
+				return
+			}
+			last = line
+		case <-timeout:
+			require.Fail(p.t, "not logged", "%q", text)
+		}
+	}
+}
+
+// beginRequest sends a part of a request's header, and returns the connection.
+func (p *process) beginRequest() net.Conn {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.callers)
+	require.NoError(p.t, err)
+	_, err = io.WriteString(c, directoryRequest[:20])
+	require.NoError(p.t, err)
+	time.Sleep(pollInterval)
+	return c
+}
+
+// requireAnswer sends the rest of a request and requires a complete answer.
+func (p *process) requireAnswer(c net.Conn) {
+	p.t.Helper()
+	_, err := io.WriteString(c, directoryRequest[20:])
+	require.NoError(p.t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(p.t, err, "the request was cut off")
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(p.t, err)
+	require.Equal(p.t, http.StatusOK, resp.StatusCode)
+}
+
+// requireExit requires that the process ends with an exit code.
+func (p *process) requireExit(code int) {
+	p.t.Helper()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = p.Wait()
+	}()
+	select {
+	case <-ended:
+	case <-time.After(processTimeout):
+		require.Fail(p.t, "the process did not end")
+	}
+	require.Equal(p.t, code, p.ProcessState.ExitCode(), "%s", p.ProcessState)
+}
+
+// TestProcessAnswersAfterRepeatedSIGTERM guards against a request in flight that is cut off by a
+// second SIGTERM.
+func TestProcessAnswersAfterRepeatedSIGTERM(t *testing.T) {
+	p := startProcess(t)
+	c := p.beginRequest()
+	defer c.Close()
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	p.awaitLine("draining")
+	for range 3 {
+		require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+		time.Sleep(5 * pollInterval)
+	}
+	p.requireAnswer(c)
+	p.requireExit(exitOK)
+}
+
+// TestProcessStopsAtOnceAtSIGINT guards against a person at a terminal who must wait for the end
+// of a drain.
+func TestProcessStopsAtOnceAtSIGINT(t *testing.T) {
+	p := startProcess(t)
+	c := p.beginRequest()
+	defer c.Close()
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	p.awaitLine("draining")
+	require.NoError(t, p.Process.Signal(syscall.SIGINT))
+	p.requireExit(exitFailed)
+}
