Signals that come before the daemon runs neither end nor start it

SIGHUP asks for a reload, but ended the process by default while it loaded its settings. SIGTERM ended it by default too, with the exit code of a failure.

Cause: the process subscribed to its signals after it had loaded its settings and assembled its services. It now does so first, and begins nothing when it was told to stop before the start: it exits with 0.

Evidence: two tests run the command with settings that come through a pipe, which shows that it waits for them, and signal it then; before, both processes ended (the write to the pipe failed). Now the daemon starts after SIGHUP and exits with 0 after SIGTERM, without "daemon started".

--- a/cmd/verbenastepd/main.go
+++ b/cmd/verbenastepd/main.go
@@ -28,6 +28,7 @@
 }
 
 func run() int {
+	received := subscribe()
 	file := flag.String("settings", "", "settings `FILE`, JSON")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Usage = usage
@@ -47,7 +48,7 @@
 		return exitSettings
 	}
 	defer func() { _ = log.Sync() }()
-	return serve(*file, set, log)
+	return serve(*file, set, log, received)
 }
 
 func usage() {
@@ -59,14 +60,17 @@
 }
 
 // serve runs the daemon until it was told to stop and returns the exit code.
-func serve(file string, set *settings.Settings, log *zap.Logger) int {
+func serve(file string, set *settings.Settings, log *zap.Logger, received signals) int {
 	d, err := daemon.New(set, log, platform.Services(set, log)...)
 	if err != nil {
 		log.Error("daemon could not be created", zap.Error(err))
 		return exitFailed
 	}
-	received := subscribe()
 	go watchSettings(file, set, log, received.reload)
+	if received.isStopping() {
+		log.Info("told to stop before the start; nothing was served")
+		return exitOK
+	}
 	if err := d.Start(context.Background()); err != nil {
 		log.Error("daemon did not start", zap.Error(err))
 		return exitFailed
--- a/cmd/verbenastepd/process_test.go
+++ b/cmd/verbenastepd/process_test.go
@@ -23,6 +23,8 @@
 const (
 	processTimeout   = 30 * time.Second
 	pollInterval     = 20 * time.Millisecond
+	maxLines         = 1000
+	started          = "daemon started"
 	directoryRequest = "GET /v1/directory HTTP/1.1\r\nHost: x\r\n\r\n"
 )
 
@@ -46,8 +48,9 @@
 	return file
 }
 
-// startProcess starts a daemon that is its own only replica.
-func startProcess(t *testing.T) *process {
+// newProcess returns a daemon that is its own only replica, and its settings. It does not run yet
+// and reads its settings from a file.
+func newProcess(t *testing.T, file string) (*process, []byte) {
 	t.Helper()
 	a, err := freeport.Addresses(4)
 	require.NoError(t, err)
@@ -56,23 +59,49 @@
 		Roles: []settings.Role{settings.Replica}, DataFolder: t.TempDir(), Replicas: []settings.Peer{{Name: "daemon-1", Address: a[1]}}, Seeds: []string{a[1]},
 	})
 	require.NoError(t, err)
+	return &process{t: t, Cmd: exec.Command(build(t), "-settings", file), callers: a[0], lines: make(chan string, maxLines)}, data
+}
+
+// startProcess starts a daemon and waits until it serves.
+func startProcess(t *testing.T) *process {
+	t.Helper()
 	file := filepath.Join(t.TempDir(), "settings.json")
+	p, data := newProcess(t, file)
 	require.NoError(t, os.WriteFile(file, data, 0o600))
-	p := &process{t: t, Cmd: exec.Command(build(t), "-settings", file), callers: a[0], lines: make(chan string, 1000)}
-	in, out, err := os.Pipe()
+	p.run()
+	p.awaitLine(started)
+	return p
+}
+
+// startLoading starts a daemon whose settings are a pipe, and returns the writing end and the
+// settings once the daemon waits for them.
+func startLoading(t *testing.T) (*process, *os.File, []byte) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, syscall.Mkfifo(file, 0o600))
+	p, data := newProcess(t, file)
+	p.run()
+	// Opening a pipe waits for its reader.
+	pipe, err := os.OpenFile(file, os.O_WRONLY, 0)
 	require.NoError(t, err)
+	return p, pipe, data
+}
+
+// run starts the process and reads its log.
+func (p *process) run() {
+	p.t.Helper()
+	in, out, err := os.Pipe()
+	require.NoError(p.t, err)
 	p.logs, p.Stderr = in, out
-	require.NoError(t, p.Start())
-	require.NoError(t, out.Close())
-	t.Cleanup(func() { _ = p.Process.Kill() })
+	require.NoError(p.t, p.Start())
+	require.NoError(p.t, out.Close())
+	p.t.Cleanup(func() { _ = p.Process.Kill() })
 	go func() {
 		defer close(p.lines)
 		for s := bufio.NewScanner(in); s.Scan(); {
 			p.lines <- s.Text()
 		}
 	}()
-	p.awaitLine("daemon started")
-	return p
 }
 
 // awaitLine waits for a line of the log.
@@ -159,3 +188,32 @@
 	require.NoError(t, p.Process.Signal(syscall.SIGINT))
 	p.requireExit(exitFailed)
 }
+
+// TestProcessSurvivesEarlySIGHUP guards against a process that is ended by a request to reload its
+// settings, since it comes before the daemon runs.
+func TestProcessSurvivesEarlySIGHUP(t *testing.T) {
+	p, pipe, data := startLoading(t)
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	time.Sleep(5 * pollInterval)
+	_, err := pipe.Write(data)
+	require.NoError(t, err)
+	require.NoError(t, pipe.Close())
+	p.awaitLine(started)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	p.requireExit(exitOK)
+}
+
+// TestProcessBeginsNothingAfterEarlySIGTERM guards against a daemon that starts to serve although
+// it was told to stop before, or that reports a failure.
+func TestProcessBeginsNothingAfterEarlySIGTERM(t *testing.T) {
+	p, pipe, data := startLoading(t)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	time.Sleep(5 * pollInterval)
+	_, err := pipe.Write(data)
+	require.NoError(t, err)
+	require.NoError(t, pipe.Close())
+	p.requireExit(exitOK)
+	for line := range p.lines {
+		require.NotContains(t, line, started)
+	}
+}
--- a/cmd/verbenastepd/signals.go
+++ b/cmd/verbenastepd/signals.go
@@ -27,6 +27,9 @@
 	return s
 }
 
+// isStopping reports whether a signal to stop waits.
+func (s signals) isStopping() bool { return len(s.stop) > 0 }
+
 // stopAfterSignal waits for a signal to stop and returns the result of stop. It cancels the
 // context of stop at a later SIGINT, which a person sends who doesn't want to wait. A repeated
 // SIGTERM changes nothing: supervisors repeat it, and kill the process themselves when the grace
