A log without a reader doesn't end the process

Requests in flight were cut off when the reader of the log ended before the daemon: Ctrl-C in a terminal ends the other command of "verbenastepd 2>&1 | ..." too, and a restarted log collector has the same effect at any time.

Cause: a Go process ends by SIGPIPE at a write to standard output or error that has no reader; the first log line of the drain did that. The signal is ignored now; such a write fails, and the sink drops the lines.

Evidence: TestProcessDrainsWithoutReaderOfItsLog closes the pipe of the log and stops the command with a request half read; before, the request was cut off (unexpected EOF), now it is answered and the process exits with 0.

--- a/cmd/verbenastepd/process_test.go
+++ b/cmd/verbenastepd/process_test.go
@@ -217,3 +217,17 @@
 		require.NotContains(t, line, started)
 	}
 }
+
+// TestProcessDrainsWithoutReaderOfItsLog guards against requests in flight that are cut off since
+// the reader of the log ends before the daemon, such as the other command of a shell pipeline at
+// Ctrl-C: by default, a write to standard error ends the process then.
+func TestProcessDrainsWithoutReaderOfItsLog(t *testing.T) {
+	p := startProcess(t)
+	c := p.beginRequest()
+	defer c.Close()
+	require.NoError(t, p.logs.Close())
+	require.NoError(t, p.Process.Signal(syscall.SIGINT))
+	time.Sleep(10 * pollInterval)
+	p.requireAnswer(c)
+	p.requireExit(exitOK)
+}
--- a/cmd/verbenastepd/signals.go
+++ b/cmd/verbenastepd/signals.go
@@ -24,6 +24,8 @@
 	s := signals{stop: make(chan os.Signal, pendingSignals), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
+	// A write to standard error without a reader fails then, instead of ending the process.
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
