egress: a draining entry carries no new tunnels

A request that another entry sends through a draining one is cut off when that one ends.

Cause: others ask no entry that they know to drain, but the news takes up to 0.7 s to reach them, and the entry that was asked opened the tunnel however little time it had left.

Evidence: TestDrainingEntryCarriesNoNewTunnels, where the draining entry is asked first: failed 5 of 5 before (it connected to the upstreams), passes 10 of 10 with -race.

--- a/internal/egress/carry.go
+++ b/internal/egress/carry.go
@@ -60,7 +60,8 @@
 	if !s.upstreams.HasUpstream(address) {
 		return nil, UnknownAddress
 	}
-	if s.carried.Load() > maxCarried || s.IsPathLost(address) {
+	// A draining entry may end before the requests of a new tunnel do; others serve them.
+	if s.carried.Load() > maxCarried || s.IsPathLost(address) || s.isLeaving(s.set.Name) {
 		return nil, Unknown
 	}
 	results := make(chan dialed, 1)
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -359,3 +359,34 @@
 	require.Eventually(t, func() bool { return !c.(*tunnelConn).IsClean() }, testTimeout, time.Millisecond)
 	require.False(t, c.(*tunnelConn).IsClean(), "bytes that were found are not forgotten")
 }
+
+// leaving returns the member list in which an entry drains.
+func (m testMembers) leaving(name string) testMembers {
+	out := testMembers(m.Live())
+	for i := range out {
+		out[i].Leaving = out[i].Leaving || out[i].Name == name
+	}
+	return out
+}
+
+// TestDrainingEntryCarriesNoNewTunnels guards against requests of other entries that are cut off
+// since they begin on a tunnel through an entry that drains, before its news have reached them.
+func TestDrainingEntryCarriesNoNewTunnels(t *testing.T) {
+	n := newTestNet(t, 3, 2)
+	n.entries[0].path.Set(netfault.Reset)
+	carrier, connections := n.entries[1], atomic.Int64{}
+	carrier.members = carrier.members.(testMembers).leaving("1")
+	carrier.SetDirect(func(ctx context.Context, address string) (net.Conn, error) {
+		connections.Add(1)
+		return DialDirectly(ctx, address)
+	})
+	for i := range 2 {
+		n.entries[0].recordPeer(context.Background(), port.Member{Name: "1"}, Connected) // it is asked first
+		n.entries[0].recordPeer(context.Background(), port.Member{Name: "2"}, Unknown)
+		c, err := n.dial(0, i)
+		require.NoError(t, err, "the other entry serves")
+		require.True(t, IsTunnel(c))
+		require.NoError(t, c.Close())
+	}
+	require.Zero(t, connections.Load())
+}
