egress: tunnels that a stop cuts off are logged and counted

Cause: Drain said nothing of the tunnels that it left when its context ended, and returned an error also when it had cut off none, so that the daemon reported a failure.

Evidence: TestDrainEndsInTime failed before (no line, no count, an error without tunnels).

--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -105,11 +105,18 @@
 	return rpc.DRPCRegisterTunnel(s.link.Mux(), s)
 }
 
-// Drain waits for the tunnels that this entry carries, until ctx ends.
+// Drain waits for the tunnels that this entry carries, until ctx ends. Stop cuts off those that
+// are left. New ones are refused from the moment that the daemon announces its drain.
 func (s *Service) Drain(ctx context.Context) error {
 	for s.carried.Load() > 0 && ctx.Err() == nil {
 		wait.Sleep(ctx, drainPollInterval)
 	}
+	carried := s.carried.Load()
+	if carried == 0 {
+		return nil
+	}
+	s.metrics.cut.Add(float64(carried))
+	s.log.Warn("carried tunnels are cut off", zap.Int64("carried", carried))
 	return ctx.Err()
 }
 
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/internal/freeport"
@@ -390,3 +392,24 @@
 	}
 	require.Zero(t, connections.Load())
 }
+
+// TestDrainEndsInTime guards against a stop that waits for the tunnels of others without a bound,
+// or cuts them off without a trace; and against one that fails though it cut nothing off.
+func TestDrainEndsInTime(t *testing.T) {
+	n := newTestNet(t, 2, 1)
+	logs, lines := observer.New(zap.WarnLevel)
+	carrier := n.entries[1]
+	carrier.log = zap.New(logs)
+	n.entries[0].path.Set(netfault.Reset)
+	c, err := n.dial(0, 0)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, carrier.Drain(ctx), context.Canceled)
+	require.Equal(t, 1, lines.FilterMessage("carried tunnels are cut off").Len())
+	require.EqualValues(t, 1, lines.All()[0].ContextMap()["carried"])
+	require.InDelta(t, 1, testutil.ToFloat64(carrier.metrics.cut), 0)
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { return carrier.carried.Load() == 0 }, testTimeout, time.Millisecond)
+	require.NoError(t, carrier.Drain(ctx), "nothing was cut off")
+}
