accept: the begin of the next request keeps its connection

A request could be cut off at a planned stop although a part of it had been read: the connection looked idle, since all that had arrived before the end of the request in front was forgotten at that end. Either the server had buffered the begin of the request together with the first, or it had read its first byte ahead, as it does while it serves a request.

The reads ahead are remembered now, and the server's second read deadline after the end of a request shows that the first bytes of the next one are there, buffered or not.

Evidence: two of three cases of TestBeginOfNextRequestKeepsItsConnection failed before (CloseIdle closed the connection), all pass; go test -race -count=5 ./internal/accept, and the tests of stops of internal/entry (race detector) and internal/forward.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -63,6 +63,10 @@
 	// request has ended.
 	hasInput atomic.Bool
 	wasUsed  atomic.Bool
+	// readAhead is set once the server has read the first byte of the next request while it
+	// serves one. isIdleBegin is set from the end of a request until the server waits for another.
+	readAhead   atomic.Bool
+	isIdleBegin atomic.Bool
 	// inputs counts the reads that brought bytes and the requests that began.
 	inputs atomic.Int64
 	// idleSince is when CloseIdle first found the connection idle after idleInputs, and zero if
@@ -121,15 +125,32 @@
 	return c
 }
 
+// readAheadBytes is the size of the buffer with which the server looks for the next request while it
+// serves one. It reads nothing else with a buffer of this size.
+const readAheadBytes = 1
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
 		c.recordInput()
+		if len(p) == readAheadBytes {
+			c.readAhead.Store(true)
+		}
 	}
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn. The server sets a deadline when it begins to wait for the
+// next request, and another one when the request's first bytes are there, also if it had buffered
+// them.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if !c.isIdleBegin.Swap(false) && c.wasUsed.Load() {
+		c.recordInput()
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
@@ -142,7 +163,8 @@
 func OnStateChange(raw net.Conn, s http.ConnState) {
 	if c, ok := raw.(*conn); ok && s == http.StateIdle {
 		c.wasUsed.Store(true)
-		c.hasInput.Store(false)
+		c.isIdleBegin.Store(true)
+		c.hasInput.Store(c.readAhead.Swap(false))
 	}
 }
 
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -68,3 +68,68 @@
 	require.False(t, c.staysIdle(now.Add(2*minIdleTime)), "a request came and ended meanwhile")
 	require.True(t, c.staysIdle(now.Add(3*minIdleTime)))
 }
+
+// serve returns a listener with an HTTP server, and a connection to it.
+func serve(t *testing.T, handler http.HandlerFunc) (*Listener, net.Conn) {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New(raw, net.KeepAliveConfig{})
+	server := &http.Server{ConnState: OnStateChange, ConnContext: ConnContext, Handler: Handler(handler), IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return l, c
+}
+
+// requireAnswers requires complete answers to a number of requests.
+func requireAnswers(t *testing.T, in *bufio.Reader, n int) {
+	t.Helper()
+	for range n {
+		resp, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+}
+
+const testRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+// TestBeginOfNextRequestKeepsItsConnection guards against a request that is cut off at a planned
+// stop although a part of it was read before the request in front of it ended: the server had
+// buffered it, or has looked for it while that one ran.
+func TestBeginOfNextRequestKeepsItsConnection(t *testing.T) {
+	for name, c := range map[string]struct{ first, during, rest string }{
+		"buffered with the first": {testRequest + testRequest[:10], "", testRequest[10:]},
+		"read ahead":              {testRequest, testRequest[:1], testRequest[1:]},
+		"read ahead in part":      {testRequest, testRequest[:5], testRequest[5:]},
+	} {
+		t.Run(name, func(t *testing.T) {
+			began, finish := make(chan struct{}, 2), make(chan struct{})
+			l, caller := serve(t, func(http.ResponseWriter, *http.Request) {
+				began <- struct{}{}
+				<-finish
+			})
+			in := bufio.NewReader(caller)
+			_, err := io.WriteString(caller, c.first)
+			require.NoError(t, err)
+			<-began
+			_, err = io.WriteString(caller, c.during)
+			require.NoError(t, err)
+			time.Sleep(2 * minIdleTime)
+			close(finish)
+			requireAnswers(t, in, 1)
+			for range 3 {
+				time.Sleep(2 * minIdleTime)
+				require.Equal(t, 1, l.CloseIdle())
+			}
+			_, err = io.WriteString(caller, c.rest)
+			require.NoError(t, err)
+			requireAnswers(t, in, 1)
+			require.Eventually(t, func() bool { return l.CloseIdle() == 0 }, 5*time.Second, 2*minIdleTime, "the connection is idle now")
+		})
+	}
+}
