accept: the reader of an idle connection ends it, not another goroutine

A caller could see its connection closed without an answer although its request had been read, and would run: it takes the request for unread and sends it again, so that it runs twice.

Cause: CloseIdle closed a connection that looked idle at two looks 4 ms apart. A reader that has taken the bytes from the kernel, and then doesn't get to run for that long, on a busy or throttled machine, has not recorded them yet: nothing is left in the kernel, the connection looks idle.

CloseIdle now lets the pending read of the connection fail by an expired deadline. So the reader decides: bytes that it has taken keep the connection, and before it gives up it looks once more for bytes that came meanwhile. The server closes the connection itself when the read has failed. The two looks stay; nothing rests on them any more but how often a connection is woken.

Evidence: TestStarvedReaderKeepsItsConnection, the reader's state at that moment set up by hand: before, the connection was closed after the second look ("use of closed network connection"), now the request goes on. TestRequestBesideCloseIsServed: bytes between look and close are served.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -2,13 +2,15 @@
 // to arrive. The entries use it below their HTTP servers.
 //
 // Guarantees: a connection that waits in the kernel's queue at StopAccepting is accepted, and
-// CloseIdle closes no connection on which a part of a request has arrived. A connection that is
-// being set up at that moment is reset, and a request that arrives while its idle connection is
-// being closed is lost, as always in HTTP/1.1.
+// CloseIdle closes no connection on which a part of a request has arrived; the server never reads
+// a request of a connection that it has closed. A connection that is being set up at that moment is
+// reset, and a request that arrives while its idle connection is being closed is lost, unread, as
+// always in HTTP/1.1.
 package accept
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -73,8 +75,17 @@
 	// it did not; the lock of the listener guards both.
 	idleSince  time.Time
 	idleInputs int64
+
+	mu sync.Mutex
+	// isEnding is set while the next read ends the connection unless a request has begun to
+	// arrive. readDeadline is the deadline that the server has set.
+	isEnding     bool
+	readDeadline time.Time
 }
 
+// expired is a deadline that has passed.
+var expired = time.Unix(1, 0)
+
 // connKey is the key of a connection in the contexts of its requests.
 type connKey struct{}
 
@@ -131,26 +142,70 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	for {
+		n, err := c.TCPConn.Read(p)
+		if !c.endRead(n, len(p), err) {
+			return n, err
+		}
+	}
+}
+
+// endRead records the result of a read into a buffer of a size. It reports whether to read again,
+// since bytes have arrived on a connection that was about to end.
+func (c *conn) endRead(n, size int, err error) (again bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if n > 0 {
 		c.recordInput()
-		if len(p) == readAheadBytes {
+		if size == readAheadBytes {
 			c.readAhead.Store(true)
 		}
 	}
-	return n, err
+	again = c.isEnding && errors.Is(err, os.ErrDeadlineExceeded) && controlSocket(c, hasUnread)
+	if n > 0 || again {
+		c.keep()
+	}
+	return again
 }
 
 // SetReadDeadline implements net.Conn. The server sets a deadline when it begins to wait for the
 // next request, and another one when the request's first bytes are there, also if it had buffered
 // them.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
 	if !c.isIdleBegin.Swap(false) && c.wasUsed.Load() {
 		c.recordInput()
+		c.keep()
+	}
+	if c.isEnding {
+		return nil
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// end makes the server close the connection if it is idle: its read fails unless a part of a
+// request arrives first. It reports whether the connection is idle. Closing it here instead would
+// cut off a request whose bytes the server has taken, but not recorded yet.
+func (c *conn) end() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isIdle() {
+		return false
+	}
+	c.isEnding = true
+	return c.TCPConn.SetReadDeadline(expired) == nil
+}
+
+// keep undoes end. The caller holds the lock.
+func (c *conn) keep() {
+	if c.isEnding {
+		c.isEnding = false
+		_ = c.TCPConn.SetReadDeadline(c.readDeadline)
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
@@ -248,24 +303,22 @@
 	return controlErr == nil && result
 }
 
-// CloseIdle closes the connections that carry no request, and carried none when it was called at
-// least minIdleTime before. It returns how many are left.
+// CloseIdle makes the server close the connections that carry no request, and carried none when it
+// was called at least minIdleTime before. It returns how many are open.
 func (l *Listener) CloseIdle() int {
 	l.mu.Lock()
-	idle, busy := []*conn{}, 0
+	idle, open := []*conn{}, len(l.conns)
 	now := time.Now()
 	for c := range l.conns {
 		if c.staysIdle(now) {
 			idle = append(idle, c)
-		} else {
-			busy++
 		}
 	}
 	l.mu.Unlock()
 	for _, c := range idle {
-		_ = c.Close()
+		c.end()
 	}
-	return busy
+	return open
 }
 
 // WaitIdle closes connections as they become idle, until none is left or ctx ends.
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -133,3 +133,64 @@
 		})
 	}
 }
+
+// TestStarvedReaderKeepsItsConnection guards against a request that runs although its connection was
+// closed before it: the server has taken its bytes from the kernel, but does not get to run for so
+// long that both looks find the connection idle. Its caller takes it for unread and sends it again.
+func TestStarvedReaderKeepsItsConnection(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New(raw, net.KeepAliveConfig{})
+	defer l.Close()
+	caller, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	defer accepted.Close()
+	c := accepted.(*conn)
+	OnStateChange(c, http.StateIdle)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Minute)))
+	buffer := make([]byte, 100)
+	_, err = io.WriteString(caller, testRequest)
+	require.NoError(t, err)
+	n, err := c.TCPConn.Read(buffer)
+	require.NoError(t, err)
+	for range 3 {
+		require.Equal(t, 1, l.CloseIdle())
+		time.Sleep(2 * minIdleTime)
+	}
+	require.False(t, c.endRead(n, len(buffer), nil))
+	_, err = io.WriteString(caller, testRequest)
+	require.NoError(t, err)
+	n, err = c.Read(buffer)
+	require.NoError(t, err, "the request goes on")
+	require.Equal(t, testRequest, string(buffer[:n]))
+}
+
+// TestRequestBesideCloseIsServed guards against a request that is cut off since it arrives after the
+// look that found its connection idle, and before the close.
+func TestRequestBesideCloseIsServed(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New(raw, net.KeepAliveConfig{})
+	defer l.Close()
+	caller, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	defer accepted.Close()
+	c := accepted.(*conn)
+	OnStateChange(c, http.StateIdle)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Minute)))
+	require.True(t, c.end())
+	_, err = io.WriteString(caller, testRequest)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return controlSocket(c, hasUnread) }, 5*time.Second, time.Millisecond)
+	buffer := make([]byte, 100)
+	n, err := c.Read(buffer)
+	require.NoError(t, err)
+	require.Equal(t, testRequest, string(buffer[:n]))
+	require.False(t, c.isIdle())
+}
