roster: a control daemon forwards what it acknowledged before it stops

What upstreams and callers saw: an upstream said "draining" or "gone" to a control daemon, got its acknowledgement, and the daemon was stopped within 40 ms (250 ms behind a renewal, longer behind a failed call). No other daemon learned of it. Entries went on to grant the upstream to requests until its next heartbeat; one that has left sends none, and is used until it counts as silent.

Cause: a heartbeat is acknowledged at once and forwarded in a batch later. Stop cancelled the forwarding together with what was queued; a call in progress was cut ("control daemon reachability changed", "context canceled", in the log of each stop).

Fix: Stop ends the loops and then sends what is queued, for at most 600 ms; the platform's calls have ended by then and the link is still up. A daemon that is down does not hold up the stop beyond that bound, and what could not be sent is logged.

--- a/internal/roster/forwarding.go
+++ b/internal/roster/forwarding.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +26,11 @@
 	forwardTimeout = 600 * time.Millisecond
 	// forwardRetryDelay is the delay after a failed call.
 	forwardRetryDelay = 200 * time.Millisecond
+	// flushTimeout bounds the forwarding of what is queued at a stop, and
+	// flushRetryDelay is the delay after a failed call then. A daemon that is down
+	// must not hold up the stop.
+	flushTimeout    = 600 * time.Millisecond
+	flushRetryDelay = 50 * time.Millisecond
 )
 
 // peer is the queue of entries to forward to another control daemon. The
@@ -115,7 +122,7 @@
 		case <-p.renewed:
 			s.waitForChange(p, renewalDelay)
 		}
-		for s.ctx.Err() == nil && !s.send(address, p) {
+		for s.ctx.Err() == nil && !s.send(s.ctx, address, p) {
 			if !slices.Contains(s.replicas.MemberAddresses(), address) {
 				s.removePeer(address)
 				return
@@ -144,7 +151,7 @@
 
 // send makes one call with all queued entries. It returns false if the call
 // failed; the entries are then queued again.
-func (s *Service) send(address string, p *peer) bool {
+func (s *Service) send(ctx context.Context, address string, p *peer) bool {
 	s.mu.Lock()
 	changes, renewals := p.drain()
 	now := s.now()
@@ -153,7 +160,7 @@
 	if len(news.Entries)+len(news.Renewals) == 0 {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	ack, err := rpc.NewDRPCRosterClient(s.link.Conn(address)).Spread(ctx, news)
 	s.mu.Lock()
@@ -170,6 +177,30 @@
 	return true
 }
 
+// flush sends what is queued to the other control daemons, until flushTimeout or until ctx ends.
+// An upstream whose departure was acknowledged here need not report it again.
+func (s *Service) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	s.mu.Lock()
+	peers := maps.Clone(s.peers)
+	s.mu.Unlock()
+	calls := sync.WaitGroup{}
+	for address, p := range peers {
+		calls.Go(func() {
+			for ctx.Err() == nil && !s.send(ctx, address, p) {
+				wait.Sleep(ctx, flushRetryDelay)
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if unsent := len(p.changes); unsent > 0 {
+				s.log.Warn("stopped before all changes were forwarded", zap.String("address", address), zap.Int("changes", unsent))
+			}
+		})
+	}
+	calls.Wait()
+}
+
 // queueMissing queues the entries that a daemon lacks according to its
 // acknowledgement: single entries, or the whole roster if the daemon has
 // restarted. The caller holds s.mu.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -143,10 +143,11 @@
 	return s.changed
 }
 
-// Stop ends forwarding and storing and waits for both.
-func (s *Service) Stop(context.Context) error {
+// Stop ends storing, and forwarding once what is queued has been sent.
+func (s *Service) Stop(ctx context.Context) error {
 	s.cancel()
 	s.done.Wait()
+	s.flush(ctx)
 	return nil
 }
 
