replica: a leader that stops finds another successor if the first stops too

What callers saw: two control daemons are stopped at the same time, the leader and the one that it chose as its successor. The leader waited 1.5 s, with no commit for the first 0.36 s of it, and then ended without a successor. For another election timeout nothing was committed, and entries served within their own shares.

Cause: a transfer was begun once. One that fails lapses after an election timeout, and the leader then led on until its stop went on without it.

Fix: a leader that hands over begins a transfer with each tick in which none is in progress, and prefers voters that replied within three heartbeat intervals. Where that fails as well, the log says so.

--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -80,6 +80,9 @@
 	term        uint64
 	leader      consensus.ID
 	restartErr  error
+	// handsOver is set while the daemon stops: a leader tries to transfer its leadership with
+	// each tick.
+	handsOver bool
 }
 
 // openEngine opens the log and restores the machine from the newest snapshot.
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -301,7 +301,9 @@
 func (g *group) transferLeadership(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leadershipTransferTimeout)
 	defer cancel()
-	_ = g.do(ctx, func(e *engine) { e.transferLeadership() })
+	if err := g.do(ctx, func(e *engine) { e.handOver(true) }); err != nil {
+		return
+	}
 	for ctx.Err() == nil {
 		g.mu.Lock()
 		leading := g.status.Role == consensus.Leader && len(g.status.Members) > 1
@@ -311,6 +313,7 @@
 		}
 		time.Sleep(tickInterval)
 	}
+	g.log.Warn("leadership not transferred before the stop", zap.Duration("timeout", leadershipTransferTimeout))
 }
 
 func (g *group) close() error {
--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"time"
@@ -51,6 +52,9 @@
 	if e.role != consensus.Leader {
 		return
 	}
+	if e.handsOver {
+		e.transferLeadership()
+	}
 	now := e.group.clocks.elapsed()
 	if !e.node.HasCommittedInTerm() {
 		return
@@ -200,16 +204,45 @@
 	return false, err
 }
 
-// transferLeadership starts a transfer to the responsive voter whose log is most
-// complete.
+// handOver begins or ends the transfer of leadership to another replica. A transfer that fails is
+// followed by another one, as the successor may have stopped as well.
+func (e *engine) handOver(begin bool) {
+	e.handsOver = begin
+	if begin {
+		e.transferLeadership()
+	}
+}
+
+// recentReplyTicks is the time since its last reply within which a voter is preferred as the next
+// leader. Voters reply at each heartbeat.
+const recentReplyTicks = 3 * heartbeatIntervalTicks
+
+// transferLeadership starts a transfer to the most suitable voter, unless one is in progress or
+// this replica does not lead.
 func (e *engine) transferLeadership() {
 	best := consensus.PeerStatus{}
 	for _, p := range e.node.Status().Peers {
-		if !p.Member.Learner && p.TicksSinceReply <= electionTimeoutTicks && p.MatchIndex >= best.MatchIndex {
+		if p.Member.Learner || p.TicksSinceReply > electionTimeoutTicks {
+			continue
+		}
+		if best.Member.ID == 0 || compareSuccessors(p, best) > 0 {
 			best = p
 		}
 	}
 	if best.Member.ID != 0 {
+		// The node refuses a second transfer.
 		_ = e.node.Transfer(best.Member.ID)
 	}
 }
+
+// compareSuccessors compares voters as the next leader, the better one last: one that replied
+// lately, since the other may have stopped as well, then the one whose log is more complete.
+func compareSuccessors(a, b consensus.PeerStatus) int {
+	recent := func(p consensus.PeerStatus) int {
+		if p.TicksSinceReply <= recentReplyTicks {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(recent(a), recent(b)), cmp.Compare(a.MatchIndex, b.MatchIndex), cmp.Compare(b.TicksSinceReply, a.TicksSinceReply))
+}
