replica: a leader hands over before its services stop

What callers saw: at the planned stop of the leader, entries had no broker for 60 to 170 ms and served within their own shares; followers found the old leader again, up to three times, and lost it at once, and told their entries so each time.

Cause: services stop in reverse order of their start, so the broker ended before the replica transferred leadership. Until then the daemon led with a broker that answered "leads" and closed.

Evidence: TestLeaderHandsOverBeforeItsServicesStop failed 3 of 3 times before ("the daemon led when its services stopped").

Fix: the transfer is the drain of the replica, in which all services run. Stop tries again if leadership has come back or the drain did not succeed. A leader that finds no successor in time serves on until it stops: it ends the attempts, which hold up what callers propose.

Result: the test passes 5 of 5 times, go test -race ./internal/replica passes.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -119,7 +119,16 @@
 	return nil, &UnknownGroupError{Group: name}
 }
 
-// Stop transfers leadership to other replicas where possible and closes the
+// Drain transfers leadership to other replicas where possible. It ends while the daemon still
+// serves: a broker that stopped before would be sought in vain as long as its daemon leads.
+func (s *Service) Drain(ctx context.Context) error {
+	for _, g := range s.groups {
+		g.transferLeadership(ctx)
+	}
+	return nil
+}
+
+// Stop transfers leadership again, if the drain has not or if it has come back, and closes the
 // logs.
 func (s *Service) Stop(ctx context.Context) error {
 	err := error(nil)
