forward: an earlier refusal written once more is no refusal of the next request

A faulty upstream wrote an earlier refusal once more on a kept connection. Callers were told "not run, try again" for requests that it ran, or such a request ran at a second upstream. Cause: on a connection whose answers so far named no request, any refusal without an id was taken for one of the current request. A request that came to the same upstream again, over the same connection, took the copy as well: that bears the right id. Change: on a connection in use again, a response without an id that promises "not run" (the mark, 408, 421, 429, 503) proves nothing, so the request counts as one that may have run. A connection on which a refusal named no request is closed, since neither could the next refusal be told from a copy. One that names its requests is kept, but carries no request again that was refused or failed on it; after 32 of these it is closed. What follows a skipped answer is judged as on a connection in use again.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -281,6 +281,7 @@
 // to earlier requests on the connection, which would otherwise reach the wrong
 // caller. It returns an error for a response that must not be relayed.
 func (a *upstreamAttempt) readResponse() error {
+	follows := a.isReused
 	for range maxStrayResponses + 1 {
 		a.conn.bound.setBound(maxResponseHeadBytes)
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.method})
@@ -292,7 +293,7 @@
 			continue
 		}
 		meta := a.s.dialect.ParseResponse(resp.StatusCode, resp.Header)
-		if a.isReused && isOfUnknownRequest(a.conn, resp, meta) {
+		if follows && a.isOfUnknownRequest(resp, meta) {
 			return a.unknownResponseError(resp, meta)
 		}
 		a.recordNotices(meta)
@@ -302,6 +303,7 @@
 			return a.checkResponse()
 		}
 		a.s.log.Info("answer to another request skipped", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("answers", meta.RequestID))...)
+		follows, a.conn.namesRequests = true, true
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes+1)); err != nil {
 			return err
 		} else if n > maxResponseBytes {
@@ -409,17 +411,22 @@
 }
 
 // releaseConn returns the connection to the pool after a response, or closes it if
-// it can't carry another request.
+// it can't carry another request. One on which a refusal named no request is closed: neither
+// could the next refusal be told from a copy of it.
 func (a *upstreamAttempt) releaseConn(err error) {
 	// An upstream may report a failure before it reads a long body, even if the
 	// kernel has accepted all of it: the next request would wait behind the rest.
 	early := a.resp.StatusCode >= http.StatusBadRequest && len(a.body) > minEarlyResponseBodyBytes
 	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
-	if err != nil || early || !a.isWritten() || a.resp.Close || !framed || a.conn.reader.Buffered() > 0 || !a.detachConn() {
+	unnamed := a.respMeta.RequestID == "" && isRefusal(a.resp.StatusCode, a.respMeta)
+	if err != nil || early || unnamed || !a.isWritten() || a.resp.Close || !framed || a.conn.reader.Buffered() > 0 || !a.detachConn() {
 		_ = a.conn.Close()
 		return
 	}
 	a.conn.namesRequests = a.conn.namesRequests || a.respMeta.RequestID != ""
+	if a.isRejected() || a.resp.StatusCode >= http.StatusInternalServerError {
+		a.conn.unserved = append(a.conn.unserved, hashText(a.meta.RequestID))
+	}
 	a.s.conns.put(a.ticket.Address, a.conn, a.resp.Header)
 }
 
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,8 @@
 	// maxIdleConns bounds the idle connections to one upstream, which seldom runs
 	// more requests of one entry concurrently.
 	maxIdleConns = 8
+	// maxUnserved bounds the requests that a connection carried and that may come again.
+	maxUnserved = 32
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a connection to a caller
 	// that the network has dropped while nothing is sent, within about two seconds.
 	keepAliveIdle     = time.Second
@@ -55,6 +58,9 @@
 	reused           bool
 	// namesRequests is set once a response has named the request that it answers.
 	namesRequests bool
+	// unserved holds hashes of the ids of requests that were refused or failed on the connection.
+	// They go over another one if they come again: a copy of their first response has their id.
+	unserved []uint64
 }
 
 // isClean reports whether an idle connection is open and has no unread bytes,
@@ -113,11 +119,11 @@
 	return &connPool{egress: egress, elapsed: clock.SinceBoot, idle: map[string][]*conn{}, onDial: onDial}
 }
 
-// get returns an idle connection that can be reused, or a new one. atMostOnce is set
-// for a request that may not be repeated.
-func (p *connPool) get(ctx context.Context, address string, atMostOnce bool) (*conn, error) {
+// get returns an idle connection that can be reused for the request with an id, or a new one.
+// atMostOnce is set for a request that may not be repeated.
+func (p *connPool) get(ctx context.Context, address, request string, atMostOnce bool) (*conn, error) {
 	for {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, request)
 		if c == nil {
 			break
 		}
@@ -141,17 +147,20 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(bound, readBufferBytes), bound: bound}, nil
 }
 
-// takeIdle removes and returns the connection with the shortest idle time, or nil.
-func (p *connPool) takeIdle(address string) *conn {
+// takeIdle removes and returns the connection with the shortest idle time of those that a
+// request with an id may use, or nil.
+func (p *connPool) takeIdle(address, request string) *conn {
+	id := hashText(request)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(c.unserved, id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // putBack returns a connection that takeIdle removed.
@@ -162,14 +171,15 @@
 }
 
 // put adds a connection whose response has ended, or closes it if the pool holds
-// enough for the address. h is the response header.
+// enough for the address or it has carried too many that may come again. h is the response
+// header.
 func (p *connPool) put(address string, c *conn, h http.Header) {
 	c.idleSince = p.elapsed()
 	c.keepAliveTimeout = parseKeepAliveTimeout(h)
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[address]) >= maxIdleConns {
+	if len(p.idle[address]) >= maxIdleConns || len(c.unserved) >= maxUnserved {
 		_ = c.Close()
 		return
 	}
--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -28,7 +28,7 @@
 
 	p.elapsed = func() time.Duration { return elapsed }
 	for _, atMostOnce := range []bool{false, true} {
-		c, err := p.get(context.Background(), u.ln.Addr().String(), atMostOnce)
+		c, err := p.get(context.Background(), u.ln.Addr().String(), "a", atMostOnce)
 		require.NoError(t, err)
 		p.put(u.ln.Addr().String(), c, nil)
 		elapsed += maxIdleTime
@@ -62,17 +62,17 @@
 		p := newConnPool(egress.New(&settings.Settings{}, zap.NewNop()), func() { dials++ })
 		p.elapsed = func() time.Duration { return elapsed }
 		address := u.ln.Addr().String()
-		kept, err := p.get(t.Context(), address, atMostOnce)
+		kept, err := p.get(t.Context(), address, "a", atMostOnce)
 		require.NoError(t, err)
 		p.put(address, kept, x.header)
 		elapsed += x.idle
 		dials = 0
-		once, err := p.get(t.Context(), address, atMostOnce)
+		once, err := p.get(t.Context(), address, "a", atMostOnce)
 		require.NoError(t, err)
 		if once == kept {
 			p.put(address, once, x.header)
 		}
-		_, err = p.get(t.Context(), address, !atMostOnce)
+		_, err = p.get(t.Context(), address, "a", !atMostOnce)
 		require.NoError(t, err)
 		require.Equal(t, x.dials, dials, name)
 		p.sweep(true)
--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -30,7 +30,7 @@
 		if a.returnExcluded() {
 			continue
 		}
-		c, err := a.s.conns.get(a.ctx, a.ticket.Address, !a.route.Repeatable())
+		c, err := a.s.conns.get(a.ctx, a.ticket.Address, a.meta.RequestID, !a.route.Repeatable())
 		if err != nil {
 			return nil, err
 		}
--- a/internal/forward/stray.go
+++ b/internal/forward/stray.go
@@ -9,18 +9,31 @@
 const statusLineStart = "HTTP/1."
 
 // isOfUnknownRequest reports whether a response on a connection that has carried another
-// request may be a late copy of an earlier response, or begin with a part of one: it names no
-// request where earlier ones did, or its header contains a second status line. A copy that
-// says that its request did not run would let the current one run twice.
-func isOfUnknownRequest(c *conn, resp *http.Response, meta ResponseMeta) bool {
-	return c.namesRequests && meta.RequestID == "" || containsResponse(resp)
+// response may be a late copy of it, or begin with a part of one: it contains a second status
+// line, or names no request. A response that names none is taken only where none before did, and
+// if it is no refusal: a copy that says that its request did not run would let the current one
+// run twice.
+func (a *upstreamAttempt) isOfUnknownRequest(resp *http.Response, meta ResponseMeta) bool {
+	if containsResponse(resp) {
+		return true
+	}
+	return meta.RequestID == "" && (a.conn.namesRequests || isRefusal(resp.StatusCode, meta))
+}
+
+// isRefusal reports whether a response promises that its request did not run.
+func isRefusal(status int, meta ResponseMeta) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return meta.NotExecuted || meta.Misdirected
 }
 
 // unknownResponseError returns the error of a response for which isOfUnknownRequest holds. The
-// rejection of a sound upstream that does not name the request is one; whichever request it
+// refusal of a sound upstream that does not name the request is one; whichever request it
 // answers, what it says of further ones holds.
 func (a *upstreamAttempt) unknownResponseError(resp *http.Response, meta ResponseMeta) error {
-	if !meta.NotExecuted && !meta.Misdirected || meta.RequestID != "" || containsResponse(resp) {
+	if !isRefusal(resp.StatusCode, meta) || containsResponse(resp) {
 		return errStrayResponse
 	}
 	a.recordNotices(meta)
