forward: a resumption goes on with, and ends, a stream only where that is certain

A stream had begun and broke off. Callers found an error's text in it, or it ended as if it were complete. Cause: the first event of a resumption was relayed if it had no id, or one of another kind, as an error that is sent as an event has none. A resumption without an event counted as the end, also where its connection was only closed, as by an upstream that crashed after the header, and where a part of a further event had arrived. The same held for a replacement beside a silent upstream. Change: the first event that a resumption adds needs an id like those before, the next number if they are numbers; comments before it are skipped. A resumption that adds nothing ends the stream only if its own end was written (a length or a last chunk), and if no attempt has shown a part of a further event. An error of the entry after the header of a stream breaks the stream off; no way to that was found.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -122,6 +122,8 @@
 	// back before the caller had all events.
 	isReused     bool
 	isGrantEnded bool
+	// isCutInEvent is set if the stream broke off inside an event.
+	isCutInEvent bool
 	// err is why the attempt ended; nil if the response is complete.
 	err error
 
@@ -134,7 +136,9 @@
 	ended    bool
 	// streamEnded is set for a replacement whose stream ended with nothing to add.
 	streamEnded bool
-	end         broker.End
+	// hasContinued is set once the caller has an event of the attempt.
+	hasContinued bool
+	end          broker.End
 }
 
 // startAttempt starts an attempt with the given offer.
@@ -369,6 +373,7 @@
 			return nil
 		}
 		if err != nil {
+			a.isCutInEvent = e.isBegun()
 			return err
 		}
 		if !a.report(progress{kind: eventReceived, event: e}) {
@@ -417,9 +422,8 @@
 	// An upstream may report a failure before it reads a long body, even if the
 	// kernel has accepted all of it: the next request would wait behind the rest.
 	early := a.resp.StatusCode >= http.StatusBadRequest && len(a.body) > minEarlyResponseBodyBytes
-	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
 	unnamed := a.respMeta.RequestID == "" && isRefusal(a.resp.StatusCode, a.respMeta)
-	if err != nil || early || unnamed || !a.isWritten() || a.resp.Close || !framed || a.conn.reader.Buffered() > 0 || !a.detachConn() {
+	if err != nil || early || unnamed || !a.isWritten() || a.resp.Close || !a.isFramed() || a.conn.reader.Buffered() > 0 || !a.detachConn() {
 		_ = a.conn.Close()
 		return
 	}
@@ -430,6 +434,12 @@
 	a.s.conns.put(a.ticket.Address, a.conn, a.resp.Header)
 }
 
+// isFramed reports whether the response states where it ends. Another one ends with its
+// connection.
+func (a *upstreamAttempt) isFramed() bool {
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+}
+
 // isWritten reports whether the whole request was written. The goroutine that wrote it
 // may report that later than the upstream responds.
 func (a *upstreamAttempt) isWritten() bool {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -184,7 +184,7 @@
 // handleEnd handles the end of the current attempt.
 func (x *exchange) handleEnd(a *upstreamAttempt) nextStep {
 	err := a.err
-	if err == nil && x.stream.headerSent {
+	if err == nil && x.isWhole(a) {
 		x.recordStreamEnd(a)
 		return stop
 	}
@@ -300,6 +300,10 @@
 
 // respondError responds with an error of the entry.
 func (x *exchange) respondError(r *gatewayError) {
+	if x.stream.headerSent {
+		x.reason = r.reason
+		x.abortStream()
+	}
 	x.status, x.outcome, x.reason = r.status, r.code, r.reason
 	x.s.writeError(x.w, r)
 }
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -40,6 +40,7 @@
 		}
 		x.possibleRuns++
 		a.finish(x.lossOutcome(err))
+		x.stream.isUnfinished = x.stream.isUnfinished || a.isCutInEvent || errors.Is(err, errMissingEvents)
 	}
 	x.logFailure(a, err)
 }
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -101,10 +101,10 @@
 	return proceed
 }
 
-// handleReplacementEnd handles the end of the replacement. A stream that ends without
+// handleReplacementEnd handles the end of the replacement. A stream that ends in order without
 // another event is complete if the current attempt sends none either.
 func (x *exchange) handleReplacementEnd(b *upstreamAttempt) nextStep {
-	if b.err == nil && x.stream.headerSent {
+	if b.err == nil && x.isWhole(b) {
 		b.streamEnded = true
 		return proceed
 	}
@@ -120,14 +120,15 @@
 // handleReplacementEvent lets the replacement take over with the first event that the
 // caller lacks.
 func (x *exchange) handleReplacementEvent(b *upstreamAttempt, p progress) nextStep {
-	switch {
-	case !x.stream.isAfterLast(p.event):
+	switch x.place(b, p.event) {
+	case isKnown:
 		x.holding.release(len(p.event.raw))
 		return proceed
-	case !x.stream.canFollow(p.event):
+	case isMisplaced:
 		x.recordFailure(b, errMissingEvents)
 		x.abandonReplacement()
 		return proceed
+	case isNext:
 	}
 	x.takeOver(b)
 	next := x.relayEvent(b, p)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -31,6 +31,8 @@
 	lastEventAt time.Time
 	// softwareVersion is that of the upstreams whose events were delivered.
 	softwareVersion string
+	// isUnfinished is set once a part of an event has arrived that the caller lacks.
+	isUnfinished bool
 	// longestPause is the longest time between two events.
 	longestPause time.Duration
 }
@@ -55,6 +57,18 @@
 type event struct {
 	raw []byte
 	id  string
+	// hasData is set if the event has data; one without is a comment or a setting.
+	hasData bool
+}
+
+// isBegun reports whether an event that breaks off has an id or data, or a part of them.
+func (e *event) isBegun() bool {
+	for line := range bytes.Lines(e.raw) {
+		if text := bytes.TrimSpace(line); len(text) > 0 && text[0] != ':' {
+			return true
+		}
+	}
+	return false
 }
 
 // readEvent reads one event including the blank line at its end. It returns io.EOF
@@ -87,6 +101,7 @@
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(value))
 		}
+		e.hasData = e.hasData || bytes.HasPrefix(text, []byte("data"))
 	}
 }
 
@@ -109,15 +124,49 @@
 	return err1 != nil || err2 != nil || id == last+1
 }
 
+// placement is the place of an event among those that the caller has.
+type placement uint8
+
+const (
+	// isNext is the place of an event that the caller gets next.
+	isNext placement = iota
+	// isKnown is that of an event which the caller has or does not need.
+	isKnown
+	// isMisplaced is that of an event which can't follow the last one.
+	isMisplaced
+)
+
+// place returns the place of an event of an attempt. The first event that a resumption adds must
+// have an id like the others: one without may be an error, or an event that the caller has.
+func (x *exchange) place(a *upstreamAttempt, e event) placement {
+	resumes := x.stream.events > 0 && !a.hasContinued
+	switch {
+	case resumes && e.id == "" && !e.hasData:
+		return isKnown
+	case resumes && (e.id == "" || isNumber(e.id) != isNumber(x.stream.lastID)):
+		return isMisplaced
+	case !x.stream.isAfterLast(e):
+		return isKnown
+	case !x.stream.canFollow(e):
+		return isMisplaced
+	}
+	return isNext
+}
+
+func isNumber(id string) bool {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
+}
+
 // relayEvent relays one event of the current attempt. It skips an event that the caller
 // already has, and fails on a gap.
 func (x *exchange) relayEvent(a *upstreamAttempt, p progress) nextStep {
 	a.relayed.add(p.at)
-	if x.stream.isAfterLast(p.event) {
-		if !x.stream.canFollow(p.event) {
-			x.recordFailure(a, errMissingEvents)
-			return x.tryAnother()
-		}
+	switch x.place(a, p.event) {
+	case isMisplaced:
+		x.recordFailure(a, errMissingEvents)
+		return x.tryAnother()
+	case isNext:
 		x.dropReplacement()
 		if err := x.writeEvent(a.resp, p.event, p.at); err != nil {
 			x.possibleRuns++
@@ -125,11 +174,20 @@
 			x.recordWriteFailure(err)
 			return stop
 		}
+		a.hasContinued, x.stream.isUnfinished = true, false
+	case isKnown:
 	}
 	x.watchSilence()
 	return proceed
 }
 
+// isWhole reports whether the stream ends with an attempt's stream that ended in order. A
+// resumption that adds nothing proves that only if the end was written, rather than the
+// connection closed, and if no part of a further event has arrived.
+func (x *exchange) isWhole(a *upstreamAttempt) bool {
+	return x.stream.headerSent && (a.hasContinued || a.isFramed() && !x.stream.isUnfinished)
+}
+
 // writeEvent writes one event to the caller, after the header if it is the first.
 func (x *exchange) writeEvent(resp *http.Response, e event, now time.Time) error {
 	st := &x.stream
