forward: a stream whose events have no ids is not resumed

A stream on a route that may be resumed broke off after events without ids. It was sent to the next upstream from its beginning, and the caller got the same events twice. Change: once events were delivered, a request is sent again only after an event with an id. Evidence: TestStreamWithoutIDsIsNotRepeated failed before ("data: a" twice), and passes now.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -129,6 +129,18 @@
 	requireWholeStream(t, r.call("resumable", "b"), 3)
 }
 
+// TestStreamWithoutIDsIsNotRepeated guards against events that come twice: a stream whose events
+// have no ids can't be resumed after the last one.
+func TestStreamWithoutIDsIsNotRepeated(t *testing.T) {
+	t.Parallel()
+	second := newUpstream(t, writeThen(chunkedStreamHead+chunk("data: a\n\n")+"0\r\n\r\n", keepOpen))
+	r := newTestEntry(t, newUpstream(t, writeThen(chunkedStreamHead+chunk("data: a\n\n"), closeInOrder)), second)
+	out := r.call("resumable", "b")
+	require.Equal(t, "data: a\n\n", out.body)
+	require.True(t, out.incomplete, "the stream looks complete")
+	require.Zero(t, second.requests())
+}
+
 // TestErrorIsNotWrittenIntoStream guards against the text of an error of the entry in a stream
 // whose header the caller has.
 func TestErrorIsNotWrittenIntoStream(t *testing.T) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -246,6 +246,10 @@
 	if x.ctx.Err() != nil || x.remaining() < minRetryTime || x.notRunAttempts > maxNotRunAttempts {
 		return false
 	}
+	if x.stream.headerSent && x.stream.lastID == "" {
+		// Its events would come once more.
+		return false
+	}
 	if x.possibleRuns > 0 && (!x.route.Repeatable() || x.possibleRuns >= x.route.MaxAttempts) {
 		return false
 	}
