--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/internal/freeport"
@@ -359,3 +361,55 @@
 	require.Eventually(t, func() bool { return !c.(*tunnelConn).IsClean() }, testTimeout, time.Millisecond)
 	require.False(t, c.(*tunnelConn).IsClean(), "bytes that were found are not forgotten")
 }
+
+// leaving returns the member list in which an entry drains.
+func (m testMembers) leaving(name string) testMembers {
+	out := testMembers(m.Live())
+	for i := range out {
+		out[i].Leaving = out[i].Leaving || out[i].Name == name
+	}
+	return out
+}
+
+// TestDrainingEntryCarriesNoNewTunnels guards against requests of other entries that are cut off
+// since they begin on a tunnel through an entry that drains, before its news have reached them.
+func TestDrainingEntryCarriesNoNewTunnels(t *testing.T) {
+	n := newTestNet(t, 3, 2)
+	n.entries[0].path.Set(netfault.Reset)
+	carrier, connections := n.entries[1], atomic.Int64{}
+	carrier.members = carrier.members.(testMembers).leaving("1")
+	carrier.SetDirect(func(ctx context.Context, address string) (net.Conn, error) {
+		connections.Add(1)
+		return DialDirectly(ctx, address)
+	})
+	for i := range 2 {
+		n.entries[0].recordPeer(context.Background(), port.Member{Name: "1"}, Connected) // it is asked first
+		n.entries[0].recordPeer(context.Background(), port.Member{Name: "2"}, Unknown)
+		c, err := n.dial(0, i)
+		require.NoError(t, err, "the other entry serves")
+		require.True(t, IsTunnel(c))
+		require.NoError(t, c.Close())
+	}
+	require.Zero(t, connections.Load())
+}
+
+// TestDrainEndsInTime guards against a stop that waits for the tunnels of others without a bound,
+// or cuts them off without a trace; and against one that fails though it cut nothing off.
+func TestDrainEndsInTime(t *testing.T) {
+	n := newTestNet(t, 2, 1)
+	logs, lines := observer.New(zap.WarnLevel)
+	carrier := n.entries[1]
+	carrier.log = zap.New(logs)
+	n.entries[0].path.Set(netfault.Reset)
+	c, err := n.dial(0, 0)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, carrier.Drain(ctx), context.Canceled)
+	require.Equal(t, 1, lines.FilterMessage("carried tunnels are cut off").Len())
+	require.EqualValues(t, 1, lines.All()[0].ContextMap()["carried"])
+	require.InDelta(t, 1, testutil.ToFloat64(carrier.metrics.cut), 0)
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { return carrier.carried.Load() == 0 }, testTimeout, time.Millisecond)
+	require.NoError(t, carrier.Drain(ctx), "nothing was cut off")
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -122,6 +122,8 @@
 	// back before the caller had all events.
 	isReused     bool
 	isGrantEnded bool
+	// isCutInEvent is set if the stream broke off inside an event.
+	isCutInEvent bool
 	// err is why the attempt ended; nil if the response is complete.
 	err error
 
@@ -134,7 +136,9 @@
 	ended    bool
 	// streamEnded is set for a replacement whose stream ended with nothing to add.
 	streamEnded bool
-	end         broker.End
+	// hasContinued is set once the caller has an event of the attempt.
+	hasContinued bool
+	end          broker.End
 }
 
 // startAttempt starts an attempt with the given offer.
@@ -286,6 +290,7 @@
 // to earlier requests on the connection, which would otherwise reach the wrong
 // caller. It returns an error for a response that must not be relayed.
 func (a *upstreamAttempt) readResponse() error {
+	follows := a.isReused
 	for range maxStrayResponses + 1 {
 		a.conn.bound.setBound(maxResponseHeadBytes)
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.method})
@@ -297,7 +302,7 @@
 			continue
 		}
 		meta := a.s.dialect.ParseResponse(resp.StatusCode, resp.Header)
-		if a.isReused && isOfUnknownRequest(a.conn, resp, meta) {
+		if follows && a.isOfUnknownRequest(resp, meta) {
 			return a.unknownResponseError(resp, meta)
 		}
 		a.recordNotices(meta)
@@ -307,6 +312,7 @@
 			return a.checkResponse()
 		}
 		a.s.log.Info("answer to another request skipped", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("answers", meta.RequestID))...)
+		follows, a.conn.namesRequests = true, true
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes+1)); err != nil {
 			return err
 		} else if n > maxResponseBytes {
@@ -372,6 +378,7 @@
 			return nil
 		}
 		if err != nil {
+			a.isCutInEvent = e.isBegun()
 			return err
 		}
 		if !a.report(progress{kind: eventReceived, event: e}) {
@@ -414,20 +421,30 @@
 }
 
 // releaseConn returns the connection to the pool after a response, or closes it if
-// it can't carry another request.
+// it can't carry another request. One on which a refusal named no request is closed: neither
+// could the next refusal be told from a copy of it.
 func (a *upstreamAttempt) releaseConn(err error) {
 	// An upstream may report a failure before it reads a long body, even if the
 	// kernel has accepted all of it: the next request would wait behind the rest.
 	early := a.resp.StatusCode >= http.StatusBadRequest && len(a.body) > minEarlyResponseBodyBytes
-	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
-	if err != nil || early || !a.isWritten() || a.resp.Close || !framed || a.conn.reader.Buffered() > 0 || !a.detachConn() {
+	unnamed := a.respMeta.RequestID == "" && isRefusal(a.resp.StatusCode, a.respMeta)
+	if err != nil || early || unnamed || !a.isWritten() || a.resp.Close || !a.isFramed() || a.conn.reader.Buffered() > 0 || !a.detachConn() {
 		_ = a.conn.Close()
 		return
 	}
 	a.conn.namesRequests = a.conn.namesRequests || a.respMeta.RequestID != ""
+	if a.isRejected() || a.resp.StatusCode >= http.StatusInternalServerError {
+		a.conn.unserved = append(a.conn.unserved, hashText(a.meta.RequestID))
+	}
 	a.s.conns.put(a.ticket.Address, a.conn, a.resp.Header)
 }
 
+// isFramed reports whether the response states where it ends. Another one ends with its
+// connection.
+func (a *upstreamAttempt) isFramed() bool {
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+}
+
 // isWritten reports whether the whole request was written. The goroutine that wrote it
 // may report that later than the upstream responds.
 func (a *upstreamAttempt) isWritten() bool {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -187,7 +187,7 @@
 // handleEnd handles the end of the current attempt.
 func (x *exchange) handleEnd(a *upstreamAttempt) nextStep {
 	err := a.err
-	if err == nil && x.stream.headerSent {
+	if err == nil && x.isWhole(a) {
 		x.recordStreamEnd(a)
 		return stop
 	}
@@ -250,6 +250,10 @@
 	if x.ctx.Err() != nil || x.remaining() < minRetryTime || x.notRunAttempts > maxNotRunAttempts {
 		return false
 	}
+	if x.stream.headerSent && x.stream.lastID == "" {
+		// Its events would come once more.
+		return false
+	}
 	if x.possibleRuns > 0 && (!x.route.Repeatable() || x.possibleRuns >= x.route.MaxAttempts) {
 		return false
 	}
@@ -309,6 +313,10 @@
 
 // respondError responds with an error of the entry.
 func (x *exchange) respondError(r *gatewayError) {
+	if x.stream.headerSent {
+		x.reason = r.reason
+		x.abortStream()
+	}
 	x.status, x.outcome, x.reason = r.status, r.code, r.reason
 	x.s.writeError(x.w, r)
 }
