forward: a draining entry goes on with requests that may have run

Callers saw, after, streams broken off and 502s during a planned stop where an upstream failed: the resumption or the second try was refused as too long for the rest of the grace period, though the caller could not be told "not run" any more.

Cause: the check of the time left was made for each attempt. It now is made only while the request can still be refused: no other attempt has run it or runs it. A resumption needs less time than the whole request, and its worst end is the abort.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -82,6 +82,9 @@
 	offer port.BrokerOffer
 	// lastEvent is the id of the event after which a stream resumes; empty for none.
 	lastEvent string
+	// isOnly is set if no other attempt has run the request or may run it, so that it can still be
+	// refused.
+	isOnly bool
 	// cancel ends the attempt and closes its connection.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -142,9 +145,9 @@
 }
 
 // startAttempt starts an attempt with the given offer.
-func (s *Service) startAttempt(ctx context.Context, q *request, offer port.BrokerOffer, lastEvent string) *upstreamAttempt {
+func (s *Service) startAttempt(ctx context.Context, q *request, offer port.BrokerOffer, lastEvent string, isOnly bool) *upstreamAttempt {
 	a := &upstreamAttempt{
-		s: s, request: q, offer: offer, lastEvent: lastEvent,
+		s: s, request: q, offer: offer, lastEvent: lastEvent, isOnly: isOnly,
 		progress: make(chan progress, maxPendingProgress), abandoned: make(chan struct{}), writeResult: make(chan error, 1),
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -127,9 +127,13 @@
 	return &gatewayError{status: http.StatusServiceUnavailable, code: codeDraining, reason: errCannotFinish.Error(), retryAfter: drainRetryDelay}
 }
 
-// waitContext returns the context of a wait for a grant. It ends with errCannotFinish at the latest
-// time at which the request may begin, if the entry drains.
+// waitContext returns the context of a wait for a grant. If the entry drains, it ends with
+// errCannotFinish at the latest time at which the request may begin. A request that may have run
+// waits on: its caller can't be told to send it elsewhere.
 func (a *upstreamAttempt) waitContext() (ctx context.Context, release func()) {
+	if !a.isOnly {
+		return a.ctx, func() {}
+	}
 	ctx, cancel := context.WithCancelCause(a.ctx)
 	unregister := context.AfterFunc(a.s.drainBegan, func() {
 		latest := a.s.drain.Load().latestStart(a.s, a.request, "")
@@ -146,7 +150,7 @@
 // the upstream. It reports whether it did.
 func (a *upstreamAttempt) returnUnfinishable() bool {
 	d := a.s.drain.Load()
-	if d == nil || !time.Now().After(d.latestStart(a.s, a.request, a.ticket.Upstream)) {
+	if d == nil || !a.isOnly || !time.Now().After(d.latestStart(a.s, a.request, a.ticket.Upstream)) {
 		return false
 	}
 	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), a.s.drainFields(a.request, stageWaiting))...)
--- a/internal/forward/drainadmission_test.go
+++ b/internal/forward/drainadmission_test.go
@@ -216,3 +216,59 @@
 	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
 	require.True(t, resp.Close)
 }
+
+// sequenceBroker grants upstreams in order, and knows their time per token.
+type sequenceBroker struct {
+	paceBroker
+	mu        sync.Mutex
+	addresses []string
+}
+
+func (c *sequenceBroker) Acquire(ctx context.Context, o port.BrokerOffer) (port.BrokerTicket, error) {
+	// A canceled wait must not win against a grant by chance.
+	select {
+	case <-ctx.Done():
+		return port.BrokerTicket{}, ctx.Err()
+	case <-time.After(5 * time.Millisecond):
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	address := c.addresses[0]
+	c.addresses = c.addresses[min(1, len(c.addresses)-1):]
+	return port.BrokerTicket{Grant: broker.Grant{ID: o.ID, Upstream: address, Address: address}, End: func(broker.End) {}}, nil
+}
+
+// TestDrainGoesOnWithWhatMayHaveRun guards against streams that are broken off, and requests that
+// are answered 502, as an upstream fails during a planned stop: another one could go on in time, and
+// they can't be refused any more.
+func TestDrainGoesOnWithWhatMayHaveRun(t *testing.T) {
+	t.Parallel()
+	breakOff := func(c net.Conn, r *http.Request, _ string) {
+		streamEvents(1, 1, false)(c, r, "")
+	}
+	for name, x := range map[string]struct {
+		route         string
+		first, second script
+	}{
+		"resumption": {"resumable", breakOff, streamEvents(2, 3, true)},
+		"retry":      {"idempotent", closeConnection, respondWith(http.StatusOK, "", "a")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, _, _, stop := newPacedEntry(t)
+			first := newUpstream(t, func(c net.Conn, r *http.Request, body string) {
+				time.Sleep(600 * time.Millisecond) // too late for a request of this length
+				x.first(c, r, body)
+			})
+			second := newUpstream(t, x.second)
+			r.service.brokerClient = &sequenceBroker{addresses: []string{first.ln.Addr().String(), second.ln.Addr().String()}}
+			c := r.connect(t)
+			c.send(x.route, 500)
+			require.Eventually(t, func() bool { return first.requests() == 1 }, stopTimeout, time.Millisecond)
+			go stop()
+			resp, err := c.receive()
+			require.NoError(t, err, "broken off; the second upstream got %d requests", second.requests())
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+		})
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -140,7 +140,8 @@
 	if x.stream.lastID != "" {
 		lastEvent = x.stream.lastID
 	}
-	return x.s.startAttempt(x.ctx, x.request, offer, lastEvent)
+	isOnly := x.possibleRuns == 0 && (x.current == nil || x.current.ended)
+	return x.s.startAttempt(x.ctx, x.request, offer, lastEvent, isOnly)
 }
 
 // streamVersion returns the software version at which the stream must go on: that of the
