forward: the end of a planned stop aborts, and waits for its handlers

Cause: at the end of the grace period, with no request in flight, the choice between "all requests ended" and the abort was random, and the first leaves open connections to http.Server.Shutdown. After the abort, handlers that were blocked in a write were closed but not waited for. The time for last responses was fixed, also where the grace period leaves less.

The test of open connections now waits for the headers of its streams rather than for 50 ms.

--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -32,8 +32,10 @@
 	// drainRetryDelay is the Retry-After of requests that a draining entry does not begin. Other
 	// entries can serve them at once.
 	drainRetryDelay = 50 * time.Millisecond
-	// abortTimeout bounds the time in which aborted requests deliver their last response.
-	abortTimeout = 250 * time.Millisecond
+	// maxAbortTime bounds the time in which aborted requests deliver their last response;
+	// abortShare is the divisor of what is left of the grace period that bounds it as well.
+	maxAbortTime = 250 * time.Millisecond
+	abortShare   = 3
 )
 
 // codeDraining is the code of the refusal of a request that the entry can't end before it stops.
@@ -74,28 +76,35 @@
 	s.listener.StopAccepting()
 	s.log.Info("accepting no more connections", zap.Duration("after", time.Since(began)), zap.Object("in_flight", s.stages.count()))
 	s.listener.WaitIdle(inTime)
-	select {
-	case <-s.inFlight.Idle():
+	if inTime.Err() == nil {
+		// All connections are closed, so that this waits for handlers only that write no more.
+		<-s.inFlight.Idle()
 		s.log.Info("all requests ended", zap.Duration("after", time.Since(began)))
-	case <-inTime.Done():
-		s.log.Warn("grace period ends; aborting requests in flight", zap.Duration("after", time.Since(began)), zap.Bool("ordered", errors.Is(ctx.Err(), context.Canceled)),
-			zap.Object("in_flight", s.stages.count()))
-		s.abortRequests()
+		return nil
 	}
+	s.log.Warn("grace period ends; aborting requests in flight", zap.Duration("after", time.Since(began)), zap.Bool("ordered", errors.Is(ctx.Err(), context.Canceled)),
+		zap.Object("in_flight", s.stages.count()))
+	s.abortRequests(min(maxAbortTime, (grace-s.set.Routing.DrainTime())/abortShare))
 	return nil
 }
 
 // abortRequests ends the requests in flight: those without a response yet get one that says
-// whether they may have run, streams are broken off.
-func (s *Service) abortRequests() {
+// whether they may have run, streams are broken off. timeout is for the callers to take the
+// responses; connections that are left are closed then, and their handlers have as long to end.
+func (s *Service) abortRequests(timeout time.Duration) {
 	s.abort()
-	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	s.listener.WaitIdle(ctx)
 	if left := s.stages.count(); left != (stageCounts{}) {
 		s.log.Warn("requests did not end; closing their connections", zap.Object("in_flight", left))
 	}
 	_ = s.server.Close()
+	select {
+	case <-s.inFlight.Idle():
+	case <-time.After(timeout):
+		s.log.Error("requests in flight did not end with their connections", zap.Object("in_flight", s.stages.count()))
+	}
 }
 
 // isDraining reports whether a planned stop has begun.
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -193,3 +194,52 @@
 	require.Equal(t, int64(1), fields["on_connection"])
 	require.Negative(t, fields["arrived"])
 }
+
+// TestStopEndsInTimeWithHalfReadHeader guards against a process that is killed at the end of its
+// grace period, since its server waits for a connection on which a part of a header has arrived.
+func TestStopEndsInTimeWithHalfReadHeader(t *testing.T) {
+	t.Parallel()
+	for i := range 8 {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			t.Parallel()
+			r, stop := newStoppingEntry(t)
+			c, err := net.Dial("tcp", r.server.Listener.Addr().String())
+			require.NoError(t, err)
+			defer c.Close()
+			_, err = io.WriteString(c, requestHead[:30])
+			require.NoError(t, err)
+			began := time.Now()
+			stop()
+			require.Less(t, time.Since(began), 1500*time.Millisecond)
+		})
+	}
+}
+
+// TestStopWaitsForHandlers guards against log lines and ends of grants that are lost with the
+// process: their handlers still wait for a caller that reads nothing when the entry closes its
+// connection.
+func TestStopWaitsForHandlers(t *testing.T) {
+	t.Parallel()
+	flood := func(c net.Conn, r *http.Request, _ string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		event := "data: " + strings.Repeat("x", 60_000) + "\n\n"
+		for range 200 {
+			if _, err := io.WriteString(c, strconv.FormatInt(int64(len(event)), 16)+"\r\n"+event+"\r\n"); err != nil {
+				return
+			}
+		}
+		sendNothing(c, r, "")
+	}
+	r, _ := newStoppingEntry(t)
+	u := newUpstream(t, flood)
+	r.service.brokerClient = &endlessBroker{address: u.ln.Addr().String()}
+	c, err := net.Dial("tcp", r.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(4096))
+	_, err = io.WriteString(c, strings.Replace(requestHead, "/once/", "/stream/", 1)+"body")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return r.service.stages.count()[stageResponding] == 1 }, stopTimeout, time.Millisecond)
+	require.NoError(t, r.service.Drain(t.Context()))
+	require.Equal(t, stageCounts{}, r.service.stages.count())
+}
--- a/internal/forward/drainadmission_test.go
+++ b/internal/forward/drainadmission_test.go
@@ -149,8 +149,7 @@
 			}
 		})
 	}
-	require.Eventually(t, func() bool { return u.requests() == 8 }, stopTimeout, time.Millisecond)
-	time.Sleep(50 * time.Millisecond) // the headers of the streams are sent
+	require.Eventually(t, func() bool { return r.service.stages.count()[stageResponding] == 8 }, stopTimeout, time.Millisecond)
 	stop()
 	callers.Wait()
 	require.Equal(t, 8, u.requests(), "requests that can't end in time reach no upstream")
