forward: the time that a request needs is estimated by what it asks

Cause: each request was judged by its longest response at the slowest upstream of its pool, leaving ones included, with a factor of 1.5.

Change: before the grant the fastest upstream counts, with the grant the one granted, with a factor of 1.25 and the length that the caller expects. Requests that come after the directory's older answers have expired are judged by their longest response, with a factor of 2: their callers know other entries. An upstream that the entry does not know yet counts as the slowest.

--- a/core/broker/duration.go
+++ b/core/broker/duration.go
@@ -1,25 +1,35 @@
 package broker
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// ExpectedDuration estimates the time from the grant of a request to the end of its response, with
-// the longest response that it allows, at an upstream of its pool; at the slowest one if upstream
-// is empty or unknown. It returns false if nothing tells how long the response may get.
+// ExpectedDuration estimates the time from the grant of a request to the end of a response of
+// OutputTokens at an upstream of its pool: at the fastest one if upstream is empty, at the slowest
+// if the broker does not know it yet. It returns false if nothing tells how long the response gets.
 func (b *Broker) ExpectedDuration(o Offer, upstream string) (time.Duration, bool) {
 	p := b.pools[o.Pool]
-	if p == nil || len(p.order) == 0 || p.engine != nil && o.MaxOutputTokens == 0 {
+	if p == nil || p.engine != nil && o.OutputTokens == 0 {
 		return 0, false
 	}
 	req := &request{Offer: o}
-	req.OutputTokens = max(o.OutputTokens, o.MaxOutputTokens)
 	if u := p.upstreams[upstream]; u != nil {
 		return p.duration(req, u), true
 	}
-	longest := time.Duration(0)
+	durations := []time.Duration{}
 	for _, u := range p.order {
-		longest = max(longest, p.duration(req, u))
+		if !u.isLeaving() {
+			durations = append(durations, p.duration(req, u))
+		}
 	}
-	return longest, true
+	switch {
+	case len(durations) == 0:
+		return 0, false
+	case upstream == "":
+		return slices.Min(durations), true
+	}
+	return slices.Max(durations), true
 }
 
 // duration estimates how long an upstream takes from the start of a request to the end of its
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -25,10 +25,14 @@
 	// connections are accepted.
 	acceptTenths = 4
 	tenths       = 10
-	// durationFactor and durationMargin are applied to the expected duration of a request: an
-	// estimate is an average, and the response still has to reach the caller.
-	durationFactor = 1.5
+	// durationMargin is added to the expected duration of a request: the response still has to
+	// reach the caller.
 	durationMargin = 200 * time.Millisecond
+	// durationFactor is applied to the expected duration at the upstream that is granted, which is
+	// an average. lateDurationFactor takes its place for requests that arrive after the answers
+	// of the directory that named the entry have expired: their callers know other entries.
+	durationFactor     = 1.25
+	lateDurationFactor = 2
 	// drainRetryDelay is the Retry-After of requests that a draining entry does not begin. Other
 	// entries can serve them at once.
 	drainRetryDelay = 50 * time.Millisecond
@@ -50,9 +54,11 @@
 
 // drain is a planned stop that has begun.
 type drain struct {
-	// began is when the stop was ordered, end when requests that are still in flight are aborted.
-	began time.Time
-	end   time.Time
+	// began is when the stop was ordered, expired when the last answer of the directory that named
+	// the entry has expired, end when requests that are still in flight are aborted.
+	began   time.Time
+	expired time.Time
+	end     time.Time
 }
 
 // Drain announces that the entry leaves the directory and serves callers that
@@ -63,11 +69,11 @@
 	ttl := settings.Milliseconds(s.set.Routing.AnswerTTLMS)
 	grace := settings.Milliseconds(s.set.Routing.GraceMS)
 	began := time.Now()
-	d := &drain{began: began, end: began.Add(s.set.Routing.DrainTime())}
+	acceptTime := min(directoryTTLs*ttl+announceDelay, grace*acceptTenths/tenths)
+	d := &drain{began: began, expired: began.Add(min(directoryTTLs*ttl, acceptTime)), end: began.Add(s.set.Routing.DrainTime())}
 	s.drain.Store(d)
 	s.beginDrain()
 	s.drainAnnouncer.AnnounceDrain()
-	acceptTime := min(directoryTTLs*ttl+announceDelay, grace*acceptTenths/tenths)
 	s.log.Info("left the directory; serving callers that hold an older answer", zap.Duration("for", acceptTime), zap.Duration("grace", grace),
 		zap.Object("in_flight", s.stages.count()))
 	wait.Sleep(ctx, acceptTime)
@@ -112,7 +118,8 @@
 
 // latestStart returns the latest time at which an upstream may begin the request so that it ends
 // before the entry aborts it: at any time if its deadline is earlier, and never if nothing tells
-// how long it takes, as with streams of plain services. upstream is empty if none is granted yet.
+// how long it takes, as with streams of plain services. While upstream is empty, since none is
+// granted, the request may still get the fastest.
 func (d *drain) latestStart(s *Service, q *request, upstream string) time.Time {
 	if !q.deadline.After(d.end) {
 		return q.deadline
@@ -120,11 +127,21 @@
 	if q.route.Kind == routes.Stream && q.engine == nil {
 		return d.began
 	}
-	expected, known := s.brokerClient.ExpectedDuration(q.offer(s).Offer, upstream)
+	offer, factor := q.offer(s).Offer, 1.0
+	if upstream != "" {
+		factor = durationFactor
+	}
+	if q.meta.ExpectedOutputTokens == 0 {
+		offer.OutputTokens = q.meta.MaxTokens
+	}
+	if q.arrived.After(d.expired) {
+		offer.OutputTokens, factor = q.meta.MaxTokens, lateDurationFactor
+	}
+	expected, known := s.brokerClient.ExpectedDuration(offer, upstream)
 	if !known {
 		return d.began
 	}
-	return d.end.Add(-time.Duration(durationFactor*float64(expected)) - durationMargin)
+	return d.end.Add(-time.Duration(factor*float64(expected)) - durationMargin)
 }
 
 // refuseAtDrain returns the refusal of a request that a draining entry can't end in time, or nil.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -390,9 +390,9 @@
 	// Entries returns the number of entries that share the global limits, at least
 	// 1.
 	Entries() int
-	// ExpectedDuration estimates the time from the grant of a request to the end of its
-	// response, with the longest response that it allows, at an upstream; at the slowest
-	// one of the pool if upstream is empty. It returns false if there is no estimate.
+	// ExpectedDuration estimates the time from the grant of a request to the end of a
+	// response of its OutputTokens, at an upstream; at the fastest one of the pool if
+	// upstream is empty. It returns false if there is no estimate.
 	ExpectedDuration(o broker.Offer, upstream string) (time.Duration, bool)
 }
 
