forward: a drain refuses what its context has no time for

Requests were begun by the settings' drain time and cut off by the context, where that ends earlier: another service has drained before, or a caller of Daemon.Stop sets a deadline. The earlier of both ends counts.

--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -71,6 +71,9 @@
 	began := time.Now()
 	acceptTime := min(directoryTTLs*ttl+announceDelay, grace*acceptTenths/tenths)
 	d := &drain{began: began, expired: began.Add(min(directoryTTLs*ttl, acceptTime)), end: began.Add(s.set.Routing.DrainTime())}
+	if t, ok := ctx.Deadline(); ok && t.Before(d.end) {
+		d.end = t
+	}
 	s.drain.Store(d)
 	s.beginDrain()
 	s.drainAnnouncer.AnnounceDrain()
--- a/internal/forward/drainadmission_test.go
+++ b/internal/forward/drainadmission_test.go
@@ -271,3 +271,24 @@
 		})
 	}
 }
+
+// TestDrainBeginsNothingBeyondItsContext guards against requests that are begun and cut off since the
+// entry may not drain for as long as its settings say.
+func TestDrainBeginsNothingBeyondItsContext(t *testing.T) {
+	t.Parallel()
+	r, _, u, _ := newPacedEntry(t)
+	ctx, cancel := context.WithTimeout(context.Background(), r.service.set.Routing.DrainTime()/2)
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = r.service.Drain(ctx)
+	}()
+	require.Eventually(t, r.service.isDraining, stopTimeout, time.Millisecond)
+	c := r.connect(t)
+	c.send("stream", 420)
+	resp, err := c.receive()
+	requireRefusal(t, resp, err)
+	require.Zero(t, u.requests())
+	<-stopped
+}
