--- a/core/broker/duration_test.go
+++ b/core/broker/duration_test.go
@@ -44,3 +44,17 @@
 	_, known = b.ExpectedDuration(o, "")
 	require.False(t, known)
 }
+
+// TestExpectedDurationOfUpstreamsThatHaveJustStarted guards against requests that a stopping entry
+// begins and must abort at an upstream whose speed is not known yet, while that of its pool is.
+func TestExpectedDurationOfUpstreamsThatHaveJustStarted(t *testing.T) {
+	b := newEngineBroker(1, 4)
+	b.SetUpstreams([]Upstream{{ID: "known", Pool: "p", Address: "a", Slots: 4}, {ID: "new", Pool: "p", Address: "b", Slots: 4}})
+	b.SetEstimates([]Estimates{{ID: "known", TokenTime: 0.03}})
+	o := newOffer(1)
+	o.OutputTokens = 200
+	atKnown, _ := b.ExpectedDuration(o, "known")
+	atNew, known := b.ExpectedDuration(o, "new")
+	require.True(t, known)
+	require.GreaterOrEqual(t, atNew, atKnown)
+}
