accept: a connection lingers until what was written has arrived

An answer that was written whole could arrive in part, with "connection reset by peer": around a stop above all, where answers carry "Connection: close", or the server ends a connection whose caller was not told and sends its next request.

Cause: the kernel resets a connection that is closed with unread bytes, or gets bytes after it was closed, and drops what it has not delivered.

A connection that is closed at a stop, or with unread bytes at any time, now ends its sending half first and discards what arrives until the caller's kernel has acknowledged all, or for 2 s. The listener holds it meanwhile, so that a stop waits for it. A listener lingers from StopAccepting on; Listener.LingerOnClose begins earlier, for an entry that drains before it stops to accept.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -46,8 +46,10 @@
 	// has accepted.
 	isStopping atomic.Bool
 	last       chan net.Conn
-	mu         sync.Mutex
-	conns      map[*conn]struct{}
+	// lingers is set by LingerOnClose.
+	lingers atomic.Bool
+	mu      sync.Mutex
+	conns   map[*conn]struct{}
 }
 
 // New returns a listener on top of another one, which must be a *net.TCPListener with the
@@ -75,6 +77,8 @@
 	// it did not; the lock of the listener guards both.
 	idleSince  time.Time
 	idleInputs int64
+	// isClosed is set once the server has closed the connection, which may linger then.
+	isClosed atomic.Bool
 
 	mu sync.Mutex
 	// isEnding is set while the next read ends the connection unless a request has begun to
@@ -144,6 +148,9 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(p)
+		if c.isClosed.Load() {
+			return 0, net.ErrClosed
+		}
 		if !c.endRead(n, len(p), err) {
 			return n, err
 		}
@@ -179,7 +186,7 @@
 		c.recordInput()
 		c.keep()
 	}
-	if c.isEnding {
+	if c.isEnding || c.isClosed.Load() {
 		return nil
 	}
 	return c.TCPConn.SetReadDeadline(t)
@@ -206,8 +213,27 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Where the connection lingers, reads and writes end at once and the
+// caller is told that nothing follows, but the listener holds the connection until that has ended.
 func (c *conn) Close() error {
+	if c.isClosed.Swap(true) {
+		return net.ErrClosed
+	}
+	if !c.lingersOnClose() {
+		return c.release()
+	}
+	// A read that ends makes the server write, which must fail by then.
+	if err := c.CloseWrite(); err != nil {
+		_ = c.release()
+		return err
+	}
+	_ = c.TCPConn.SetDeadline(expired)
+	go c.linger()
+	return nil
+}
+
+// release closes the socket.
+func (c *conn) release() error {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
@@ -229,6 +255,7 @@
 	if l.isStopping.Swap(true) {
 		return
 	}
+	l.LingerOnClose()
 	_ = l.SetDeadline(time.Unix(1, 0))
 	defer close(l.last)
 	fds := []int{}
@@ -345,7 +372,7 @@
 
 // isIdle reports whether no part of a request has arrived since the last one ended.
 func (c *conn) isIdle() bool {
-	if c.hasInput.Load() || !c.wasUsed.Load() && time.Since(c.acceptedAt) < newConnTime {
+	if c.isClosed.Load() || c.hasInput.Load() || !c.wasUsed.Load() && time.Since(c.acceptedAt) < newConnTime {
 		return false
 	}
 	return !controlSocket(c, hasUnread)
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -194,3 +195,70 @@
 	require.Equal(t, testRequest, string(buffer[:n]))
 	require.False(t, c.isIdle())
 }
+
+// TestCloseKeepsWrittenAnswer guards against an answer that was written whole but doesn't arrive: a
+// connection that is closed with unread bytes, or gets more bytes then, is reset, and what the
+// kernel had not delivered is lost.
+func TestCloseKeepsWrittenAnswer(t *testing.T) {
+	const length = 600_000
+	for name, late := range map[string]bool{"unread bytes": false, "late bytes at a stop": true} {
+		t.Run(name, func(t *testing.T) {
+			began, write := make(chan struct{}), make(chan struct{})
+			l, caller := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				close(began)
+				<-write
+				w.Header().Set("Connection", "close")
+				w.Header().Set("Content-Length", strconv.Itoa(length))
+				_, _ = w.Write(make([]byte, length))
+			})
+			require.NoError(t, caller.(*net.TCPConn).SetReadBuffer(32<<10))
+			_, err := io.WriteString(caller, testRequest)
+			require.NoError(t, err)
+			<-began
+			if late {
+				l.StopAccepting()
+				close(write)
+				time.Sleep(100 * time.Millisecond)
+			}
+			_, err = io.WriteString(caller, testRequest)
+			require.NoError(t, err)
+			if !late {
+				close(write)
+			}
+			time.Sleep(100 * time.Millisecond)
+			requireAnswers(t, bufio.NewReader(caller), 1)
+		})
+	}
+}
+
+// TestLingeringConnectionTakesNothing guards against a server that reads a request, or writes a
+// response, after it has closed the connection.
+func TestLingeringConnectionTakesNothing(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New(raw, net.KeepAliveConfig{})
+	defer l.Close()
+	l.LingerOnClose()
+	caller, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	c, err := l.Accept()
+	require.NoError(t, err)
+	readEnded := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 100))
+		readEnded <- err
+	}()
+	time.Sleep(minIdleTime)
+	require.NoError(t, c.Close())
+	_, err = c.Write([]byte("late"))
+	require.Error(t, err)
+	require.ErrorIs(t, <-readEnded, net.ErrClosed)
+	_, _ = io.WriteString(caller, testRequest)
+	_, err = c.Read(make([]byte, 100))
+	require.ErrorIs(t, err, net.ErrClosed)
+	got, err := io.ReadAll(caller)
+	require.NoError(t, err, "closed in order")
+	require.Empty(t, got)
+	require.Eventually(t, func() bool { return l.CloseIdle() == 0 }, 5*time.Second, 2*minIdleTime)
+}
