entry: a stop that doesn't wait answers what no other entry can complete

At a forced stop callers got a closed connection for every request in flight, by design, since another entry may complete it. That holds for requests under a caller's key. Nobody else knows of the others: those that waited for a grant had not run, and their callers could not tell.

The entry now ends requests without a caller's key first: with "draining", not run and Retry-After where nothing was sent, with "outcome_unknown" and whether they ran otherwise; the stream is canceled on its engine. It waits up to 250 ms for these answers to be written before it closes the connections of the others as before, and logs both. api/client sends a request again elsewhere at "draining" already; no entry had ever answered it.

--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -42,6 +42,8 @@
 	// upstreamVersion is the model version of the upstreams granted from now on.
 	upstreamVersion string
 	schedulerError  *fault.Error
+	// grantsNothing makes requests wait for a grant until their contexts end.
+	grantsNothing   bool
 	members         []port.Member
 	events          []promise.Event
 	releaseOutcomes []sched.Outcome
@@ -111,9 +113,15 @@
 	t.cluster.releaseOutcomes = append(t.cluster.releaseOutcomes, r.Outcome)
 }
 
-func (c *cluster) Acquire(_ context.Context, r port.Request) (port.Ticket, error) {
+func (c *cluster) Acquire(ctx context.Context, r port.Request) (port.Ticket, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.grantsNothing {
+		c.mu.Unlock()
+		<-ctx.Done()
+		c.mu.Lock()
+		return nil, fault.New(fault.Canceled, "send the request again", "the caller went away while the request waited")
+	}
 	if c.schedulerError != nil {
 		return nil, c.schedulerError
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,8 @@
 	idleTimeout = 2 * time.Minute
 	// expireInterval is the interval at which expired answers are removed.
 	expireInterval = 10 * time.Second
+	// abortTimeout bounds the time in which requests that a stop ends are answered.
+	abortTimeout = 250 * time.Millisecond
 )
 
 // Service is the "entry.http" service.
@@ -58,6 +60,9 @@
 	ln          *accept.Listener
 	ctx         context.Context
 	cancel      context.CancelFunc
+	// aborting ends, before ctx, when the entry stops without waiting for the requests in flight.
+	aborting context.Context
+	abort    context.CancelFunc
 	// inFlight counts requests from acceptance to the end of their answer, and
 	// the claims that are still being resolved.
 	inFlight wait.Group
@@ -99,6 +104,7 @@
 	}
 	s.ln = accept.New(ln, net.KeepAliveConfig{Enable: true})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.aborting, s.abort = context.WithCancel(s.ctx)
 	s.server = &http.Server{
 		Handler:           accept.Handler(s.routes()),
 		ConnContext:       accept.ConnContext,
@@ -256,23 +262,40 @@
 }
 
 // Stop closes the listener and waits for the requests in flight and those that have begun
-// to arrive. If the context ends first, it closes the callers' connections without a response, as
-// a crash would, because another entry may still complete their requests.
+// to arrive. If the context ends first, it ends the requests that no other entry knows of, those
+// without a caller's key, with an error that says whether they ran. It closes the connections of the
+// others without a response, as a crash would, because another entry may still complete them.
 func (s *Service) Stop(ctx context.Context) error {
 	s.isStopping.Store(true)
 	s.ln.StopAccepting()
 	s.ln.WaitIdle(ctx)
-	err := s.server.Shutdown(ctx)
+	err := error(nil)
 	select {
 	case <-s.inFlight.Idle():
+		err = s.server.Shutdown(ctx)
 	case <-ctx.Done():
 		err = ctx.Err()
-		_ = s.server.Close()
+	}
+	if err != nil {
+		s.abortRequests()
 	}
 	s.cancel()
 	return err
 }
 
+// abortRequests ends the requests in flight.
+func (s *Service) abortRequests() {
+	s.log.Warn("stopping without waiting; ending requests in flight", zap.Int("connections", s.conns.count()))
+	s.abort()
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	s.ln.WaitIdle(ctx)
+	if left := s.conns.count(); left > 0 {
+		s.log.Warn("closing connections without a response", zap.Int("connections", left))
+	}
+	_ = s.server.Close()
+}
+
 // Load returns the number of open connections as a fraction of the maximum.
 func (s *Service) Load() float64 {
 	return float64(s.conns.count()) / float64(max(1, s.set.Limits.Connections))
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -90,6 +90,9 @@
 func (s *Service) run(r *request, a *answer.Answer, detached <-chan struct{}) {
 	ctx, cancel := context.WithDeadline(s.ctx, r.deadline)
 	defer cancel()
+	if !r.hasCallerKey {
+		defer context.AfterFunc(s.aborting, cancel)()
+	}
 	if !r.hasCallerKey && !r.mustRunOnce() {
 		go cancelWhenDetached(ctx, detached, cancel)
 	}
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -22,6 +22,14 @@
 	return e
 }
 
+// stopped returns the error of a request that the entry's stop has ended.
+func stopped(ran claims.Ran) *fault.Error {
+	if ran == claims.NotRun {
+		return fault.New(fault.Draining, "send the request to another entry", "the entry stopped before the request began").After(upstreamRetryAfter)
+	}
+	return fault.New(fault.Unknown, "send the request again to another entry, if it may run twice", "the entry stopped before the answer ended")
+}
+
 func outcomeUnknown() *fault.Error {
 	e := fault.New(fault.Unknown, "check with the service whether it took effect; the key will not run again", "nobody can tell how the request ended")
 	return e.WithRan(fault.MayHaveRun)
@@ -49,6 +57,9 @@
 	case claims.KeyConflict:
 		return keyConflict(x.request.key)
 	case claims.CallerDisconnected:
+		if x.service.aborting.Err() != nil {
+			return stopped(f.Ran)
+		}
 		return fault.New(fault.Canceled, "send the request again", "the request was canceled")
 	case claims.DeadlineExceeded:
 		return fault.New(fault.Deadline, "allow more time, or send less", "the answer did not end before the deadline")
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/core/sched"
 )
 
 const modelsRequest = "GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n\r\n"
@@ -96,3 +100,61 @@
 		})
 	}
 }
+
+// stopAtOnce stops the entry without waiting for the requests in flight.
+func (e *testEntry) stopAtOnce() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = e.Stop(ctx)
+}
+
+// stopDuring stops the entry at once after a request has begun, and returns its response.
+func (e *testEntry) stopDuring(t *testing.T, body string, headers ...string) (response, error) {
+	t.Helper()
+	type result struct {
+		response
+		error
+	}
+	ended := make(chan result, 1)
+	go func() {
+		r, err := e.try(http.MethodPost, "/v1/chat/completions", body, headers...)
+		ended <- result{r, err}
+	}()
+	time.Sleep(200 * time.Millisecond)
+	e.stopAtOnce()
+	r := <-ended
+	return r.response, r.error
+}
+
+// TestStopAtOnceAnswersWhatNoEntryCompletes guards against requests that are closed without an answer
+// at a stop that doesn't wait, although no other entry knows of them: those without a key of the
+// caller's.
+func TestStopAtOnceAnswersWhatNoEntryCompletes(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		t.Run(fmt.Sprintf("waiting, stream %v", stream), func(t *testing.T) {
+			c := newCluster(t)
+			c.grantsNothing = true
+			e := c.startEntry(t, "entry-1")
+			r, err := e.stopDuring(t, chatBody("draft", stream))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, r.status)
+			require.NotEmpty(t, r.header.Get("Retry-After"))
+			got := faultOf(t, r.body)
+			require.Equal(t, fault.Draining, got.Kind)
+			require.Equal(t, fault.NotRun, got.Ran)
+		})
+	}
+	t.Run("running", func(t *testing.T) {
+		c := newCluster(t)
+		runner := c.startRunner(t, 10)
+		e := c.startEntry(t, "entry-1")
+		r, err := e.stopDuring(t, chatBody("draft #40", false))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, r.status)
+		got := faultOf(t, r.body)
+		require.Equal(t, fault.Unknown, got.Kind)
+		require.Equal(t, fault.DidRun, got.Ran)
+		require.Equal(t, 1, total(runner.Executions()))
+		require.Equal(t, []sched.Outcome{sched.Canceled}, c.outcomes())
+	})
+}
