entry: a forced stop records no refusal that nobody is told of

A request under a caller's key that waited for a grant at a forced stop, and was sent again to another entry, could be refused there once (503, did not run), though it could have been served.

Cause: the canceled wait recorded in the log that the attempt did not run, while its caller got no answer. Another entry refuses a key so recorded once, until its caller has been told.

Evidence: TestStopAtOnceLeavesKeyedRequestsOpen/waiting: 503 before, 200 now; 60 runs with -race pass. Its other case, a stream that another entry takes up, passed before as well.

--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -228,6 +228,10 @@
 
 func (x *execution) propose(e claims.Effect) claims.Event {
 	ctx := x.ctx
+	if e.Claim.NotRun && x.mayBeAdopted() {
+		// The record of a refusal that nobody is told of would refuse the caller's next attempt.
+		return claims.Event{Kind: claims.ClaimUnconfirmed}
+	}
 	if e.Urgent {
 		urgent, cancel := context.WithTimeout(x.service.ctx, urgentProposalTimeout)
 		defer cancel()
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/core/sched"
+	"github.com/verbenastep/verbenastep/internal/link"
 )
 
 const modelsRequest = "GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n\r\n"
@@ -158,3 +159,26 @@
 		require.Equal(t, []sched.Outcome{sched.Canceled}, c.outcomes())
 	})
 }
+
+// TestStopAtOnceLeavesKeyedRequestsOpen guards against a refusal at a stop that doesn't wait which
+// keeps another entry from completing a request under its caller's key.
+func TestStopAtOnceLeavesKeyedRequestsOpen(t *testing.T) {
+	for name, grantsNothing := range map[string]bool{"waiting": true, "running": false} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t)
+			c.grantsNothing = grantsNothing
+			runner := c.startRunner(t, 10)
+			first, second := c.startEntry(t, "entry-1"), c.startEntry(t, "entry-2")
+			_, err := first.stopDuring(t, chatBody("draft #10", false), "Idempotency-Key", "draft")
+			require.Error(t, err)
+			_ = first.link.(*link.Service).Stop(context.Background())
+			c.mu.Lock()
+			c.grantsNothing = false
+			c.members = c.members[1:]
+			c.mu.Unlock()
+			r := second.do(t, http.MethodPost, "/v1/chat/completions", chatBody("draft #10", false), "Idempotency-Key", "draft")
+			require.Equal(t, http.StatusOK, r.status)
+			require.Equal(t, 1, total(runner.Executions()))
+		})
+	}
+}
