dispatch: a draining daemon takes free leases last

Waiting requests could wait for two changes of their dispatcher in a row, up to 1.2 s each: a daemon that drains, which may take long in its last requests, took a lease that another one had released, and released it again at its end.

Evidence: TestLeavingDaemonTakesLeasesLast failed before (rank 0 of 3), passes; go test -race ./internal/dispatch ./internal/schedclient.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -69,18 +69,17 @@
 }
 
 // rankOf ranks daemons for a pool by rendezvous hashing, so that pools spread
-// evenly and few change their daemon when one joins or leaves.
+// evenly and few change their daemon when one joins or leaves. Draining daemons
+// rank last: they would soon release the lease again.
 func rankOf(pool, self, region string, live []port.Member) int {
-	names := []string{}
-	for _, m := range live {
-		if m.Region == region {
-			names = append(names, m.Name)
+	ranked := slices.DeleteFunc(slices.Clone(live), func(m port.Member) bool { return m.Region != region })
+	slices.SortFunc(ranked, func(a, b port.Member) int {
+		if a.Leaving != b.Leaving {
+			return map[bool]int{false: -1, true: 1}[a.Leaving]
 		}
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rendezvous.Weight(pool, b), rendezvous.Weight(pool, a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(rendezvous.Weight(pool, b.Name), rendezvous.Weight(pool, a.Name)), cmp.Compare(a.Name, b.Name))
 	})
-	return max(0, slices.Index(names, self))
+	return max(0, slices.IndexFunc(ranked, func(m port.Member) bool { return m.Name == self }))
 }
 
 // renew acquires or renews the lease and starts the pool's dispatcher if none
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -325,6 +325,25 @@
 	}
 }
 
+// TestLeavingDaemonTakesLeasesLast guards against requests that wait for a second change of their
+// dispatcher: a draining daemon takes a lease that another one has released, and soon releases it.
+func TestLeavingDaemonTakesLeasesLast(t *testing.T) {
+	live := fakeMembers{names: []string{"a", "b", "c"}}.Live()
+	for i := range live {
+		live[i].Leaving = true
+		for n := range 20 {
+			pool := "pool-" + string(rune('a'+n))
+			require.Equal(t, len(live)-1, rankOf(pool, live[i].Name, "r", live))
+			for j, m := range live {
+				if j != i {
+					require.Less(t, rankOf(pool, m.Name, "r", live), len(live)-1)
+				}
+			}
+		}
+		live[i].Leaving = false
+	}
+}
+
 // TestReleasedLeaseEndsDecisions guards against grants by a dispatcher that has released its
 // lease: a round or a queued batch that was late went out beside those of the successor.
 func TestReleasedLeaseEndsDecisions(t *testing.T) {
