dispatch: a stop releases a lease whose proposal is in flight

Waiting requests of a pool could wait until the lease of a daemon expired (1.5 s) that had stopped as planned.

Cause: the stop canceled the acquisition or renewal in flight, whose command was committed all the same: a first acquisition was never released, since its epoch was not known, and a renewal that was committed after the release took the lease once more. A stop waits for the result of the proposal now, 1 s at the most, as it does for the release.

Evidence: both cases of TestStopReleasesLeaseBeingAcquired, with a log that commits after its proposer gave up, failed before (the lease was held by the stopped daemon) and pass; go test -race ./internal/dispatch 3 times, ./internal/daemon. Not seen in a run of real daemons.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -87,7 +87,9 @@
 // sent, by a clock that counts suspensions of the machine.
 func (s *Service) renew(ctx context.Context, name, lease string) {
 	sent := s.elapsed()
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	// The log may commit the proposal after its proposer has given up, and after the release at
+	// a stop, so a stop waits for the result.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), renewTimeout)
 	defer cancel()
 	result, err := s.replicatedLog.Propose(ctx, port.GroupMain, state.Command{Acquire: &state.Acquire{Name: lease, Holder: s.self.String()}})
 	if err != nil || result.Lease == nil {
