accept: bound the connections that linger

A flood of connections that the server closes with unread bytes, as it does above the limit of connections, would hold a socket for up to 2 s each. Above 1,000 they are closed at once, as before.

TestFloodDoesNotLinger; go test -race -count=3 ./internal/accept.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -48,8 +48,10 @@
 	last       chan net.Conn
 	// lingers is set by LingerOnClose.
 	lingers atomic.Bool
-	mu      sync.Mutex
-	conns   map[*conn]struct{}
+	// lingering is the number of connections that linger.
+	lingering atomic.Int64
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
 }
 
 // New returns a listener on top of another one, which must be a *net.TCPListener with the
@@ -222,8 +224,13 @@
 	if !c.lingersOnClose() {
 		return c.release()
 	}
+	if c.listener.lingering.Add(1) > maxLingering {
+		c.listener.lingering.Add(-1)
+		return c.release()
+	}
 	// A read that ends makes the server write, which must fail by then.
 	if err := c.CloseWrite(); err != nil {
+		c.listener.lingering.Add(-1)
 		_ = c.release()
 		return err
 	}
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -262,3 +262,22 @@
 	require.Empty(t, got)
 	require.Eventually(t, func() bool { return l.CloseIdle() == 0 }, 5*time.Second, 2*minIdleTime)
 }
+
+// TestFloodDoesNotLinger guards against a flood of connections that the server closes, each with
+// unread bytes, which takes up all sockets since they linger.
+func TestFloodDoesNotLinger(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New(raw, net.KeepAliveConfig{})
+	defer l.Close()
+	l.LingerOnClose()
+	l.lingering.Store(maxLingering)
+	caller, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	c, err := l.Accept()
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	require.Zero(t, l.CloseIdle())
+	require.EqualValues(t, maxLingering, l.lingering.Load())
+}
--- a/internal/accept/linger.go
+++ b/internal/accept/linger.go
@@ -16,6 +16,8 @@
 	lingerPollInterval = 5 * time.Millisecond
 	// lingerBufferBytes is the size of the buffer for bytes that are discarded.
 	lingerBufferBytes = 4 << 10
+	// maxLingering is the number of connections above which others are closed at once.
+	maxLingering = 1000
 )
 
 // LingerOnClose makes connections linger that are closed from now on. It must be called once callers
@@ -32,6 +34,7 @@
 // closes the connection.
 func (c *conn) linger() {
 	defer c.release()
+	defer c.listener.lingering.Add(-1)
 	buffer := make([]byte, lingerBufferBytes)
 	for end := time.Now().Add(lingerTimeout); time.Now().Before(end); {
 		_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerPollInterval))
