accept: a connection that was closed begins no request

A request could run though nobody got its answer, and its caller sent it again: its connection was closed, above the limit of connections or at a forced stop, while the server read the end of its header, and the handler ran all the same.

Evidence: TestClosedConnectionBeginsNoRequest failed before (2 of 2 requests began), passes; go test -race -count=3 ./internal/accept.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -101,11 +101,15 @@
 }
 
 // Handler returns a handler that marks the connection of each request as busy until OnStateChange
-// is called with StateIdle, and calls next. The server buffers a request that arrives together with
-// an earlier one, so that no read from the connection shows it.
+// is called with StateIdle, and calls next unless the server has closed the connection. The server
+// buffers a request that arrives together with an earlier one, so that no read from the connection
+// shows it.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			if c.isClosed.Load() {
+				return
+			}
 			c.recordInput()
 		}
 		next.ServeHTTP(w, r)
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -281,3 +282,26 @@
 	require.Zero(t, l.CloseIdle())
 	require.EqualValues(t, maxLingering, l.lingering.Load())
 }
+
+// TestClosedConnectionBeginsNoRequest guards against a request that runs though nobody gets its
+// answer: its connection was closed, above the limit of connections or at a forced stop, while the
+// server read the end of its header.
+func TestClosedConnectionBeginsNoRequest(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := New(raw, net.KeepAliveConfig{})
+	defer l.Close()
+	caller, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	c, err := l.Accept()
+	require.NoError(t, err)
+	began := 0
+	handler := Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { began++ }))
+	request := httptest.NewRequestWithContext(ConnContext(t.Context(), c), http.MethodPost, "/", nil)
+	handler.ServeHTTP(httptest.NewRecorder(), request)
+	require.Equal(t, 1, began)
+	require.NoError(t, c.Close())
+	handler.ServeHTTP(httptest.NewRecorder(), request)
+	require.Equal(t, 1, began)
+}
