--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -82,6 +82,9 @@
 	offer port.BrokerOffer
 	// lastEvent is the id of the event after which a stream resumes; empty for none.
 	lastEvent string
+	// isOnly is set if no other attempt has run the request or may run it, so that it can still be
+	// refused.
+	isOnly bool
 	// cancel ends the attempt and closes its connection.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -122,6 +125,8 @@
 	// back before the caller had all events.
 	isReused     bool
 	isGrantEnded bool
+	// isCutInEvent is set if the stream broke off inside an event.
+	isCutInEvent bool
 	// err is why the attempt ended; nil if the response is complete.
 	err error
 
@@ -134,13 +139,15 @@
 	ended    bool
 	// streamEnded is set for a replacement whose stream ended with nothing to add.
 	streamEnded bool
-	end         broker.End
+	// hasContinued is set once the caller has an event of the attempt.
+	hasContinued bool
+	end          broker.End
 }
 
 // startAttempt starts an attempt with the given offer.
-func (s *Service) startAttempt(ctx context.Context, q *request, offer port.BrokerOffer, lastEvent string) *upstreamAttempt {
+func (s *Service) startAttempt(ctx context.Context, q *request, offer port.BrokerOffer, lastEvent string, isOnly bool) *upstreamAttempt {
 	a := &upstreamAttempt{
-		s: s, request: q, offer: offer, lastEvent: lastEvent,
+		s: s, request: q, offer: offer, lastEvent: lastEvent, isOnly: isOnly,
 		progress: make(chan progress, maxPendingProgress), abandoned: make(chan struct{}), writeResult: make(chan error, 1),
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
@@ -235,9 +242,14 @@
 // acquire waits for the grant of an upstream.
 func (a *upstreamAttempt) acquire() error {
 	offeredAt := time.Now()
-	ticket, err := a.s.brokerClient.Acquire(a.ctx, a.offer)
+	ctx, release := a.waitContext()
+	defer release()
+	ticket, err := a.s.brokerClient.Acquire(ctx, a.offer)
 	a.queueTime += time.Since(offeredAt)
 	a.ticket = ticket
+	if err != nil && a.ctx.Err() == nil && errors.Is(context.Cause(ctx), errCannotFinish) {
+		return errCannotFinish
+	}
 	if err != nil {
 		return err
 	}
@@ -281,6 +293,7 @@
 // to earlier requests on the connection, which would otherwise reach the wrong
 // caller. It returns an error for a response that must not be relayed.
 func (a *upstreamAttempt) readResponse() error {
+	follows := a.isReused
 	for range maxStrayResponses + 1 {
 		a.conn.bound.setBound(maxResponseHeadBytes)
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.method})
@@ -292,7 +305,7 @@
 			continue
 		}
 		meta := a.s.dialect.ParseResponse(resp.StatusCode, resp.Header)
-		if a.isReused && isOfUnknownRequest(a.conn, resp, meta) {
+		if follows && a.isOfUnknownRequest(resp, meta) {
 			return a.unknownResponseError(resp, meta)
 		}
 		a.recordNotices(meta)
@@ -302,6 +315,7 @@
 			return a.checkResponse()
 		}
 		a.s.log.Info("answer to another request skipped", a.logFields(zap.String("upstream", a.ticket.Upstream), zap.String("answers", meta.RequestID))...)
+		follows, a.conn.namesRequests = true, true
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes+1)); err != nil {
 			return err
 		} else if n > maxResponseBytes {
@@ -367,6 +381,7 @@
 			return nil
 		}
 		if err != nil {
+			a.isCutInEvent = e.isBegun()
 			return err
 		}
 		if !a.report(progress{kind: eventReceived, event: e}) {
@@ -409,20 +424,30 @@
 }
 
 // releaseConn returns the connection to the pool after a response, or closes it if
-// it can't carry another request.
+// it can't carry another request. One on which a refusal named no request is closed: neither
+// could the next refusal be told from a copy of it.
 func (a *upstreamAttempt) releaseConn(err error) {
 	// An upstream may report a failure before it reads a long body, even if the
 	// kernel has accepted all of it: the next request would wait behind the rest.
 	early := a.resp.StatusCode >= http.StatusBadRequest && len(a.body) > minEarlyResponseBodyBytes
-	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
-	if err != nil || early || !a.isWritten() || a.resp.Close || !framed || a.conn.reader.Buffered() > 0 || !a.detachConn() {
+	unnamed := a.respMeta.RequestID == "" && isRefusal(a.resp.StatusCode, a.respMeta)
+	if err != nil || early || unnamed || !a.isWritten() || a.resp.Close || !a.isFramed() || a.conn.reader.Buffered() > 0 || !a.detachConn() {
 		_ = a.conn.Close()
 		return
 	}
 	a.conn.namesRequests = a.conn.namesRequests || a.respMeta.RequestID != ""
+	if a.isRejected() || a.resp.StatusCode >= http.StatusInternalServerError {
+		a.conn.unserved = append(a.conn.unserved, hashText(a.meta.RequestID))
+	}
 	a.s.conns.put(a.ticket.Address, a.conn, a.resp.Header)
 }
 
+// isFramed reports whether the response states where it ends. Another one ends with its
+// connection.
+func (a *upstreamAttempt) isFramed() bool {
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+}
+
 // isWritten reports whether the whole request was written. The goroutine that wrote it
 // may report that later than the upstream responds.
 func (a *upstreamAttempt) isWritten() bool {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -52,6 +52,8 @@
 	notRunAttempts int
 	triedUpstreams []string
 	stream         stream
+	// stage is how far the request has come; setStage changes it.
+	stage stage
 	// upstreamError is the newest sealed server error of an upstream, relayed if
 	// no other attempt succeeds.
 	upstreamError *response
@@ -138,7 +140,8 @@
 	if x.stream.lastID != "" {
 		lastEvent = x.stream.lastID
 	}
-	return x.s.startAttempt(x.ctx, x.request, offer, lastEvent)
+	isOnly := x.possibleRuns == 0 && (x.current == nil || x.current.ended)
+	return x.s.startAttempt(x.ctx, x.request, offer, lastEvent, isOnly)
 }
 
 // streamVersion returns the software version at which the stream must go on: that of the
@@ -170,6 +173,7 @@
 	a.heardAt = p.at
 	if p.kind == requestSent {
 		x.recordGrant(a)
+		x.advanceStage(stageSent)
 		x.watchSilence()
 		return proceed
 	}
@@ -184,7 +188,7 @@
 // handleEnd handles the end of the current attempt.
 func (x *exchange) handleEnd(a *upstreamAttempt) nextStep {
 	err := a.err
-	if err == nil && x.stream.headerSent {
+	if err == nil && x.isWhole(a) {
 		x.recordStreamEnd(a)
 		return stop
 	}
@@ -237,6 +241,7 @@
 		x.respondNoResponse()
 		return stop
 	}
+	x.advanceStage(stageWaiting)
 	x.current = x.startAttempt()
 	return proceed
 }
@@ -246,6 +251,10 @@
 	if x.ctx.Err() != nil || x.remaining() < minRetryTime || x.notRunAttempts > maxNotRunAttempts {
 		return false
 	}
+	if x.stream.headerSent && x.stream.lastID == "" {
+		// Its events would come once more.
+		return false
+	}
 	if x.possibleRuns > 0 && (!x.route.Repeatable() || x.possibleRuns >= x.route.MaxAttempts) {
 		return false
 	}
@@ -277,9 +286,12 @@
 
 // callerDisconnected reports whether the caller closed its connection.
 func (x *exchange) callerDisconnected() bool {
-	return x.ctx.Err() != nil && !errors.Is(context.Cause(x.ctx), context.DeadlineExceeded)
+	return x.ctx.Err() != nil && !errors.Is(context.Cause(x.ctx), context.DeadlineExceeded) && !x.isAborted()
 }
 
+// isAborted reports whether the request is aborted since the entry stops.
+func (x *exchange) isAborted() bool { return errors.Is(context.Cause(x.ctx), errAborted) }
+
 // respondNoResponse responds to a request after its last attempt failed.
 func (x *exchange) respondNoResponse() {
 	switch {
@@ -289,6 +301,8 @@
 		x.abortStream()
 	case x.upstreamError != nil:
 		x.writeResponse(x.upstreamError)
+	case x.possibleRuns == 0 && x.isAborted():
+		x.respondError(&gatewayError{status: http.StatusServiceUnavailable, code: codeDraining, reason: errAborted.Error(), retryAfter: drainRetryDelay})
 	case x.possibleRuns == 0:
 		x.respondError(&gatewayError{status: http.StatusServiceUnavailable, code: "not_run", reason: "no upstream took the request: " + x.reason, retryAfter: notRunRetryDelay})
 	case x.remaining() <= 0:
@@ -300,6 +314,10 @@
 
 // respondError responds with an error of the entry.
 func (x *exchange) respondError(r *gatewayError) {
+	if x.stream.headerSent {
+		x.reason = r.reason
+		x.abortStream()
+	}
 	x.status, x.outcome, x.reason = r.status, r.code, r.reason
 	x.s.writeError(x.w, r)
 }
@@ -316,6 +334,7 @@
 	if x.stream.headerSent {
 		x.abortStream()
 	}
+	x.setStage(stageResponding)
 	x.status, x.outcome = r.status, outcomeAnswered
 	if r.status >= http.StatusInternalServerError {
 		x.outcome = outcomeUpstreamError
