--- a/cmd/verbenastepd/process_test.go
+++ b/cmd/verbenastepd/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -39,15 +41,30 @@
 	logs *os.File
 }
 
-// build builds the command of this package.
-func build(t *testing.T) string {
-	t.Helper()
-	file := filepath.Join(t.TempDir(), "verbenastepd")
-	out, err := exec.Command("go", "build", "-o", file, ".").CombinedOutput()
-	require.NoError(t, err, "%s", out)
-	return file
+// folder holds the built command.
+var folder string
+
+// TestMain removes the built command at the end.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "verbenastepd")
+	if err != nil {
+		panic(err)
+	}
+	folder = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
 }
 
+// build builds the command of this package once and returns its file.
+var build = sync.OnceValues(func() (string, error) {
+	file := filepath.Join(folder, "verbenastepd")
+	if out, err := exec.Command("go", "build", "-o", file, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return file, nil
+})
+
 // newProcess returns a daemon that is its own only replica, and its settings. It does not run yet
 // and reads its settings from a file.
 func newProcess(t *testing.T, file string) (*process, []byte) {
@@ -59,7 +76,9 @@
 		Roles: []settings.Role{settings.Replica}, DataFolder: t.TempDir(), Replicas: []settings.Peer{{Name: "daemon-1", Address: a[1]}}, Seeds: []string{a[1]},
 	})
 	require.NoError(t, err)
-	return &process{t: t, Cmd: exec.Command(build(t), "-settings", file), callers: a[0], lines: make(chan string, maxLines)}, data
+	command, err := build()
+	require.NoError(t, err)
+	return &process{t: t, Cmd: exec.Command(command, "-settings", file), callers: a[0], lines: make(chan string, maxLines)}, data
 }
 
 // startProcess starts a daemon and waits until it serves.
@@ -164,6 +183,7 @@
 // TestProcessAnswersAfterRepeatedSIGTERM guards against a request in flight that is cut off by a
 // second SIGTERM.
 func TestProcessAnswersAfterRepeatedSIGTERM(t *testing.T) {
+	t.Parallel()
 	p := startProcess(t)
 	c := p.beginRequest()
 	defer c.Close()
@@ -180,6 +200,7 @@
 // TestProcessStopsAtOnceAtSIGINT guards against a person at a terminal who must wait for the end
 // of a drain.
 func TestProcessStopsAtOnceAtSIGINT(t *testing.T) {
+	t.Parallel()
 	p := startProcess(t)
 	c := p.beginRequest()
 	defer c.Close()
@@ -192,6 +213,7 @@
 // TestProcessSurvivesEarlySIGHUP guards against a process that is ended by a request to reload its
 // settings, since it comes before the daemon runs.
 func TestProcessSurvivesEarlySIGHUP(t *testing.T) {
+	t.Parallel()
 	p, pipe, data := startLoading(t)
 	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
 	time.Sleep(5 * pollInterval)
@@ -206,6 +228,7 @@
 // TestProcessBeginsNothingAfterEarlySIGTERM guards against a daemon that starts to serve although
 // it was told to stop before, or that reports a failure.
 func TestProcessBeginsNothingAfterEarlySIGTERM(t *testing.T) {
+	t.Parallel()
 	p, pipe, data := startLoading(t)
 	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
 	time.Sleep(5 * pollInterval)
@@ -222,6 +245,7 @@
 // the reader of the log ends before the daemon, such as the other command of a shell pipeline at
 // Ctrl-C: by default, a write to standard error ends the process then.
 func TestProcessDrainsWithoutReaderOfItsLog(t *testing.T) {
+	t.Parallel()
 	p := startProcess(t)
 	c := p.beginRequest()
 	defer c.Close()
