admin: a stop with a grace period doesn't wait for operators without a bound

A process could be killed at the end of its grace period before its membership told the others that it had left: the administrative interface stops late, and waited up to a minute for a request, such as a scraper's that doesn't read, and up to 5 s for a connection without one.

It has 250 ms now, where there is a grace period; without one it waits as before.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -35,6 +35,8 @@
 	readTimeout   = 30 * time.Second
 	writeTimeout  = time.Minute
 	idleTimeout   = time.Minute
+	// stopTimeout bounds the wait for requests at a stop with a grace period.
+	stopTimeout = 250 * time.Millisecond
 	// maxHeaderBytes is the maximum size of a request header.
 	maxHeaderBytes = 16 << 10
 )
@@ -292,9 +294,20 @@
 	return c.JSON(http.StatusOK, out)
 }
 
-// Stop closes the listener and waits for open requests until ctx ends.
+// Stop closes the listener and waits for open requests until ctx ends, and then closes them:
+// operators may send all requests again. Where the process has a grace period, it waits for
+// stopTimeout at the most, since other services stop after this one.
 func (s *Service) Stop(ctx context.Context) error {
-	return s.server.Shutdown(ctx)
+	if s.set.Routing != nil {
+		bounded, cancel := context.WithTimeout(ctx, stopTimeout)
+		defer cancel()
+		ctx = bounded
+	}
+	if err := s.server.Shutdown(ctx); err != nil {
+		s.log.Info("closing connections that did not end in time", zap.String("address", s.set.Addresses.Admin), zap.Error(err))
+		return s.server.Close()
+	}
+	return nil
 }
 
 // Health always returns nil.
