--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -90,6 +90,9 @@
 func (s *Service) run(r *request, a *answer.Answer, detached <-chan struct{}) {
 	ctx, cancel := context.WithDeadline(s.ctx, r.deadline)
 	defer cancel()
+	if !r.hasCallerKey {
+		defer context.AfterFunc(s.aborting, cancel)()
+	}
 	if !r.hasCallerKey && !r.mustRunOnce() {
 		go cancelWhenDetached(ctx, detached, cancel)
 	}
@@ -225,6 +228,10 @@
 
 func (x *execution) propose(e claims.Effect) claims.Event {
 	ctx := x.ctx
+	if e.Claim.NotRun && x.mayBeAdopted() {
+		// The record of a refusal that nobody is told of would refuse the caller's next attempt.
+		return claims.Event{Kind: claims.ClaimUnconfirmed}
+	}
 	if e.Urgent {
 		urgent, cancel := context.WithTimeout(x.service.ctx, urgentProposalTimeout)
 		defer cancel()
