egress: a tunnel opens beside one that closes

An entry that closed a tunnel and opened another one at the same moment counted the upstream as not reached ("context canceled"); with one other entry to ask, the request was refused as not run. Cause: a canceled stream ends the connection between the entries. The pool hands that out while it ends, and the new stream fails with it. Change: such a stream is opened again after 5 ms, up to three times; nothing was sent on it.

--- a/internal/egress/tunnel.go
+++ b/internal/egress/tunnel.go
@@ -17,6 +17,7 @@
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/internal/port"
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 const (
@@ -34,6 +35,11 @@
 	// minDownResults is how many entries that reach other upstreams must fail to reach one
 	// for the search to end.
 	minDownResults = 2
+	// maxTunnelStreams bounds the streams to one entry for a tunnel, of which those on a
+	// connection that ends with an earlier tunnel fail.
+	maxTunnelStreams = 3
+	// streamRetryDelay is the time in which a connection that ends leaves the pool.
+	streamRetryDelay = 5 * time.Millisecond
 )
 
 // isHelper reports whether a member is another entry that may connect for this one.
@@ -176,8 +182,22 @@
 	s.badPeers[peer.Name] = now.Add(badPeerTime)
 }
 
-// openTunnel asks an entry to connect and returns the tunnel.
+// openTunnel asks an entry to connect and returns the tunnel. It asks again on another connection
+// if the one between the entries ended, as when a tunnel that it carried before is closed.
 func (s *Service) openTunnel(ctx context.Context, cancel context.CancelCauseFunc, peer port.Member, address string) dialed {
+	d := dialed{}
+	for range maxTunnelStreams {
+		d = s.openStream(ctx, cancel, peer, address)
+		if ctx.Err() != nil || !errors.Is(d.err, context.Canceled) {
+			return d
+		}
+		wait.Sleep(ctx, streamRetryDelay)
+	}
+	return d
+}
+
+// openStream opens the stream of a tunnel.
+func (s *Service) openStream(ctx context.Context, cancel context.CancelCauseFunc, peer port.Member, address string) dialed {
 	stream, err := rpc.NewDRPCTunnelClient(s.link.Conn(peer.Peers)).Connect(ctx)
 	if err != nil {
 		return dialed{err: err}
