--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 // writeThen writes a text that may contain the id of the request, and ends the connection.
 func writeThen(text string, end func(c net.Conn)) script {
 	return func(c net.Conn, r *http.Request, _ string) {
-		_, _ = fmt.Fprintf(c, text+"%.0s", r.Header.Get("Id"), "")
+		_, _ = io.WriteString(c, strings.Replace(text, "%s", r.Header.Get("Id"), 1))
 		end(c)
 	}
 }
