forward: a response that is written into a stream is no event

An upstream that wrote an error, or another answer, in the middle of its own stream, without framing or inside a chunk, brought the header of that into the caller's stream, and the stream ended as if it were complete. Cause: every line up to a blank one was taken for a part of an event. Change: an event with a status line in anything but data or a comment, or with another line of a header after a status line in its data, is no event: the stream breaks off there, and is resumed where it may be. Text that quotes a response in data is left alone. Evidence: 24 of 24 cases of TestResponseInStreamIsNoEvent failed before, none now; TestEventMayQuoteResponse passes. An error's text without a header can't be told from an event.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -186,3 +186,48 @@
 		}
 	}
 }
+
+// TestResponseInStreamIsNoEvent guards against the header of a response in a caller's stream: the
+// upstream wrote an error, or another answer, in the middle of its stream.
+func TestResponseInStreamIsNoEvent(t *testing.T) {
+	t.Parallel()
+	const head = "HTTP/1.1 500 x\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\nerror-text"
+	const events = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+	for name, rest := range map[string]string{
+		"between events": head,
+		"in an id":       "id: 3" + head,
+		"in a name":      "id: 3\ndat" + head,
+		"in data":        "id: 3\ndata: pie" + head,
+		"after data":     "id: 3\ndata: piece 3\n" + head,
+		"a copy":         "id: 3\ndata: pie" + strings.Replace(chunkedStreamHead, "%s", "a", 1) + "\r\n" + events,
+	} {
+		for how, text := range map[string]string{
+			"unframed": streamHead + events + rest,
+			"chunk":    chunkedStreamHead + fmt.Sprintf("%x\r\n%s", len(events+rest), events+rest) + "\r\n0\r\n\r\n",
+		} {
+			for _, route := range []string{"stream", "resumable"} {
+				t.Run(name+"/"+how+"/"+route, func(t *testing.T) {
+					t.Parallel()
+					r := newTestEntry(t, newUpstream(t, writeThen(text, closeInOrder)), newUpstream(t, streamEvents(3, 3, true)))
+					out := r.call(route, "b")
+					if route == "resumable" {
+						requireWholeStream(t, out, 3)
+						return
+					}
+					require.Equal(t, events, out.body)
+					require.True(t, out.incomplete, "the stream looks complete")
+				})
+			}
+		}
+	}
+}
+
+// TestEventMayQuoteResponse guards against a stream that is cut since its text quotes a response.
+func TestEventMayQuoteResponse(t *testing.T) {
+	t.Parallel()
+	const events = ": HTTP/1.1 500 x\nevent: text\nid: 1\ndata: HTTP/1.1 500 x\ndata: Content-Length: 10\nretry: 9\n\nx-version: 3\nid: 2\ndata: b\n\n"
+	r := newTestEntry(t, newUpstream(t, writeThen(streamHead+events, closeInOrder)))
+	out := r.call("stream", "b")
+	require.Equal(t, events, out.body)
+	require.False(t, out.incomplete)
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -18,6 +18,7 @@
 var (
 	errPartialEvent  = errors.New("the stream ended in the middle of an event")
 	errMissingEvents = errors.New("the resumed stream does not go on where the first one ended")
+	errForeignBytes  = errors.New("the stream contains another answer")
 	errNotResumed    = errors.New("the answer to a resumption is no stream")
 )
 
@@ -59,6 +60,35 @@
 	id  string
 	// hasData is set if the event has data; one without is a comment or a setting.
 	hasData bool
+	// quotesResponse is set if a line contains the beginning of a response.
+	quotesResponse bool
+}
+
+// addLine notes what a line of the event says. It returns errForeignBytes if the line belongs to a
+// response that was written into the stream: its status line in anything but data or a comment,
+// or another line of its header after that.
+func (e *event) addLine(line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	isField := true
+	switch string(name) {
+	case "id":
+		e.id = string(bytes.TrimSpace(value))
+	case "data":
+		e.hasData = true
+	case "", "event", "retry":
+	default:
+		isField = false
+	}
+	if e.quotesResponse && !isField {
+		return errForeignBytes
+	}
+	if bytes.Contains(line, []byte(statusLineStart)) && containsStatusLine(string(line)) {
+		e.quotesResponse = true
+		if text := string(name); text != "data" && text != "" {
+			return errForeignBytes
+		}
+	}
+	return nil
 }
 
 // isBegun reports whether an event that breaks off has an id or data, or a part of them.
@@ -98,10 +128,9 @@
 		if len(text) == 0 && hasContent {
 			return e, r.flush()
 		}
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			e.id = string(bytes.TrimSpace(value))
+		if err := e.addLine(text); err != nil {
+			return e, err
 		}
-		e.hasData = e.hasData || bytes.HasPrefix(text, []byte("data"))
 	}
 }
 
