--- a/internal/forward/copies_test.go
+++ b/internal/forward/copies_test.go
@@ -237,3 +237,52 @@
 	}
 	require.Equal(t, requests, full.conns)
 }
+
+// TestCopyOfRefusalBesideSilentUpstream guards against a request that runs at more upstreams than its
+// route allows: the replacement for a silent upstream is answered with a copy of an earlier refusal,
+// and runs.
+func TestCopyOfRefusalBesideSilentUpstream(t *testing.T) {
+	t.Parallel()
+	for name, f := range refusals() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u := newCopyingUpstream()
+			silent := func(c net.Conn, _ *http.Request, _ string) {
+				time.Sleep(3 * responseSilence)
+				_ = c.Close()
+			}
+			second := newUpstream(t, u.refuse(f, 0), answerAs(f), u.run(copyOnce))
+			third := newUpstream(t, u.run(copyNever))
+			r := newTestEntry(t, second, third, second, newUpstream(t, silent), second, third, third)
+			require.Equal(t, "own", r.call("once", "b", "Id", "attempt-0").body)
+			require.Equal(t, "a", r.call("once", "b", "Id", "between").body)
+			out := r.call("idempotent", "b")
+			require.Contains(t, []int{http.StatusOK, http.StatusBadGateway}, out.status)
+			require.LessOrEqual(t, u.count("attempt-1"), 1, "runs besides that of the silent upstream")
+		})
+	}
+}
+
+// TestCopyOfUpstreamsOwnRefusalIsNoRefusal guards against a caller that gets an upstream's own 429,
+// 503, 408 or 421, which promise that a request did not run, as a copy of the answer to another one.
+func TestCopyOfUpstreamsOwnRefusalIsNoRefusal(t *testing.T) {
+	t.Parallel()
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, route := range []string{"once", "stream"} {
+			t.Run(fmt.Sprint(status, route), func(t *testing.T) {
+				t.Parallel()
+				u := newCopyingUpstream()
+				own := func(string) string {
+					return fmt.Sprintf("HTTP/1.1 %d x\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno", status)
+				}
+				first := newUpstream(t, u.refuse(own, 0), u.run(copyOnce))
+				r := newTestEntry(t, first)
+				require.GreaterOrEqual(t, r.call("once", "b", "Id", "attempt-0").status, http.StatusBadRequest)
+				r.brokerClient.mu.Lock()
+				r.brokerClient.addresses = append(r.brokerClient.addresses, first.address())
+				r.brokerClient.mu.Unlock()
+				requireAnsweredOnce(t, r.call(route, "b"), u, route)
+			})
+		}
+	}
+}
