forward: a stream goes on at a third upstream after an answer that does not resume it

A resumption that was answered with a success or a client error that is no stream cut the caller's stream off, though the route's attempts allowed another upstream, and counted as completed there. Change: it counts as an answer that does not resume, as it does beside a silent upstream.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/core/routes"
 )
 
 // writeThen writes a text that may contain the id of the request, and ends the connection.
@@ -120,6 +122,24 @@
 	}
 }
 
+// TestStreamIsResumedAfterUnsuitableAnswer guards against a stream that is cut, though an upstream
+// would go on with it, for an answer to its resumption that is no stream or none that continues it.
+func TestStreamIsResumedAfterUnsuitableAnswer(t *testing.T) {
+	t.Parallel()
+	table := testTable()
+	for i := range table.Routes {
+		table.Routes[i].MaxAttempts = 3
+	}
+	for name, resumption := range badResumptions {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newTestEntry(t, newUpstream(t, streamEvents(1, 2, false)), newUpstream(t, resumption), newUpstream(t, streamEvents(3, 5, true)))
+			r.service.view = testView{routes.NewIndex(table)}
+			requireWholeStream(t, r.call("resumable", "b"), 5)
+		})
+	}
+}
+
 // TestCommentDoesNotResumeStream guards against a resumption that is given up, or ended, for the
 // comments before its first event.
 func TestCommentDoesNotResumeStream(t *testing.T) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -214,6 +214,9 @@
 	case a.resp.StatusCode >= http.StatusInternalServerError:
 		x.recordUpstreamError(a)
 		return x.tryAnother()
+	case x.stream.headerSent:
+		x.recordFailure(a, errNotResumed)
+		return x.tryAnother()
 	}
 	x.recordTimeToResponse(a)
 	x.possibleRuns++
