brokerclient: the loss of a broker refuses nothing that the next one could grant

What callers saw: at the planned stop of a control daemon, its entries refused waiting requests with "overloaded" and "limit_exceeded", though the system had capacity and quota for them.

Cause: as soon as the session ended, the entry's local broker decided on what waited, with the entry's own share of the upstreams and of each quota (a ninth there). The next broker, which has the whole, was found 0.1 s later.

Fix: for 200 ms after the loss of a broker, the local broker grants but its refusals for want of its share are kept back.

--- a/internal/brokerclient/local.go
+++ b/internal/brokerclient/local.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
 )
 
@@ -14,6 +15,11 @@
 // the entry finds it within a few round trips.
 const firstBrokerTimeout = 300 * time.Millisecond
 
+// nextBrokerTimeout is how long after the loss of a broker the entry refuses nothing for want of
+// its own share: the next broker has all upstreams and quotas, and after a planned stop it is found
+// within a few round trips.
+const nextBrokerTimeout = 200 * time.Millisecond
+
 // runLocal runs rounds of the local broker while no other broker grants.
 func (s *Service) runLocal() {
 	timer := time.NewTimer(localDecideInterval)
@@ -57,10 +63,38 @@
 		s.settleGrant(g, byEntry)
 	}
 	for _, r := range decisions.Refusals {
-		s.settleRefusal(r, byEntry)
+		if !s.holdRefusal(r) {
+			s.settleRefusal(r, byEntry)
+		}
 	}
-	if delay, waits := s.local.NextDelay(); waits {
-		return delay
+	delay := localDecideInterval
+	if next, waits := s.local.NextDelay(); waits {
+		delay = next
+	}
+	if left := s.heldUntil - s.now(); left > 0 && len(s.heldRefusals) > 0 {
+		return min(left, delay)
+	}
+	s.settleHeldRefusals()
+	return delay
+}
+
+// holdRefusal keeps back a refusal that follows from the entry's own share, and reports whether it
+// did. The request is offered to the next broker; if there is none by heldUntil, it is refused then.
+// The caller holds the lock.
+func (s *Service) holdRefusal(r broker.Refusal) bool {
+	if s.now() >= s.heldUntil || r.Code != broker.Overloaded && r.Code != broker.LimitExceeded {
+		return false
+	}
+	s.heldRefusals = append(s.heldRefusals, r)
+	return true
+}
+
+// settleHeldRefusals delivers the refusals that were kept back. The caller holds the lock.
+func (s *Service) settleHeldRefusals() {
+	for _, r := range s.heldRefusals {
+		// It may have been offered once more, in a session without a broker.
+		s.local.Cancel(r.ID)
+		s.settleRefusal(r, byEntry)
 	}
-	return localDecideInterval
+	s.heldRefusals = nil
 }
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -201,6 +201,7 @@
 	s.metrics.attached.Set(0)
 	if wasAttached {
 		s.metrics.brokerLost.Inc()
+		s.heldUntil = s.now() + nextBrokerTimeout
 	}
 	s.pending.Offers, s.pending.Complete, s.pending.Streams, s.pending.Suspects, s.pending.Limits, s.pending.Rollouts = nil, false, nil, nil, nil, nil
 	now := s.now()
@@ -479,6 +480,7 @@
 // just been found to lead. The caller holds the lock.
 func (s *Service) attach(address string, term uint64) {
 	s.attached = true
+	s.heldRefusals = nil
 	s.metrics.attached.Set(1)
 	s.leaderlessSessions = 0
 	s.backOffUntil = 0
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -37,6 +37,8 @@
 	sessions int
 	offered  map[uint64]bool
 	grants   []*rpc.WorkGrant
+	// stopped ends the sessions, as a daemon that stops does.
+	stopped bool
 }
 
 func (c *control) Session(stream rpc.DRPCBroker_SessionStream) error {
@@ -61,8 +63,11 @@
 		c.mu.Lock()
 		r := &rpc.BrokerReply{Leads: c.leads, Leader: c.leader, LeaderTerm: c.term, Entries: 3, Grants: c.grants, RosterSet: true, Roster: []*rpc.RosterEntry{{Id: "u", Pool: "p", Address: "a", Slots: 6}}}
 		c.grants = nil
-		silent := c.silent
+		silent, stopped := c.silent, c.stopped
 		c.mu.Unlock()
+		if stopped {
+			return nil
+		}
 		if !silent {
 			if err := stream.Send(r); err != nil {
 				return err
