brokerclient: an entry whose broker stops connects to the next one at once

What callers saw: requests that arrive as a control daemon stops wait 50 ms longer for a grant than the new connection takes, beside the round trips.

Cause: the delay between two sessions, which guards against daemons that refuse or fail again and again, applied after a session that had served for long as well.

Fix: no delay after a session in which a broker granted and that lasted for a second, if another daemon is known.

--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -32,8 +32,10 @@
 	// connectTimeout bounds the time to the first message of a session, including the
 	// connection setup.
 	connectTimeout = 600 * time.Millisecond
-	// reconnectDelay is the delay between two sessions.
+	// reconnectDelay is the delay between two sessions, unless a broker granted in the
+	// first and it lasted for minSessionTime.
 	reconnectDelay = 50 * time.Millisecond
+	minSessionTime = time.Second
 	// minLeaderlessTimeout is how long the first session with a daemon that knows no
 	// leader is kept, for its roster. The timeout doubles with each further session up
 	// to maxLeaderlessTimeout: a daemon that is not partitioned names the leader as
@@ -65,6 +67,7 @@
 func (s *Service) runSessions() {
 	for s.ctx.Err() == nil {
 		address := s.nextAddress()
+		began := time.Now()
 		err := s.runSession(s.ctx, address)
 		wasAttached := s.detach(address, err)
 		if errors.Is(err, errNearerDaemon) {
@@ -74,6 +77,10 @@
 		if wasAttached && s.ctx.Err() == nil {
 			s.log.Warn("broker lost", zap.String("address", address), zap.Error(err))
 		}
+		if wasAttached && time.Since(began) >= minSessionTime && len(s.set.KnownReplicas()) > 1 {
+			// Requests wait for the next broker.
+			continue
+		}
 		wait.Sleep(s.ctx, reconnectDelay)
 	}
 }
--- a/internal/brokerclient/stop_test.go
+++ b/internal/brokerclient/stop_test.go
@@ -102,3 +102,27 @@
 	require.Positive(t, refused)
 	require.Less(t, time.Since(began), testTimeout/2)
 }
+
+// TestNextBrokerIsSoughtAtOnce guards against requests that wait for the next broker longer than
+// the connections take: after a planned stop there is one. The best of several stops counts, as
+// the machine may be busy.
+func TestNextBrokerIsSoughtAtOnce(t *testing.T) {
+	const stops = 3
+	s, c := newEntry(t, 2)
+	best := testTimeout
+	for i := range stops {
+		leader, next := c[i%2], c[(i+1)%2]
+		term := uint64(i + 1)
+		leader.set(func(x *control) { x.stopped, x.leads, x.leader, x.term = false, true, leader.address, term })
+		next.set(func(x *control) { x.stopped, x.leads, x.leader, x.term = false, false, leader.address, term })
+		require.Eventually(t, s.isAttached, testTimeout, time.Millisecond)
+		time.Sleep(minSessionTime + backOffDelay)
+		sessions := 0
+		next.set(func(x *control) { x.leads, x.leader, sessions = true, x.address, x.sessions })
+		began := time.Now()
+		leader.set(func(x *control) { x.leads, x.stopped = false, true })
+		require.Eventually(t, func() bool { return next.check(func(x *control) bool { return x.sessions > sessions }) }, testTimeout, time.Millisecond)
+		best = min(best, time.Since(began))
+	}
+	require.Less(t, best, reconnectDelay)
+}
