broker: a daemon that has handed over names the next leader to its entries

Cause: a daemon that does not lead keeps its entries, as it is about to relay. One that stops ends instead, and the entry counted that as a failed session, so that it passed over the nearest of the other daemons, and waited for the delay between sessions.

Fix: a daemon that drains begins no relay. Where it has none, it names the leader, and its stop waits up to 100 ms for entries to leave. An entry that is named another daemon connects at once. A session in which a broker granted does not count as failed, and its daemon not as one that does not relay, however it ends. A follower relays until it stops (TestDrainingFollowerRelaysUntilItStops).

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -22,6 +22,7 @@
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
+	"github.com/verbenastep/verbenastep/internal/wait"
 )
 
 const (
@@ -56,6 +57,10 @@
 	// entriesTimeout is how long a new broker waits for entries before it grants brittle
 	// upstreams. Entries look for a broker after 400 ms and connect within round trips.
 	entriesTimeout = 600 * time.Millisecond
+	// leaveTimeout bounds the wait at a stop for entries that were told of the next leader;
+	// they leave within a round trip. leavePollInterval is how often it is checked.
+	leaveTimeout      = 100 * time.Millisecond
+	leavePollInterval = 5 * time.Millisecond
 	// sendQueueLength is how many messages may wait for a slow entry.
 	sendQueueLength = 64
 )
@@ -90,6 +95,8 @@
 	leads bool
 	// leader is the daemon that leads, as far as this daemon knows.
 	leader port.Leader
+	// draining is set once the daemon stops.
+	draining bool
 	// interim is this daemon's broker for the time without a leader.
 	interim interim
 	// tableVersion is that of the route table in use.
@@ -386,11 +393,12 @@
 
 // reply returns a message with the state that every message to a session carries; without
 // anything else it is a heartbeat. A follower that relays, or will once it reaches the
-// leader, does not name the leader to its entries, so that they stay. An entry or a leader of
-// an earlier version knows no relays. The caller holds the lock.
+// leader, does not name the leader to its entries, so that they stay. One that drains begins no
+// relay. An entry or a leader of an earlier version knows no relays. The caller holds the lock.
 func (s *Service) reply(x *session) *rpc.BrokerReply {
 	r := &rpc.BrokerReply{Leads: s.leads, Interim: s.interim.active && x.interim, Entries: uint32(len(s.sessions)), Leader: s.leader.Address, LeaderTerm: s.leader.Term}
-	if s.leads || !x.relayable || s.relay.unsupportedBy != "" && s.relay.unsupportedBy == s.leader.Address {
+	isLeaving := s.draining && !s.relay.up
+	if s.leads || !x.relayable || isLeaving || s.relay.unsupportedBy != "" && s.relay.unsupportedBy == s.leader.Address {
 		return r
 	}
 	r.Leader = ""
@@ -400,13 +408,43 @@
 	return r
 }
 
-// Stop ends all sessions and the rounds of decisions.
-func (s *Service) Stop(context.Context) error {
+// Drain notes that the daemon stops: it begins no relay, and names the leader to its entries where it
+// has none. It grants or relays until it stops.
+func (s *Service) Drain(context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	return nil
+}
+
+// Stop ends all sessions and the rounds of decisions. A daemon that has handed over its leadership
+// names the next leader to its entries before, and waits shortly for them to leave.
+func (s *Service) Stop(ctx context.Context) error {
+	if s.isDraining() {
+		s.refresh(false)
+		s.awaitLeaving(ctx)
+	}
 	s.cancel()
 	s.done.Wait()
 	return nil
 }
 
+// awaitLeaving waits for the entries that were told of another leader, for leaveTimeout at most.
+func (s *Service) awaitLeaving(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	for ctx.Err() == nil && s.sendsAway() {
+		wait.Sleep(ctx, leavePollInterval)
+	}
+}
+
+// sendsAway reports whether entries that were told of another leader are still connected.
+func (s *Service) sendsAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining && !s.leads && !s.relay.up && s.leader.Address != "" && len(s.listeners) > 0
+}
+
 // Health returns nil: the service works without a leader.
 func (s *Service) Health() error { return nil }
 
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -102,7 +102,7 @@
 			// A daemon that lost its disk hears of the leader before it joins the log.
 			leader = s.view.Leader()
 		}
-		if leads || leader.Address == "" || leader.Address == s.set.Addresses.Peers {
+		if leads || leader.Address == "" || leader.Address == s.set.Addresses.Peers || s.isDraining() {
 			wait.Sleep(s.ctx, relayRetryInterval)
 			continue
 		}
@@ -121,6 +121,12 @@
 	}
 }
 
+func (s *Service) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
 // relayTo runs a relay to the leader at an address until it fails or another daemon leads.
 func (s *Service) relayTo(address string) error {
 	ctx, cancel := context.WithCancelCause(s.ctx)
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -127,10 +127,12 @@
 	// redirectedUntil holds the daemons that named another one to connect to, and until
 	// when that counts.
 	redirectedUntil map[string]time.Duration
-	// failedSessions counts the sessions that ended since the last grant. answered is
-	// true once the daemon of the session has sent a message.
+	// failedSessions counts the sessions since the last one in which a broker granted. answered
+	// is true once the daemon of the session has sent a message, granted once it has been a
+	// broker.
 	failedSessions int
 	answered       bool
+	granted        bool
 	// leaderlessSessions counts the sessions since the last grant that were ended
 	// because the daemon knew no leader.
 	leaderlessSessions int
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -32,8 +32,8 @@
 	// connectTimeout bounds the time to the first message of a session, including the
 	// connection setup.
 	connectTimeout = 600 * time.Millisecond
-	// reconnectDelay is the delay between two sessions, unless a broker granted in the
-	// first and it lasted for minSessionTime.
+	// reconnectDelay is the delay between two sessions, unless the first lasted for
+	// minSessionTime and a broker granted until its end, or it named the next daemon.
 	reconnectDelay = 50 * time.Millisecond
 	minSessionTime = time.Second
 	// minLeaderlessTimeout is how long the first session with a daemon that knows no
@@ -59,6 +59,7 @@
 var (
 	errBrokerTimeout = errors.New("no message from the broker before the timeout")
 	errNotLeader     = errors.New("the daemon does not lead")
+	errMoved         = fmt.Errorf("it names another one: %w", errNotLeader)
 	errNearerDaemon  = fmt.Errorf("a nearer daemon is live: %w", errNotLeader)
 )
 
@@ -77,7 +78,7 @@
 		if wasAttached && s.ctx.Err() == nil {
 			s.log.Warn("broker lost", zap.String("address", address), zap.Error(err))
 		}
-		if wasAttached && time.Since(began) >= minSessionTime && len(s.set.KnownReplicas()) > 1 {
+		if (wasAttached || errors.Is(err, errMoved)) && time.Since(began) >= minSessionTime && len(s.set.KnownReplicas()) > 1 {
 			// Requests wait for the next broker.
 			continue
 		}
@@ -194,9 +195,10 @@
 		s.backOffUntil = s.now() + backOffDelay
 	}
 	wasAttached := s.loseBroker()
-	if !wasAttached {
+	if !s.granted {
 		s.failedSessions++
 	}
+	s.granted = false
 	return wasAttached
 }
 
@@ -380,10 +382,13 @@
 		if leaderless {
 			s.leaderlessSessions++
 		}
-		if moved {
+		if moved && !s.granted {
 			s.redirectedUntil[address] = s.now() + redirectTTL
 		}
-		if s.attached || moved || leaderless {
+		if moved {
+			return errMoved
+		}
+		if s.attached || leaderless {
 			return errNotLeader
 		}
 		return nil
@@ -486,7 +491,7 @@
 // attach offers all waiting and running requests to the broker of the session, which has
 // just been found to lead. The caller holds the lock.
 func (s *Service) attach(address string, term uint64) {
-	s.attached = true
+	s.attached, s.granted = true, true
 	s.heldRefusals = nil
 	s.metrics.attached.Set(1)
 	s.leaderlessSessions = 0
