--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -313,7 +313,7 @@
 		}
 		time.Sleep(tickInterval)
 	}
-	g.log.Warn("leadership not transferred", zap.Duration("timeout", leadershipTransferTimeout))
+	g.log.Warn("leadership not transferred", zap.Duration("after", leadershipTransferTimeout))
 	// A transfer in progress holds up what callers propose.
 	_ = g.do(context.WithoutCancel(ctx), func(e *engine) { e.handOver(false) })
 }
--- a/internal/roster/forwarding.go
+++ b/internal/roster/forwarding.go
@@ -194,7 +194,7 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if unsent := len(p.changes); unsent > 0 {
-				s.log.Warn("stopped before all changes were forwarded", zap.String("address", address), zap.Int("changes", unsent))
+				s.log.Warn("stopped before all changes were forwarded", zap.String("address", address), zap.Int("upstreams", unsent))
 			}
 		})
 	}
