brokerclient: an entry stays with its daemon while leadership is handed over

Cause: an entry leaves a daemon that knows no leader once the session is older than 300 ms. That was counted from the begin of the session, not from the loss of the broker, so that the second message of the change ended every older session. And refusals were kept back for 0.2 s, which a handover to another region takes.

Fix: the time without a leader counts from the loss of the broker. Refusals for want of the entry's own share are kept back for 0.3 s.

--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -98,9 +98,10 @@
 	tableVersion uint64
 	// localAllowedFrom is when the local broker may first grant.
 	localAllowedFrom time.Duration
-	// heldRefusals are those of the local broker until heldUntil; see holdRefusal.
+	// heldRefusals are those of the local broker shortly after the loss of another one; see
+	// holdRefusal. brokerLostAt is when that was; zero if there was none yet.
 	heldRefusals []broker.Refusal
-	heldUntil    time.Duration
+	brokerLostAt time.Duration
 	// quotaLevels holds, by workspace, the fraction of the quota that is left, as the
 	// last broker sent it. It omits full quotas.
 	quotaLevels map[string]float64
--- a/internal/brokerclient/local.go
+++ b/internal/brokerclient/local.go
@@ -17,8 +17,8 @@
 
 // nextBrokerTimeout is how long after the loss of a broker the entry refuses nothing for want of
 // its own share: the next broker has all upstreams and quotas, and after a planned stop it is found
-// within a few round trips.
-const nextBrokerTimeout = 200 * time.Millisecond
+// within a few round trips between regions.
+const nextBrokerTimeout = 300 * time.Millisecond
 
 // runLocal runs rounds of the local broker while no other broker grants.
 func (s *Service) runLocal() {
@@ -71,18 +71,26 @@
 	if next, waits := s.local.NextDelay(); waits {
 		delay = next
 	}
-	if left := s.heldUntil - s.now(); left > 0 && len(s.heldRefusals) > 0 {
+	if left := s.holdTime(); left > 0 && len(s.heldRefusals) > 0 {
 		return min(left, delay)
 	}
 	s.settleHeldRefusals()
 	return delay
 }
 
+// holdTime returns for how long refusals are kept back from now. The caller holds the lock.
+func (s *Service) holdTime() time.Duration {
+	if s.brokerLostAt == 0 {
+		return 0
+	}
+	return s.brokerLostAt + nextBrokerTimeout - s.now()
+}
+
 // holdRefusal keeps back a refusal that follows from the entry's own share, and reports whether it
-// did. The request is offered to the next broker; if there is none by heldUntil, it is refused then.
+// did. The request is offered to the next broker; if there is none in time, it is refused then.
 // The caller holds the lock.
 func (s *Service) holdRefusal(r broker.Refusal) bool {
-	if s.now() >= s.heldUntil || r.Code != broker.Overloaded && r.Code != broker.LimitExceeded {
+	if s.holdTime() <= 0 || r.Code != broker.Overloaded && r.Code != broker.LimitExceeded {
 		return false
 	}
 	s.heldRefusals = append(s.heldRefusals, r)
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -210,7 +210,7 @@
 	s.metrics.attached.Set(0)
 	if wasAttached {
 		s.metrics.brokerLost.Inc()
-		s.heldUntil = s.now() + nextBrokerTimeout
+		s.brokerLostAt = s.now()
 	}
 	s.pending.Offers, s.pending.Complete, s.pending.Streams, s.pending.Suspects, s.pending.Limits, s.pending.Rollouts = nil, false, nil, nil, nil, nil
 	now := s.now()
@@ -280,7 +280,7 @@
 			}
 			silence.restart(brokerTimeout)
 			timeout.Reset(brokerTimeout)
-			err = s.handle(address, r, time.Since(started) > limit)
+			err = s.handle(address, r, time.Since(started) > limit && s.sinceBroker() > limit)
 		case err = <-failed:
 		case <-ctx.Done():
 			err = context.Cause(ctx)
@@ -313,6 +313,13 @@
 	}
 }
 
+// sinceBroker returns the time since a broker granted last.
+func (s *Service) sinceBroker() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now() - s.brokerLostAt
+}
+
 // leaderlessTimeout returns how long the next session without a leader is kept.
 func (s *Service) leaderlessTimeout() time.Duration {
 	s.mu.Lock()
--- a/internal/brokerclient/stop_test.go
+++ b/internal/brokerclient/stop_test.go
@@ -126,3 +126,20 @@
 	}
 	require.Less(t, best, reconnectDelay)
 }
+
+// TestEntryStaysDuringHandover guards against entries that leave a daemon which will lead or relay
+// in a moment, since their session is old: the change of leaders of a planned stop is short.
+func TestEntryStaysDuringHandover(t *testing.T) {
+	s, c := newEntry(t, 2)
+	c[1].set(func(x *control) { x.leader, x.term = c[0].address, 1 })
+	c[0].set(func(x *control) { x.leads, x.leader, x.term = true, x.address, 1 })
+	require.Eventually(t, s.isAttached, testTimeout, time.Millisecond)
+	time.Sleep(2 * minLeaderlessTimeout)
+	sessions := 0
+	c[0].set(func(x *control) { sessions = x.sessions; x.leads, x.leader = false, "" })
+	require.Eventually(t, func() bool { return !s.isAttached() }, testTimeout, time.Millisecond)
+	time.Sleep(minLeaderlessTimeout / 3)
+	c[0].set(func(x *control) { x.leads, x.leader, x.term = true, x.address, 2 })
+	require.Eventually(t, s.isAttached, testTimeout, time.Millisecond)
+	require.True(t, c[0].check(func(x *control) bool { return x.sessions == sessions }), "the entry stayed")
+}
