--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -98,6 +98,10 @@
 	tableVersion uint64
 	// localAllowedFrom is when the local broker may first grant.
 	localAllowedFrom time.Duration
+	// heldRefusals are those of the local broker shortly after the loss of another one; see
+	// holdRefusal. brokerLostAt is when that was; zero if there was none yet.
+	heldRefusals []broker.Refusal
+	brokerLostAt time.Duration
 	// quotaLevels holds, by workspace, the fraction of the quota that is left, as the
 	// last broker sent it. It omits full quotas.
 	quotaLevels map[string]float64
@@ -124,10 +128,12 @@
 	// redirectedUntil holds the daemons that named another one to connect to, and until
 	// when that counts.
 	redirectedUntil map[string]time.Duration
-	// failedSessions counts the sessions that ended since the last grant. answered is
-	// true once the daemon of the session has sent a message.
+	// failedSessions counts the sessions since the last one in which a broker granted. answered
+	// is true once the daemon of the session has sent a message, granted once it has been a
+	// broker.
 	failedSessions int
 	answered       bool
+	granted        bool
 	// leaderlessSessions counts the sessions since the last grant that were ended
 	// because the daemon knew no leader.
 	leaderlessSessions int
--- a/internal/brokerclient/local.go
+++ b/internal/brokerclient/local.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
 )
 
@@ -14,6 +15,11 @@
 // the entry finds it within a few round trips.
 const firstBrokerTimeout = 300 * time.Millisecond
 
+// nextBrokerTimeout is how long after the loss of a broker the entry refuses nothing for want of
+// its own share: the next broker has all upstreams and quotas, and after a planned stop it is found
+// within a few round trips between regions.
+const nextBrokerTimeout = 300 * time.Millisecond
+
 // runLocal runs rounds of the local broker while no other broker grants.
 func (s *Service) runLocal() {
 	timer := time.NewTimer(localDecideInterval)
@@ -57,10 +63,46 @@
 		s.settleGrant(g, byEntry)
 	}
 	for _, r := range decisions.Refusals {
-		s.settleRefusal(r, byEntry)
+		if !s.holdRefusal(r) {
+			s.settleRefusal(r, byEntry)
+		}
+	}
+	delay := localDecideInterval
+	if next, waits := s.local.NextDelay(); waits {
+		delay = next
+	}
+	if left := s.holdTime(); left > 0 && len(s.heldRefusals) > 0 {
+		return min(left, delay)
+	}
+	s.settleHeldRefusals()
+	return delay
+}
+
+// holdTime returns for how long refusals are kept back from now. The caller holds the lock.
+func (s *Service) holdTime() time.Duration {
+	if s.brokerLostAt == 0 {
+		return 0
+	}
+	return s.brokerLostAt + nextBrokerTimeout - s.now()
+}
+
+// holdRefusal keeps back a refusal that follows from the entry's own share, and reports whether it
+// did. The request is offered to the next broker; if there is none in time, it is refused then.
+// The caller holds the lock.
+func (s *Service) holdRefusal(r broker.Refusal) bool {
+	if s.holdTime() <= 0 || r.Code != broker.Overloaded && r.Code != broker.LimitExceeded {
+		return false
 	}
-	if delay, waits := s.local.NextDelay(); waits {
-		return delay
+	s.heldRefusals = append(s.heldRefusals, r)
+	return true
+}
+
+// settleHeldRefusals delivers the refusals that were kept back. The caller holds the lock.
+func (s *Service) settleHeldRefusals() {
+	for _, r := range s.heldRefusals {
+		// It may have been offered once more, in a session without a broker.
+		s.local.Cancel(r.ID)
+		s.settleRefusal(r, byEntry)
 	}
-	return localDecideInterval
+	s.heldRefusals = nil
 }
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -32,8 +32,10 @@
 	// connectTimeout bounds the time to the first message of a session, including the
 	// connection setup.
 	connectTimeout = 600 * time.Millisecond
-	// reconnectDelay is the delay between two sessions.
+	// reconnectDelay is the delay between two sessions, unless the first lasted for
+	// minSessionTime and a broker granted until its end, or it named the next daemon.
 	reconnectDelay = 50 * time.Millisecond
+	minSessionTime = time.Second
 	// minLeaderlessTimeout is how long the first session with a daemon that knows no
 	// leader is kept, for its roster. The timeout doubles with each further session up
 	// to maxLeaderlessTimeout: a daemon that is not partitioned names the leader as
@@ -57,6 +59,7 @@
 var (
 	errBrokerTimeout = errors.New("no message from the broker before the timeout")
 	errNotLeader     = errors.New("the daemon does not lead")
+	errMoved         = fmt.Errorf("it names another one: %w", errNotLeader)
 	errNearerDaemon  = fmt.Errorf("a nearer daemon is live: %w", errNotLeader)
 )
 
@@ -65,6 +68,7 @@
 func (s *Service) runSessions() {
 	for s.ctx.Err() == nil {
 		address := s.nextAddress()
+		began := time.Now()
 		err := s.runSession(s.ctx, address)
 		wasAttached := s.detach(address, err)
 		if errors.Is(err, errNearerDaemon) {
@@ -74,6 +78,10 @@
 		if wasAttached && s.ctx.Err() == nil {
 			s.log.Warn("broker lost", zap.String("address", address), zap.Error(err))
 		}
+		if (wasAttached || errors.Is(err, errMoved)) && time.Since(began) >= minSessionTime && len(s.set.KnownReplicas()) > 1 {
+			// Requests wait for the next broker.
+			continue
+		}
 		wait.Sleep(s.ctx, reconnectDelay)
 	}
 }
@@ -187,9 +195,10 @@
 		s.backOffUntil = s.now() + backOffDelay
 	}
 	wasAttached := s.loseBroker()
-	if !wasAttached {
+	if !s.granted {
 		s.failedSessions++
 	}
+	s.granted = false
 	return wasAttached
 }
 
@@ -201,6 +210,7 @@
 	s.metrics.attached.Set(0)
 	if wasAttached {
 		s.metrics.brokerLost.Inc()
+		s.brokerLostAt = s.now()
 	}
 	s.pending.Offers, s.pending.Complete, s.pending.Streams, s.pending.Suspects, s.pending.Limits, s.pending.Rollouts = nil, false, nil, nil, nil, nil
 	now := s.now()
@@ -270,7 +280,7 @@
 			}
 			silence.restart(brokerTimeout)
 			timeout.Reset(brokerTimeout)
-			err = s.handle(address, r, time.Since(started) > limit)
+			err = s.handle(address, r, time.Since(started) > limit && s.sinceBroker() > limit)
 		case err = <-failed:
 		case <-ctx.Done():
 			err = context.Cause(ctx)
@@ -303,6 +313,13 @@
 	}
 }
 
+// sinceBroker returns the time since a broker granted last.
+func (s *Service) sinceBroker() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now() - s.brokerLostAt
+}
+
 // leaderlessTimeout returns how long the next session without a leader is kept.
 func (s *Service) leaderlessTimeout() time.Duration {
 	s.mu.Lock()
@@ -372,10 +389,13 @@
 		if leaderless {
 			s.leaderlessSessions++
 		}
-		if moved {
+		if moved && !s.granted {
 			s.redirectedUntil[address] = s.now() + redirectTTL
 		}
-		if s.attached || moved || leaderless {
+		if moved {
+			return errMoved
+		}
+		if s.attached || leaderless {
 			return errNotLeader
 		}
 		return nil
@@ -478,7 +498,8 @@
 // attach offers all waiting and running requests to the broker of the session, which has
 // just been found to lead. The caller holds the lock.
 func (s *Service) attach(address string, term uint64) {
-	s.attached = true
+	s.attached, s.granted = true, true
+	s.heldRefusals = nil
 	s.metrics.attached.Set(1)
 	s.leaderlessSessions = 0
 	s.backOffUntil = 0
