--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -46,8 +46,12 @@
 	// has accepted.
 	isStopping atomic.Bool
 	last       chan net.Conn
-	mu         sync.Mutex
-	conns      map[*conn]struct{}
+	// lingers is set by LingerOnClose.
+	lingers atomic.Bool
+	// lingering is the number of connections that linger.
+	lingering atomic.Int64
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
 }
 
 // New returns a listener on top of another one, which must be a *net.TCPListener with the
@@ -77,6 +81,8 @@
 	// it did not; the lock of the listener guards both.
 	idleSince  time.Time
 	idleInputs int64
+	// isClosed is set once the server has closed the connection, which may linger then.
+	isClosed atomic.Bool
 
 	mu sync.Mutex
 	// isEnding is set while the next read ends the connection unless a request has begun to
@@ -97,11 +103,15 @@
 }
 
 // Handler returns a handler that marks the connection of each request as busy until OnStateChange
-// is called with StateIdle, and calls next. The server buffers a request that arrives together with
-// an earlier one, so that no read from the connection shows it.
+// is called with StateIdle, and calls next unless the server has closed the connection. The server
+// buffers a request that arrives together with an earlier one, so that no read from the connection
+// shows it.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			if c.isClosed.Load() {
+				return
+			}
 			c.recordInput()
 			c.requests.Add(1)
 		}
@@ -156,6 +166,9 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(p)
+		if c.isClosed.Load() {
+			return 0, net.ErrClosed
+		}
 		if !c.endRead(n, len(p), err) {
 			return n, err
 		}
@@ -191,7 +204,7 @@
 		c.recordInput()
 		c.keep()
 	}
-	if c.isEnding {
+	if c.isEnding || c.isClosed.Load() {
 		return nil
 	}
 	return c.TCPConn.SetReadDeadline(t)
@@ -218,8 +231,32 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Where the connection lingers, reads and writes end at once and the
+// caller is told that nothing follows, but the listener holds the connection until that has ended.
 func (c *conn) Close() error {
+	if c.isClosed.Swap(true) {
+		return net.ErrClosed
+	}
+	if !c.lingersOnClose() {
+		return c.release()
+	}
+	if c.listener.lingering.Add(1) > maxLingering {
+		c.listener.lingering.Add(-1)
+		return c.release()
+	}
+	// A read that ends makes the server write, which must fail by then.
+	if err := c.CloseWrite(); err != nil {
+		c.listener.lingering.Add(-1)
+		_ = c.release()
+		return err
+	}
+	_ = c.TCPConn.SetDeadline(expired)
+	go c.linger()
+	return nil
+}
+
+// release closes the socket.
+func (c *conn) release() error {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
@@ -241,6 +278,7 @@
 	if l.isStopping.Swap(true) {
 		return
 	}
+	l.LingerOnClose()
 	_ = l.SetDeadline(time.Unix(1, 0))
 	defer close(l.last)
 	fds := []int{}
@@ -357,7 +395,7 @@
 
 // isIdle reports whether no part of a request has arrived since the last one ended.
 func (c *conn) isIdle() bool {
-	if c.hasInput.Load() || !c.wasUsed.Load() && time.Since(c.acceptedAt) < newConnTime {
+	if c.isClosed.Load() || c.hasInput.Load() || !c.wasUsed.Load() && time.Since(c.acceptedAt) < newConnTime {
 		return false
 	}
 	return !controlSocket(c, hasUnread)
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -25,15 +25,21 @@
 	// connections are accepted.
 	acceptTenths = 4
 	tenths       = 10
-	// durationFactor and durationMargin are applied to the expected duration of a request: an
-	// estimate is an average, and the response still has to reach the caller.
-	durationFactor = 1.5
+	// durationMargin is added to the expected duration of a request: the response still has to
+	// reach the caller.
 	durationMargin = 200 * time.Millisecond
+	// durationFactor is applied to the expected duration at the upstream that is granted, which is
+	// an average. lateDurationFactor takes its place for requests that arrive after the answers
+	// of the directory that named the entry have expired: their callers know other entries.
+	durationFactor     = 1.25
+	lateDurationFactor = 2
 	// drainRetryDelay is the Retry-After of requests that a draining entry does not begin. Other
 	// entries can serve them at once.
 	drainRetryDelay = 50 * time.Millisecond
-	// abortTimeout bounds the time in which aborted requests deliver their last response.
-	abortTimeout = 250 * time.Millisecond
+	// maxAbortTime bounds the time in which aborted requests deliver their last response;
+	// abortShare is the divisor of what is left of the grace period that bounds it as well.
+	maxAbortTime = 250 * time.Millisecond
+	abortShare   = 3
 )
 
 // codeDraining is the code of the refusal of a request that the entry can't end before it stops.
@@ -48,9 +54,11 @@
 
 // drain is a planned stop that has begun.
 type drain struct {
-	// began is when the stop was ordered, end when requests that are still in flight are aborted.
-	began time.Time
-	end   time.Time
+	// began is when the stop was ordered, expired when the last answer of the directory that named
+	// the entry has expired, end when requests that are still in flight are aborted.
+	began   time.Time
+	expired time.Time
+	end     time.Time
 }
 
 // Drain announces that the entry leaves the directory and serves callers that
@@ -61,11 +69,14 @@
 	ttl := settings.Milliseconds(s.set.Routing.AnswerTTLMS)
 	grace := settings.Milliseconds(s.set.Routing.GraceMS)
 	began := time.Now()
-	d := &drain{began: began, end: began.Add(s.set.Routing.DrainTime())}
+	acceptTime := min(directoryTTLs*ttl+announceDelay, grace*acceptTenths/tenths)
+	d := &drain{began: began, expired: began.Add(min(directoryTTLs*ttl, acceptTime)), end: began.Add(s.set.Routing.DrainTime())}
+	if t, ok := ctx.Deadline(); ok && t.Before(d.end) {
+		d.end = t
+	}
 	s.drain.Store(d)
 	s.beginDrain()
 	s.drainAnnouncer.AnnounceDrain()
-	acceptTime := min(directoryTTLs*ttl+announceDelay, grace*acceptTenths/tenths)
 	s.log.Info("left the directory; serving callers that hold an older answer", zap.Duration("for", acceptTime), zap.Duration("grace", grace),
 		zap.Object("in_flight", s.stages.count()))
 	wait.Sleep(ctx, acceptTime)
@@ -74,28 +85,35 @@
 	s.listener.StopAccepting()
 	s.log.Info("accepting no more connections", zap.Duration("after", time.Since(began)), zap.Object("in_flight", s.stages.count()))
 	s.listener.WaitIdle(inTime)
-	select {
-	case <-s.inFlight.Idle():
+	if inTime.Err() == nil {
+		// All connections are closed, so that this waits for handlers only that write no more.
+		<-s.inFlight.Idle()
 		s.log.Info("all requests ended", zap.Duration("after", time.Since(began)))
-	case <-inTime.Done():
-		s.log.Warn("grace period ends; aborting requests in flight", zap.Duration("after", time.Since(began)), zap.Bool("ordered", errors.Is(ctx.Err(), context.Canceled)),
-			zap.Object("in_flight", s.stages.count()))
-		s.abortRequests()
+		return nil
 	}
+	s.log.Warn("grace period ends; aborting requests in flight", zap.Duration("after", time.Since(began)), zap.Bool("ordered", errors.Is(ctx.Err(), context.Canceled)),
+		zap.Object("in_flight", s.stages.count()))
+	s.abortRequests(min(maxAbortTime, (grace-s.set.Routing.DrainTime())/abortShare))
 	return nil
 }
 
 // abortRequests ends the requests in flight: those without a response yet get one that says
-// whether they may have run, streams are broken off.
-func (s *Service) abortRequests() {
+// whether they may have run, streams are broken off. timeout is for the callers to take the
+// responses; connections that are left are closed then, and their handlers have as long to end.
+func (s *Service) abortRequests(timeout time.Duration) {
 	s.abort()
-	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	s.listener.WaitIdle(ctx)
 	if left := s.stages.count(); left != (stageCounts{}) {
 		s.log.Warn("requests did not end; closing their connections", zap.Object("in_flight", left))
 	}
 	_ = s.server.Close()
+	select {
+	case <-s.inFlight.Idle():
+	case <-time.After(timeout):
+		s.log.Error("requests in flight did not end with their connections", zap.Object("in_flight", s.stages.count()))
+	}
 }
 
 // isDraining reports whether a planned stop has begun.
@@ -103,7 +121,8 @@
 
 // latestStart returns the latest time at which an upstream may begin the request so that it ends
 // before the entry aborts it: at any time if its deadline is earlier, and never if nothing tells
-// how long it takes, as with streams of plain services. upstream is empty if none is granted yet.
+// how long it takes, as with streams of plain services. While upstream is empty, since none is
+// granted, the request may still get the fastest.
 func (d *drain) latestStart(s *Service, q *request, upstream string) time.Time {
 	if !q.deadline.After(d.end) {
 		return q.deadline
@@ -111,11 +130,21 @@
 	if q.route.Kind == routes.Stream && q.engine == nil {
 		return d.began
 	}
-	expected, known := s.brokerClient.ExpectedDuration(q.offer(s).Offer, upstream)
+	offer, factor := q.offer(s).Offer, 1.0
+	if upstream != "" {
+		factor = durationFactor
+	}
+	if q.meta.ExpectedOutputTokens == 0 {
+		offer.OutputTokens = q.meta.MaxTokens
+	}
+	if q.arrived.After(d.expired) {
+		offer.OutputTokens, factor = q.meta.MaxTokens, lateDurationFactor
+	}
+	expected, known := s.brokerClient.ExpectedDuration(offer, upstream)
 	if !known {
 		return d.began
 	}
-	return d.end.Add(-time.Duration(durationFactor*float64(expected)) - durationMargin)
+	return d.end.Add(-time.Duration(factor*float64(expected)) - durationMargin)
 }
 
 // refuseAtDrain returns the refusal of a request that a draining entry can't end in time, or nil.
@@ -127,9 +156,13 @@
 	return &gatewayError{status: http.StatusServiceUnavailable, code: codeDraining, reason: errCannotFinish.Error(), retryAfter: drainRetryDelay}
 }
 
-// waitContext returns the context of a wait for a grant. It ends with errCannotFinish at the latest
-// time at which the request may begin, if the entry drains.
+// waitContext returns the context of a wait for a grant. If the entry drains, it ends with
+// errCannotFinish at the latest time at which the request may begin. A request that may have run
+// waits on: its caller can't be told to send it elsewhere.
 func (a *upstreamAttempt) waitContext() (ctx context.Context, release func()) {
+	if !a.isOnly {
+		return a.ctx, func() {}
+	}
 	ctx, cancel := context.WithCancelCause(a.ctx)
 	unregister := context.AfterFunc(a.s.drainBegan, func() {
 		latest := a.s.drain.Load().latestStart(a.s, a.request, "")
@@ -146,7 +179,7 @@
 // the upstream. It reports whether it did.
 func (a *upstreamAttempt) returnUnfinishable() bool {
 	d := a.s.drain.Load()
-	if d == nil || !time.Now().After(d.latestStart(a.s, a.request, a.ticket.Upstream)) {
+	if d == nil || !a.isOnly || !time.Now().After(d.latestStart(a.s, a.request, a.ticket.Upstream)) {
 		return false
 	}
 	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), a.s.drainFields(a.request, stageWaiting))...)
