brokerclient: a stop tells the broker of the grants that have ended

What was seen: grants that ended right before an entry stopped, as all do that are aborted at the end of its grace period, kept their slots at the broker until two seconds after their expected end.

Cause: Stop canceled the session with what it had not sent yet.

Fix: the session sends a last message; Stop waits for that, for 100 ms at most.

--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -65,6 +65,10 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
+	// stopping ends as Stop begins. lastSent is closed once the last session has ended.
+	stopping context.Context
+	beginEnd context.CancelFunc
+	lastSent chan struct{}
 	// wakeSession notifies the session of pending messages, wakeLocal the loop of the
 	// local broker.
 	wakeSession chan struct{}
@@ -162,11 +166,14 @@
 	if o := set.Routing.Overload; o != nil {
 		local.SetOverload(broker.Overload{MaxCommitments: o.MaxCommitments, ReturnShare: o.ReturnShare})
 	}
-	return &Service{
+	s := &Service{
 		set: set, log: log.Named("work"), metrics: newMetrics(), self: self.String(), started: time.Now(), elapsed: clock.SinceBoot, wakeSession: make(chan struct{}, 1), wakeLocal: make(chan struct{}, 1),
 		waiting: map[uint64]*acquisition{}, running: map[uint64]*acquisition{}, local: local, entries: 1, roster: map[string]*rpc.RosterEntry{},
 		quotaLevels: map[string]float64{}, localUse: map[string]int64{}, retired: map[string]retirement{}, redirectedUntil: map[string]time.Duration{}, reportedUse: map[string]int64{},
+		lastSent: make(chan struct{}),
 	}
+	s.stopping, s.beginEnd = context.WithCancel(context.Background())
+	return s
 }
 
 // Name returns the service's name.
@@ -364,8 +371,16 @@
 	close(a.settled)
 }
 
-// Stop ends the session and the local broker's loop.
+// lastMessageTimeout bounds the time in which a stop tells the broker of the grants that have ended.
+const lastMessageTimeout = 100 * time.Millisecond
+
+// Stop ends the session, with what the broker was not told yet, and the local broker's loop.
 func (s *Service) Stop(context.Context) error {
+	s.beginEnd()
+	select {
+	case <-s.lastSent:
+	case <-time.After(lastMessageTimeout):
+	}
 	s.cancel()
 	s.done.Wait()
 	return nil
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -60,13 +60,15 @@
 	errBrokerTimeout = errors.New("no message from the broker before the timeout")
 	errNotLeader     = errors.New("the daemon does not lead")
 	errMoved         = fmt.Errorf("it names another one: %w", errNotLeader)
+	errStopping      = errors.New("the entry stops")
 	errNearerDaemon  = fmt.Errorf("a nearer daemon is live: %w", errNotLeader)
 )
 
 // runSessions keeps a session with the leader, or with another control daemon for its
 // roster while no leader is known.
 func (s *Service) runSessions() {
-	for s.ctx.Err() == nil {
+	defer close(s.lastSent)
+	for s.ctx.Err() == nil && s.stopping.Err() == nil {
 		address := s.nextAddress()
 		began := time.Now()
 		err := s.runSession(s.ctx, address)
@@ -75,14 +77,14 @@
 			s.log.Info("moving to a nearer daemon", zap.String("address", address))
 			continue
 		}
-		if wasAttached && s.ctx.Err() == nil {
+		if wasAttached && s.ctx.Err() == nil && s.stopping.Err() == nil {
 			s.log.Warn("broker lost", zap.String("address", address), zap.Error(err))
 		}
 		if (wasAttached || errors.Is(err, errMoved)) && time.Since(began) >= minSessionTime && len(s.set.KnownReplicas()) > 1 {
 			// Requests wait for the next broker.
 			continue
 		}
-		wait.Sleep(s.ctx, reconnectDelay)
+		wait.Sleep(s.stopping, reconnectDelay)
 	}
 }
 
@@ -282,6 +284,8 @@
 			timeout.Reset(brokerTimeout)
 			err = s.handle(address, r, time.Since(started) > limit && s.sinceBroker() > limit)
 		case err = <-failed:
+		case <-s.stopping.Done():
+			err = errors.Join(s.send(stream), errStopping)
 		case <-ctx.Done():
 			err = context.Cause(ctx)
 		}
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -37,6 +37,8 @@
 	sessions int
 	offered  map[uint64]bool
 	grants   []*rpc.WorkGrant
+	// ended counts the ends of grants.
+	ended int
 	// stopped ends the sessions, as a daemon that stops does.
 	stopped bool
 }
@@ -56,6 +58,7 @@
 			for _, o := range ask.Offers {
 				c.offered[o.Id] = o.Running != ""
 			}
+			c.ended += len(ask.Ends)
 			c.mu.Unlock()
 		}
 	}()
@@ -551,3 +554,20 @@
 	s.detach(first, errNotLeader)
 	require.NotEqual(t, first, s.nextAddress())
 }
+
+// TestStopTellsOfEndedGrants guards against slots that the broker keeps taken for seconds after an
+// entry has stopped: the grants ended right before it did.
+func TestStopTellsOfEndedGrants(t *testing.T) {
+	for range 20 {
+		s, c := newEntry(t, 1)
+		ticket, err := acquire(s)
+		require.NoError(t, err)
+		c[0].set(func(x *control) { x.leads, x.leader = true, x.address })
+		require.Eventually(t, func() bool {
+			return s.isAttached() && c[0].check(func(x *control) bool { return x.offered[ticket.ID.Number] })
+		}, testTimeout, time.Millisecond)
+		ticket.End(broker.End{Outcome: broker.Canceled})
+		require.NoError(t, s.Stop(context.Background()))
+		require.Eventually(t, func() bool { return c[0].check(func(x *control) bool { return x.ended == 1 }) }, time.Second, time.Millisecond)
+	}
+}
