forward: connections linger from the begin of a drain

An answer that was written whole could arrive in part where its connection was closed with unread bytes, between the begin of a drain and the end of the listener: connections lingered from StopAccepting on only.

--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -76,6 +76,7 @@
 	}
 	s.drain.Store(d)
 	s.beginDrain()
+	s.listener.LingerOnClose()
 	s.drainAnnouncer.AnnounceDrain()
 	s.log.Info("left the directory; serving callers that hold an older answer", zap.Duration("for", acceptTime), zap.Duration("grace", grace),
 		zap.Object("in_flight", s.stages.count()))
