forward: a replacement that is left alone may be refused while the entry drains

Callers saw: a stream was begun and cut off at the end of the grace period. Its first upstream was silent, and said that it had not run the request while the replacement waited for a grant.

Cause: whether an attempt is the only one was settled when it started.

Evidence: TestDrainRefusesReplacementsOfWhatDidNotRun failed 3 of 3 (cut off), passes 3 of 3 with the race detector, as do the tests of stops, drains, silence and replacements.

Fix: a replacement becomes the only attempt once the other one ended without having run the request.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -83,8 +83,8 @@
 	// lastEvent is the id of the event after which a stream resumes; empty for none.
 	lastEvent string
 	// isOnly is set if no other attempt has run the request or may run it, so that it can still be
-	// refused.
-	isOnly bool
+	// refused. A replacement becomes the only attempt if the other one did not run the request.
+	isOnly atomic.Bool
 	// cancel ends the attempt and closes its connection.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -147,9 +147,10 @@
 // startAttempt starts an attempt with the given offer.
 func (s *Service) startAttempt(ctx context.Context, q *request, offer port.BrokerOffer, lastEvent string, isOnly bool) *upstreamAttempt {
 	a := &upstreamAttempt{
-		s: s, request: q, offer: offer, lastEvent: lastEvent, isOnly: isOnly,
+		s: s, request: q, offer: offer, lastEvent: lastEvent,
 		progress: make(chan progress, maxPendingProgress), abandoned: make(chan struct{}), writeResult: make(chan error, 1),
 	}
+	a.isOnly.Store(isOnly)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	go func() {
 		defer close(a.progress)
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -161,7 +161,7 @@
 // errCannotFinish at the latest time at which the request may begin. A request that may have run
 // waits on: its caller can't be told to send it elsewhere.
 func (a *upstreamAttempt) waitContext() (ctx context.Context, release func()) {
-	if !a.isOnly {
+	if !a.isOnly.Load() {
 		return a.ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(a.ctx)
@@ -180,7 +180,7 @@
 // the upstream. It reports whether it did.
 func (a *upstreamAttempt) returnUnfinishable() bool {
 	d := a.s.drain.Load()
-	if d == nil || !a.isOnly || !time.Now().After(d.latestStart(a.s, a.request, a.ticket.Upstream)) {
+	if d == nil || !a.isOnly.Load() || !time.Now().After(d.latestStart(a.s, a.request, a.ticket.Upstream)) {
 		return false
 	}
 	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), a.s.drainFields(a.request, stageWaiting))...)
--- a/internal/forward/drainadmission_test.go
+++ b/internal/forward/drainadmission_test.go
@@ -292,3 +292,54 @@
 	require.Zero(t, u.requests())
 	<-stopped
 }
+
+// lateBroker grants the first attempt at once and further ones after a while.
+type lateBroker struct {
+	paceBroker
+	mu        sync.Mutex
+	addresses []string
+	attempts  int
+	late      time.Duration
+}
+
+func (c *lateBroker) Acquire(ctx context.Context, o port.BrokerOffer) (port.BrokerTicket, error) {
+	c.mu.Lock()
+	i := c.attempts
+	c.attempts++
+	c.mu.Unlock()
+	if i > 0 {
+		select {
+		case <-time.After(c.late):
+		case <-ctx.Done():
+			return port.BrokerTicket{}, ctx.Err()
+		}
+	}
+	a := c.addresses[min(i, len(c.addresses)-1)]
+	return port.BrokerTicket{Grant: broker.Grant{ID: o.ID, Upstream: "u-" + a, Address: a}, End: func(broker.End) {}}, nil
+}
+
+// TestDrainRefusesReplacementsOfWhatDidNotRun guards against streams that are begun and cut off: a
+// replacement waited for its grant, as the silent upstream said that it had not run the request.
+func TestDrainRefusesReplacementsOfWhatDidNotRun(t *testing.T) {
+	t.Parallel()
+	rejectLate := func(c net.Conn, r *http.Request, b string) {
+		time.Sleep(750 * time.Millisecond)
+		rejectNotRun(c, r, b)
+	}
+	first, second := newUpstream(t, rejectLate), newUpstream(t, paceUpstream)
+	r, _, _, stop := newPacedEntry(t)
+	r.service.brokerClient = &lateBroker{addresses: []string{first.ln.Addr().String(), second.ln.Addr().String()}, late: 400 * time.Millisecond}
+	c := r.connect(t)
+	c.send("resumable", 500)
+	require.Eventually(t, func() bool { return first.requests() == 1 }, stopTimeout, time.Millisecond)
+	time.Sleep(minEngineResponseTimeout / 2)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	resp, err := c.receive()
+	requireRefusal(t, resp, err)
+	require.Zero(t, second.requests())
+	<-stopped
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -237,6 +237,7 @@
 	x.silence.Stop()
 	if x.replacement != nil {
 		x.current, x.replacement = x.replacement, nil
+		x.current.isOnly.Store(x.possibleRuns == 0)
 		x.watchSilence()
 		return proceed
 	}
