broker: without a measured upstream the duration of a request is not known

The entry had started 2 to 6 s before; it reckoned with 7 ms a token, where no upstream took less than 16.

Evidence: the added checks of TestExpectedDurationIsUnknownWithoutBasis failed before.

--- a/core/broker/duration.go
+++ b/core/broker/duration.go
@@ -8,7 +8,7 @@
 // ExpectedDuration estimates the time from the grant of a request to the end of a response of
 // OutputTokens at an upstream of its pool: at the fastest one if upstream is empty, at the slowest
 // if the speed of the upstream is not known yet. It returns false if nothing tells how long the
-// response gets, or the pool has no upstream.
+// response gets, or no upstream of the pool has been measured.
 func (b *Broker) ExpectedDuration(o Offer, upstream string) (time.Duration, bool) {
 	p := b.pools[o.Pool]
 	if p == nil || p.engine != nil && o.OutputTokens == 0 {
@@ -20,15 +20,13 @@
 	}
 	durations := []time.Duration{}
 	for _, u := range p.order {
-		if !u.isLeaving() && (u.ID == upstream || p.isMeasured(u)) {
+		if !u.isLeaving() && p.isMeasured(u) {
 			durations = append(durations, p.duration(req, u))
 		}
 	}
 	switch {
-	case len(p.order) == 0:
-		return 0, false
 	case len(durations) == 0:
-		return p.duration(req, p.order[0]), true
+		return 0, false
 	case upstream == "":
 		return slices.Min(durations), true
 	}
--- a/core/broker/duration_test.go
+++ b/core/broker/duration_test.go
@@ -33,13 +33,17 @@
 }
 
 // TestExpectedDurationIsUnknownWithoutBasis guards against an estimate for responses of which
-// nothing tells how long they get, or of pools without upstreams.
+// nothing tells how long they get, or of pools of which no upstream has been measured.
 func TestExpectedDurationIsUnknownWithoutBasis(t *testing.T) {
 	b := newEngineBroker(1, 4)
 	o := newOffer(1)
 	_, known := b.ExpectedDuration(o, "")
 	require.False(t, known)
 	o.OutputTokens = 10
+	_, known = b.ExpectedDuration(o, "")
+	require.False(t, known, "no upstream has been measured")
+	_, known = b.ExpectedDuration(o, "u")
+	require.False(t, known, "no upstream has been measured")
 	o.Pool = "other"
 	_, known = b.ExpectedDuration(o, "")
 	require.False(t, known)
