forward: refusals name the route and the pool that they concern

The log line and the counter of a request that was refused before it was offered named neither, also where they are known, as for what a draining entry refuses: operators could not tell whose callers were sent elsewhere.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -244,15 +244,18 @@
 // recordRefusal logs and counts a request that was refused before it was offered
 // to the broker; q is nil if no route table is known.
 func (s *Service) recordRefusal(q *request, r *gatewayError) {
-	id, version := "", uint64(0)
-	if q != nil {
-		id, version = q.meta.RequestID, q.tableVersion
+	fields, pool, rank := []zap.Field{}, "", ""
+	switch {
+	case q != nil && q.route != nil:
+		fields, pool, rank = q.logFields(), q.pool, strconv.Itoa(q.rank)
+	case q != nil:
+		fields = append(fields, zap.String("request", q.meta.RequestID), zap.Uint64("table", q.tableVersion))
 	}
-	s.metrics.requests.WithLabelValues("", "", r.code).Inc()
+	s.metrics.requests.WithLabelValues(pool, rank, r.code).Inc()
 	if s.isDraining() {
 		s.metrics.drained.WithLabelValues(stageWaiting.String(), r.code).Inc()
 	}
-	s.log.Info("request refused", zap.String("request", id), zap.Uint64("table", version), zap.Int("status", r.status), zap.String("outcome", r.code), zap.String("why", r.reason), s.drainFields(q, stageWaiting))
+	s.log.Info("request refused", append(fields, zap.Int("status", r.status), zap.String("outcome", r.code), zap.String("why", r.reason), s.drainFields(q, stageWaiting))...)
 }
 
 // recordEnd logs and counts a request that ended, also if its stream was aborted.
