egress: a tunnel is asked for again as long as its connection ends

A request was refused as not run where another tunnel closed at the same moment, on a busy machine: three attempts within 10 ms were not always enough for the connection that ends to leave the pool.

--- a/internal/egress/tunnel.go
+++ b/internal/egress/tunnel.go
@@ -35,10 +35,8 @@
 	// minDownResults is how many entries that reach other upstreams must fail to reach one
 	// for the search to end.
 	minDownResults = 2
-	// maxTunnelStreams bounds the streams to one entry for a tunnel, of which those on a
-	// connection that ends with an earlier tunnel fail.
-	maxTunnelStreams = 3
-	// streamRetryDelay is the time in which a connection that ends leaves the pool.
+	// streamRetryDelay is the delay after a stream that failed since its connection ends with
+	// an earlier tunnel. The connection leaves the pool meanwhile.
 	streamRetryDelay = 5 * time.Millisecond
 )
 
@@ -183,17 +181,16 @@
 }
 
 // openTunnel asks an entry to connect and returns the tunnel. It asks again on another connection
-// if the one between the entries ended, as when a tunnel that it carried before is closed.
+// as long as the one between the entries ends, as when a tunnel that it carried before is closed;
+// a busy machine takes a while to remove it from the pool.
 func (s *Service) openTunnel(ctx context.Context, cancel context.CancelCauseFunc, peer port.Member, address string) dialed {
-	d := dialed{}
-	for range maxTunnelStreams {
-		d = s.openStream(ctx, cancel, peer, address)
+	for {
+		d := s.openStream(ctx, cancel, peer, address)
 		if ctx.Err() != nil || !errors.Is(d.err, context.Canceled) {
 			return d
 		}
 		wait.Sleep(ctx, streamRetryDelay)
 	}
-	return d
 }
 
 // openStream opens the stream of a tunnel.
