--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -76,6 +76,7 @@
 	}
 	s.drain.Store(d)
 	s.beginDrain()
+	s.listener.LingerOnClose()
 	s.drainAnnouncer.AnnounceDrain()
 	s.log.Info("left the directory; serving callers that hold an older answer", zap.Duration("for", acceptTime), zap.Duration("grace", grace),
 		zap.Object("in_flight", s.stages.count()))
@@ -160,7 +161,7 @@
 // errCannotFinish at the latest time at which the request may begin. A request that may have run
 // waits on: its caller can't be told to send it elsewhere.
 func (a *upstreamAttempt) waitContext() (ctx context.Context, release func()) {
-	if !a.isOnly {
+	if !a.isOnly.Load() {
 		return a.ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(a.ctx)
@@ -179,7 +180,7 @@
 // the upstream. It reports whether it did.
 func (a *upstreamAttempt) returnUnfinishable() bool {
 	d := a.s.drain.Load()
-	if d == nil || !a.isOnly || !time.Now().After(d.latestStart(a.s, a.request, a.ticket.Upstream)) {
+	if d == nil || !a.isOnly.Load() || !time.Now().After(d.latestStart(a.s, a.request, a.ticket.Upstream)) {
 		return false
 	}
 	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), a.s.drainFields(a.request, stageWaiting))...)
