Tests: an upstream that is out of reach keeps its port

TestLostAnswerIsNoRefusal failed in 2 of 30 runs on: its unreachable upstream was the port of a listener that had been closed, which the kernel may give to a listener of a test beside it. The port is now held by a socket that is bound and does not listen, so that connections are refused as before. 10 runs with the race detector at a load of 30 on 8 cores pass; the failure itself was not caught in the act.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -105,10 +105,7 @@
 // reached for the resumption.
 func TestResumptionThatIsRefusedBreaksOff(t *testing.T) {
 	t.Parallel()
-	refused, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	unreachable := &scriptedUpstream{ln: refused}
-	require.NoError(t, refused.Close())
+	unreachable := unreachableUpstream(t)
 	for name, others := range map[string][]*scriptedUpstream{"not granted": nil, "not reached": {unreachable, unreachable}} {
 		for _, route := range []string{"stream", "resumable"} {
 			t.Run(name+" "+route, func(t *testing.T) {
--- a/internal/forward/reports_test.go
+++ b/internal/forward/reports_test.go
@@ -155,10 +155,7 @@
 		fmt.Fprintf(c, sealedHead+"Content-Length: 9\r\n\r\nhalf", r.Header.Get("Id"))
 		_ = c.Close()
 	}}
-	refused, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	unreachable := &scriptedUpstream{ln: refused}
-	_ = refused.Close()
+	unreachable := unreachableUpstream(t)
 	for name, s := range lost {
 		for next, upstreams := range map[string][]*scriptedUpstream{
 			"rejected":    {newUpstream(t, rejectNotRun), newUpstream(t, rejectNotRun)},
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/core/broker"
@@ -87,6 +88,29 @@
 	}
 }
 
+// unreachableUpstream returns an upstream whose address refuses connections and that no other
+// listener gets meanwhile: it is bound.
+func unreachableUpstream(t *testing.T) *scriptedUpstream {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return &scriptedUpstream{ln: boundListener{port: name.(*unix.SockaddrInet4).Port}}
+}
+
+// boundListener has the address of a socket that does not listen.
+type boundListener struct {
+	net.Listener
+	port int
+}
+
+func (l boundListener) Addr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: l.port}
+}
+
 func (u *scriptedUpstream) requests() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
