--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -86,9 +86,11 @@
 	s.listener.StopAccepting()
 	s.log.Info("accepting no more connections", zap.Duration("after", time.Since(began)), zap.Object("in_flight", s.stages.count()))
 	s.listener.WaitIdle(inTime)
+	select {
+	case <-s.inFlight.Idle():
+	case <-inTime.Done():
+	}
 	if inTime.Err() == nil {
-		// All connections are closed, so that this waits for handlers only that write no more.
-		<-s.inFlight.Idle()
 		s.log.Info("all requests ended", zap.Duration("after", time.Since(began)))
 		return nil
 	}
