forward: the log says on what a decision on a retry rests

Callers of a deployment saw more retries than the budget allows, and the log could not tell why: "retry budget exhausted" named neither what was counted nor the entry's part. "retry allowed" and "retry budget exhausted" now name the requests and retries in the window, the part of the slack, the entries that share it and the age of the process. Two metrics and the dump show the same. No decision changes.

Tests: core/limits and internal/forward pass.

--- a/core/limits/retrybudget.go
+++ b/core/limits/retrybudget.go
@@ -38,15 +38,27 @@
 // AllowRetry counts a retry and returns true if the retries in the window stay within
 // ratio times its requests plus this daemon's slack.
 func (r *RetryBudget) AllowRetry(now time.Duration, ratio float64, slack float64) bool {
-	at := r.advance(now)
-	requests, retries := 0, 0
-	for i := range retrySlots {
-		requests += r.requests[i]
-		retries += r.retries[i]
-	}
-	if float64(retries+1) > ratio*float64(requests)+slack {
+	used := r.Usage(now)
+	if float64(used.Retries+1) > ratio*float64(used.Requests)+slack {
 		return false
 	}
-	r.retries[at]++
+	r.retries[r.advance(now)]++
 	return true
 }
+
+// RetryUsage is what a RetryBudget has counted in its window.
+type RetryUsage struct {
+	Requests int `json:"requests"`
+	Retries  int `json:"retries"`
+}
+
+// Usage returns what is in the window.
+func (r *RetryBudget) Usage(now time.Duration) RetryUsage {
+	r.advance(now)
+	u := RetryUsage{}
+	for i := range retrySlots {
+		u.Requests += r.requests[i]
+		u.Retries += r.retries[i]
+	}
+	return u
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -262,11 +262,13 @@
 	if x.possibleRuns > 0 && (!x.route.Repeatable() || x.possibleRuns >= x.route.MaxAttempts) {
 		return false
 	}
-	if !x.s.allowRetry(x.pool) {
-		x.s.log.Info("retry budget exhausted", x.logFields()...)
-		return false
+	d := x.s.allowRetry(x.pool)
+	message := "retry allowed"
+	if !d.allowed {
+		message = "retry budget exhausted"
 	}
-	return true
+	x.s.log.Info(message, x.logFields(d.logFields()...)...)
+	return d.allowed
 }
 
 // endWithoutUpstream responds to a request that was granted no upstream. The
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -23,6 +23,7 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"github.com/verbenastep/verbenastep/core/limits"
 	"github.com/verbenastep/verbenastep/internal/accept"
 	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/kernel"
@@ -211,9 +212,11 @@
 	return nil
 }
 
-// allowRetry reports whether a pool's retry budget allows a retry, and counts it.
-func (s *Service) allowRetry(pool string) bool {
-	return s.retryBudgets.allow(pool, s.brokerClient.Entries())
+// allowRetry decides whether a pool's retry budget allows a retry, and counts it.
+func (s *Service) allowRetry(pool string) retryDecision {
+	d := s.retryBudgets.allow(pool, s.brokerClient.Entries())
+	s.metrics.recordRetry(pool, d)
+	return d
 }
 
 // errorBody is the content of the JSON body of a gatewayError.
@@ -311,9 +314,10 @@
 // Load always returns zero: the broker balances the requests.
 func (s *Service) Load() float64 { return 0 }
 
-// Dump returns whether the entry is draining.
+// Dump returns whether the entry is draining, and its part of the retry budgets.
 func (s *Service) Dump() any {
 	return struct {
-		Leaving bool `json:"leaving"`
-	}{s.isDraining()}
+		Leaving bool                         `json:"leaving"`
+		Retries map[string]limits.RetryUsage `json:"retries"`
+	}{s.isDraining(), s.retryBudgets.dump()}
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -24,6 +24,8 @@
 	connections    prometheus.Counter
 	cutOffs        *prometheus.CounterVec
 	drained        *prometheus.CounterVec
+	retries        *prometheus.CounterVec
+	retrySlack     prometheus.Gauge
 }
 
 // Reasons of cut offs.
@@ -63,10 +65,16 @@
 	m.drained = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "verbenastep", Subsystem: "forward", Name: "drain_requests_total", Help: "Requests that ended while the entry drained, by stage and outcome.",
 	}, []string{"stage", "outcome"})
+	m.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "verbenastep", Subsystem: "forward", Name: "retries_total", Help: "Retries that the retry budget was asked for, by decision.",
+	}, []string{"pool", "decision"})
+	m.retrySlack = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "verbenastep", Subsystem: "forward", Name: "retry_slack", Help: "Part of the slack of the retry budgets that this entry had at the newest decision.",
+	})
 	for _, reason := range []string{cutOffByBound, cutOffByDeadline} {
 		m.cutOffs.WithLabelValues(reason) // exported before the first one
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.failedAttempts, m.firstEvent, m.longestPause, m.connections, m.cutOffs, m.drained} {
+	for _, c := range []prometheus.Collector{m.requests, m.failedAttempts, m.firstEvent, m.longestPause, m.connections, m.cutOffs, m.drained, m.retries, m.retrySlack} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
@@ -74,6 +82,16 @@
 	return m, nil
 }
 
+// recordRetry counts a decision on a retry.
+func (m *metrics) recordRetry(pool string, d retryDecision) {
+	decision := "allowed"
+	if !d.allowed {
+		decision = "refused"
+	}
+	m.retries.WithLabelValues(pool, decision).Inc()
+	m.retrySlack.Set(d.slack)
+}
+
 // recordEnd counts a request that ended.
 func (m *metrics) recordEnd(x *exchange) {
 	rank := strconv.Itoa(x.rank)
--- a/internal/forward/suspension_test.go
+++ b/internal/forward/suspension_test.go
@@ -74,8 +74,8 @@
 	for range 100 {
 		b.recordRequest("p")
 	}
-	require.True(t, b.allow("p", 1))
+	require.True(t, b.allow("p", 1).allowed)
 	now += 10 * time.Second
-	require.False(t, b.allow("p", 1))
+	require.False(t, b.allow("p", 1).allowed)
 	require.GreaterOrEqual(t, newRetryBudgets(settings.Retry{}).elapsed(), clock.Steady())
 }
