--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -265,3 +265,27 @@
 	require.LessOrEqual(t, float64(retries), 0.2*20+slack)
 	require.Positive(t, retries)
 }
+
+// TestRestartsRenewNoRetryBudget guards against an entry that may use its whole part of the slack
+// once more after each restart: the retries of all its processes count in the same window.
+func TestRestartsRenewNoRetryBudget(t *testing.T) {
+	const (
+		restarts = 4
+		requests = 20
+		ratio    = 0.2
+		slack    = 10
+	)
+	failing := newUpstream(t, closeConnection)
+	for range restarts + 1 {
+		r := newTestEntry(t)
+		r.service.retryBudgets.retry.Slack = slack
+		for range 2 * requests {
+			r.brokerClient.addresses = append(r.brokerClient.addresses, failing.ln.Addr().String())
+		}
+		for range requests {
+			r.call("idempotent", "b")
+		}
+	}
+	all := (restarts + 1) * requests
+	require.LessOrEqual(t, float64(failing.requests()-all), ratio*float64(all)+slack)
+}
