limits: a retry budget is a bucket that starts empty

Callers' operators saw more retries at a service than its budget allows, after several disruptions at once. Each entry counted its retries in memory and had an equal part of the slack at once when it started: an entry that starts k times in a window spends its part k times. Read once more, the sliding windows do not add up over entries either: one spends what the requests of the window before allow it and ends, its callers move, and the next one spends what they allow there. Retries were charged when they were decided on, so that those that wait for an upstream may arrive together, and the window was 9.5 s long where 10 s are meant.

The budget is now a bucket that requests and the entry's part of the slack fill, that holds little, and that a process starts with empty. What is sent in a window was in the buckets at its begin or was added during it; both add up over processes. A retry is reserved when it is decided on and taken when it is sent. The parts of the slack never add up to more than one, also while entries and leaders come and go: an entry without a leader has none. An attempt after one that reached no upstream is no retry and needs no budget (docs/decisions/0073).

Tests changed: TestRetriesStayWithinBudgetInEveryWindow checked windows of 9.5 s and checks 10 s at every offset now. Two tests of connections have a larger slack, so that a budget does not limit them; their checks are the same. TestRetryBudgetOfBeforeSuspensionIsGone and TestShareCountsAllEntries follow the renamed calls.

--- a/core/limits/bucket_test.go
+++ b/core/limits/bucket_test.go
@@ -64,26 +64,29 @@
 	require.False(t, ok, "the negative level must refill first")
 }
 
+// TestRetriesStayWithinBudgetInEveryWindow takes as many retries as possible every 10 ms, while
+// requests arrive and after they have ended.
 func TestRetriesStayWithinBudgetInEveryWindow(t *testing.T) {
 	const window, ratio, slack = 10 * time.Second, 0.2, 5.0
 	r := NewRetryBudget(window)
 	allowed, requests := []int{}, 0
 	for ms := 0; ms < 40_000; ms += 10 {
 		now := time.Duration(ms) * time.Millisecond
+		l := RetryLimits{Ratio: ratio, Slack: slack, Part: Part{Fraction: 1, Earned: now}}
 		if ms < 20_000 && ms%50 == 0 {
-			r.RecordRequest(now)
+			r.RecordRequest(now, l)
 			requests++
 		}
 		n := 0
-		if r.AllowRetry(now, ratio, slack) {
-			n = 1
+		for r.Reserve(now, l) && r.Send(now, l) {
+			n++
 		}
 		allowed = append(allowed, n)
 	}
 	require.Equal(t, 400, requests)
-	for from := 0; from+950 <= len(allowed); from += 10 {
+	for from := 0; from+1000 <= len(allowed); from++ {
 		sum := 0
-		for _, n := range allowed[from : from+950] {
+		for _, n := range allowed[from : from+1000] {
 			sum += n
 		}
 		// A window contains at most 200 requests.
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -16,6 +16,7 @@
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/core/limits"
 	"github.com/verbenastep/verbenastep/internal/brokerwire"
 	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/kernel"
@@ -93,8 +94,10 @@
 	liveEntries      int
 	membersCountedAt time.Duration
 	entries          int
-	waiting          map[uint64]*acquisition
-	running          map[uint64]*acquisition
+	// share is the part of limits that a leader does not enforce for all entries.
+	share   *limits.Share
+	waiting map[uint64]*acquisition
+	running map[uint64]*acquisition
 	// pending collects what the next message to the broker carries.
 	pending rpc.BrokerAsk
 	// local is the local broker and tableVersion the version of its route table.
@@ -170,7 +173,7 @@
 		set: set, log: log.Named("work"), metrics: newMetrics(), self: self.String(), started: time.Now(), elapsed: clock.SinceBoot, wakeSession: make(chan struct{}, 1), wakeLocal: make(chan struct{}, 1),
 		waiting: map[uint64]*acquisition{}, running: map[uint64]*acquisition{}, local: local, entries: 1, roster: map[string]*rpc.RosterEntry{},
 		quotaLevels: map[string]float64{}, localUse: map[string]int64{}, retired: map[string]retirement{}, redirectedUntil: map[string]time.Duration{}, reportedUse: map[string]int64{},
-		lastSent: make(chan struct{}),
+		lastSent: make(chan struct{}), share: limits.NewShare(maxShareGap),
 	}
 	s.stopping, s.beginEnd = context.WithCancel(context.Background())
 	return s
@@ -313,11 +316,11 @@
 	}
 }
 
-// Entries returns the number of entries that share the system's limits, at least 1.
-func (s *Service) Entries() int {
+// Share returns this entry's part of the limits that all entries share.
+func (s *Service) Share() limits.Part {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.entries
+	return s.share.Part(s.elapsed())
 }
 
 // ExpectedDuration estimates the time from the grant of a request to the end of its response by
@@ -396,8 +399,9 @@
 	return struct {
 		Attached bool              `json:"attached"`
 		Entries  int               `json:"entries"`
+		Share    limits.Part       `json:"share"`
 		Waiting  int               `json:"waiting"`
 		Running  int               `json:"running"`
 		Pools    []broker.PoolDump `json:"pools"`
-	}{s.attached, s.entries, len(s.waiting), len(s.running), s.local.Dump()}
+	}{s.attached, s.entries, s.share.Part(s.elapsed()), len(s.waiting), len(s.running), s.local.Dump()}
 }
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -51,6 +51,9 @@
 	// a nearer daemon is live. It has had time to find the leader by then.
 	minPlacementDelay = 1500 * time.Millisecond
 	maxPlacementDelay = 4500 * time.Millisecond
+	// maxShareGap is for how long an entry may have heard nothing from a leader and keep its part
+	// of shared limits. It covers the election of another leader.
+	maxShareGap = 2 * time.Second
 	// redirectTTL is how long a daemon that does not relay, since it or the leader is of
 	// an earlier version, is not preferred for being near.
 	redirectTTL = time.Minute
@@ -376,6 +379,9 @@
 		s.brokerEntries = int(r.Entries)
 	}
 	s.updateShare()
+	if r.Leads {
+		s.share.Contact(s.elapsed(), s.entries)
+	}
 	s.updateRoster(r)
 	s.updateQuotaLevels(r)
 	s.local.LearnSuspects(s.now(), brokerwire.DecodeSuspects(s.now(), r.Suspects))
@@ -480,7 +486,7 @@
 	clear(s.reportedUse)
 }
 
-// updateShare sets this entry's share of upstreams, quotas and the retry budget. A new
+// updateShare sets this entry's share of upstreams and quotas. A new
 // broker does not serve all entries yet, a follower serves only some of them, and the
 // member list of a new entry is incomplete, so the share follows from the highest count.
 // The caller holds the lock.
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -381,11 +381,11 @@
 	s.view = &view{changed: make(chan struct{})}
 	s.members = memberList{entries: 200}
 	require.NoError(t, s.handle("a", &rpc.BrokerReply{Entries: 1}, false))
-	require.Equal(t, 200, s.Entries())
+	require.Equal(t, 200, s.entries)
 	require.NoError(t, s.handle("b", &rpc.BrokerReply{Leads: true, Entries: 300}, false))
-	require.Equal(t, 300, s.Entries(), "the member list is not complete yet")
+	require.Equal(t, 300, s.entries, "the member list is not complete yet")
 	require.ErrorIs(t, s.handle("b", &rpc.BrokerReply{Entries: 4, Leader: "c"}, false), errNotLeader)
-	require.Equal(t, 300, s.Entries(), "a follower does not know all entries")
+	require.Equal(t, 300, s.entries, "a follower does not know all entries")
 }
 
 // TestNewBrokerLearnsLocalUse checks that tokens granted without a broker are reported once
@@ -571,3 +571,32 @@
 		require.Eventually(t, func() bool { return c[0].check(func(x *control) bool { return x.ended == 1 }) }, time.Second, time.Millisecond)
 	}
 }
+
+// TestShareOfLimitsNeedsLeader guards against entries whose parts of shared limits add up to more
+// than the whole: one that has just started, one that follows a daemon that does not lead, and one
+// that has lost its leader, while the others already share without it.
+func TestShareOfLimitsNeedsLeader(t *testing.T) {
+	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
+	s.view = &view{changed: make(chan struct{})}
+	now := time.Hour
+	s.elapsed = func() time.Duration { return now }
+	hear := func(leads bool, length time.Duration, entries uint32) {
+		for end := now + length; now < end; now += heartbeatInterval {
+			_ = s.handle("a", &rpc.BrokerReply{Leads: leads, Entries: entries}, false)
+		}
+	}
+	hear(false, 3*maxShareGap, 4)
+	require.Zero(t, s.Share().Fraction, "no leader counts the entries")
+	hear(true, maxShareGap/2, 4)
+	require.Zero(t, s.Share().Fraction, "the others may not know this entry")
+	hear(true, maxShareGap, 4)
+	require.InDelta(t, 0.25, s.Share().Fraction, 1e-9)
+	hear(true, maxShareGap, 2)
+	require.InDelta(t, 0.25, s.Share().Fraction, 1e-9, "the other two may act on what they know")
+	hear(true, 3*maxShareGap, 2)
+	require.InDelta(t, 0.5, s.Share().Fraction, 1e-9)
+	earned := s.Share().Earned
+	now += 10 * maxShareGap
+	require.Zero(t, s.Share().Fraction)
+	require.LessOrEqual(t, s.Share().Earned-earned, maxShareGap/2, "nothing is earned without a leader")
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -98,9 +98,11 @@
 	// The goroutine sets these fields; the exchange reads them after the report that
 	// follows.
 
-	ticket    port.BrokerTicket
-	granted   bool
-	queueTime time.Duration
+	ticket  port.BrokerTicket
+	granted bool
+	// retryReserved is true while the attempt has a place in the retry budget and is not sent.
+	retryReserved bool
+	queueTime     time.Duration
 	// conn is nil until the request is sent. detachConn lets it outlive the attempt;
 	// it returns false if the connection is already being closed.
 	conn       *conn
@@ -144,21 +146,25 @@
 	end          broker.End
 }
 
-// startAttempt starts an attempt with the given offer.
-func (s *Service) startAttempt(ctx context.Context, q *request, offer port.BrokerOffer, lastEvent string, isOnly bool) *upstreamAttempt {
+// newAttempt returns an attempt with the given offer.
+func (s *Service) newAttempt(ctx context.Context, q *request, offer port.BrokerOffer, lastEvent string, isOnly bool) *upstreamAttempt {
 	a := &upstreamAttempt{
 		s: s, request: q, offer: offer, lastEvent: lastEvent,
 		progress: make(chan progress, maxPendingProgress), abandoned: make(chan struct{}), writeResult: make(chan error, 1),
 	}
 	a.isOnly.Store(isOnly)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	return a
+}
+
+// start makes the attempt in a goroutine.
+func (a *upstreamAttempt) start() {
 	go func() {
 		defer close(a.progress)
 		a.err = a.performOrRecover()
 		a.endBeforeCaller()
 		a.awaitBacklog()
 	}()
-	return a
 }
 
 // performOrRecover makes the attempt. A panic becomes its error: it must not end the
@@ -211,6 +217,9 @@
 	if err != nil {
 		return err
 	}
+	if err := a.takeRetry(c); err != nil {
+		return err
+	}
 	a.conn, a.isReused = c, c.reused
 	a.detachConn = context.AfterFunc(a.ctx, func() { _ = c.Close() })
 	a.sentAt = time.Now()
@@ -415,6 +424,9 @@
 	for range a.progress {
 		// Reports that nobody reads any more.
 	}
+	if a.retryReserved {
+		a.s.retryBudgets.release(a.pool)
+	}
 	if a.granted && !a.isGrantEnded {
 		if a.conn == nil && o == broker.Canceled {
 			o = broker.NotSent
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -11,12 +12,9 @@
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
 
-// usedBudgetShare is the fraction of the retry budget that entries use. The rest
-// covers the offset between the entries' windows and those in which the budget is
-// measured.
-const usedBudgetShare = 0.8
+var errRetryBudget = errors.New("the retry budget became smaller while the request waited")
 
-// retryBudgets holds this entry's share of each pool's retry budget. It is safe for
+// retryBudgets holds this entry's part of each pool's retry budget. It is safe for
 // concurrent use.
 type retryBudgets struct {
 	retry settings.Retry
@@ -43,51 +41,69 @@
 	return r
 }
 
+// limits returns the declared limits with this entry's part.
+func (b *retryBudgets) limits(part limits.Part) limits.RetryLimits {
+	return limits.RetryLimits{Ratio: b.retry.RatioOrDefault(), Slack: b.retry.Slack, Part: part}
+}
+
 // recordRequest counts a new request, which adds to the budget.
-func (b *retryBudgets) recordRequest(pool string) {
+func (b *retryBudgets) recordRequest(pool string, part limits.Part) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.forPool(pool).RecordRequest(b.elapsed())
+	b.forPool(pool).RecordRequest(b.elapsed(), b.limits(part))
 }
 
 // retryDecision is whether a retry is allowed, and on what the decision rests.
 type retryDecision struct {
 	allowed bool
-	// used is what was counted before the decision. slack is this entry's part, which
-	// entries entries share; age is the time since the process started.
-	used    limits.RetryUsage
-	slack   float64
-	entries int
-	age     time.Duration
+	usage   limits.RetryUsage
+	part    limits.Part
+	// age is the time since the process started.
+	age time.Duration
 }
 
-// allow decides whether the budget, shared by a number of entries, allows a retry, and
-// counts the retry if so.
-func (b *retryBudgets) allow(pool string, entries int) retryDecision {
+// reserve decides whether the budget allows a retry, and reserves it if so. The retry must be
+// sent or released.
+func (b *retryBudgets) reserve(pool string, part limits.Part) retryDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.elapsed()
+	now, l := b.elapsed(), b.limits(part)
 	budget := b.forPool(pool)
-	d := retryDecision{used: budget.Usage(now), slack: usedBudgetShare * b.retry.Slack / float64(entries), entries: entries, age: now - b.started}
-	d.allowed = budget.AllowRetry(now, usedBudgetShare*b.retry.RatioOrDefault(), d.slack)
+	d := retryDecision{usage: budget.Usage(now, l), part: part, age: now - b.started}
+	d.allowed = budget.Reserve(now, l)
 	return d
 }
 
+// send counts a reserved retry that is about to be sent. It returns false if the retry must
+// not be sent any more.
+func (b *retryBudgets) send(pool string, part limits.Part) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.forPool(pool).Send(b.elapsed(), b.limits(part))
+}
+
+// release gives up a reserved retry.
+func (b *retryBudgets) release(pool string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.forPool(pool).Release()
+}
+
 // logFields describes the decision in a log line.
 func (d retryDecision) logFields() []zap.Field {
 	return []zap.Field{
-		zap.Int("requests", d.used.Requests), zap.Int("retries", d.used.Retries), zap.Float64("slack", d.slack),
-		zap.Int("entries", d.entries), zap.Duration("process_age", d.age),
+		zap.Int("requests", d.usage.Requests), zap.Float64("budget", d.usage.Level), zap.Float64("capacity", d.usage.Capacity), zap.Int("pending", d.usage.Pending),
+		zap.Float64("share", d.part.Fraction), zap.Int("entries", d.part.Processes), zap.Duration("process_age", d.age),
 	}
 }
 
-// dump returns what the budgets have counted, by pool.
-func (b *retryBudgets) dump() map[string]limits.RetryUsage {
+// dump returns the state of the budgets by pool.
+func (b *retryBudgets) dump(part limits.Part) map[string]limits.RetryUsage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]limits.RetryUsage, len(b.byPool))
 	for pool, budget := range b.byPool {
-		out[pool] = budget.Usage(b.elapsed())
+		out[pool] = budget.Usage(b.elapsed(), b.limits(part))
 	}
 	return out
 }
--- a/internal/forward/copies_test.go
+++ b/internal/forward/copies_test.go
@@ -214,7 +214,7 @@
 	const requests = 3 * maxUnserved
 	full, other := newUpstream(t, newCopyingUpstream().refuse(refusals()["503 named"], 0)), newUpstream(t, respondWith(http.StatusOK, "", "own"))
 	r := newTestEntry(t)
-	r.service.retryBudgets.retry.Slack = 2 * requests
+	r.service.retryBudgets.retry.Slack = 10 * requests
 	for i := range requests {
 		r.brokerClient.addresses = append(r.brokerClient.addresses, full.address(), other.address())
 		require.Equal(t, "own", r.call("once", "b", "Id", fmt.Sprint(i)).body)
@@ -231,6 +231,7 @@
 	const requests = 10
 	full, other := newUpstream(t, rejectNotRun), newUpstream(t, respondWith(http.StatusOK, "", "own"))
 	r := newTestEntry(t)
+	r.service.retryBudgets.retry.Slack = 10 * requests
 	for range requests {
 		r.brokerClient.addresses = append(r.brokerClient.addresses, full.address(), other.address())
 		require.Equal(t, "own", r.call("once", "b").body)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -51,7 +51,11 @@
 	possibleRuns   int
 	notRunAttempts int
 	triedUpstreams []string
-	stream         stream
+	// isSent is true once an attempt may have arrived at an upstream; a further one is a retry.
+	// retryReserved is true if the next attempt has a place in the retry budget.
+	isSent        bool
+	retryReserved bool
+	stream        stream
 	// stage is how far the request has come; setStage changes it.
 	stage stage
 	// upstreamError is the newest sealed server error of an upstream, relayed if
@@ -141,7 +145,10 @@
 		lastEvent = x.stream.lastID
 	}
 	isOnly := x.possibleRuns == 0 && (x.current == nil || x.current.ended)
-	return x.s.startAttempt(x.ctx, x.request, offer, lastEvent, isOnly)
+	a := x.s.newAttempt(x.ctx, x.request, offer, lastEvent, isOnly)
+	a.retryReserved, x.retryReserved = x.retryReserved, false
+	a.start()
+	return a
 }
 
 // streamVersion returns the software version at which the stream must go on: that of the
@@ -262,12 +269,19 @@
 	if x.possibleRuns > 0 && (!x.route.Repeatable() || x.possibleRuns >= x.route.MaxAttempts) {
 		return false
 	}
-	d := x.s.allowRetry(x.pool)
+	return !x.isSent || x.reserveRetry()
+}
+
+// reserveRetry reserves a retry for the next attempt. It returns false if the pool's retry budget
+// is exhausted.
+func (x *exchange) reserveRetry() bool {
+	d := x.s.reserveRetry(x.pool)
 	message := "retry allowed"
 	if !d.allowed {
 		message = "retry budget exhausted"
 	}
 	x.s.log.Info(message, x.logFields(d.logFields()...)...)
+	x.retryReserved = d.allowed
 	return d.allowed
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -201,7 +201,7 @@
 	x.setStage(stageWaiting)
 	defer x.setStage(stageEnded)
 	defer s.recordEnd(x)
-	s.retryBudgets.recordRequest(q.pool)
+	s.retryBudgets.recordRequest(q.pool, s.brokerClient.Share())
 	defer x.attendCaller(cancel)()
 	x.run()
 	x.extendWriteDeadline()
@@ -212,9 +212,9 @@
 	return nil
 }
 
-// allowRetry decides whether a pool's retry budget allows a retry, and counts it.
-func (s *Service) allowRetry(pool string) retryDecision {
-	d := s.retryBudgets.allow(pool, s.brokerClient.Entries())
+// reserveRetry decides whether a pool's retry budget allows a retry, and reserves it.
+func (s *Service) reserveRetry(pool string) retryDecision {
+	d := s.retryBudgets.reserve(pool, s.brokerClient.Share())
 	s.metrics.recordRetry(pool, d)
 	return d
 }
@@ -319,5 +319,5 @@
 	return struct {
 		Leaving bool                         `json:"leaving"`
 		Retries map[string]limits.RetryUsage `json:"retries"`
-	}{s.isDraining(), s.retryBudgets.dump()}
+	}{s.isDraining(), s.retryBudgets.dump(s.brokerClient.Share())}
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/core/limits"
 )
 
 func TestResponseIsRelayedUnchanged(t *testing.T) {
@@ -279,6 +280,7 @@
 	for range restarts + 1 {
 		r := newTestEntry(t)
 		r.service.retryBudgets.retry.Slack = slack
+		r.brokerClient.share = &limits.Part{Fraction: 1, Processes: 1}
 		for range 2 * requests {
 			r.brokerClient.addresses = append(r.brokerClient.addresses, failing.ln.Addr().String())
 		}
--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -88,6 +88,22 @@
 	return true
 }
 
+// takeRetry takes a retry that is about to be sent from the retry budget. If that does not hold
+// it any more, the connection is closed and the grant returned.
+func (a *upstreamAttempt) takeRetry(c *conn) error {
+	if !a.retryReserved {
+		return nil
+	}
+	a.retryReserved = false
+	if a.s.retryBudgets.send(a.pool, a.s.brokerClient.Share()) {
+		return nil
+	}
+	_ = c.Close()
+	a.granted = false
+	a.endGrant(broker.End{Outcome: broker.NotSent})
+	return errRetryBudget
+}
+
 // endGrant ends the grant and tells the broker what the upstream told this entry.
 func (a *upstreamAttempt) endGrant(e broker.End) {
 	now := time.Now()
--- a/internal/forward/grant_test.go
+++ b/internal/forward/grant_test.go
@@ -188,7 +188,8 @@
 	r.call("once", "b")
 	q := &request{route: &testTable().Routes[0], pool: "p", header: http.Header{}, deadline: time.Now().Add(time.Second), remaining: func() time.Duration { return time.Second }}
 	offer := port.BrokerOffer{Offer: broker.Offer{Pool: "p", QuotaCharge: 7, Avoid: []string{"tried"}}}
-	a := r.service.startAttempt(context.Background(), q, offer, "", true)
+	a := r.service.newAttempt(context.Background(), q, offer, "", true)
+	a.start()
 	for range a.progress {
 		// The attempt ends with the broker's refusal.
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -25,7 +25,7 @@
 	cutOffs        *prometheus.CounterVec
 	drained        *prometheus.CounterVec
 	retries        *prometheus.CounterVec
-	retrySlack     prometheus.Gauge
+	retryShare     prometheus.Gauge
 }
 
 // Reasons of cut offs.
@@ -68,13 +68,13 @@
 	m.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "verbenastep", Subsystem: "forward", Name: "retries_total", Help: "Retries that the retry budget was asked for, by decision.",
 	}, []string{"pool", "decision"})
-	m.retrySlack = prometheus.NewGauge(prometheus.GaugeOpts{
-		Namespace: "verbenastep", Subsystem: "forward", Name: "retry_slack", Help: "Part of the slack of the retry budgets that this entry had at the newest decision.",
+	m.retryShare = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "verbenastep", Subsystem: "forward", Name: "retry_share", Help: "Part of the slack of the retry budgets that this entry had at the newest decision, 0 to 1.",
 	})
 	for _, reason := range []string{cutOffByBound, cutOffByDeadline} {
 		m.cutOffs.WithLabelValues(reason) // exported before the first one
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.failedAttempts, m.firstEvent, m.longestPause, m.connections, m.cutOffs, m.drained, m.retries, m.retrySlack} {
+	for _, c := range []prometheus.Collector{m.requests, m.failedAttempts, m.firstEvent, m.longestPause, m.connections, m.cutOffs, m.drained, m.retries, m.retryShare} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
@@ -89,7 +89,7 @@
 		decision = "refused"
 	}
 	m.retries.WithLabelValues(pool, decision).Inc()
-	m.retrySlack.Set(d.slack)
+	m.retryShare.Set(d.part.Fraction)
 }
 
 // recordEnd counts a request that ended.
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -17,6 +17,7 @@
 		return
 	}
 	a.recorded = true
+	x.isSent = x.isSent || a.conn != nil
 	x.queueTime += a.queueTime
 	if a.granted {
 		x.triedUpstreams = append(x.triedUpstreams, a.ticket.Upstream)
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/core/limits"
 	"github.com/verbenastep/verbenastep/core/routes"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
@@ -31,7 +32,7 @@
 	versions []string
 }
 
-func (b *scriptedBroker) Entries() int { return 1 }
+func (b *scriptedBroker) Share() limits.Part { return wholeShare() }
 
 func (b *scriptedBroker) ExpectedDuration(broker.Offer, string) (time.Duration, bool) {
 	return 0, true
@@ -336,7 +337,7 @@
 		q.holding = r.service.buffers.newHolding(q)
 		a := &upstreamAttempt{s: r.service, request: q, granted: true, recorded: true, progress: make(chan progress, 1), resp: &http.Response{StatusCode: 200}}
 		a.ctx, a.cancel = context.WithCancelCause(ctx)
-		r.service.retryBudgets.recordRequest("p")
+		r.service.retryBudgets.recordRequest("p", wholeShare())
 		x := &exchange{s: r.service, request: q, w: httptest.NewRecorder(), ctx: ctx, current: a, attempts: 1, silence: time.NewTimer(0)}
 		defer x.attendCaller(cancel)()
 		time.Sleep(time.Millisecond)
--- a/internal/forward/suspension_test.go
+++ b/internal/forward/suspension_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/core/limits"
 	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/settings"
 )
@@ -72,10 +73,10 @@
 	now := time.Hour
 	b.elapsed = func() time.Duration { return now }
 	for range 100 {
-		b.recordRequest("p")
+		b.recordRequest("p", limits.Part{})
 	}
-	require.True(t, b.allow("p", 1).allowed)
+	require.True(t, b.reserve("p", limits.Part{}).allowed)
 	now += 10 * time.Second
-	require.False(t, b.allow("p", 1).allowed)
+	require.False(t, b.reserve("p", limits.Part{}).allowed)
 	require.GreaterOrEqual(t, newRetryBudgets(settings.Retry{}).elapsed(), clock.Steady())
 }
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/core/limits"
 	"github.com/verbenastep/verbenastep/core/routes"
 	"github.com/verbenastep/verbenastep/internal/accept"
 	"github.com/verbenastep/verbenastep/internal/egress"
@@ -183,8 +184,10 @@
 	offers    []port.BrokerOffer
 	ends      []broker.End
 	// born is the start time of the upstreams' processes.
-	born     int64
-	refusal  *fault.Error
+	born    int64
+	refusal *fault.Error
+	// share is this entry's part of shared limits; nil for the whole.
+	share    *limits.Part
 	expected time.Duration
 	// grantedAt returns when the n-th grant reached the entry; nil if that is not known.
 	grantedAt func(n int) time.Duration
@@ -217,7 +220,15 @@
 	}, nil
 }
 
-func (c *testBrokerClient) Entries() int { return 1 }
+func (c *testBrokerClient) Share() limits.Part {
+	if c.share != nil {
+		return *c.share
+	}
+	return wholeShare()
+}
+
+// wholeShare is that of the only entry, which has run for long.
+func wholeShare() limits.Part { return limits.Part{Fraction: 1, Earned: time.Hour, Processes: 1} }
 
 func (c *testBrokerClient) ExpectedDuration(broker.Offer, string) (time.Duration, bool) {
 	return 0, true
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -16,6 +16,7 @@
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/config"
+	"github.com/verbenastep/verbenastep/core/limits"
 	"github.com/verbenastep/verbenastep/core/promise"
 	"github.com/verbenastep/verbenastep/core/rollout"
 	"github.com/verbenastep/verbenastep/core/roster"
@@ -387,9 +388,8 @@
 	// ReportLimit records what an upstream said of the requests that it takes, in its
 	// response to a request that was sent at the given time.
 	ReportLimit(l broker.RequestLimit, sentAt time.Time)
-	// Entries returns the number of entries that share the global limits, at least
-	// 1.
-	Entries() int
+	// Share returns this entry's part of the limits that all entries share.
+	Share() limits.Part
 	// ExpectedDuration estimates the time from the grant of a request to the end of a
 	// response of its OutputTokens, at an upstream; at the fastest one of the pool if
 	// upstream is empty. It returns false if there is no estimate.
