broker: a quota whose use nobody remembers starts empty

A workspace could use its whole burst once more after each restart of all daemons: the class of the retry budget's fault, an allowance over a window that its holder forgets with its process. A new broker took a quota for full unless an entry named a lower level, and so did an entry without a broker after its start.

A quota now begins empty and refills at its rate until an entry that a broker told of the quotas names its level; what was granted meanwhile counts against that. Such entries name all levels, also full ones, with their first offers, so that only restarts of all of them together show.

TestRestartsOfAllDaemonsRenewNoQuota: 35,000 tokens where 10,000 are allowed before, 10,000 now. TestInterimBrokerStartsWithTheQuotaOfItsEntries names the full quota, as entries do; TestQuotaLevelsAreRefilledWhileNoBrokerGrants expects it.

--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -271,7 +271,7 @@
 		local := New(1.0 / entries)
 		local.SetTable(table)
 		if entry%10 != 0 {
-			next.LowerQuotas(now, local.RefillLevels(map[string]float64{"w": 0.5}, used, outage))
+			next.LowerQuotas(now, local.RefillLevels(map[string]float64{"w": 0.5}, outage))
 		}
 		next.SpendQuotas(now, used)
 	}
@@ -293,7 +293,7 @@
 	next.SetTable(table)
 	now := time.Minute
 	next.SpendQuotas(now, map[string]int64{"w": 15_000})
-	next.LowerQuotas(now, next.RefillLevels(map[string]float64{"w": 0.2}, map[string]int64{"w": 1}, outage))
+	next.LowerQuotas(now, next.RefillLevels(map[string]float64{"w": 0.2}, outage))
 	next.SpendQuotas(now, map[string]int64{"w": 10_000})
 	require.InDelta(t, -0.3, next.QuotaLevels(now)["w"], 0.001, "0.2 of the quota, two refills, 2.5 used")
 }
@@ -344,3 +344,56 @@
 	fresh := broker(1)
 	require.Equal(t, burst, drain(fresh, now), "an unused quota has the whole burst")
 }
+
+// TestRestartsOfAllDaemonsRenewNoQuota guards against a quota that is full again at each broker
+// of which nobody remembers the one before: all daemons are killed and start again several times.
+func TestRestartsOfAllDaemonsRenewNoQuota(t *testing.T) {
+	const rate, burst, restarts = 1000, 5000, 5
+	table := routes.NewIndex(&routes.Table{Workspaces: []routes.Workspace{{Name: "w", TokensPerSecond: rate, TokenBurst: burst}}})
+	number, total := uint64(0), 0
+	drain := func(b *Broker, now time.Duration) {
+		for {
+			number++
+			o := newOffer(number)
+			o.Workspace, o.QuotaCharge = "w", 50
+			b.Offer(now, o)
+			if d := b.Decide(now); len(d.Grants) == 0 {
+				return
+			}
+			total += 50
+		}
+	}
+	start := func(now time.Duration) *Broker {
+		b := New(1)
+		b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Address: "a", Slots: 1 << 20}})
+		b.SetTable(table)
+		b.ResetQuotas(now)
+		return b
+	}
+	now := time.Minute
+	b := start(0)
+	drain(b, now)
+	require.Equal(t, burst, total, "a broker that has granted for long has the whole burst")
+	for range restarts {
+		b = start(now)
+		drain(b, now)
+		now += time.Second
+		drain(b, now)
+	}
+	require.LessOrEqual(t, total, burst+restarts*rate)
+
+	// Entries that remember the last broker tell the next one, also after it has granted.
+	next := start(now)
+	now += time.Second
+	total = 0
+	drain(next, now)
+	require.Equal(t, rate, total)
+	levels := map[string]float64{"w": 1}
+	require.Less(t, next.QuotaLevels(now)["w"], 0.01)
+	next.LowerQuotas(now, levels)
+	drain(next, now)
+	require.Equal(t, burst, total, "what was granted before counts against the level")
+	next.LowerQuotas(now, levels)
+	drain(next, now)
+	require.Equal(t, burst, total)
+}
--- a/core/broker/quotas.go
+++ b/core/broker/quotas.go
@@ -1,7 +1,6 @@
 package broker
 
 import (
-	"maps"
 	"time"
 
 	"github.com/verbenastep/verbenastep/core/limits"
@@ -49,11 +48,13 @@
 	return rate, burst
 }
 
-// bucket returns the bucket of a workspace's quota and creates it if necessary.
+// bucket returns the bucket of a workspace's quota and creates it if necessary. It was empty when
+// the broker began, for all that the broker knows.
 func (b *Broker) bucket(workspace string) *limits.Bucket {
 	bucket := b.buckets[workspace]
 	if bucket == nil {
 		bucket = &limits.Bucket{}
+		bucket.StartEmpty(b.quotasResetAt)
 		b.buckets[workspace] = bucket
 	}
 	return bucket
@@ -67,14 +68,24 @@
 // workspaces whose quota is nearly unused.
 func (b *Broker) QuotaLevels(now time.Duration) map[string]float64 {
 	out := map[string]float64{}
-	for name, bucket := range b.buckets {
-		workspace := b.workspace(name)
-		if workspace == nil {
-			continue
-		}
+	for _, workspace := range b.limited() {
 		rate, burst := b.quota(now, workspace)
-		if left := bucket.Level(now, rate, burst) / burst; left < nearlyFullLevel {
-			out[name] = left
+		if left := b.bucket(workspace.Name).Level(now, rate, burst) / burst; left < nearlyFullLevel {
+			out[workspace.Name] = left
+		}
+	}
+	return out
+}
+
+// limited returns the workspaces that have a quota.
+func (b *Broker) limited() []*routes.Workspace {
+	if b.table == nil {
+		return nil
+	}
+	out := []*routes.Workspace{}
+	for i := range b.table.Table.Workspaces {
+		if w := &b.table.Table.Workspaces[i]; w.TokensPerSecond != 0 {
+			out = append(out, w)
 		}
 	}
 	return out
@@ -82,7 +93,8 @@
 
 // LowerQuotas reduces the quotas to the levels that another broker reported, so that a
 // change of brokers does not grant a second burst. A level above 1 includes the refill of a
-// full quota, which covers tokens that SpendQuotas takes.
+// full quota, which covers tokens that SpendQuotas takes. The first level of a workspace also
+// replaces the empty quota with which a broker begins that knows of none.
 func (b *Broker) LowerQuotas(now time.Duration, levels map[string]float64) {
 	for name, left := range levels {
 		if workspace := b.workspace(name); workspace != nil {
@@ -92,27 +104,17 @@
 	}
 }
 
-// RefillLevels returns the quota levels, which a broker of all entries reported, after a
-// time in which nothing was used. A level may exceed 1, as LowerQuotas allows it. It omits
-// full quotas, except those of the workspaces in used.
-func (b *Broker) RefillLevels(levels map[string]float64, used map[string]int64, elapsed time.Duration) map[string]float64 {
-	reached := maps.Clone(levels)
-	for name := range used {
-		if _, listed := reached[name]; !listed {
-			reached[name] = 1
-		}
-	}
+// RefillLevels returns the levels of all quotas after a time in which nothing was used, from
+// those that a broker of all entries reported. A level may exceed 1, as LowerQuotas allows it.
+func (b *Broker) RefillLevels(levels map[string]float64, elapsed time.Duration) map[string]float64 {
 	out := map[string]float64{}
-	for name, left := range reached {
-		workspace := b.workspace(name)
-		if workspace == nil {
-			continue
+	for _, workspace := range b.limited() {
+		left, listed := levels[workspace.Name]
+		if !listed {
+			left = 1
 		}
 		burst := float64(workspace.TokenBurst) + b.quotaSlackTokens*burstSlackFraction
-		left += float64(workspace.TokensPerSecond) * elapsed.Seconds() / max(1, burst)
-		if left < 1 || used[name] > 0 {
-			out[name] = left
-		}
+		out[workspace.Name] = left + float64(workspace.TokensPerSecond)*elapsed.Seconds()/max(1, burst)
 	}
 	return out
 }
@@ -128,13 +130,26 @@
 	}
 }
 
-// ResetQuotas resets all quotas to full; LowerQuotas may reduce them afterwards. An entry
-// calls it when it loses its broker.
+// ResetQuotas makes all quotas begin anew, empty: what was used elsewhere is not known. LowerQuotas
+// or RestoreQuotas may replace that.
 func (b *Broker) ResetQuotas(now time.Duration) {
 	clear(b.buckets)
 	b.quotasResetAt = now
 }
 
+// RestoreQuotas makes all quotas begin anew at the levels that another broker left. One that is not
+// listed is full. An entry calls it when it loses its broker.
+func (b *Broker) RestoreQuotas(now time.Duration, levels map[string]float64) {
+	b.ResetQuotas(now)
+	for _, workspace := range b.limited() {
+		left, listed := levels[workspace.Name]
+		if !listed {
+			left = 1
+		}
+		b.LowerQuotas(now, map[string]float64{workspace.Name: left})
+	}
+}
+
 // workspace returns the named workspace, or nil if it is unknown or has no quota.
 func (b *Broker) workspace(name string) *routes.Workspace {
 	if b.table == nil {
--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -13,6 +13,16 @@
 	reported    float64
 	credit      float64
 	creditKnown bool
+	// unknown is true for a bucket that started empty until its level is known; taken is what
+	// was taken from it until then.
+	unknown bool
+	taken   float64
+}
+
+// StartEmpty makes an unused bucket start empty at a time: nobody knows what was taken from it
+// before. The first call of Lower replaces that by its level at that time.
+func (b *Bucket) StartEmpty(at time.Duration) {
+	b.started, b.unknown, b.updated = true, true, at
 }
 
 // Take takes n tokens if the bucket holds them above the reserve. If n and the reserve
@@ -24,7 +34,7 @@
 	b.refill(now, rate, burst)
 	need := min(n+reserve, burst)
 	if b.level >= need {
-		b.level -= n
+		b.take(n)
 		return 0, true
 	}
 	return time.Duration((need - b.level) / max(rate, 1e-9) * float64(time.Second)), false
@@ -41,8 +51,13 @@
 // the surplus only covers what Spend takes. Of several such levels the lowest counts.
 func (b *Bucket) Lower(now time.Duration, rate, burst, level float64) {
 	b.refill(now, rate, burst)
-	b.level = min(b.level, level)
 	credit := max(0, level-burst)
+	if b.unknown {
+		b.unknown = false
+		b.level = burst - b.taken - max(0, b.reported-b.credit)
+		level -= b.taken
+	}
+	b.level = min(b.level, level)
 	if b.creditKnown {
 		credit = min(b.credit, credit)
 	}
@@ -63,7 +78,14 @@
 }
 
 // Refund adds tokens that were taken but not used.
-func (b *Bucket) Refund(n float64) { b.level += n }
+func (b *Bucket) Refund(n float64) { b.take(-n) }
+
+func (b *Bucket) take(n float64) {
+	b.level -= n
+	if b.unknown {
+		b.taken += n
+	}
+}
 
 func (b *Bucket) refill(now time.Duration, rate, burst float64) {
 	if !b.started {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -253,8 +253,8 @@
 		s.tableVersion = table.Table.Version
 		s.core.SetTable(table)
 	}
-	if interimStarted {
-		s.core.LowerQuotas(s.now(), s.interim.quotaLevels)
+	if interimStarted && s.interim.quotaLevels != nil {
+		s.core.RestoreQuotas(s.now(), s.interim.quotaLevels)
 	}
 	if !rosterChanged && !newTable && time.Since(s.rosterReadAt) < rosterInterval {
 		return
@@ -322,6 +322,7 @@
 func (s *Service) replaceCore() {
 	quarantined, limits, streams := s.core.QuarantinedContents(s.now()), s.core.Limits(), s.core.Streams(s.now())
 	s.core = newCore(s.set)
+	s.core.ResetQuotas(s.now())
 	s.overload = overloadReport{}
 	s.core.LearnSuspects(s.now(), quarantined)
 	for _, l := range limits {
--- a/internal/broker/interim.go
+++ b/internal/broker/interim.go
@@ -74,7 +74,6 @@
 	s.metrics.interim.Set(1)
 	s.replaceCore()
 	s.core.SetName(s.set.Name)
-	s.core.ResetQuotas(s.now())
 	s.shareInterim()
 	s.log.Info("interim broker started", zap.Int("entries", len(s.sessions)))
 	s.replyToListeners()
--- a/internal/broker/interim_test.go
+++ b/internal/broker/interim_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/brokerwire"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
@@ -161,7 +162,7 @@
 	for _, e := range entries {
 		o := testOffer(1)
 		o.Workspace, o.Charge = "w", 100
-		e.send(&rpc.BrokerAsk{Complete: true, Offers: []*rpc.WorkOffer{o}})
+		e.send(&rpc.BrokerAsk{Complete: true, Quotas: brokerwire.EncodeQuotaLevels(map[string]float64{"w": 1}), Offers: []*rpc.WorkOffer{o}})
 	}
 	time.Sleep(40 * relayTestPoll)
 	for _, e := range entries {
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -110,8 +110,9 @@
 	heldRefusals []broker.Refusal
 	brokerLostAt time.Duration
 	// quotaLevels holds, by workspace, the fraction of the quota that is left, as the
-	// last broker sent it. It omits full quotas.
+	// last broker sent it. It omits full quotas. knowsQuotas is true once a broker has sent it.
 	quotaLevels map[string]float64
+	knowsQuotas bool
 	// localUse holds, by workspace, the tokens that the entry granted by itself and that
 	// no broker has accounted for yet; reportedUse is the part of it that the broker of
 	// reportedTerm was told.
--- a/internal/brokerclient/interim.go
+++ b/internal/brokerclient/interim.go
@@ -53,9 +53,9 @@
 // further interim broker has charged its own entries, and those before it the entry's requests.
 // All of it is reported to the next leader. The caller holds the lock.
 func (s *Service) interimQuotaReport() []*rpc.QuotaLevel {
-	if s.toldInterim || s.brokerHeardAt == 0 {
+	if s.toldInterim || !s.knowsQuotas {
 		return nil
 	}
 	s.toldInterim = true
-	return brokerwire.EncodeQuotaReport(s.local.RefillLevels(s.quotaLevels, s.localUse, s.now()-s.brokerHeardAt), s.localUse)
+	return brokerwire.EncodeQuotaReport(s.local.RefillLevels(s.quotaLevels, s.now()-s.brokerHeardAt), s.localUse)
 }
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -223,8 +223,11 @@
 		s.updateLocalBroker()
 	}
 	if wasAttached && !s.interim {
-		s.local.ResetQuotas(now)
-		s.local.LowerQuotas(now, s.quotaLevels)
+		if s.knowsQuotas {
+			s.local.RestoreQuotas(now, s.quotaLevels)
+		} else {
+			s.local.ResetQuotas(now)
+		}
 	}
 	if wasAttached {
 		s.local.ForgetSuspicions()
@@ -441,6 +444,7 @@
 // full quota, which is not stored. The caller holds the lock.
 func (s *Service) updateQuotaLevels(r *rpc.BrokerReply) {
 	if r.QuotasSet {
+		s.knowsQuotas = true
 		clear(s.quotaLevels)
 		s.forgetReportedUse()
 	}
@@ -455,14 +459,16 @@
 
 // quotaReport returns what the broker of a term needs to know of the quotas: the levels that
 // the previous one left, refilled since, and the tokens that the entry used by itself. A
-// broker that was told before only needs what was used since. The caller holds the lock.
+// broker that was told before only needs what was used since. An entry that no broker told of
+// quotas names no level, and a new broker that hears of none begins with empty quotas: the
+// processes before may have used them up. The caller holds the lock.
 func (s *Service) quotaReport(term uint64) []*rpc.QuotaLevel {
 	levels := map[string]float64{}
 	if term != s.reportedTerm {
 		s.reportedTerm = term
 		clear(s.reportedUse)
-		if s.brokerHeardAt != 0 {
-			levels = s.local.RefillLevels(s.quotaLevels, s.localUse, s.now()-s.brokerHeardAt)
+		if s.knowsQuotas {
+			levels = s.local.RefillLevels(s.quotaLevels, s.now()-s.brokerHeardAt)
 		}
 	}
 	used := map[string]int64{}
--- a/internal/brokerclient/session_test.go
+++ b/internal/brokerclient/session_test.go
@@ -422,17 +422,17 @@
 	s := New(&settings.Settings{Routing: &settings.Routing{}}, zap.NewNop(), port.Holder{Name: "e"})
 	s.view = &view{changed: make(chan struct{})}
 	s.local.SetTable(routes.NewIndex(&routes.Table{Workspaces: []routes.Workspace{{Name: "w", TokensPerSecond: 1000, TokenBurst: 2000}}}))
-	s.quotaLevels = map[string]float64{"w": 0.25}
+	s.updateQuotaLevels(&rpc.BrokerReply{QuotasSet: true, Quotas: brokerwire.EncodeQuotaLevels(map[string]float64{"w": 0.25})})
 	s.brokerHeardAt = s.now() - time.Second
 	levels := brokerwire.DecodeQuotaLevels(s.quotaReport(1))
 	require.InDelta(t, 0.75, levels["w"], 0.1)
 	require.Empty(t, s.quotaReport(1), "the same broker needs no levels")
 	s.brokerHeardAt = s.now() - 2*time.Second
-	require.Empty(t, s.quotaReport(2), "the quota is full again")
+	require.GreaterOrEqual(t, brokerwire.DecodeQuotaLevels(s.quotaReport(2))["w"], 1.0, "the quota is full again")
 	s.localUse["w"] = 40
 	levels = brokerwire.DecodeQuotaLevels(s.quotaReport(3))
 	require.InDelta(t, 1.25, levels["w"], 0.1, "the refill covers what was used")
-	s.brokerHeardAt = 0
+	s.knowsQuotas = false
 	require.Empty(t, brokerwire.DecodeQuotaLevels(s.quotaReport(4)), "an entry that had no broker knows no level")
 }
 
