roster: a heartbeat that names no upstream to use is refused

One odd heartbeat of another writer kept daemons from following the roster: an id with a byte that is no UTF-8 was accepted, and no message with that entry could be encoded.

roster.Entry.Validate bounds what an entry may state. Control daemons apply it to heartbeats (400), to what other daemons forward, of an earlier version for example, and to the stored roster.

Deep nesting and numbers too large for their type were refused before, by the JSON decoder.

--- a/internal/roster/forwarding.go
+++ b/internal/roster/forwarding.go
@@ -221,14 +221,26 @@
 	}
 }
 
+// isUsable reports whether an entry that this daemon has not accepted itself is valid, and logs if
+// it is not: a daemon of an earlier version accepts more.
+func (s *Service) isUsable(e roster.Entry, from string) bool {
+	err := e.Validate()
+	if err != nil {
+		s.log.Warn("upstream skipped", zap.String("upstream", e.ID), zap.String("from", from), zap.Error(err))
+	}
+	return err == nil
+}
+
 // Spread merges the heartbeats that another control daemon received. The reply
 // lists the renewals that need the whole entry.
 func (s *Service) Spread(_ context.Context, news *rpc.RosterNews) (*rpc.RosterAck, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	for _, e := range news.Entries {
-		s.merge(decode(e, now), "control daemon")
+	for _, m := range news.Entries {
+		if e := decode(m, now); s.isUsable(e, "control daemon") {
+			s.merge(e, "control daemon")
+		}
 	}
 	ack := &rpc.RosterAck{Incarnation: uint64(s.startedAt.UnixNano())}
 	for _, n := range news.Renewals {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -90,9 +90,13 @@
 func (s *Service) now() time.Duration { return time.Since(s.startedAt) }
 
 // RecordHeartbeat records a heartbeat of an upstream and forwards it to the other
-// control daemons. It returns a fault.Unavailable error if this daemon has lost
-// the log's leader: other daemons may then not learn of the heartbeat.
+// control daemons. It returns a fault.Malformed error if the heartbeat names no upstream to use,
+// and a fault.Unavailable error if this daemon has lost the log's leader: other daemons may then
+// not learn of the heartbeat.
 func (s *Service) RecordHeartbeat(e roster.Entry) error {
+	if err := e.Validate(); err != nil {
+		return fault.New(fault.Malformed, "correct what the upstream announces", "the heartbeat names no upstream to use: %v", err)
+	}
 	if _, leader := s.replicas.Leadership(); leader.Address == "" {
 		return fault.New(fault.Unavailable, "send the heartbeat to another control daemon", "this daemon has lost the log's leader")
 	}
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -64,7 +64,9 @@
 	silentSince := s.now() - settings.Milliseconds(s.set.Routing.HeartbeatMS)*(roster.SilentAfter+1)
 	for _, e := range list {
 		e.Heard = silentSince
-		s.core.Merge(e)
+		if s.isUsable(e, "stored roster") {
+			s.core.Merge(e)
+		}
 	}
 	s.log.Info("stored roster loaded", zap.Int("upstreams", len(list)))
 }
