broker: half of the slack is in a quota whose use nobody remembers

The half of the slack that is not part of the burst is meant for changes of brokers; it is in such a quota now, so that one restart of all daemons in a window stays within burst and slack. Without a slack a quota starts empty.

--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -382,6 +382,21 @@
 	}
 	require.LessOrEqual(t, total, burst+restarts*rate)
 
+	// The slack covers one restart.
+	const slack = 2000
+	total = 0
+	for range 2 {
+		b = New(1)
+		b.SetQuotaSlack(slack)
+		b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Address: "a", Slots: 1 << 20}})
+		b.SetTable(table)
+		if total > 0 {
+			b.ResetQuotas(now)
+		}
+		drain(b, now)
+	}
+	require.Equal(t, burst+slack, total)
+
 	// Entries that remember the last broker tell the next one, also after it has granted.
 	next := start(now)
 	now += time.Second
--- a/core/broker/quotas.go
+++ b/core/broker/quotas.go
@@ -9,7 +9,8 @@
 
 // burstSlackFraction is the fraction of the quota slack that is added to the burst,
 // so that requests of uneven size are not refused while their average rate is
-// within the quota. The rest of the slack covers the change of brokers.
+// within the quota. The rest of the slack covers the change of brokers: it is in a quota
+// whose use nobody remembers.
 const burstSlackFraction = 0.5
 
 // localQuotaFactor is how many times its even share of a quota an entry may grant
@@ -48,13 +49,13 @@
 	return rate, burst
 }
 
-// bucket returns the bucket of a workspace's quota and creates it if necessary. It was empty when
-// the broker began, for all that the broker knows.
+// bucket returns the bucket of a workspace's quota and creates it if necessary. For all that the
+// broker knows, it was empty when the broker began; the slack covers what may be granted besides.
 func (b *Broker) bucket(workspace string) *limits.Bucket {
 	bucket := b.buckets[workspace]
 	if bucket == nil {
 		bucket = &limits.Bucket{}
-		bucket.StartEmpty(b.quotasResetAt)
+		bucket.StartUnknown(b.quotasResetAt, b.quotaSlackTokens*(1-burstSlackFraction)*b.share)
 		b.buckets[workspace] = bucket
 	}
 	return bucket
@@ -94,7 +95,7 @@
 // LowerQuotas reduces the quotas to the levels that another broker reported, so that a
 // change of brokers does not grant a second burst. A level above 1 includes the refill of a
 // full quota, which covers tokens that SpendQuotas takes. The first level of a workspace also
-// replaces the empty quota with which a broker begins that knows of none.
+// replaces the one with which a broker begins that knows of none.
 func (b *Broker) LowerQuotas(now time.Duration, levels map[string]float64) {
 	for name, left := range levels {
 		if workspace := b.workspace(name); workspace != nil {
@@ -130,8 +131,8 @@
 	}
 }
 
-// ResetQuotas makes all quotas begin anew, empty: what was used elsewhere is not known. LowerQuotas
-// or RestoreQuotas may replace that.
+// ResetQuotas makes all quotas begin anew, without what was left: what was used elsewhere is not
+// known. LowerQuotas or RestoreQuotas may replace that.
 func (b *Broker) ResetQuotas(now time.Duration) {
 	clear(b.buckets)
 	b.quotasResetAt = now
--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -13,16 +13,16 @@
 	reported    float64
 	credit      float64
 	creditKnown bool
-	// unknown is true for a bucket that started empty until its level is known; taken is what
-	// was taken from it until then.
+	// unknown is true for a bucket of StartUnknown until its level is known; taken is what was
+	// taken from it until then.
 	unknown bool
 	taken   float64
 }
 
-// StartEmpty makes an unused bucket start empty at a time: nobody knows what was taken from it
+// StartUnknown makes an unused bucket start at a level, since nobody knows what was taken from it
 // before. The first call of Lower replaces that by its level at that time.
-func (b *Bucket) StartEmpty(at time.Duration) {
-	b.started, b.unknown, b.updated = true, true, at
+func (b *Bucket) StartUnknown(at time.Duration, level float64) {
+	b.started, b.unknown, b.updated, b.level = true, true, at, level
 }
 
 // Take takes n tokens if the bucket holds them above the reserve. If n and the reserve
