--- a/internal/forward/drainadmission_test.go
+++ b/internal/forward/drainadmission_test.go
@@ -352,3 +352,43 @@
 	require.Zero(t, second.requests())
 	<-stopped
 }
+
+// TestDrainAnswersLateRequestsThatMayNotBeRepeated guards against requests that are sent late in the
+// grace period on connections that are open, are passed on to an upstream, and are cut off without
+// an answer at the end: their callers can't send them again. A request that is refused must not run.
+func TestDrainAnswersLateRequestsThatMayNotBeRepeated(t *testing.T) {
+	t.Parallel()
+	const maxTokens = 3000
+	r, _, u, stop := newPacedEntry(t)
+	u.scripts = []script{func(c net.Conn, req *http.Request, body string) {
+		tokens, _ := strconv.Atoi(req.Header.Get("Tokens"))
+		time.Sleep(time.Duration(tokens) * drainTokenTime)
+		respondWith(http.StatusOK, "", "a")(c, req, body)
+	}}
+	mu, answered := sync.Mutex{}, map[string]int{}
+	calls := sync.WaitGroup{}
+	began := time.Now()
+	for at := time.Duration(0); at < pacedGrace; at += pacedGrace / 60 {
+		c := r.connect(t)
+		id, tokens := fmt.Sprintf("late-%d", at.Milliseconds()), 1+int(at.Milliseconds()*37)%maxTokens
+		calls.Go(func() {
+			time.Sleep(time.Until(began.Add(at)))
+			if _, err := fmt.Fprintf(c.conn, "POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: %s\r\nTokens: %d\r\nContent-Length: 0\r\n\r\n", id, tokens); err != nil {
+				return
+			}
+			if resp, err := c.receive(); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				answered[id] = resp.StatusCode
+			}
+		})
+	}
+	stop()
+	calls.Wait()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	require.NotEmpty(t, u.seen)
+	for _, req := range u.seen {
+		require.Equal(t, http.StatusOK, answered[req.Header.Get("Id")], "ran and got no answer, %s", req.Header.Get("Id"))
+	}
+}
