limits: a late level of a quota is no debt

The count now ends once an empty quota would have filled up: what was left at the start matters no more.

TestLateQuotaLevelIsNoDebt fails without the change.

--- a/core/broker/broker_test.go
+++ b/core/broker/broker_test.go
@@ -412,3 +412,23 @@
 	drain(next, now)
 	require.Equal(t, burst, total)
 }
+
+// TestLateQuotaLevelIsNoDebt guards against a workspace that is refused for long: a broker has
+// granted for a while without knowing what was left of the quota, when an entry that was cut off
+// names the level that the broker before had left.
+func TestLateQuotaLevelIsNoDebt(t *testing.T) {
+	const rate, burst = 1000, 5000
+	b := newServiceBroker(1 << 20)
+	b.SetTable(routes.NewIndex(&routes.Table{Workspaces: []routes.Workspace{{Name: "w", TokensPerSecond: rate, TokenBurst: burst}}}))
+	b.ResetQuotas(0)
+	now := time.Duration(0)
+	for n := range uint64(600) {
+		now += 100 * time.Millisecond
+		o := newOffer(n)
+		o.Workspace, o.QuotaCharge = "w", rate/20
+		b.Offer(now, o)
+		require.Empty(t, b.Decide(now).Refusals)
+	}
+	b.LowerQuotas(now, map[string]float64{"w": 12})
+	require.Empty(t, b.QuotaLevels(now), "half of the rate was used, and the quota is full")
+}
--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -14,15 +14,17 @@
 	credit      float64
 	creditKnown bool
 	// unknown is true for a bucket of StartUnknown until its level is known; taken is what was
-	// taken from it until then.
-	unknown bool
-	taken   float64
+	// taken from it since unknownSince.
+	unknown      bool
+	unknownSince time.Duration
+	taken        float64
 }
 
 // StartUnknown makes an unused bucket start at a level, since nobody knows what was taken from it
-// before. The first call of Lower replaces that by its level at that time.
+// before. The first call of Lower replaces that by its level at that time, unless an empty bucket
+// would have filled up since.
 func (b *Bucket) StartUnknown(at time.Duration, level float64) {
-	b.started, b.unknown, b.updated, b.level = true, true, at, level
+	b.started, b.unknown, b.unknownSince, b.updated, b.level = true, true, at, at, level
 }
 
 // Take takes n tokens if the bucket holds them above the reserve. If n and the reserve
@@ -95,4 +97,5 @@
 	}
 	b.level = min(burst, b.level+rate*max(0, now-b.updated).Seconds())
 	b.updated = now
+	b.unknown = b.unknown && rate*(now-b.unknownSince).Seconds() < burst
 }
