--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -94,8 +95,8 @@
 // and a fault.Unavailable error if this daemon has lost the log's leader: other daemons may then
 // not learn of the heartbeat.
 func (s *Service) RecordHeartbeat(e roster.Entry) error {
-	if err := e.Validate(); err != nil {
-		return fault.New(fault.Malformed, "correct what the upstream announces", "the heartbeat names no upstream to use: %v", err)
+	if odd := (*roster.Error)(nil); errors.As(e.Validate(), &odd) {
+		return fault.New(fault.Malformed, "correct what the upstream announces", "the heartbeat names no upstream to use: its %s %s", odd.Field, odd.Reason)
 	}
 	if _, leader := s.replicas.Leadership(); leader.Address == "" {
 		return fault.New(fault.Unavailable, "send the heartbeat to another control daemon", "this daemon has lost the log's leader")
