--- a/core/limits/share.go
+++ b/core/limits/share.go
@@ -6,11 +6,12 @@
 // others for each use. A leader names the number of processes; the parts of all processes never
 // add up to more than the whole:
 //
-//   - a process that hears nothing of a leader for maxGap has no part, since the others may
-//     be told of fewer processes by then;
-//   - it has a part only once it has been in contact for maxGap, in which the others learn of it;
-//   - it counts by the highest number of the last two maxGap, which is as long as one of the
-//     counted processes may keep its part after its contact ended.
+//   - a process without a message of a leader for maxGap has no part, since the leader may not
+//     count it any more;
+//   - it has a part only once it has been in contact for maxGap, in which the others get the new
+//     number;
+//   - the highest number of the last two maxGap counts: a process whose contact ends may keep its
+//     part for as long after the leader has ceased to count it.
 //
 // It is not safe for concurrent use.
 type Share struct {
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -51,8 +51,8 @@
 	// a nearer daemon is live. It has had time to find the leader by then.
 	minPlacementDelay = 1500 * time.Millisecond
 	maxPlacementDelay = 4500 * time.Millisecond
-	// maxShareGap is for how long an entry may have heard nothing from a leader and keep its part
-	// of shared limits. It covers the election of another leader.
+	// maxShareGap is how long an entry without a message of a leader keeps its part of shared
+	// limits. It covers the election of another leader.
 	maxShareGap = 2 * time.Second
 	// redirectTTL is how long a daemon that does not relay, since it or the leader is of
 	// an earlier version, is not preferred for being near.
@@ -459,9 +459,9 @@
 
 // quotaReport returns what the broker of a term needs to know of the quotas: the levels that
 // the previous one left, refilled since, and the tokens that the entry used by itself. A
-// broker that was told before only needs what was used since. An entry that no broker told of
-// quotas names no level, and a new broker that hears of none begins with empty quotas: the
-// processes before may have used them up. The caller holds the lock.
+// broker that has had a report only needs what was used since. An entry that has received no
+// levels reports none: the processes before it may have used up the quotas. The caller holds the
+// lock.
 func (s *Service) quotaReport(term uint64) []*rpc.QuotaLevel {
 	levels := map[string]float64{}
 	if term != s.reportedTerm {
