--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"departure":     playDeparture,
 	"departure-all": playDepartureAll,
 	"founding":      playFounding,
+	"joined":        playJoined,
 	"poison":        playPoison,
 	"replacement":   playReplacement,
 }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -16,6 +17,11 @@
 	address string
 	slots   int
 	work    time.Duration
+	// version is that of its software, place its zone. events is the number of events of its
+	// streams; zero for a plain service.
+	version string
+	place   string
+	events  int
 	// crashesOn is the path of a request that crashes the runner as it begins to run it;
 	// downTime is how long it takes to be back.
 	crashesOn string
@@ -43,7 +49,12 @@
 
 // addRunner starts a runner and its heartbeats.
 func (s *site) addRunner(service string, slots int, work time.Duration) (*runner, error) {
-	r := &runner{s: s, service: service, slots: slots, work: work}
+	return s.addRunnerOf(&runner{service: service, slots: slots, work: work, version: "v1", place: zone})
+}
+
+// addRunnerOf starts a runner that is described.
+func (s *site) addRunnerOf(r *runner) (*runner, error) {
+	r.s = s
 	s.runners = append(s.runners, r)
 	return r, r.start()
 }
@@ -129,7 +140,7 @@
 			return
 		}
 		beat := map[string]any{
-			"backend": r.service, "address": r.address, "zone": zone, "version": "v1", "slots": r.slots, "state": "ready", "cold_remaining_ms": 0,
+			"backend": r.service, "address": r.address, "zone": r.place, "version": r.version, "slots": r.slots, "state": "ready", "cold_remaining_ms": 0,
 			"seq": seq, "born": born,
 		}
 		for range r.s.controls {
@@ -223,6 +234,10 @@
 		r.running--
 		r.mu.Unlock()
 	}()
+	if r.events > 0 {
+		r.stream(w, req, attempt, ended)
+		return
+	}
 	select {
 	case <-time.After(r.work):
 	case <-ended:
@@ -244,3 +259,27 @@
 	}
 	return out
 }
+
+// stream sends the events after Last-Event-Id. The text of each names the version of the software.
+func (r *runner) stream(w http.ResponseWriter, req *http.Request, attempt string, ended chan struct{}) {
+	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // none means the whole stream
+	w.Header().Set("X-Response-Seal", "seal-"+attempt)
+	w.Header().Set("Content-Type", "text/event-stream")
+	events := r.events
+	if req.URL.Path == longPath {
+		events *= longFactor
+	}
+	for n := last + 1; n <= events; n++ {
+		select {
+		case <-time.After(r.work):
+		case <-ended:
+			panic(http.ErrAbortHandler)
+		case <-req.Context().Done():
+			return
+		}
+		_, err := fmt.Fprintf(w, "id: %d\ndata: word %d of %s\n\n", n, n, r.version)
+		if err != nil || http.NewResponseController(w).Flush() != nil {
+			return
+		}
+	}
+}
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -32,7 +32,10 @@
 	host   = "review.example"
 	zone   = "zone-a"
 	region = "region-a"
-	apiKey = "review-key"
+	// farZone and farRegion are those of runners that are chosen last.
+	farZone   = "zone-b"
+	farRegion = "region-b"
+	apiKey    = "review-key"
 )
 
 // site is a small deployment: daemons as processes, runners and clients in this process.
@@ -170,7 +173,7 @@
 		"routing": map[string]any{
 			"seed_port": s.ports.peers, "heartbeat_ms": heartbeatInterval.Milliseconds(), "grace_s": 8, "answer_life_ms": 1000,
 			"overload": map[string]any{}, "pace": map[string]any{}, "quota": map[string]any{"slack_tokens": 190000},
-			"data_centres": map[string]string{zone: region},
+			"data_centres": map[string]string{zone: region, farZone: farRegion},
 		},
 	}}
 }
