--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -121,6 +121,8 @@
 	overload overloadReport
 	// roundTime is the duration of the last round of decisions.
 	roundTime time.Duration
+	// work is what this daemon has done since it began to lead.
+	work work
 	// rosterReadAt is when the roster was last read, and rosterReadTime how long the
 	// reading took.
 	rosterReadAt   time.Time
@@ -303,7 +305,13 @@
 	if leads {
 		s.metrics.leadershipStarts.Inc()
 	}
-	s.log.Info("broker changed", zap.Bool("leads", leads), zap.Int("entries", len(s.sessions)))
+	fields := []zap.Field{zap.Bool("leads", leads), zap.Int("entries", len(s.sessions))}
+	if leads {
+		s.work = beginWork()
+	} else {
+		fields = append(fields, s.work.fields()...)
+	}
+	s.log.Info("broker changed", fields...)
 	s.endInterim()
 	s.replaceCore()
 	if leads {
@@ -350,7 +358,10 @@
 	}
 	s.shareInterim()
 	started := time.Now()
-	defer func() { s.roundTime = time.Since(started) }()
+	defer func() {
+		s.roundTime = time.Since(started)
+		s.work.addRound(s.roundTime)
+	}()
 	decisions := s.core.Decide(s.now())
 	s.metrics.record(decisions)
 	s.reportOverload()
--- a/internal/broker/rosterupdates.go
+++ b/internal/broker/rosterupdates.go
@@ -63,6 +63,7 @@
 		return
 	}
 	x.hasRoster, x.hasFullRoster = true, true
+	s.work.rosters++
 	s.queueRoster(x, true)
 	s.nextFullRoster = time.Now().Add(time.Duration(len(s.announced)) * fullRosterDelay)
 }
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -192,6 +192,7 @@
 // apply passes an entry's message to the broker. The caller holds the lock.
 func (s *Service) apply(entry string, ask *rpc.BrokerAsk) {
 	now := s.now()
+	defer s.work.addMessage(ask, time.Now())
 	early, late := splitEnds(ask)
 	for _, e := range early {
 		s.core.End(now, brokerwire.DecodeEnd(entry, e))
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -128,13 +128,17 @@
 	if role == e.role && term == e.term && leader == e.leader {
 		return
 	}
+	fields := []zap.Field{zap.Stringer("role", role), zap.Uint64("term", term)}
+	if e.role == consensus.Leader {
+		fields = append(fields, e.delay.fields()...)
+	}
 	e.role, e.term, e.leader = role, term, leader
 	e.lessor.reset(e.group.clocks.elapsed(), term)
 	e.publishStatus()
 	e.group.mu.Lock()
 	e.group.notifyWatchers()
 	e.group.mu.Unlock()
-	e.group.log.Info("role changed", zap.Stringer("role", role), zap.Uint64("term", term))
+	e.group.log.Info("role changed", fields...)
 }
 
 // publishStatus updates the status for operators and the metrics.
--- a/internal/replica/clocks.go
+++ b/internal/replica/clocks.go
@@ -14,10 +14,13 @@
 	sinceBoot func() time.Duration
 	// timeOfDay may jump. It dates claims only.
 	timeOfDay func() time.Time
+	// processor is the processor time that the process has used; nil in tests. It is only
+	// logged.
+	processor func() time.Duration
 }
 
 func systemClocks() clocks {
-	return clocks{steady: clock.Steady, sinceBoot: clock.SinceBoot, timeOfDay: time.Now}
+	return clocks{steady: clock.Steady, sinceBoot: clock.SinceBoot, timeOfDay: time.Now, processor: clock.Processor}
 }
 
 // elapsed returns the time by which elections, leases and their renewals are
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -85,6 +85,7 @@
 	handsOver bool
 	// stops is set while the daemon stops: the replica announces it to the leader with each tick.
 	stops bool
+	delay loopDelay
 }
 
 // openEngine opens the log and restores the machine from the newest snapshot.
@@ -143,6 +144,7 @@
 // advance tells the node the current time in ticks.
 func (e *engine) advance() {
 	now := e.group.clocks.elapsed()
+	e.recordDelay(now)
 	e.node.Advance(uint64((now - e.startedAt) / tickInterval))
 	e.group.advancedAt.Store(int64(now))
 }
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -22,6 +22,7 @@
 	voters  *prometheus.GaugeVec
 	// replyingVoters counts the voters that reply, on the leader.
 	replyingVoters *prometheus.GaugeVec
+	delays         *prometheus.CounterVec
 }
 
 func newMeters(r prometheus.Registerer) *meters {
@@ -41,8 +42,9 @@
 		voters:  gauge("voters", "Replicas that vote, as known here.", "group"),
 
 		replyingVoters: gauge("replying_voters", "Voters that reply, on the leader; more than half of the voters must.", "group"),
+		delays:         prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "loop_delays_total", Help: "Times that the loop of the log stood still for half of an election timeout."}, []string{"group"}),
 	}
-	r.MustRegister(m.commits, m.sync, m.term, m.leader, m.lag, m.version, m.voters, m.replyingVoters)
+	r.MustRegister(m.commits, m.sync, m.term, m.leader, m.lag, m.version, m.voters, m.replyingVoters, m.delays)
 	return m
 }
 
@@ -58,6 +60,7 @@
 	lag     *prometheus.GaugeVec
 
 	replyingVoters prometheus.Gauge
+	delays         prometheus.Counter
 }
 
 func (m *meters) group(name string) *groupMeters {
@@ -65,7 +68,7 @@
 		name: name, commits: m.commits.WithLabelValues(name), sync: m.sync.WithLabelValues(name),
 		term: m.term.WithLabelValues(name), leader: m.leader.WithLabelValues(name),
 		version: m.version.WithLabelValues(name), lag: m.lag,
-		voters: m.voters.WithLabelValues(name), replyingVoters: m.replyingVoters.WithLabelValues(name),
+		voters: m.voters.WithLabelValues(name), replyingVoters: m.replyingVoters.WithLabelValues(name), delays: m.delays.WithLabelValues(name),
 	}
 }
 
