consensus: a replica that was held up does not take that for the silence of the others

Cause: the node acted on timeouts as soon as the time was set, before the messages that waited for its loop were read, and counted the time in which it had sent no heartbeats. A loop that stood still for 0.2 s on a busy processor found its quorum silent for 0.36 s, with 13 of its messages in the queue, and stepped down. The next leader takes over all requests on a processor of the same size.

Change: setting the time and acting on timeouts are two steps. The loop sets the time for each job, so that votes and leases are judged by it, and acts on timeouts once the queue is empty. Silence of a peer counts from when the leader went on; a leader that is held up again and again steps down after three election timeouts without a quorum's replies, one that did not run for an election timeout at once, as before. A follower that was held up seeks election one call later, since messages may wait in the process.

TestLeaseExpiresBeforeNextElection now passes each tick, as the loop does: a jump of eight ticks is a node that was held up. Its bounds are the same, and the role is checked at each tick.

--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -60,6 +60,8 @@
 	heartbeatSequence uint64
 	heartbeatRounds   []heartbeatRound
 	lastHeartbeatAt   uint64
+	// resumedAt is the tick at which this node went on after it was held up.
+	resumedAt uint64
 	// leaseStart is when the newest round that a quorum answered was sent.
 	leaseStart uint64
 	hasLease   bool
@@ -121,14 +123,33 @@
 	}
 }
 
+// heardAt returns the tick from which the silence of a peer counts: its last
+// reply, or when this node went on after it was held up, since the peer had
+// nothing to reply to before.
+func (n *Node) heardAt(p *peer) uint64 { return max(p.lastReplyAt, n.leaderState.resumedAt) }
+
+// maxSilenceFactor is the time without replies after which a leader steps down
+// even if it is held up again and again, in election timeouts.
+const maxSilenceFactor = 3
+
+// isQuorumSilent reports whether too few members for a quorum have replied for an
+// election timeout.
+func (n *Node) isQuorumSilent() bool {
+	silentFor := func(since func(*peer) uint64) uint64 {
+		return n.now - n.membership.quorumValue(func(id ID) uint64 {
+			if p := n.leaderState.peers[id]; p != nil {
+				return since(p)
+			}
+			return n.now
+		})
+	}
+	return silentFor(n.heardAt) >= n.options.ElectionTimeoutTicks ||
+		silentFor(func(p *peer) uint64 { return p.lastReplyAt }) >= maxSilenceFactor*n.options.ElectionTimeoutTicks
+}
+
+// tickLeader sends heartbeats, and steps down if no quorum replies.
 func (n *Node) tickLeader() {
-	quorumReplyAt := n.membership.quorumValue(func(id ID) uint64 {
-		if p := n.leaderState.peers[id]; p != nil {
-			return p.lastReplyAt
-		}
-		return n.now
-	})
-	if quorumReplyAt+n.options.ElectionTimeoutTicks <= n.now {
+	if n.isQuorumSilent() {
 		n.becomeFollower(n.hard.Term, 0)
 		return
 	}
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -33,7 +33,9 @@
 type Node struct {
 	options Options
 	now     uint64
-	hard    HardState
+	// advancedTo is the time of the last call of Advance.
+	advancedTo uint64
+	hard       HardState
 	// emittedHard is the hard state last returned for writing.
 	emittedHard HardState
 	log         entryLog
@@ -70,7 +72,7 @@
 // no other lease and campaigns after restartedLeaderRetryTicks: no other node
 // can be elected that early.
 func New(opt Options, saved StoredState, now uint64) *Node {
-	n := &Node{options: opt, now: now, noVoteUntil: now + opt.ElectionTimeoutTicks, hard: saved.HardState, emittedHard: saved.HardState, log: newEntryLog(saved)}
+	n := &Node{options: opt, now: now, advancedTo: now, noVoteUntil: now + opt.ElectionTimeoutTicks, hard: saved.HardState, emittedHard: saved.HardState, log: newEntryLog(saved)}
 	n.membership.reset(saved.Meta)
 	n.membership.recordChanges(n.log.entries)
 	// If all nodes start at the same time there is no leader, so the first
@@ -111,18 +113,44 @@
 	}
 }
 
-// Advance sets the time in ticks of a monotonic clock. It must be called with
-// the current time before each batch of other calls.
-func (n *Node) Advance(now uint64) {
+// SetTime sets the time in ticks of a monotonic clock. It must be called with
+// the current time before each batch of other calls, so that votes and leases
+// are judged by it. Timeouts of others are left to Advance, but a leader that
+// has not run for an election timeout steps down: it may have been replaced.
+func (n *Node) SetTime(now uint64) {
 	if now <= n.now {
 		return
 	}
+	idle := now - n.now
 	n.now = now
-	if n.role == Leader {
-		n.tickLeader()
+	if n.role == Leader && idle >= n.options.ElectionTimeoutTicks && n.isQuorumSilent() {
+		n.becomeFollower(n.hard.Term, 0)
+	}
+}
+
+// maxRegularTicks is the longest time between two calls of Advance after which
+// the node was not held up.
+const maxRegularTicks = 3
+
+// Advance sets the time like SetTime and acts on timeouts. The caller passes the
+// messages that have arrived to Step before: a node that was held up must not
+// take that time for the silence of the others. Messages may also wait outside of
+// the caller, so that a node which was held up seeks election at the next call.
+func (n *Node) Advance(now uint64) {
+	if now <= n.advancedTo {
 		return
 	}
-	if n.now >= n.electionDeadline {
+	isHeldUp := now > n.advancedTo+maxRegularTicks
+	n.advancedTo = now
+	n.SetTime(now)
+	switch {
+	case n.role == Leader:
+		if isHeldUp {
+			n.leaderState.resumedAt = now
+		}
+		n.tickLeader()
+	case isHeldUp && now < n.electionDeadline+n.options.ElectionTimeoutTicks:
+	case now >= n.electionDeadline:
 		n.campaign(false)
 	}
 }
@@ -321,7 +349,8 @@
 	Member Member
 	// MatchIndex is the last index known to be replicated to the peer.
 	MatchIndex uint64
-	// TicksSinceReply is the number of ticks since its last reply.
+	// TicksSinceReply is the number of ticks since its last reply, or since this
+	// node was held up.
 	TicksSinceReply uint64
 	// Stopping reports that the peer has announced its stop.
 	Stopping bool
@@ -351,7 +380,7 @@
 	}
 	for _, m := range s.Members {
 		if p := n.leaderState.peers[m.ID]; p != nil {
-			s.Peers = append(s.Peers, PeerStatus{Member: m, MatchIndex: p.matchIndex, TicksSinceReply: n.now - p.lastReplyAt, Stopping: n.isStopping(p)})
+			s.Peers = append(s.Peers, PeerStatus{Member: m, MatchIndex: p.matchIndex, TicksSinceReply: n.now - n.heardAt(p), Stopping: n.isStopping(p)})
 		}
 	}
 	return s
--- a/core/consensus/node_test.go
+++ b/core/consensus/node_test.go
@@ -171,11 +171,11 @@
 	n.Step(Message{Kind: HeartbeatReply, From: 2, To: 1, Term: 2, Sequence: 1})
 	drainMessages(n)
 	require.True(t, n.HasLease())
-	n.Advance(108)
-	require.True(t, n.HasLease())
-	n.Advance(109)
-	require.False(t, n.HasLease())
-	n.Advance(112)
+	for now := uint64(101); now <= 112; now++ {
+		require.Equal(t, Leader, n.role)
+		n.Advance(now)
+		require.Equal(t, now < 109, n.HasLease())
+	}
 	require.Equal(t, Follower, n.role, "a leader without a quorum must step down")
 }
 
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -141,12 +141,21 @@
 	g.changed = make(chan struct{})
 }
 
-// advance tells the node the current time in ticks.
-func (e *engine) advance() {
+// setTime tells the node the current time in ticks, and returns it.
+func (e *engine) setTime() uint64 {
 	now := e.group.clocks.elapsed()
 	e.recordDelay(now)
-	e.node.Advance(uint64((now - e.startedAt) / tickInterval))
+	ticks := uint64((now - e.startedAt) / tickInterval)
+	e.node.SetTime(ticks)
 	e.group.advancedAt.Store(int64(now))
+	return ticks
+}
+
+// tick has the node act on timeouts, and runs the maintenance. The caller runs the
+// queued jobs before.
+func (e *engine) tick() {
+	e.node.Advance(e.setTime())
+	e.runMaintenance()
 }
 
 // loop runs jobs and ticks until the group is closed or an error requires that
@@ -167,8 +176,10 @@
 		case done := <-e.snapshot.done:
 			e.compactLog(done)
 		case <-ticker.C:
-			e.advance()
-			e.runMaintenance()
+			if !e.group.limits.syncEachEntry {
+				e.runQueuedJobs()
+			}
+			e.tick()
 		}
 		e.proposePending()
 		if err := e.processEffects(); err != nil {
@@ -180,10 +191,10 @@
 	}
 }
 
-// runJob runs a job after advancing the clock, because the job was queued before
-// the present time.
+// runJob runs a job at the present time. Timeouts wait until all queued jobs have
+// run: these may bring what was waited for.
 func (e *engine) runJob(j job) {
-	e.advance()
+	e.setTime()
 	j(e)
 }
 
--- a/internal/replica/schedule_test.go
+++ b/internal/replica/schedule_test.go
@@ -344,7 +344,7 @@
 		from  uint64
 		shows string
 	}{
-		"sync does not write to disk":    {defect: injectedDefect{skipsSync: true}, from: 1300, shows: "committed with terms"},
+		"sync does not write to disk":    {defect: injectedDefect{skipsSync: true}, from: 850, shows: "committed with terms"},
 		"emptied replica keeps its vote": {defect: injectedDefect{reusesID: true}, shows: "committed with terms"},
 		"clock drift exceeds the bound":  {defect: injectedDefect{excessiveDrift: true}, from: 100, shows: "lease held by"},
 		"lease expires too early":        {defect: injectedDefect{earlyExpiry: true}, shows: "lease held by"},
--- a/internal/replica/simulation_test.go
+++ b/internal/replica/simulation_test.go
@@ -294,7 +294,7 @@
 
 func (s *simReplica) tick() {
 	if !s.isSuspended {
-		s.handle(func(e *engine) { e.runMaintenance() })
+		s.handle((*engine).tick)
 	}
 	s.sim.runPollers()
 	if s.engine != nil && !s.isSuspended && (len(s.engine.node.Members()) == 0 || s.wasRemoved()) {
--- a/internal/replica/suspension_test.go
+++ b/internal/replica/suspension_test.go
@@ -31,7 +31,7 @@
 }
 
 // wake ends a suspension. The waiting jobs run in random order, since they came
-// over several connections.
+// over several connections. The tick that is due runs after them.
 func (s *simReplica) wake() {
 	if !s.isSuspended {
 		return
@@ -44,6 +44,7 @@
 	for _, j := range waiting {
 		s.handle(j)
 	}
+	s.handle((*engine).tick)
 }
 
 // propose submits a command at a replica and returns its outcomes.
