replica: no learner becomes a voter beyond the voters that reply

A learner that has caught up was made a voter whatever the others did. With six control daemons the quorum grows from three to four by that.

A change is proposed only if more than half of the new voters reply. Test: TestLearnerIsNotPromotedBeyondReplyingVoters, which fails without the change (three of six reply).

--- a/internal/replica/maintenance.go
+++ b/internal/replica/maintenance.go
@@ -103,7 +103,8 @@
 // larger quorum. So a voter of an even number that stops or does not reply is
 // made a learner, which costs no fault tolerance: without that, its absence
 // would use up the loss that the others tolerate. It keeps its log and becomes a
-// voter again once it has caught up. An odd number of voters is not reduced.
+// voter again once it has caught up, unless the larger quorum would be more than
+// the voters that reply. An odd number of voters is not reduced.
 func nextMembers(s consensus.Status) (members []consensus.Member, changed consensus.Member, reason string) {
 	members = slices.Clone(s.Members)
 	index := func(id consensus.ID) int {
@@ -116,9 +117,13 @@
 		}
 	}
 	for _, p := range s.Peers {
-		if p.Member.Learner && p.MatchIndex >= s.CommitIndex && p.TicksSinceReply <= recentReplyTicks && !p.Stopping {
-			members[index(p.Member.ID)].Learner = false
-			return members, p.Member, "learner has caught up"
+		if !p.Member.Learner || p.MatchIndex < s.CommitIndex || p.TicksSinceReply > recentReplyTicks || p.Stopping {
+			continue
+		}
+		promoted := slices.Clone(members)
+		promoted[index(p.Member.ID)].Learner = false
+		if countReplyingVoters(s, promoted) > countVoters(promoted)/2 {
+			return promoted, p.Member, "learner has caught up"
 		}
 	}
 	for _, p := range s.Peers {
