broker: the work of a take-over is done in slices, between which the log runs

Cause: the messages of all entries come at once after a change of leader, and those of a follower's entries in one piece. The broker handled what had come without a pause. On 0.24 core the daemon used all of its processor time for over a second (0.19 s in the 0.88 s for which the first led), and the log's heartbeats waited.

Change: after 5 ms of processor time the broker pauses for 1 ms, between the messages of entries, those in a follower's message too, and before a round of decisions. What is on the processor next is then up to all of the daemon.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -122,7 +122,8 @@
 	// roundTime is the duration of the last round of decisions.
 	roundTime time.Duration
 	// work is what this daemon has done since it began to lead.
-	work work
+	work  work
+	pacer *pacer
 	// rosterReadAt is when the roster was last read, and rosterReadTime how long the
 	// reading took.
 	rosterReadAt   time.Time
@@ -135,7 +136,7 @@
 func New(set *settings.Settings, log *zap.Logger) *Service {
 	return &Service{
 		set: set, log: log.Named("broker"), started: time.Now(), elapsed: clock.SinceBoot, wake: make(chan struct{}, 1),
-		core: newCore(set), sessions: map[string]*session{}, announced: map[string]*rpc.RosterEntry{},
+		core: newCore(set), pacer: newPacer(), sessions: map[string]*session{}, announced: map[string]*rpc.RosterEntry{},
 		announcedAt: map[string]time.Time{}, sentLevels: map[string]float64{}, listeners: map[*session]struct{}{},
 		relay: relay{wake: make(chan struct{}, 1), estimates: map[string]broker.Estimates{}, shedding: map[poolRank]shedding{}},
 	}
@@ -202,6 +203,7 @@
 	defer timer.Stop()
 	for s.ctx.Err() == nil {
 		rosterChanged, tableChanged := s.roster.Changed(), s.view.Changed()
+		s.pacer.yield()
 		s.refresh(false)
 		timer.Reset(s.decide())
 		select {
--- a/internal/broker/relayed.go
+++ b/internal/broker/relayed.go
@@ -140,8 +140,18 @@
 	s.log.Info("relay disconnected", zap.String("relay", name), zap.Int("entries", len(y.entries)))
 }
 
-// handleRelayAsk handles one message of a follower.
+// handleRelayAsk handles one message of a follower, the messages of its entries one by one.
 func (s *Service) handleRelayAsk(y *relayed, r *rpc.RelayAsk) {
+	s.handleRelay(y, r)
+	for _, ask := range r.Asks {
+		s.pacer.yield()
+		s.handleRelayed(y, ask)
+	}
+}
+
+// handleRelay handles what a follower says of itself and of entries that it lost.
+func (s *Service) handleRelay(y *relayed, r *rpc.RelayAsk) {
+	s.pacer.yield()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.leads {
@@ -155,14 +165,21 @@
 			s.remove(entry, x)
 		}
 	}
-	for _, ask := range r.Asks {
-		if ask.Complete {
-			x := &session{via: y, entry: ask.Entry, end: func() {}}
-			y.entries[ask.Entry] = x
-			s.add(ask.Entry, x)
-		}
-		if x := y.entries[ask.Entry]; x != nil && s.sessions[ask.Entry] == x {
-			s.apply(ask.Entry, ask)
-		}
+}
+
+// handleRelayed handles a message of an entry that a follower relays.
+func (s *Service) handleRelayed(y *relayed, ask *rpc.BrokerAsk) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leads {
+		return
+	}
+	if ask.Complete {
+		x := &session{via: y, entry: ask.Entry, end: func() {}}
+		y.entries[ask.Entry] = x
+		s.add(ask.Entry, x)
+	}
+	if x := y.entries[ask.Entry]; x != nil && s.sessions[ask.Entry] == x {
+		s.apply(ask.Entry, ask)
 	}
 }
