broker: a round of decisions ends after 256 grants or refusals

A round decided on all requests that waited.

A round ends after 256 grants, or 256 refusals, of a pool. The next one follows after the delay that the length of the round asks for. No request is refused before the slots are granted: a round that ends with its grants refuses none.

--- a/core/broker/decide.go
+++ b/core/broker/decide.go
@@ -36,6 +36,10 @@
 	maxRetryDelay = 4 * time.Second
 	// decideInterval is the longest time between two rounds while requests wait.
 	decideInterval = 20 * time.Millisecond
+	// maxRoundDecisions is after how many grants, or refusals, of a pool a round ends. After a
+	// change of brokers thousands of requests wait, and the caller must not be kept for the time
+	// that all of them take.
+	maxRoundDecisions = 256
 )
 
 // Decide runs one round of decisions: it grants requests while upstreams have room
@@ -52,11 +56,13 @@
 			p.started = true
 			p.lastServed = now
 		}
+		p.isUnfinished = false
 		if len(p.queue) == 0 {
 			continue
 		}
-		b.grantWaiting(p, r)
-		b.refuseLate(p, r)
+		if b.grantWaiting(p, r); !p.isUnfinished {
+			b.refuseLate(p, r)
+		}
 	}
 	out := b.pending
 	b.pending = Decisions{}
@@ -64,14 +70,16 @@
 }
 
 // NextDelay returns the longest delay before the next call of Decide, and false if no
-// request waits.
+// request waits. It is zero if the last round ended before all requests were looked at.
 func (b *Broker) NextDelay() (time.Duration, bool) {
+	waits := false
 	for _, p := range b.pools {
-		if len(p.queue) > 0 {
-			return decideInterval, true
+		if p.isUnfinished {
+			return 0, true
 		}
+		waits = waits || len(p.queue) > 0
 	}
-	return 0, false
+	return decideInterval, waits
 }
 
 func (b *Broker) dropOrphans(now time.Duration) {
@@ -205,8 +213,12 @@
 // grantWaiting grants requests in queue order while any upstream has room. A request
 // that can still be on time waits for an upstream where it will be.
 func (b *Broker) grantWaiting(p *pool, r *round) {
-	skipped := 0
+	skipped, granted := 0, 0
 	for i := 0; i < len(p.queue) && skipped < maxSkippedRequests && r.hasRoom(); {
+		if granted == maxRoundDecisions {
+			p.isUnfinished = true
+			break
+		}
 		req := p.queue[i]
 		if r.noneOpenTo(req.ID.Entry) && r.noneHeldFor(req.ID.Entry) {
 			// Not counted as skipped, so that it does not hold up other entries.
@@ -234,6 +246,7 @@
 			i++
 			continue
 		}
+		granted++
 		p.queue = slices.Delete(p.queue, i, i+1)
 		p.admissions.record(r.now, req, true, 0)
 		p.overload.grantedRequest(req)
@@ -339,9 +352,13 @@
 		b.refuseUnserved(r.now, p)
 		return
 	}
-	ahead := 0.0
+	ahead, refused := 0.0, 0
 	late := []*request{}
 	for i := 0; i < len(p.queue); {
+		if refused == maxRoundDecisions {
+			p.isUnfinished = true
+			break
+		}
 		req := p.queue[i]
 		if b.refuseTooLarge(p, req) || b.refuseUnresumable(r.now, p, req) {
 			p.queue = slices.Delete(p.queue, i, i+1)
@@ -365,6 +382,7 @@
 			reason := fmt.Sprintf("%d ms of waiting behind %.1f s of work on %.4g slots would be too late", wait.Milliseconds(), ahead, r.slots)
 			p.admissions.record(r.now, req, false, wait)
 			b.refuseOverloaded(p, r, req, wait, reason)
+			refused++
 		}
 		p.queue = slices.Delete(p.queue, i, i+1)
 	}
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -32,8 +32,10 @@
 	overload *poolOverload
 	// lastServed is the time of the last round that had slots, or of the first round.
 	lastServed time.Duration
-	// started is true after the first round.
-	started bool
+	// started is true after the first round. isUnfinished is true if the last round ended before
+	// it had looked at all requests.
+	started      bool
+	isUnfinished bool
 	// pastVersions holds the software versions of upstreams that have left, and since
 	// when; zero until the next round.
 	pastVersions map[string]time.Duration
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -205,7 +205,8 @@
 		rosterChanged, tableChanged := s.roster.Changed(), s.view.Changed()
 		s.pacer.yield()
 		s.refresh(false)
-		timer.Reset(s.decide())
+		delay := s.decide()
+		timer.Reset(max(delay, s.decideDelay()))
 		select {
 		case <-s.wake:
 			time.Sleep(s.decideDelay())
