consensus: reads that wait share one round of heartbeats

Cause: a leader without a lease confirmed each read by a round of heartbeats of its own. After an election the reads of all watches wait for the first commit, and a leader that was held up has no lease either: 300 reads were 300 rounds, with a message to and a reply from each other voter.

Change: a round whose messages have not left yet confirms all reads that arrive until then. A read that comes later begins the next round.

--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -69,6 +69,9 @@
 	// election, which does not wait for the lease to expire.
 	leaseDisabled bool
 	pendingReads  []pendingRead
+	// isRoundUnsent is set from the begin of a heartbeat round for a read until the
+	// caller takes its messages.
+	isRoundUnsent bool
 	// deferredReads arrived before the first commit of the term.
 	deferredReads    []pendingRead
 	uncommittedBytes int
@@ -235,9 +238,14 @@
 		n.completeRead(r)
 		return
 	}
-	r.sequence = n.leaderState.heartbeatSequence + 1
+	// A round that is not sent yet confirms all reads that arrive until then.
+	if !n.leaderState.isRoundUnsent {
+		n.leaderState.isRoundUnsent = true
+		n.broadcastHeartbeat()
+	}
+	r.sequence = n.leaderState.heartbeatSequence
 	n.leaderState.pendingReads = append(n.leaderState.pendingReads, r)
-	n.broadcastHeartbeat()
+	n.handleHeartbeatAcks()
 }
 
 func (n *Node) completeRead(r pendingRead) {
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -307,6 +307,7 @@
 func (n *Node) Effects() Effects {
 	e := Effects{MessagesBeforeSync: n.beforeSync, MessagesAfterSync: n.afterSync, Reads: n.reads, Snapshot: n.receivedSnapshot}
 	n.beforeSync, n.afterSync, n.reads, n.receivedSnapshot = nil, nil, nil, nil
+	n.leaderState.isRoundUnsent = false
 	if n.hard != n.emittedHard {
 		h := n.hard
 		e.Hard = &h
