--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -122,8 +122,8 @@
 	// roundTime is the duration of the last round of decisions.
 	roundTime time.Duration
 	// work is what this daemon has done since it began to lead.
-	work  work
-	pacer *pacer
+	work   work
+	slicer *slicer
 	// rosterReadAt is when the roster was last read, and rosterReadTime how long the
 	// reading took.
 	rosterReadAt   time.Time
@@ -136,7 +136,7 @@
 func New(set *settings.Settings, log *zap.Logger) *Service {
 	return &Service{
 		set: set, log: log.Named("broker"), started: time.Now(), elapsed: clock.SinceBoot, wake: make(chan struct{}, 1),
-		core: newCore(set), pacer: newPacer(), sessions: map[string]*session{}, announced: map[string]*rpc.RosterEntry{},
+		core: newCore(set), slicer: newSlicer(), sessions: map[string]*session{}, announced: map[string]*rpc.RosterEntry{},
 		announcedAt: map[string]time.Time{}, sentLevels: map[string]float64{}, listeners: map[*session]struct{}{},
 		relay: relay{wake: make(chan struct{}, 1), estimates: map[string]broker.Estimates{}, shedding: map[poolRank]shedding{}},
 	}
@@ -203,7 +203,7 @@
 	defer timer.Stop()
 	for s.ctx.Err() == nil {
 		rosterChanged, tableChanged := s.roster.Changed(), s.view.Changed()
-		s.pacer.yield()
+		s.slicer.yield()
 		s.refresh(false)
 		delay := s.decide()
 		timer.Reset(max(delay, s.decideDelay()))
--- a/internal/broker/relayed.go
+++ b/internal/broker/relayed.go
@@ -144,14 +144,14 @@
 func (s *Service) handleRelayAsk(y *relayed, r *rpc.RelayAsk) {
 	s.handleRelay(y, r)
 	for _, ask := range r.Asks {
-		s.pacer.yield()
+		s.slicer.yield()
 		s.handleRelayed(y, ask)
 	}
 }
 
 // handleRelay handles what a follower says of itself and of entries that it lost.
 func (s *Service) handleRelay(y *relayed, r *rpc.RelayAsk) {
-	s.pacer.yield()
+	s.slicer.yield()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.leads {
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -158,7 +158,7 @@
 // handle handles one message of an entry. It ignores messages of sessions that were
 // replaced.
 func (s *Service) handle(entry string, x *session, ask *rpc.BrokerAsk) {
-	s.pacer.yield()
+	s.slicer.yield()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.sessions[entry] != x {
--- a/internal/broker/pacer.go
+++ b/internal/broker/slicer.go
@@ -15,10 +15,10 @@
 	slicePause = time.Millisecond
 )
 
-// pacer divides the broker's work into slices with pauses between them. The daemon's log runs on
+// slicer divides the broker's work into slices with pauses between them. The daemon's log runs on
 // the same processor and must not wait for the messages of hundreds of entries, which come at
 // once after a change of leader.
-type pacer struct {
+type slicer struct {
 	// processor is the processor time that the process has used; pause waits.
 	processor func() time.Duration
 	pause     func(time.Duration)
@@ -27,16 +27,16 @@
 	since time.Duration
 }
 
-func newPacer() *pacer { return &pacer{processor: clock.Processor, pause: time.Sleep} }
+func newSlicer() *slicer { return &slicer{processor: clock.Processor, pause: time.Sleep} }
 
 // yield is called before each piece of work, without the service's lock. It pauses if the slice is
 // used up; callers that arrive meanwhile wait for the same pause.
-func (p *pacer) yield() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.processor()-p.since < workSlice {
+func (s *slicer) yield() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.processor()-s.since < workSlice {
 		return
 	}
-	p.pause(slicePause)
-	p.since = p.processor()
+	s.pause(slicePause)
+	s.since = s.processor()
 }
--- a/internal/broker/pacer_test.go
+++ b/internal/broker/slicer_test.go
@@ -47,7 +47,7 @@
 		electionTimeout = 360 * time.Millisecond
 	)
 	b := &busyProcessor{share: share}
-	p := &pacer{processor: b.time, pause: b.wait}
+	p := &slicer{processor: b.time, pause: b.wait}
 	for range entries {
 		p.yield()
 		b.work(messageTime)
@@ -75,7 +75,7 @@
 		return b.time()
 	}
 	pauses := 0
-	s.pacer = &pacer{processor: read, pause: func(time.Duration) {
+	s.slicer = &slicer{processor: read, pause: func(time.Duration) {
 		require.True(t, s.mu.TryLock(), "others wait for the lock")
 		s.mu.Unlock()
 		pauses++
--- a/internal/replica/delay.go
+++ b/internal/replica/delay.go
@@ -30,6 +30,7 @@
 	d := &e.delay
 	before, processorBefore := d.seen, d.processorSeen
 	d.seen = now
+	// Reading it is a system call, which is not made for each message.
 	if read := e.group.clocks.processor; read != nil && now-before >= tickInterval/2 {
 		d.processorSeen = read()
 	}
