--- a/review/lab/crashing.go
+++ b/review/lab/crashing.go
@@ -14,6 +14,8 @@
 	pathOrder     = "/orden/pago"
 	orderWork     = 60 * time.Millisecond
 	orderDeadline = 4 * time.Second
+	// orderPause is the time between two sound requests to one entry.
+	orderPause = 100 * time.Millisecond
 	// crashingBody is the body of the request that crashes each runner which begins to run it.
 	crashingBody = `{"order":"4711","amount":"x"}`
 	// crashingPause is the time between two sendings of that request; a runner is back by then.
@@ -65,10 +67,12 @@
 		p.restartLater(crashDownTime)
 		panic(http.ErrAbortHandler)
 	}
+	id := r.Header.Get(headerAttempt)
+	c.note("runner: %s runs %s", p.name, id)
 	if !p.work(r, orderWork) {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(headerSeal, p.id+"."+r.Header.Get(headerAttempt))
+	w.Header().Set(headerSeal, p.id+"."+id)
 	_, _ = fmt.Fprint(w, strings.Repeat("x", 800))
 }
 
@@ -77,15 +81,20 @@
 // restart. The request crashes each runner that begins to run it.
 func playCrashingRequest(l *lab) error {
 	c := &crashingCase{lab: l}
+	return c.play(c.playRestarts)
+}
+
+// play runs the system with sound requests while a case sends the crashing one.
+func (c *crashingCase) play(send func() error) error {
 	if err := c.prepare(); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
 	traffic := sync.WaitGroup{}
-	for _, m := range l.ofRole("entry") {
+	for _, m := range c.ofRole("entry") {
 		traffic.Go(func() { c.sendOrders(m, stop) })
 	}
-	err := c.playRestarts()
+	err := send()
 	close(stop)
 	traffic.Wait()
 	if err != nil {
@@ -131,17 +140,16 @@
 	for {
 		calls.Go(func() {
 			a := send(client, m, http.MethodPost, pathOrder, "sound", orderDeadline, nil)
-			if a.status == http.StatusOK && a.err == nil {
+			c.note("client: sound request %s at %s: %s", a.id, m.name, a.outcome())
+			switch {
+			case a.status == http.StatusOK && a.err == nil:
 				c.served.Add(1)
-				return
-			}
-			if a.status != http.StatusServiceUnavailable {
+			case a.status != http.StatusServiceUnavailable:
 				c.lost.Add(1)
-				c.note("client: sound request %s at %s: %s", a.id, m.name, a.outcome())
 			}
 		})
 		select {
-		case <-time.After(100 * time.Millisecond):
+		case <-time.After(orderPause):
 		case <-stop:
 			return
 		}
@@ -154,10 +162,8 @@
 	turn := 0
 	for n := range leaderRestarts + 1 {
 		for range fatalCrashes - 1 {
-			m := entries[turn%len(entries)]
+			c.sendCrashing(entries[turn%len(entries)])
 			turn++
-			a := send(newClient(m, orderDeadline), m, http.MethodPost, pathOrder, crashingBody, orderDeadline, nil)
-			c.note("client: crashing request %s at %s: %s", a.id, m.name, a.outcome())
 			c.sleep(crashingPause)
 		}
 		if n == leaderRestarts {
@@ -177,6 +183,12 @@
 	return nil
 }
 
+// sendCrashing sends the crashing request in a new client attempt.
+func (c *crashingCase) sendCrashing(m machine) {
+	a := send(newClient(m, orderDeadline), m, http.MethodPost, pathOrder, crashingBody, orderDeadline, nil)
+	c.note("client: crashing request %s at %s: %s", a.id, m.name, a.outcome())
+}
+
 // judge counts the retries that reached a runner in spite of three crashes.
 func (c *crashingCase) judge() error {
 	c.mu.Lock()
