review: a farewell of an unknown runner is acknowledged and forgotten

Case 7 (DRAIN): heartbeats that a cut held up bring a runner back that has said farewell, since no daemon keeps a farewell of an id that it does not know.

--- a/review/lab/crashing.go
+++ b/review/lab/crashing.go
@@ -63,7 +63,7 @@
 		c.mu.Unlock()
 		c.note("runner: %s (%s) begins to run %s, the request that crashes runners: crash %d", p.name, p.id, r.Header.Get(headerAttempt), number)
 		time.Sleep(crashDelay)
-		p.crash()
+		p.end("has crashed")
 		p.restartLater(crashDownTime)
 		panic(http.ErrAbortHandler)
 	}
--- a/review/lab/runner.go
+++ b/review/lab/runner.go
@@ -58,11 +58,20 @@
 	conns   map[net.Conn]struct{}
 }
 
-// startRunner starts a process of the runner.
+// startRunner starts a process of the runner and its heartbeats.
 func (r *runner) startRunner() error {
+	p, err := r.listen()
+	if err == nil {
+		go p.beat()
+	}
+	return err
+}
+
+// listen starts a process of the runner, which serves and tells nobody.
+func (r *runner) listen() (*runnerProcess, error) {
 	listener, err := net.Listen("tcp", r.address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	p := &runnerProcess{runner: r, id: fmt.Sprintf("i-%010x", rand.Int64N(1<<40)), born: time.Now().UnixMilli(), conns: map[net.Conn]struct{}{}, places: make(chan struct{}, r.slots)}
 	p.ctx, p.cancel = context.WithCancel(r.lab.ctx)
@@ -72,8 +81,7 @@
 	r.mu.Unlock()
 	r.lab.note("runner: %s starts as %s at %s, version %s", r.name, p.id, r.address, r.version)
 	go func() { _ = p.server.Serve(listener) }()
-	go p.beat()
-	return nil
+	return p, nil
 }
 
 func (p *runnerProcess) recordConn(c net.Conn, s http.ConnState) {
@@ -86,8 +94,8 @@
 	p.conns[c] = struct{}{}
 }
 
-// crash ends the process: its connections are reset, and nothing is said to anyone.
-func (p *runnerProcess) crash() {
+// end ends the process: its connections are reset, and nothing is said to anyone.
+func (p *runnerProcess) end(why string) {
 	p.mu.Lock()
 	isCurrent := p.process == p
 	if isCurrent {
@@ -106,7 +114,7 @@
 	}
 	p.connsMu.Unlock()
 	_ = p.server.Close()
-	p.lab.note("runner: %s (%s) has crashed", p.name, p.id)
+	p.lab.note("runner: %s (%s) %s", p.name, p.id, why)
 }
 
 // restartLater starts the runner again after a time.
@@ -122,14 +130,19 @@
 	}()
 }
 
+// heartbeat returns the body of a heartbeat.
+func (p *runnerProcess) heartbeat(seq int) string {
+	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":"ready","cold_remaining_ms":0,"seq":%d,"born":%d}`,
+		p.service, p.address, p.zone, p.version, p.slots, seq, p.born)
+}
+
 // beat sends heartbeats until the process ends. A daemon that does not acknowledge one in time is
 // left for the next.
 func (p *runnerProcess) beat() {
 	controls := p.lab.ofRole("control")
 	turn := rand.IntN(len(controls))
 	for seq := 1; p.ctx.Err() == nil; seq++ {
-		body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":"ready","cold_remaining_ms":0,"seq":%d,"born":%d}`,
-			p.service, p.address, p.zone, p.version, p.slots, seq, p.born)
+		body := p.heartbeat(seq)
 		for range controls {
 			status, _ := p.lab.call(http.MethodPut, controls[turn%len(controls)].address(portControl), "/instances/"+p.id, body)
 			if status == http.StatusOK || p.ctx.Err() != nil {
