--- a/review/lab/crashing.go
+++ b/review/lab/crashing.go
@@ -51,6 +51,9 @@
 	crashes []crash
 	// lost counts sound requests that a crash of their runner took away.
 	lost, served atomic.Int64
+	// crashDelay is how long a runner works on the request before it crashes, patience how long
+	// its client waits for the answer.
+	crashDelay, patience time.Duration
 }
 
 // serve runs a request: a sound one takes a while, the other one ends the process.
@@ -62,7 +65,7 @@
 		number := len(c.crashes)
 		c.mu.Unlock()
 		c.note("runner: %s (%s) begins to run %s, the request that crashes runners: crash %d", p.name, p.id, r.Header.Get(headerAttempt), number)
-		time.Sleep(crashDelay)
+		time.Sleep(c.crashDelay)
 		p.end("has crashed")
 		p.restartLater(crashDownTime)
 		panic(http.ErrAbortHandler)
@@ -80,7 +83,7 @@
 // and at another entry, while the leading control daemon is stopped and started as in a rolling
 // restart. The request crashes each runner that begins to run it.
 func playCrashingRequest(l *lab) error {
-	c := &crashingCase{lab: l}
+	c := &crashingCase{lab: l, crashDelay: crashDelay, patience: orderDeadline}
 	return c.play(c.playRestarts)
 }
 
@@ -185,7 +188,7 @@
 
 // sendCrashing sends the crashing request in a new client attempt.
 func (c *crashingCase) sendCrashing(m machine) {
-	a := send(newClient(m, orderDeadline), m, http.MethodPost, pathOrder, crashingBody, orderDeadline, nil)
+	a := send(newClient(m, c.patience), m, http.MethodPost, pathOrder, crashingBody, orderDeadline, nil)
 	c.note("client: crashing request %s at %s: %s", a.id, m.name, a.outcome())
 }
 
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -31,6 +31,7 @@
 // the rule was broken.
 var cases = map[string]func(l *lab) error{
 	"crashing-request": playCrashingRequest,
+	"crashing-left":    playCrashingLeft,
 	"late-heartbeat":   playLateHeartbeat,
 	"quota":            playQuota,
 }
