--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -35,6 +35,7 @@
 	"crashing-request": playCrashingRequest,
 	"crashing-left":    playCrashingLeft,
 	"late-heartbeat":   playLateHeartbeat,
+	"late-version":     playLateVersion,
 }
 
 func main() {
