--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -34,6 +34,7 @@
 var cases = map[string]func(l *lab) error{
 	"crashing-request": playCrashingRequest,
 	"crashing-left":    playCrashingLeft,
+	"founding":         playFounding,
 	"late-heartbeat":   playLateHeartbeat,
 	"late-version":     playLateVersion,
 }
