--- a/review/lab/runner.go
+++ b/review/lab/runner.go
@@ -69,15 +69,12 @@
 
 // listen starts a process of the runner, which serves and tells nobody.
 func (r *runner) listen() (*runnerProcess, error) {
-	return r.listenAs(fmt.Sprintf("i-%010x", rand.Int64N(1<<40)))
+	p := r.newProcess(fmt.Sprintf("i-%010x", rand.Int64N(1<<40)))
+	return p, p.serveRequests()
 }
 
-// listenAs starts a process with an id.
-func (r *runner) listenAs(id string) (*runnerProcess, error) {
-	listener, err := net.Listen("tcp", r.address)
-	if err != nil {
-		return nil, err
-	}
+// newProcess starts a process with an id, which does not serve yet.
+func (r *runner) newProcess(id string) *runnerProcess {
 	p := &runnerProcess{runner: r, id: id, born: time.Now().UnixMilli(), conns: map[net.Conn]struct{}{}, places: make(chan struct{}, r.slots)}
 	p.ctx, p.cancel = context.WithCancel(r.lab.ctx)
 	p.server = &http.Server{Handler: http.HandlerFunc(p.handle), ConnState: p.recordConn, ReadHeaderTimeout: time.Minute}
@@ -85,8 +82,17 @@
 	r.process = p
 	r.mu.Unlock()
 	r.lab.note("runner: %s starts as %s at %s, version %s", r.name, p.id, r.address, r.version)
+	return p
+}
+
+// serveRequests begins to serve.
+func (p *runnerProcess) serveRequests() error {
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
 	go func() { _ = p.server.Serve(listener) }()
-	return p, nil
+	return nil
 }
 
 func (p *runnerProcess) recordConn(c net.Conn, s http.ConnState) {
--- a/review/lab/versions.go
+++ b/review/lab/versions.go
@@ -24,6 +24,10 @@
 	modelRunners   = 3
 	// releaseDownTime is how long a runner is down between its old and its new version.
 	releaseDownTime = time.Second
+	// releaseGap is the time between the releases of two runners, serveDelay that from the first
+	// heartbeat of a process until it serves.
+	releaseGap = time.Second
+	serveDelay = 300 * time.Millisecond
 	// lateHeartbeatTime is how late the heartbeats of a new version arrive.
 	lateHeartbeatTime = 3 * time.Second
 	// takeUpPause is the time after which a client takes up a broken stream.
@@ -64,7 +68,7 @@
 	}
 }
 
-// playLateVersion releases a new version while streams run. Each runner ends and starts again under
+// playLateVersion releases a new version while streams run, one runner after the other. Each ends and starts again under
 // its id; its heartbeats arrive late.
 func playLateVersion(l *lab) error {
 	c := &versionCase{lab: l}
@@ -80,6 +84,7 @@
 	c.sleep(10 * eventPause)
 	for _, r := range runners {
 		calls.Go(func() { c.release(r, "v2") })
+		c.sleep(releaseGap)
 	}
 	calls.Wait()
 	return c.judge()
@@ -120,16 +125,18 @@
 	old.end("ends for its release")
 	c.sleep(releaseDownTime)
 	r.version = version
-	p, err := r.listenAs(old.id)
-	if err != nil {
-		c.note("runner: %s does not start: %v", r.name, err)
-		return
-	}
-	if c.trouble {
-		c.note("runner: the heartbeats of %s arrive %s late", r.name, lateHeartbeatTime)
-		c.sleep(lateHeartbeatTime)
+	p := r.newProcess(old.id)
+	go func() {
+		if c.trouble {
+			c.note("runner: the heartbeats of %s arrive %s late", r.name, lateHeartbeatTime)
+			c.sleep(lateHeartbeatTime)
+		}
+		p.beat()
+	}()
+	c.sleep(serveDelay)
+	if err := p.serveRequests(); err != nil {
+		c.note("runner: %s does not serve: %v", r.name, err)
 	}
-	go p.beat()
 }
 
 // readStream reads one stream, and takes it up where it broke off.
