--- a/review/lab/runner.go
+++ b/review/lab/runner.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -53,6 +54,9 @@
 	cancel context.CancelFunc
 	server *http.Server
 	places chan struct{}
+	// lastSeq is the number of the last heartbeat; leaves ends the heartbeats of a process.
+	lastSeq atomic.Int64
+	leaves  atomic.Bool
 
 	connsMu sync.Mutex
 	conns   map[net.Conn]struct{}
@@ -141,10 +145,13 @@
 	}()
 }
 
-// heartbeat returns the body of a heartbeat.
-func (p *runnerProcess) heartbeat(seq int) string {
-	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":"ready","cold_remaining_ms":0,"seq":%d,"born":%d}`,
-		p.service, p.address, p.zone, p.version, p.slots, seq, p.born)
+// heartbeat returns the body of a heartbeat of a runner that is ready.
+func (p *runnerProcess) heartbeat(seq int) string { return p.report(seq, "ready") }
+
+// report returns the body of a heartbeat with a state.
+func (p *runnerProcess) report(seq int, state string) string {
+	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"seq":%d,"born":%d}`,
+		p.service, p.address, p.zone, p.version, p.slots, state, seq, p.born)
 }
 
 // beat sends heartbeats until the process ends. A daemon that does not acknowledge one in time is
@@ -152,7 +159,8 @@
 func (p *runnerProcess) beat() {
 	controls := p.lab.ofRole("control")
 	turn := rand.IntN(len(controls))
-	for seq := 1; p.ctx.Err() == nil; seq++ {
+	for seq := 1; p.ctx.Err() == nil && !p.leaves.Load(); seq++ {
+		p.lastSeq.Store(int64(seq))
 		body := p.heartbeat(seq)
 		for range controls {
 			status, _ := p.lab.call(http.MethodPut, controls[turn%len(controls)].address(portControl), "/instances/"+p.id, body)
--- a/review/lab/versions.go
+++ b/review/lab/versions.go
@@ -26,10 +26,16 @@
 	releaseDownTime = time.Second
 	// releaseGap is the time between the releases of two runners, serveDelay that from the first
 	// heartbeat of a process until it serves.
-	releaseGap = time.Second
+	releaseGap = 700 * time.Millisecond
 	serveDelay = 300 * time.Millisecond
-	// lateHeartbeatTime is how late the heartbeats of a new version arrive.
-	lateHeartbeatTime = 3 * time.Second
+	// lateTimeOfCalls is how late the calls of the runners arrive at the control daemons.
+	lateTimeOfCalls = 5 * time.Second
+	// drainingCalls is how many control daemons a runner tells that it is draining, exitDelay the
+	// time from the last answer, or the end of drain_ms, to its end.
+	drainingCalls = 2
+	exitDelay     = 200 * time.Millisecond
+	// streamDelay is the time from the begin of the release to that of the streams.
+	streamDelay = 800 * time.Millisecond
 	// takeUpPause is the time after which a client takes up a broken stream.
 	takeUpPause = 250 * time.Millisecond
 	streams     = 9
@@ -68,8 +74,8 @@
 	}
 }
 
-// playLateVersion releases a new version while streams run, one runner after the other. Each ends and starts again under
-// its id; its heartbeats arrive late.
+// playLateVersion releases a new version while streams run, one runner after the other. Each leaves
+// and starts again under its id, while the calls of the runners arrive late.
 func playLateVersion(l *lab) error {
 	c := &versionCase{lab: l}
 	runners, err := c.prepare()
@@ -77,15 +83,17 @@
 		return err
 	}
 	calls := sync.WaitGroup{}
+	calls.Go(func() {
+		for _, r := range runners {
+			calls.Go(func() { c.release(r, "v2") })
+			c.sleep(releaseGap)
+		}
+	})
+	c.sleep(streamDelay)
 	entries := c.ofRole("entry")
 	for n := range streams {
 		calls.Go(func() { c.readStream(fmt.Sprintf("dispute %d", n), entries, n) })
 	}
-	c.sleep(10 * eventPause)
-	for _, r := range runners {
-		calls.Go(func() { c.release(r, "v2") })
-		c.sleep(releaseGap)
-	}
 	calls.Wait()
 	return c.judge()
 }
@@ -116,20 +124,28 @@
 	return runners, nil
 }
 
-// release ends the process of a runner and starts it again with another version under the same
-// id. A process announces itself before it serves; with the disruption its heartbeats arrive late.
+// release has a runner leave and start again with another version under the same id. A process
+// announces itself before it serves.
 func (c *versionCase) release(r *runner, version string) {
 	r.mu.Lock()
 	old := r.process
 	r.mu.Unlock()
+	old.leaves.Store(true)
+	if c.sayDraining(old) {
+		c.sleep(drainTime + exitDelay)
+		status, _ := c.call(http.MethodDelete, c.ofRole("control")[0].address(portControl), "/instances/"+old.id, "")
+		c.note("runner: farewell of %s: %d", old.id, status)
+	} else {
+		c.sleep(exitDelay)
+	}
 	old.end("ends for its release")
 	c.sleep(releaseDownTime)
 	r.version = version
 	p := r.newProcess(old.id)
 	go func() {
 		if c.trouble {
-			c.note("runner: the heartbeats of %s arrive %s late", r.name, lateHeartbeatTime)
-			c.sleep(lateHeartbeatTime)
+			c.note("runner: the heartbeats of %s (%s) arrive %s late", r.name, version, lateTimeOfCalls)
+			c.sleep(lateTimeOfCalls)
 		}
 		p.beat()
 	}()
@@ -139,6 +155,34 @@
 	}
 }
 
+// sayDraining reports that a process is draining, to one control daemon after the other, and
+// whether that is acknowledged. With the disruption the calls arrive late, and the runner ends
+// without an acknowledgement.
+func (c *versionCase) sayDraining(p *runnerProcess) bool {
+	controls := c.ofRole("control")
+	for i := range drainingCalls {
+		m, body := controls[i%len(controls)], p.report(int(p.lastSeq.Load())+1+i, "draining")
+		answered := make(chan int, 1)
+		go func() {
+			if c.trouble {
+				c.sleep(lateTimeOfCalls)
+			}
+			status, _ := c.call(http.MethodPut, m.address(portControl), "/instances/"+p.id, body)
+			c.note("runner: %s (%s) says to %s that it is draining: %d", p.name, p.id, m.name, status)
+			answered <- status
+		}()
+		select {
+		case status := <-answered:
+			if status == http.StatusOK {
+				return true
+			}
+		case <-time.After(heartbeatTimeout):
+			c.note("runner: %s (%s) has no answer from %s that it is draining", p.name, p.id, m.name)
+		}
+	}
+	return false
+}
+
 // readStream reads one stream, and takes it up where it broke off.
 func (c *versionCase) readStream(content string, entries []machine, turn int) {
 	last, versions := 0, []string{}
