--- a/review/lab/founding.go
+++ b/review/lab/founding.go
@@ -47,9 +47,10 @@
 
 // loseDisk kills the process of a machine, empties its disk and starts it again.
 func (l *lab) loseDisk(m machine) error {
-	l.mu.Lock()
-	p := l.processes[m.name]
-	l.mu.Unlock()
+	p := l.processOf(m)
+	if p == nil {
+		return l.ctx.Err()
+	}
 	l.signal(m, syscall.SIGKILL)
 	<-p.ended
 	if err := os.RemoveAll(filepath.Join(l.folder, m.name)); err != nil {
--- a/review/lab/site.go
+++ b/review/lab/site.go
@@ -41,6 +41,7 @@
 	client    *http.Client
 	ctx       context.Context
 	cancel    context.CancelFunc
+	closing   sync.Once
 
 	mu        sync.Mutex
 	record    *os.File
@@ -167,6 +168,21 @@
 	command := exec.Command(filepath.Join(l.programs, "verbenastepd"), "-settings", file)
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + l.folder, "GOGC=50", "VERBENASTEP_SETTINGS=" + file}
 	command.Stdout, command.Stderr = log, log
+	if err := l.launch(m, command); err != nil {
+		return err
+	}
+	l.recordCoreEvent(m)
+	l.note("platform: %s starts at %s", m.name, m.ip)
+	return nil
+}
+
+// launch starts a command as the process of a machine, unless the lab is being closed.
+func (l *lab) launch(m machine, command *exec.Cmd) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.ctx.Err(); err != nil {
+		return err
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
@@ -175,11 +191,7 @@
 		defer close(p.ended)
 		_ = command.Wait()
 	}()
-	l.mu.Lock()
 	l.processes[m.name] = p
-	l.mu.Unlock()
-	l.recordCoreEvent(m)
-	l.note("platform: %s starts at %s", m.name, m.ip)
 	return nil
 }
 
@@ -194,19 +206,28 @@
 
 // signal sends a signal to the process of a machine.
 func (l *lab) signal(m machine, s syscall.Signal) {
-	l.mu.Lock()
-	p := l.processes[m.name]
-	l.mu.Unlock()
+	p := l.processOf(m)
+	if p == nil {
+		return
+	}
 	l.recordCoreEvent(m)
 	l.note("platform: %s gets %s", m.name, s)
 	_ = p.command.Process.Signal(s)
 }
 
+// processOf returns the process of a machine, or nil once the lab is being closed.
+func (l *lab) processOf(m machine) *process {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.processes[m.name]
+}
+
 // restart stops a machine with a signal and starts it again, as the platform does.
 func (l *lab) restart(m machine, s syscall.Signal, grace time.Duration) error {
-	l.mu.Lock()
-	p := l.processes[m.name]
-	l.mu.Unlock()
+	p := l.processOf(m)
+	if p == nil {
+		return l.ctx.Err()
+	}
 	l.signal(m, s)
 	select {
 	case <-p.ended:
@@ -307,8 +328,11 @@
 	return found, err
 }
 
-// close ends all processes and removes the folder, unless LAB_KEEP names that it stays.
-func (l *lab) close() {
+// close ends all processes and removes the folder, unless LAB_KEEP is set. A second call waits for
+// the first one.
+func (l *lab) close() { l.closing.Do(l.endAll) }
+
+func (l *lab) endAll() {
 	l.cancel()
 	l.mu.Lock()
 	processes := l.processes
