egress: a reset that a write was told of is no end in order

Callers got a part of an answer as a complete one: an upstream answered a long upload at once and without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports the loss of a connection to one call only. Where that is the write of the request, reads return io.EOF from then on, as after an end in order, which completes a response that ends with its connection. The same holds for time-outs of a connection, and where an entry carries a connection for another one: it reported an end in order to that.

Evidence: an upstream of the tests that answers so.

Change: connections to upstreams are wrapped where they are opened, for requests and for tunnels alike. At io.EOF Read looks whether a write has failed, and interrupts one in progress, since it may have been told of the reset and not have returned; the write goes on afterwards. EPIPE is no loss: the kernel returns it only once the upstream's end has arrived, so an upstream that answers early, ends its side and closes or reads on is answered as before (TestOrderlyEndDuringWriteIsAnEnd).

--- a/internal/egress/direct.go
+++ b/internal/egress/direct.go
@@ -26,14 +26,19 @@
 // DialFunc opens a connection to the upstream at an address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// DialDirectly opens a connection from this daemon.
+// DialDirectly opens a connection from this daemon. Its Read returns io.EOF only if the upstream ended
+// its side in order.
 func DialDirectly(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control:         SetUserTimeout(userTimeout),
 	}
-	return d.DialContext(ctx, "tcp", address)
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &directConn{Conn: c}, nil
 }
 
 // SetUserTimeout returns a function that sets the TCP user timeout, which bounds the
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -42,6 +42,8 @@
 	seen    []*http.Request
 	bodies  []string
 	conns   int
+	// early is set if scripts begin before the body of their request is read.
+	early bool
 }
 
 func newUpstream(t *testing.T, scripts ...script) *scriptedUpstream {
@@ -65,6 +67,17 @@
 	return u
 }
 
+// newEarlyUpstream returns an upstream whose script begins once the header of a request has arrived.
+// Its connections end with their first request.
+func newEarlyUpstream(t *testing.T, s script) *scriptedUpstream {
+	t.Helper()
+	u := newUpstream(t, s)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.early = true
+	return u
+}
+
 func (u *scriptedUpstream) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
@@ -73,7 +86,13 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(req.Body)
+		u.mu.Lock()
+		early := u.early
+		u.mu.Unlock()
+		body := []byte(nil)
+		if !early {
+			body, err = io.ReadAll(req.Body)
+		}
 		if err != nil {
 			return
 		}
@@ -86,6 +105,9 @@
 		u.bodies = append(u.bodies, string(body))
 		u.mu.Unlock()
 		next(c, req, string(body))
+		if early {
+			return
+		}
 	}
 }
 
