egress: a carried answer survives the end of its upload

Callers behind a tunnel got 502 for a sound answer with a length or chunks that came before its request was read, where the upstream then closed the connection.

Cause: the entry that carries the connection closed it as soon as a write failed, and with it what had arrived and was not read yet.

Change: after a failed write the carrying entry drops the rest of the upload and reads on until the upstream's end.

--- a/internal/egress/carry.go
+++ b/internal/egress/carry.go
@@ -110,13 +110,14 @@
 	defer conn.Close()
 	go func() {
 		defer conn.Close()
-		for {
+		for writeErr := error(nil); ; {
 			f, err := stream.Recv()
 			if err != nil {
 				return
 			}
-			if _, err := conn.Write(f.Data); err != nil {
-				return
+			if writeErr == nil {
+				// After a failure the connection stays open: what the upstream sent before is still to be read.
+				_, writeErr = conn.Write(f.Data)
 			}
 		}
 	}()
--- a/internal/forward/earlyanswer_test.go
+++ b/internal/forward/earlyanswer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -80,3 +81,67 @@
 		}
 	}
 }
+
+// halfClose ends the sending side and reads on.
+func halfClose(c net.Conn) {
+	_ = c.(*net.TCPConn).CloseWrite()
+	_, _ = io.Copy(io.Discard, c)
+}
+
+// halfCloseThenReset ends the sending side, and resets the connection once that has arrived.
+func halfCloseThenReset(c net.Conn) {
+	_ = c.(*net.TCPConn).CloseWrite()
+	reset(c)
+}
+
+// halfCloseAndWait ends the sending side and reads nothing for a while.
+func halfCloseAndWait(c net.Conn) {
+	_ = c.(*net.TCPConn).CloseWrite()
+	time.Sleep(10 * copyTime)
+}
+
+// TestEarlyAnswerStaysWhole guards against a sound answer that is refused since it came before its
+// request was read: it has a length or chunks, or its upstream ended its side in order.
+func TestEarlyAnswerStaysWhole(t *testing.T) {
+	t.Parallel()
+	const tries = 5
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	const last = "Connection: close\r\n"
+	// It fits into the window of the connection: a reset would destroy the rest.
+	long := strings.Repeat("0123456789", 2000)
+	framed := map[string]func(net.Conn){"read on": func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }, "closed unread": closeUnread, "reset": reset, "half closed": halfClose}
+	short := maps.Clone(framed)
+	short["reset at once"] = resetAtOnce
+	unframed := map[string]func(net.Conn){"half closed": halfClose, "half closed and silent": halfCloseAndWait, "half closed, then reset": halfCloseThenReset}
+	for kind, c := range map[string]struct {
+		route, text, body string
+		ends              map[string]func(net.Conn)
+	}{
+		"length":           {"once", sealedHead + last + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(long)) + long, long, framed},
+		"chunks":           {"once", sealedHead + last + "Transfer-Encoding: chunked\r\n\r\n" + chunk(long) + "0\r\n\r\n", long, framed},
+		"failure":          {"once", "HTTP/1.1 413 x\r\nId: %s\r\nSeal: s\r\nConnection: close\r\nContent-Length: 5\r\n\r\nlarge", "large", short},
+		"chunked stream":   {"stream", sealedHead + last + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(events) + "0\r\n\r\n", events, short},
+		"no length":        {"once", sealedHead + "\r\n" + long, long, unframed},
+		"empty, no length": {"once", sealedHead + "\r\n", "", unframed},
+		"stream":           {"stream", streamHead + events, events, unframed},
+		"resumable stream": {"resumable", streamHead + events, events, unframed},
+	} {
+		for path, use := range upstreamPaths {
+			for how, end := range c.ends {
+				t.Run(kind+"/"+path+"/"+how, func(t *testing.T) {
+					t.Parallel()
+					u := newEarlyUpstream(t, answerWhileUploading(c.text, end))
+					r := newTestEntry(t, u)
+					use(r, u)
+					for range tries {
+						r.brokerClient.addresses, r.brokerClient.granted = []string{u.address()}, 0
+						out := r.call(c.route, strings.Repeat("u", uploadBytes))
+						require.False(t, out.incomplete)
+						require.Less(t, out.status, http.StatusInternalServerError, out.body)
+						require.Equal(t, c.body, out.body)
+					}
+				})
+			}
+		}
+	}
+}
