A status below 100 is no answer

Callers got what followed an answer with the status 000 as the answer: its own body where that holds one, or the next response on the connection. An upstream that sent nothing more was waited for until the deadline. In the product's own interface the status 000 was recorded as a service's reply and passed on.

Cause: net/http accepts any three characters that are a number from 0 on, '+99' among them, and readResponse skipped all below 200 as interim answers.

Change: httpresponse.Check, called for each response of an upstream before anything is taken from it. The request may have run: the caller gets 502, or the answer of another upstream where the request may be repeated. That holds for one that says it did not run, too: it can't be told which request that says it.

Interim answers are skipped as before, and unusual sound heads stay whole (TestUnusualHeadStaysWhole, TestUnusualReplyStaysWhole).

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/verbenastep/verbenastep/api/upstream"
+	"github.com/verbenastep/verbenastep/internal/httpresponse"
 )
 
 const (
@@ -112,6 +113,19 @@
 	return fmt.Sprintf("upstream answered %d: %s", e.Status, e.Body)
 }
 
+// do sends a request. It returns an error for a response that is malformed.
+func (c *Conn) do(req *http.Request) (*http.Response, error) {
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := httpresponse.Check(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
 // Stream reads the frames of one answer.
 type Stream struct {
 	conn    *Conn
@@ -148,7 +162,7 @@
 func (c *Conn) openStream(req *http.Request, idleTimeout time.Duration) (*Stream, error) {
 	_ = c.netConn.SetDeadline(time.Now().Add(idleTimeout))
 	defer func() { _ = c.netConn.SetWriteDeadline(time.Time{}) }()
-	resp, err := c.client.Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return nil, err
 	}
@@ -195,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.client.Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return err
 	}
@@ -232,7 +246,7 @@
 	req.GetBody = nil
 	req.Header = call.Header.Clone()
 	req.Header.Set(upstream.HeaderRequest, call.Stream)
-	resp, err := c.client.Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return ServiceReply{}, err
 	}
--- /dev/null
+++ b/internal/engine/malformed_test.go
@@ -0,0 +1,145 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/api/upstream"
+)
+
+// write returns a script that writes a text and leaves the connection open.
+func write(text string) func(net.Conn) {
+	return func(c net.Conn) {
+		_, _ = io.WriteString(c, text)
+		time.Sleep(2 * idleTimeout)
+	}
+}
+
+// requireMalformed checks that a response is taken for none by calls of services, streams and orders.
+func requireMalformed(t *testing.T, response string) {
+	t.Helper()
+	address := serveOne(t, write(response))
+	reply, err := dial(t, address).CallService(context.Background(), ServiceRequest{Method: http.MethodPost, Path: "/x", Header: http.Header{}}, 100)
+	require.Error(t, err, "status %d, body %q", reply.Status, reply.Body)
+	for _, start := range []func(*Conn) (*Stream, error){
+		func(c *Conn) (*Stream, error) { return c.Start(context.Background(), upstream.Start{}, idleTimeout) },
+		func(c *Conn) (*Stream, error) { return c.Resume(context.Background(), "s", 0, idleTimeout) },
+	} {
+		_, err := start(dial(t, address))
+		require.Error(t, err)
+		refused := (*StatusError)(nil)
+		require.NotErrorAs(t, err, &refused, "a refusal says that the stream was not started")
+	}
+	_, err = dial(t, address).Order(context.Background(), upstream.Order{})
+	require.Error(t, err)
+}
+
+// TestStatusBelow100IsNoReply guards against a reply whose status is none, such as 000, that is
+// recorded and handed to the caller.
+func TestStatusBelow100IsNoReply(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "001", "099"} {
+		for _, rest := range []string{"Content-Length: 2\r\n\r\n{}", "Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"} {
+			t.Run(status, func(t *testing.T) {
+				t.Parallel()
+				requireMalformed(t, "HTTP/1.1 "+status+" x\r\n"+rest)
+			})
+		}
+	}
+}
+
+// TestUnusualReplyStaysWhole guards against a sound reply that is refused since its head is checked.
+func TestUnusualReplyStaysWhole(t *testing.T) {
+	t.Parallel()
+	for name, response := range map[string]string{
+		"folded":          "HTTP/1.1 200 x\r\nOther: a\r\n b\r\nContent-Length: 2\r\n\r\n{}",
+		"names":           "HTTP/1.1 200 x\r\nX!#$%&'*+-.^_`|~: a : b\r\nContent-Length:2\r\n\r\n{}",
+		"interim answers": "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 103 x\nLink: </a>\n\nHTTP/1.1 200 x\nContent-Length: 2\n\n{}",
+		"lines in body":   "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\n :",
+		"chunks":          "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1\r\n}\r\n0\r\nSum: 1\r\n\r\n",
+		"failure":         "HTTP/1.1 500 x\r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := serveOne(t, func(c net.Conn) {
+				for _, b := range []byte(response) {
+					_, _ = c.Write([]byte{b})
+				}
+			})
+			reply, err := dial(t, address).CallService(context.Background(), ServiceRequest{Method: http.MethodPost, Path: "/x", Header: http.Header{}}, 100)
+			require.NoError(t, err)
+			require.Len(t, reply.Body, 2)
+		})
+	}
+}
+
+// TestResetDuringUploadIsNoReply guards against a part of a reply that looks whole: its service
+// replied at once and reset the connection while the request was being written.
+func TestResetDuringUploadIsNoReply(t *testing.T) {
+	t.Parallel()
+	const tries, uploadBytes = 20, 8 << 20
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 x\r\n\r\na part")
+				time.Sleep(10 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}()
+	call := ServiceRequest{Method: http.MethodPost, Path: "/x", Header: http.Header{}, Body: make([]byte, uploadBytes)}
+	for range tries {
+		_, err := dial(t, ln.Addr().String()).CallService(context.Background(), call, 100)
+		require.Error(t, err)
+	}
+}
+
+// TestEarlyReplyStaysWhole guards against a sound reply that is lost since it came before its request
+// was read, and its service closed the connection.
+func TestEarlyReplyStaysWhole(t *testing.T) {
+	t.Parallel()
+	const tries, uploadBytes = 20, 8 << 20
+	for _, unread := range []bool{false, true} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer ln.Close()
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 413 x\r\nContent-Length: 2\r\n\r\n{}")
+					_ = c.(*net.TCPConn).CloseWrite()
+					time.Sleep(10 * time.Millisecond)
+				}
+				if !unread {
+					_, _ = io.Copy(io.Discard, c)
+				}
+				_ = c.Close()
+			}
+		}()
+		call := ServiceRequest{Method: http.MethodPost, Path: "/x", Header: http.Header{}, Body: make([]byte, uploadBytes)}
+		for range tries {
+			reply, err := dial(t, ln.Addr().String()).CallService(context.Background(), call, 100)
+			require.NoError(t, err)
+			require.Equal(t, "{}", string(reply.Body))
+		}
+	}
+}
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -47,7 +47,7 @@
 		return err
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.client.Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/httpresponse"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
@@ -311,6 +312,9 @@
 		if err != nil {
 			return err
 		}
+		if err := httpresponse.Check(resp); err != nil {
+			return err
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- /dev/null
+++ b/internal/forward/malformedhead_test.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastep/verbenastep/core/broker"
+)
+
+// requireMalformed calls a route whose only upstream sends a malformed answer, and one whose request
+// is repeated at a sound upstream.
+func requireMalformed(t *testing.T, use func(*testEntry, *scriptedUpstream), route, answer string) {
+	t.Helper()
+	u := newUpstream(t, writeThen(answer, keepOpen))
+	r := newTestEntry(t, u)
+	use(r, u)
+	out := r.call(route, "b")
+	require.Equal(t, http.StatusBadGateway, out.status, "body %q, header %v", out.body, out.header)
+	require.NotContains(t, out.body, "error-text")
+	require.Equal(t, []broker.Outcome{broker.InvalidResponse}, r.brokerClient.outcomes())
+
+	sound := newUpstream(t, respondWith(http.StatusOK, "", "sound"))
+	r.brokerClient.addresses = append(r.brokerClient.addresses, u.address(), sound.address())
+	require.Equal(t, "sound", r.call("idempotent", "b").body)
+}
+
+// TestStatusBelow100IsNoAnswer guards against an answer whose status is none, such as 000: it is
+// taken for an interim answer, and what follows it for the answer, be it the body.
+func TestStatusBelow100IsNoAnswer(t *testing.T) {
+	t.Parallel()
+	const fields = "Id: attempt-1\r\nSeal: s\r\n"
+	inner := "HTTP/1.1 200 x\r\n" + fields + "Content-Length: 10\r\n\r\nerror-text"
+	for name, rest := range map[string]string{
+		"length":             fields + "Content-Length: 10\r\n\r\nerror-text",
+		"no body":            fields + "Content-Length: 0\r\n\r\n",
+		"no fields":          "\r\n",
+		"chunks":             fields + "Transfer-Encoding: chunked\r\n\r\n" + chunk("error-text") + "0\r\n\r\n",
+		"stream":             fields + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("data: error-text\n\n") + "0\r\n\r\n",
+		"answer in body":     fields + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(inner)) + inner,
+		"answer after it":    "\r\n" + inner,
+		"rejection":          "Id: attempt-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"of another request": "Id: attempt-0\r\nSeal: s\r\nContent-Length: 0\r\n\r\n" + inner,
+	} {
+		for _, status := range []string{"000", "001", "099", "+99"} {
+			for path, use := range upstreamPaths {
+				for way, before := range map[string]string{"first": "", "after an interim answer": "HTTP/1.1 103 Early Hints\r\n\r\n"} {
+					t.Run(name+"/"+status+"/"+path+"/"+way, func(t *testing.T) {
+						t.Parallel()
+						for _, route := range []string{"once", "stream"} {
+							requireMalformed(t, use, route, before+"HTTP/1.1 "+status+" x\r\n"+rest)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// TestUnusualHeadStaysWhole guards against a sound answer that is refused, or loses its header, since
+// its head is checked: it has rare names and values, comes after interim answers, a byte at a time,
+// or is longer than the buffer.
+func TestUnusualHeadStaysWhole(t *testing.T) {
+	t.Parallel()
+	const body = "Content-Length: 10\r\n\r\n0123456789"
+	const events = "Content-Type: text/event-stream\r\n\r\ndata: a\n\n"
+	status := "HTTP/1.1 200 x\r\nId: attempt-1\r\nSeal: s\r\n"
+	for name, c := range map[string]struct{ before, line, field, value string }{
+		"all bytes of names": {line: "X!#$%&'*+-.^_`|~09az: v", field: "X!#$%&'*+-.^_`|~09az", value: "v"},
+		"no blank":           {line: "Other:v", field: "Other", value: "v"},
+		"blanks around":      {line: "Other: \t v \t ", field: "Other", value: "v"},
+		"blanks and colons":  {line: "Other: a b\tc: d : e", field: "Other", value: "a b\tc: d : e"},
+		"beyond ASCII":       {line: "Other: \xe9\x80", field: "Other", value: "\xe9\x80"},
+		"no value":           {line: "Other:", field: "Other"},
+		"folded":             {line: "Other: a\r\n  b", field: "Other", value: "a b"},
+		"folded by tab":      {line: "Other: a\r\n\tb", field: "Other", value: "a b"},
+		"long":               {line: "Other: " + strings.Repeat("v", 3*readBufferBytes), field: "Other", value: strings.Repeat("v", 3*readBufferBytes)},
+		"continue":           {before: "HTTP/1.1 100 Continue\r\n\r\n", line: "Other: v", field: "Other", value: "v"},
+		"interim answers":    {before: "HTTP/1.1 102 x\r\nOther: a\r\n\r\nHTTP/1.1 199 x\nLink: </a>\n\n", line: "Other: v", field: "Other", value: "v"},
+		"stray answer":       {before: "HTTP/1.1 200 x\r\nId: attempt-0\r\nSeal: s\r\nContent-Length: 12\r\n\r\n : a\r\n b : c", line: "Other: v", field: "Other", value: "v"},
+	} {
+		for path, use := range upstreamPaths {
+			for kind, rest := range map[string]string{"body": body, "stream": events} {
+				for way, step := range map[string]int{"at once": 1 << 20, "in pieces": 7} {
+					t.Run(name+"/"+path+"/"+kind+"/"+way, func(t *testing.T) {
+						t.Parallel()
+						u := newUpstream(t, func(conn net.Conn, _ *http.Request, _ string) {
+							for text := c.before + status + c.line + "\r\n" + rest; text != ""; {
+								n := min(step, len(text))
+								_, _ = io.WriteString(conn, text[:n])
+								text = text[n:]
+							}
+							_ = conn.Close()
+						})
+						r := newTestEntry(t, u)
+						use(r, u)
+						out := r.call(map[string]string{"body": "once", "stream": "stream"}[kind], "b")
+						require.False(t, out.incomplete)
+						require.Equal(t, http.StatusOK, out.status, out.body)
+						_, want, _ := strings.Cut(rest, "\r\n\r\n")
+						require.Equal(t, want, out.body)
+						require.Equal(t, c.value, out.header.Get(c.field))
+					})
+				}
+			}
+		}
+	}
+}
