forward: interim answers count against no limit of stray ones

Callers got 502 for a sound answer that came after three interim answers or more, such as 102 or 103: 'the answer belongs to another request'.

Cause: readResponse skipped interim answers in the loop that skips at most two answers to other requests.

Evidence: TestUnusualHeadStaysWhole with 40 interim answers fails in 8 of 8 such cases on the code before; found with the tests of statuses.

Change: conn.readHead skips them. All interim answers before a final one share the 64 KiB of its head, so that an upstream can't send them without end (TestEndlessBytesAreCutOff).

Result: these tests pass, and those of cut, stray and copied answers.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -16,7 +16,6 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/core/broker"
-	"github.com/verbenastep/verbenastep/internal/httpresponse"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
@@ -306,18 +305,10 @@
 func (a *upstreamAttempt) readResponse() error {
 	follows := a.isReused
 	for range maxStrayResponses + 1 {
-		a.conn.bound.setBound(maxResponseHeadBytes)
-		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.method})
-		a.conn.bound.removeBound()
+		resp, err := a.conn.readHead(a.method)
 		if err != nil {
 			return err
 		}
-		if err := httpresponse.Check(resp); err != nil {
-			return err
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		meta := a.s.dialect.ParseResponse(resp.StatusCode, resp.Header)
 		if follows && a.isOfUnknownRequest(resp, meta) {
 			return a.unknownResponseError(resp, meta)
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/egress"
+	"github.com/verbenastep/verbenastep/internal/httpresponse"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
@@ -90,6 +91,22 @@
 	return err == nil && empty
 }
 
+// readHead reads the head of a response to a request with a method. It skips interim responses, which
+// may have maxResponseHeadBytes together with the final one.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.bound.setBound(maxResponseHeadBytes)
+	defer c.bound.removeBound()
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err == nil {
+			err = httpresponse.Check(resp)
+		}
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+}
+
 // isReusable reports whether an idle connection may carry another request;
 // atMostOnce is set for a request that may not be repeated.
 func (c *conn) isReusable(now time.Duration, atMostOnce bool) bool {
--- a/internal/forward/malformedhead_test.go
+++ b/internal/forward/malformedhead_test.go
@@ -81,7 +81,7 @@
 		"folded by tab":      {line: "Other: a\r\n\tb", field: "Other", value: "a b"},
 		"long":               {line: "Other: " + strings.Repeat("v", 3*readBufferBytes), field: "Other", value: strings.Repeat("v", 3*readBufferBytes)},
 		"continue":           {before: "HTTP/1.1 100 Continue\r\n\r\n", line: "Other: v", field: "Other", value: "v"},
-		"interim answers":    {before: "HTTP/1.1 102 x\r\nOther: a\r\n\r\nHTTP/1.1 199 x\nLink: </a>\n\n", line: "Other: v", field: "Other", value: "v"},
+		"interim answers":    {before: strings.Repeat("HTTP/1.1 102 x\r\nOther: a\r\n\r\nHTTP/1.1 199 x\nLink: </a>\n\n", 20), line: "Other: v", field: "Other", value: "v"},
 		"stray answer":       {before: "HTTP/1.1 200 x\r\nId: attempt-0\r\nSeal: s\r\nContent-Length: 12\r\n\r\n : a\r\n b : c", line: "Other: v", field: "Other", value: "v"},
 	} {
 		for path, use := range upstreamPaths {
