A head with a name that is none is no answer

Callers got an answer in whose head the name of a field held a blank: without that field, and with another body where it framed one. 'Content-Length : 3' and 'Transfer-Encoding : chunked' were not known, so that the body ran to the end of the connection, chunk sizes included, or was waited for until the deadline. Failures and rejections with such a head were believed as well.

Cause: net/http accepts a blank in a name, in the trailer too, and joins a line that begins with a blank to the one before, even if it reads as a field. Control bytes and other bytes that belong in no name it refuses already.

Change: httpresponse.HeadChecker checks the bytes of heads as they arrive, before net/http parses them, in forward and in engine; CheckTrailer the names behind a body. The request may have run, whatever the head says: the caller gets 502, or the answer of another upstream where the request may be repeated. A refusal in such a head promises nothing, since a request that ran would run again if the promise belonged to another one. A folded value stays whole unless it has a colon, which makes it read as a field.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -44,9 +44,11 @@
 }
 
 // writeRecordingConn records whether anything was written, so that a failed
-// request can be reported as not sent with certainty.
+// request can be reported as not sent with certainty. It reads no head that is
+// malformed.
 type writeRecordingConn struct {
 	net.Conn
+	head    httpresponse.HeadChecker
 	written atomic.Bool
 	// onFirstWrite, if set, is called before the first write.
 	onFirstWrite func()
@@ -61,6 +63,18 @@
 	return c.Conn.Write(p)
 }
 
+// Read checks the heads in what it reads.
+func (c *writeRecordingConn) Read(p []byte) (int, error) {
+	if malformed := c.head.Check(nil); malformed != nil {
+		return 0, malformed
+	}
+	n, err := c.Conn.Read(p)
+	if malformed := c.head.Check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
+
 // OnFirstWrite sets a function that is called before the first byte is written.
 // It must be set before the request is sent.
 func (c *Conn) OnFirstWrite(fn func()) { c.netConn.onFirstWrite = fn }
@@ -258,6 +272,9 @@
 	if err != nil {
 		return ServiceReply{}, err
 	}
+	if err := httpresponse.CheckTrailer(resp); err != nil {
+		return ServiceReply{}, err
+	}
 	if int64(len(body)) > maxBytes {
 		return ServiceReply{}, fmt.Errorf("reply body exceeds the limit of %d bytes", maxBytes)
 	}
--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,20 +15,30 @@
 	"github.com/verbenastep/verbenastep/api/upstream"
 )
 
-// write returns a script that writes a text and leaves the connection open.
+// write returns a script that writes a text line by line and leaves the connection open.
 func write(text string) func(net.Conn) {
 	return func(c net.Conn) {
-		_, _ = io.WriteString(c, text)
+		for line := range strings.Lines(text) {
+			_, _ = io.WriteString(c, line)
+			time.Sleep(time.Millisecond)
+		}
 		time.Sleep(2 * idleTimeout)
 	}
 }
 
+// requireNoReply checks that a response is taken for no reply of a service.
+func requireNoReply(t *testing.T, response string) {
+	t.Helper()
+	call := ServiceRequest{Method: http.MethodPost, Path: "/x", Header: http.Header{}}
+	reply, err := dial(t, serveOne(t, write(response))).CallService(context.Background(), call, 100)
+	require.Error(t, err, "status %d, body %q", reply.Status, reply.Body)
+}
+
 // requireMalformed checks that a response is taken for none by calls of services, streams and orders.
 func requireMalformed(t *testing.T, response string) {
 	t.Helper()
+	requireNoReply(t, response)
 	address := serveOne(t, write(response))
-	reply, err := dial(t, address).CallService(context.Background(), ServiceRequest{Method: http.MethodPost, Path: "/x", Header: http.Header{}}, 100)
-	require.Error(t, err, "status %d, body %q", reply.Status, reply.Body)
 	for _, start := range []func(*Conn) (*Stream, error){
 		func(c *Conn) (*Stream, error) { return c.Start(context.Background(), upstream.Start{}, idleTimeout) },
 		func(c *Conn) (*Stream, error) { return c.Resume(context.Background(), "s", 0, idleTimeout) },
@@ -37,7 +48,7 @@
 		refused := (*StatusError)(nil)
 		require.NotErrorAs(t, err, &refused, "a refusal says that the stream was not started")
 	}
-	_, err = dial(t, address).Order(context.Background(), upstream.Order{})
+	_, err := dial(t, address).Order(context.Background(), upstream.Order{})
 	require.Error(t, err)
 }
 
@@ -55,6 +66,48 @@
 	}
 }
 
+// malformedFields are header lines whose name is none.
+var malformedFields = map[string]string{
+	"blank":            "Oth er: a\r\n",
+	"blank at its end": "Content-Type : a\r\n",
+	"blank first":      " Other: a\r\n",
+	"control byte":     "Oth\x01er: a\r\n",
+	"chunks":           "Transfer-Encoding : chunked\r\n",
+	"tab first":        "\tTransfer-Encoding: chunked\r\n",
+}
+
+// TestMalformedFieldNameIsNoReply guards against a reply whose header has a line that is no field:
+// what the line says of the body or its type is left out.
+func TestMalformedFieldNameIsNoReply(t *testing.T) {
+	t.Parallel()
+	const body = "Content-Length: 2\r\n\r\n{}"
+	for name, line := range malformedFields {
+		for way, response := range map[string]string{
+			"reply":            "HTTP/1.1 200 x\r\nServer: s\r\n" + line + body,
+			"refusal":          "HTTP/1.1 422 x\r\nServer: s\r\n" + line + body,
+			"interim":          "HTTP/1.1 103 x\r\nServer: s\r\n" + line + "\r\nHTTP/1.1 200 x\r\n" + body,
+			"after an interim": "HTTP/1.1 103 x\r\nServer: s\r\n\r\nHTTP/1.1 200 x\r\nServer: s\r\n" + line + body,
+		} {
+			t.Run(name+"/"+way, func(t *testing.T) {
+				t.Parallel()
+				requireMalformed(t, response)
+			})
+		}
+	}
+}
+
+// TestMalformedTrailerIsNoEnd guards against a reply that looks whole though a line behind it, where
+// the fields of its trailer belong, is none.
+func TestMalformedTrailerIsNoEnd(t *testing.T) {
+	t.Parallel()
+	for name, line := range malformedFields {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			requireNoReply(t, "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"+line+"\r\n")
+		})
+	}
+}
+
 // TestUnusualReplyStaysWhole guards against a sound reply that is refused since its head is checked.
 func TestUnusualReplyStaysWhole(t *testing.T) {
 	t.Parallel()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/core/broker"
+	"github.com/verbenastep/verbenastep/internal/httpresponse"
 	"github.com/verbenastep/verbenastep/internal/port"
 )
 
@@ -368,6 +369,7 @@
 			a.respBody = append(a.respBody, chunk[:n]...)
 		}
 		if err == io.EOF {
+			a.respBodyErr = httpresponse.CheckTrailer(a.resp)
 			return
 		}
 		if err != nil {
@@ -383,7 +385,7 @@
 	for {
 		e, err := readEvent(reader)
 		if err == io.EOF {
-			return nil
+			return httpresponse.CheckTrailer(a.resp)
 		}
 		if err != nil {
 			a.isCutInEvent = e.isBegun()
--- a/internal/forward/bounds.go
+++ b/internal/forward/bounds.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+
+	"github.com/verbenastep/verbenastep/internal/httpresponse"
 )
 
 const (
@@ -21,28 +23,40 @@
 	errSlowCaller  = errors.New("the caller is too slow while memory is short")
 )
 
-// boundedReader reads from a connection to an upstream, which may send without end. While
-// a bound is set it fails with errTooLarge once that is reached.
-type boundedReader struct {
-	source  io.Reader
-	bounded bool
-	left    int
+// headReader reads from a connection to an upstream, which may send without end. While it reads a
+// head it fails with errTooLarge once that has maxResponseHeadBytes, and with an error if the head is
+// malformed.
+type headReader struct {
+	source io.Reader
+	inHead bool
+	left   int
+	check  httpresponse.HeadChecker
 }
 
-func (b *boundedReader) setBound(n int) { b.bounded, b.left = true, n }
+// beginHead begins to check a head of which some bytes were read before.
+func (h *headReader) beginHead(before []byte) error {
+	h.inHead, h.left, h.check = true, maxResponseHeadBytes, httpresponse.HeadChecker{}
+	return h.check.Check(before)
+}
 
-func (b *boundedReader) removeBound() { b.bounded = false }
+func (h *headReader) endHead() { h.inHead = false }
 
 // Read implements io.Reader.
-func (b *boundedReader) Read(p []byte) (int, error) {
-	if !b.bounded {
-		return b.source.Read(p)
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.inHead {
+		return h.source.Read(p)
 	}
-	if b.left <= 0 {
+	if malformed := h.check.Check(nil); malformed != nil {
+		return 0, malformed
+	}
+	if h.left <= 0 {
 		return 0, errTooLarge
 	}
-	n, err := b.source.Read(p[:min(len(p), b.left)])
-	b.left -= n
+	n, err := h.source.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	if malformed := h.check.Check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -48,9 +48,9 @@
 // conn is a connection to an upstream; it carries one request at a time.
 type conn struct {
 	net.Conn
-	// reader reads from the connection through bound.
+	// reader reads from the connection through head.
 	reader *bufio.Reader
-	bound  *boundedReader
+	head   *headReader
 	// idleSince is the end of the last response by the pool's clock. keepAliveTimeout
 	// is the time for which the upstream then keeps the connection; zero if it states
 	// none.
@@ -94,8 +94,11 @@
 // readHead reads the head of a response to a request with a method. It skips interim responses, which
 // may have maxResponseHeadBytes together with the final one.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.bound.setBound(maxResponseHeadBytes)
-	defer c.bound.removeBound()
+	defer c.head.endHead()
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails
+	if err := c.head.beginHead(buffered); err != nil {
+		return nil, err
+	}
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err == nil {
@@ -160,8 +163,8 @@
 	if err != nil {
 		return nil, err
 	}
-	bound := &boundedReader{source: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(bound, readBufferBytes), bound: bound}, nil
+	head := &headReader{source: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
 // takeIdle removes and returns the connection with the shortest idle time of those that a
--- a/internal/forward/malformedhead_test.go
+++ b/internal/forward/malformedhead_test.go
@@ -62,6 +62,81 @@
 	}
 }
 
+// malformedFields are header lines whose name is none.
+var malformedFields = map[string]string{
+	"blank":                     "Oth er: a",
+	"blank before the colon":    "Other : a",
+	"tab before the colon":      "Other\t: a",
+	"blank first":               " Other: a",
+	"tab first":                 "\tOther: a",
+	"control byte":              "Oth\x01er: a",
+	"control byte first":        "\x02Other: a",
+	"zero byte":                 "Oth\x00er: a",
+	"delete":                    "Other\x7f: a",
+	"carriage return":           "Oth\rer: a",
+	"letter beyond ASCII":       "Oth\xe9r: a",
+	"no name":                   ": a",
+	"no colon":                  "Other",
+	"length":                    "Content-Length : 3",
+	"length, blank first":       " Content-Length: 3",
+	"chunks":                    "Transfer-Encoding : chunked",
+	"chunks, blank first":       "\tTransfer-Encoding: chunked",
+	"control byte after length": "Content-Length\x0b: 3",
+}
+
+// TestMalformedFieldNameIsNoAnswer guards against an answer whose header has a line that is no field:
+// it is passed on, or left out, and with it what it says of the body.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	const status, fields = "HTTP/1.1 200 x\r\n", "Id: attempt-1\r\nSeal: s\r\n"
+	body := "Content-Length: 10\r\n\r\nerror-text"
+	events := "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("data: error-text\n\n") + "0\r\n\r\n"
+	for name, field := range malformedFields {
+		line := field + "\r\n"
+		for way, answer := range map[string]string{
+			"first":              status + line + fields + body,
+			"between":            status + fields + line + body,
+			"last":               status + fields + strings.Replace(body, "\r\n\r\n", "\r\n"+line+"\r\n", 1),
+			"no length":          status + fields + line + "\r\nerror-text",
+			"line feeds":         strings.ReplaceAll(status+fields+line+body, "\r\n", "\n"),
+			"in a stream":        status + fields + line + events,
+			"in a failure":       "HTTP/1.1 500 x\r\n" + fields + line + body,
+			"in a rejection":     "HTTP/1.1 503 x\r\nNot-Run: 1\r\n" + line + "Content-Length: 0\r\n\r\n",
+			"in an interim one":  "HTTP/1.1 103 x\r\nLink: a\r\n" + line + "\r\n" + status + fields + body,
+			"after an interim":   "HTTP/1.1  103 x\r\nLink: a\r\n\r\n" + status + fields + line + body,
+			"in a stray answer":  status + "Id: attempt-0\r\nSeal: s\r\n" + line + "Content-Length: 3\r\n\r\nold" + status + fields + body,
+			"behind a long head": status + fields + "Long: " + strings.Repeat("a", 3*readBufferBytes) + "\r\n" + line + body,
+		} {
+			for path, use := range upstreamPaths {
+				t.Run(name+"/"+way+"/"+path, func(t *testing.T) {
+					t.Parallel()
+					requireMalformed(t, use, "once", answer)
+					requireMalformed(t, use, "stream", answer)
+				})
+			}
+		}
+	}
+}
+
+// TestMalformedTrailerIsNoEnd guards against a body that looks whole though a line behind it, where
+// the fields of its trailer belong, is none.
+func TestMalformedTrailerIsNoEnd(t *testing.T) {
+	t.Parallel()
+	for name, field := range malformedFields {
+		for path, use := range upstreamPaths {
+			t.Run(name+"/"+path, func(t *testing.T) {
+				t.Parallel()
+				requireMalformed(t, use, "once", sealedHead+"Transfer-Encoding: chunked\r\n\r\n"+chunk("error-text")+"0\r\n"+field+"\r\n\r\n")
+				u := newUpstream(t, writeThen(chunkedStreamHead+chunk("id: 1\ndata: a\n\n")+"0\r\n"+field+"\r\n\r\n", keepOpen))
+				r := newTestEntry(t, u)
+				use(r, u)
+				out := r.call("stream", "b")
+				require.True(t, out.incomplete, "the stream looks complete")
+			})
+		}
+	}
+}
+
 // TestUnusualHeadStaysWhole guards against a sound answer that is refused, or loses its header, since
 // its head is checked: it has rare names and values, comes after interim answers, a byte at a time,
 // or is longer than the buffer.
--- /dev/null
+++ b/internal/httpresponse/head.go
@@ -0,0 +1,133 @@
+package httpresponse
+
+import (
+	"fmt"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// headState is the part of a head that the next byte belongs to.
+type headState uint8
+
+const (
+	// protocol, status and statusLine are the status line before the status, its first digit, and the
+	// rest.
+	protocol headState = iota
+	status
+	statusLine
+	// lineStart is the first byte of a line behind the status line, and emptyLineEnd the one behind a
+	// carriage return there.
+	lineStart
+	emptyLineEnd
+	fieldName
+	fieldValue
+	// foldedValue is a line that begins with a blank and goes on with the value of the line before it.
+	foldedValue
+	// body follows the head of a final response.
+	body
+)
+
+// HeadChecker checks the heads of the responses to one request as their bytes arrive, those of interim
+// ones included. net/http accepts blanks in the names of fields, and then neither knows the field nor
+// frames the body by it. The zero value is ready for use. It is not safe for concurrent use.
+type HeadChecker struct {
+	state     headState
+	isInterim bool
+	err       error
+}
+
+// Check checks the bytes that follow those of the calls before. Once it has returned a MalformedError it
+// returns it always. What follows the head of the final response is not checked.
+func (h *HeadChecker) Check(p []byte) error {
+	for _, b := range p {
+		if h.err != nil || h.state == body {
+			break
+		}
+		h.step(b)
+	}
+	return h.err
+}
+
+// step checks one byte.
+func (h *HeadChecker) step(b byte) {
+	switch h.state {
+	case protocol, status, statusLine:
+		h.stepStatusLine(b)
+	case lineStart:
+		h.stepLineStart(b)
+	case emptyLineEnd:
+		if b != '\n' {
+			h.fail("a carriage return in the name of a field")
+			return
+		}
+		h.endHead()
+	case fieldName:
+		h.stepName(b)
+	case fieldValue:
+		if b == '\n' {
+			h.state = lineStart
+		}
+	case foldedValue:
+		h.stepFolded(b)
+	case body:
+	}
+}
+
+func (h *HeadChecker) stepStatusLine(b byte) {
+	switch {
+	case b == '\n':
+		h.state = lineStart
+	case b == ' ' && h.state == protocol:
+		h.state = status
+	case b != ' ' && h.state == status:
+		h.isInterim = b == '1'
+		h.state = statusLine
+	}
+}
+
+func (h *HeadChecker) stepLineStart(b byte) {
+	switch b {
+	case '\n':
+		h.endHead()
+	case '\r':
+		h.state = emptyLineEnd
+	case ' ', '\t':
+		h.state = foldedValue
+	case ':':
+		h.fail("a field without a name")
+	default:
+		h.state = fieldName
+		h.stepName(b)
+	}
+}
+
+func (h *HeadChecker) stepName(b byte) {
+	switch {
+	case b == ':':
+		h.state = fieldValue
+	case !httpguts.IsTokenRune(rune(b)):
+		h.fail(fmt.Sprintf("the byte %q in the name of a field", b))
+	}
+}
+
+// stepFolded checks a line that begins with a blank. Recipients differ on whether one with a colon is a
+// field, and so on where the body ends.
+func (h *HeadChecker) stepFolded(b byte) {
+	switch b {
+	case ':':
+		h.fail("a field whose name begins with a blank")
+	case '\n':
+		h.state = lineStart
+	}
+}
+
+// endHead ends a head. Another one follows that of an interim response.
+func (h *HeadChecker) endHead() {
+	if !h.isInterim {
+		h.state = body
+		return
+	}
+	*h = HeadChecker{}
+}
+
+func (h *HeadChecker) fail(problem string) { h.err = &MalformedError{Problem: problem} }
--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // MalformedError reports a response that is none in HTTP/1.1.
@@ -29,3 +31,14 @@
 	}
 	return nil
 }
+
+// CheckTrailer returns a MalformedError if the trailer of a response, whose body was read to its end, has
+// a name that is none.
+func CheckTrailer(resp *http.Response) error {
+	for name := range resp.Trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &MalformedError{Problem: fmt.Sprintf("its trailer has a field named %q", name)}
+		}
+	}
+	return nil
+}
