Chunks before HTTP/1.1 are no answer

Callers got a body with the sizes of its chunks in it, where an upstream sent chunks in an answer of HTTP/1.0.

Cause: before HTTP/1.1 there are no chunks, and net/http leaves out the field Transfer-Encoding there, so that the body ran to the end of the connection. The protocol calls such framing faulty.

Change: HeadChecker knows the version and this field.

--- a/internal/forward/malformedhead_test.go
+++ b/internal/forward/malformedhead_test.go
@@ -186,3 +186,40 @@
 		}
 	}
 }
+
+// TestChunkedAnswerInHTTP10IsNoAnswer guards against a body with the sizes of its chunks in it: HTTP/1.0
+// knows no chunks, so that recipients differ on where the body ends. Other answers in HTTP/1.0 stay whole.
+func TestChunkedAnswerInHTTP10IsNoAnswer(t *testing.T) {
+	t.Parallel()
+	const head = "HTTP/1.0 200 x\r\nId: attempt-1\r\nSeal: s\r\n"
+	chunked := "\r\n" + chunk("error-text") + "0\r\n\r\n"
+	for path, use := range upstreamPaths {
+		for name, rest := range map[string]string{
+			"chunked":         "Transfer-Encoding: chunked\r\n" + chunked,
+			"lower case":      "transfer-encoding:chunked\r\n" + chunked,
+			"beside a length": "Content-Length: 10\r\nTransfer-Encoding: chunked\r\n" + chunked,
+			"stream":          "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + chunked,
+		} {
+			t.Run(path+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				for _, text := range []string{head, strings.Replace(head, "1.0", "0.9", 1)} {
+					requireMalformed(t, use, "once", text+rest)
+					requireMalformed(t, use, "stream", text+rest)
+				}
+			})
+		}
+		for name, rest := range map[string]string{
+			"length":    "Content-Length: 10\r\n\r\n0123456789",
+			"no length": "\r\n0123456789",
+			"like it":   "Transfer-Encodings: chunked\r\nX-Transfer-Encoding: chunked\r\nTransfer: a\r\n\r\n0123456789",
+		} {
+			t.Run(path+"/sound/"+name, func(t *testing.T) {
+				t.Parallel()
+				u := newUpstream(t, writeThen(head+rest, closeInOrder))
+				r := newTestEntry(t, u)
+				use(r, u)
+				require.Equal(t, "0123456789", r.call("once", "b").body)
+			})
+		}
+	}
+}
--- a/internal/httpresponse/head.go
+++ b/internal/httpresponse/head.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -27,13 +29,24 @@
 	body
 )
 
+const (
+	// versionBytes is the length of a version such as HTTP/1.1.
+	versionBytes     = 8
+	transferEncoding = "Transfer-Encoding"
+)
+
 // HeadChecker checks the heads of the responses to one request as their bytes arrive, those of interim
 // ones included. net/http accepts blanks in the names of fields, and then neither knows the field nor
 // frames the body by it. The zero value is ready for use. It is not safe for concurrent use.
 type HeadChecker struct {
 	state     headState
 	isInterim bool
-	err       error
+	// version and name are the beginnings of the protocol's version and of the field's name.
+	version    [versionBytes]byte
+	versionLen int
+	name       [len(transferEncoding)]byte
+	nameLen    int
+	err        error
 }
 
 // Check checks the bytes that follow those of the calls before. Once it has returned a MalformedError it
@@ -79,6 +92,8 @@
 		h.state = lineStart
 	case b == ' ' && h.state == protocol:
 		h.state = status
+	case h.state == protocol:
+		h.versionLen = appendByte(h.version[:], h.versionLen, b)
 	case b != ' ' && h.state == status:
 		h.isInterim = b == '1'
 		h.state = statusLine
@@ -96,7 +111,7 @@
 	case ':':
 		h.fail("a field without a name")
 	default:
-		h.state = fieldName
+		h.state, h.nameLen = fieldName, 0
 		h.stepName(b)
 	}
 }
@@ -104,10 +119,34 @@
 func (h *HeadChecker) stepName(b byte) {
 	switch {
 	case b == ':':
-		h.state = fieldValue
+		h.endName()
 	case !httpguts.IsTokenRune(rune(b)):
 		h.fail(fmt.Sprintf("the byte %q in the name of a field", b))
+	default:
+		h.nameLen = appendByte(h.name[:], h.nameLen, b)
+	}
+}
+
+// endName ends the name of a field. Before HTTP/1.1 there are no chunks: net/http leaves them in the body,
+// and other recipients do not.
+func (h *HeadChecker) endName() {
+	h.state = fieldValue
+	if h.nameLen != len(h.name) || !strings.EqualFold(string(h.name[:]), transferEncoding) {
+		return
+	}
+	version := string(h.version[:min(h.versionLen, versionBytes)])
+	if major, minor, ok := http.ParseHTTPVersion(version); ok && (major < 1 || major == 1 && minor < 1) {
+		h.fail(transferEncoding + " in " + version)
+	}
+}
+
+// appendByte appends a byte to a text of n bytes and returns its new length. Bytes that the buffer has
+// no room for are counted only.
+func appendByte(buf []byte, n int, b byte) int {
+	if n < len(buf) {
+		buf[n] = b
 	}
+	return n + 1
 }
 
 // stepFolded checks a line that begins with a blank. Recipients differ on whether one with a colon is a
