--- a/internal/forward/malformedhead_test.go
+++ b/internal/forward/malformedhead_test.go
@@ -187,6 +187,37 @@
 	}
 }
 
+// TestOddAnswerIsPassedOn guards against an answer that is refused, or changed, for what is odd in it but
+// leaves no doubt of its body: a status beyond those that are defined, chunks beside a length, another
+// version.
+func TestOddAnswerIsPassedOn(t *testing.T) {
+	t.Parallel()
+	const fields = "Id: attempt-1\r\nSeal: s\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		status int
+	}{
+		"status 299":             {"HTTP/1.1 299 x\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 299},
+		"status 600":             {"HTTP/1.1 600 x\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 600},
+		"status 999":             {"HTTP/1.1 999 x\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 999},
+		"chunks beside a length": {"HTTP/1.1 200 x\r\n" + fields + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("body") + "0\r\n\r\n", 200},
+		"version 2.0":            {"HTTP/2.0 200 x\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 200},
+	} {
+		for path, use := range upstreamPaths {
+			t.Run(name+"/"+path, func(t *testing.T) {
+				t.Parallel()
+				u := newUpstream(t, writeThen(c.answer, keepOpen))
+				r := newTestEntry(t, u)
+				use(r, u)
+				out := r.call("once", "b")
+				require.False(t, out.incomplete)
+				require.Equal(t, c.status, out.status)
+				require.Equal(t, "body", out.body)
+			})
+		}
+	}
+}
+
 // TestChunkedAnswerInHTTP10IsNoAnswer guards against a body with the sizes of its chunks in it: HTTP/1.0
 // knows no chunks, so that recipients differ on where the body ends. Other answers in HTTP/1.0 stay whole.
 func TestChunkedAnswerInHTTP10IsNoAnswer(t *testing.T) {
