--- a/internal/egress/directconn.go
+++ b/internal/egress/directconn.go
@@ -15,9 +15,9 @@
 // the upstream ended its side in order, so that a response that ends with its connection is complete.
 //
 // The kernel reports the loss of a connection to one call only. If that is a write, reads return io.EOF
-// from then on. Read therefore asks the write before it trusts an end.
+// from then on. Read therefore waits for the result of a write in progress before it returns io.EOF.
 //
-// Connections have no write deadlines of their users' own, who close them instead.
+// At the end of the connection Read removes the write deadline.
 type directConn struct {
 	// Conn is a *net.TCPConn. Its methods that write without Write are left out.
 	net.Conn
@@ -47,8 +47,9 @@
 	return n, c.end
 }
 
-// setEnd finds out whether the connection was lost. A write in progress may have been told so and not
-// have returned yet; it is interrupted, since one to an upstream that reads nothing takes long.
+// setEnd sets end to the error of a write that was told that the connection is lost, else to io.EOF. Such
+// a write may not have returned yet. One in progress is interrupted, since it would take long if the
+// upstream reads nothing.
 func (c *directConn) setEnd() {
 	c.isInterrupted.Store(true)
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -39,14 +39,13 @@
 // for concurrent use.
 type Conn struct {
 	address string
-	netConn *writeRecordingConn
+	netConn *upstreamConn
 	client  *http.Client
 }
 
-// writeRecordingConn records whether anything was written, so that a failed
-// request can be reported as not sent with certainty. It reads no head that is
-// malformed.
-type writeRecordingConn struct {
+// upstreamConn records whether anything was written, so that a failed request can
+// be reported as not sent with certainty. Its reads fail at a malformed head.
+type upstreamConn struct {
 	net.Conn
 	head    httpresponse.HeadChecker
 	written atomic.Bool
@@ -56,15 +55,15 @@
 
 // Write records the write before it happens, because a write that fails may
 // still have sent some bytes.
-func (c *writeRecordingConn) Write(p []byte) (int, error) {
+func (c *upstreamConn) Write(p []byte) (int, error) {
 	if !c.written.Swap(true) && c.onFirstWrite != nil {
 		c.onFirstWrite()
 	}
 	return c.Conn.Write(p)
 }
 
-// Read checks the heads in what it reads.
-func (c *writeRecordingConn) Read(p []byte) (int, error) {
+// Read returns an error once a head is malformed.
+func (c *upstreamConn) Read(p []byte) (int, error) {
 	if malformed := c.head.Check(nil); malformed != nil {
 		return 0, malformed
 	}
@@ -91,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wrapped := &writeRecordingConn{Conn: dialed}
+	wrapped := &upstreamConn{Conn: dialed}
 	c := &Conn{address: address, netConn: wrapped}
 	used := atomic.Bool{}
 	c.client = &http.Client{
--- a/internal/forward/bounds.go
+++ b/internal/forward/bounds.go
@@ -24,8 +24,8 @@
 )
 
 // headReader reads from a connection to an upstream, which may send without end. While it reads a
-// head it fails with errTooLarge once that has maxResponseHeadBytes, and with an error if the head is
-// malformed.
+// head it fails with errTooLarge once that has maxResponseHeadBytes, and with a MalformedError once the
+// head is malformed.
 type headReader struct {
 	source io.Reader
 	inHead bool
@@ -33,7 +33,7 @@
 	check  httpresponse.HeadChecker
 }
 
-// beginHead begins to check a head of which some bytes were read before.
+// beginHead begins a head, of which some bytes were read before.
 func (h *headReader) beginHead(before []byte) error {
 	h.inHead, h.left, h.check = true, maxResponseHeadBytes, httpresponse.HeadChecker{}
 	return h.check.Check(before)
--- a/internal/forward/malformedhead_test.go
+++ b/internal/forward/malformedhead_test.go
@@ -13,8 +13,8 @@
 	"github.com/verbenastep/verbenastep/core/broker"
 )
 
-// requireMalformed calls a route whose only upstream sends a malformed answer, and one whose request
-// is repeated at a sound upstream.
+// requireMalformed checks that the only answer to a request of a route is taken for none, and that a
+// repeatable request is sent to another upstream after it.
 func requireMalformed(t *testing.T, use func(*testEntry, *scriptedUpstream), route, answer string) {
 	t.Helper()
 	u := newUpstream(t, writeThen(answer, keepOpen))
@@ -30,7 +30,7 @@
 	require.Equal(t, "sound", r.call("idempotent", "b").body)
 }
 
-// TestStatusBelow100IsNoAnswer guards against an answer whose status is none, such as 000: it is
+// TestStatusBelow100IsNoAnswer guards against an answer with an invalid status, such as 000: it is
 // taken for an interim answer, and what follows it for the answer, be it the body.
 func TestStatusBelow100IsNoAnswer(t *testing.T) {
 	t.Parallel()
@@ -62,7 +62,7 @@
 	}
 }
 
-// malformedFields are header lines whose name is none.
+// malformedFields are header lines without a valid field name.
 var malformedFields = map[string]string{
 	"blank":                     "Oth er: a",
 	"blank before the colon":    "Other : a",
@@ -84,8 +84,8 @@
 	"control byte after length": "Content-Length\x0b: 3",
 }
 
-// TestMalformedFieldNameIsNoAnswer guards against an answer whose header has a line that is no field:
-// it is passed on, or left out, and with it what it says of the body.
+// TestMalformedFieldNameIsNoAnswer guards against an answer with an invalid field name in its head:
+// the field is passed on, or ignored, and with it what it says of the body.
 func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
 	t.Parallel()
 	const status, fields = "HTTP/1.1 200 x\r\n", "Id: attempt-1\r\nSeal: s\r\n"
@@ -118,8 +118,8 @@
 	}
 }
 
-// TestMalformedTrailerIsNoEnd guards against a body that looks whole though a line behind it, where
-// the fields of its trailer belong, is none.
+// TestMalformedTrailerIsNoEnd guards against a body that looks whole though its trailer has an invalid
+// field name.
 func TestMalformedTrailerIsNoEnd(t *testing.T) {
 	t.Parallel()
 	for name, field := range malformedFields {
@@ -138,8 +138,8 @@
 }
 
 // TestUnusualHeadStaysWhole guards against a sound answer that is refused, or loses its header, since
-// its head is checked: it has rare names and values, comes after interim answers, a byte at a time,
-// or is longer than the buffer.
+// its head is checked: it has rare names and values, comes after interim answers or in pieces, or
+// is longer than the buffer.
 func TestUnusualHeadStaysWhole(t *testing.T) {
 	t.Parallel()
 	const body = "Content-Length: 10\r\n\r\n0123456789"
