--- a/internal/forward/malformedhead_test.go
+++ b/internal/forward/malformedhead_test.go
@@ -218,6 +218,28 @@
 	}
 }
 
+// TestRejectionWithBrokenBodyIsOne guards against a request that is not sent to another upstream, since
+// something is wrong behind the whole head that says that it did not run.
+func TestRejectionWithBrokenBodyIsOne(t *testing.T) {
+	t.Parallel()
+	const head = "HTTP/1.1 503 x\r\nId: attempt-1\r\nNot-Run: 1\r\n"
+	for name, answer := range map[string]string{
+		"cut":       head + "Content-Length: 10\r\n\r\nerror",
+		"trailer":   head + "Transfer-Encoding: chunked\r\n\r\n0\r\nOth er: a\r\n\r\n",
+		"no length": head + "\r\nerror",
+	} {
+		for path, use := range upstreamPaths {
+			t.Run(name+"/"+path, func(t *testing.T) {
+				t.Parallel()
+				u := newUpstream(t, writeThen(answer, reset))
+				r := newTestEntry(t, u, newUpstream(t, respondWith(http.StatusOK, "", "sound")))
+				use(r, u)
+				require.Equal(t, "sound", r.call("once", "b").body)
+			})
+		}
+	}
+}
+
 // TestChunkedAnswerInHTTP10IsNoAnswer guards against a body with the sizes of its chunks in it: HTTP/1.0
 // knows no chunks, so that recipients differ on where the body ends. Other answers in HTTP/1.0 stay whole.
 func TestChunkedAnswerInHTTP10IsNoAnswer(t *testing.T) {
