--- a/internal/egress/directconn.go
+++ b/internal/egress/directconn.go
@@ -47,8 +47,8 @@
 	return n, c.end
 }
 
-// setEnd sets end to the error of a write that was told that the connection is lost, else to io.EOF. Such
-// a write may not have returned yet. One in progress is interrupted, since it would take long if the
+// setEnd sets end to the error of a write that failed with the loss of the connection, else to io.EOF. Such
+// a write may not have returned yet. One in progress is interrupted, since it would block for long if the
 // upstream reads nothing.
 func (c *directConn) setEnd() {
 	c.isInterrupted.Store(true)
--- a/internal/egress/directconn_test.go
+++ b/internal/egress/directconn_test.go
@@ -74,7 +74,7 @@
 }
 
 // TestResetBesideBlockedWriteIsNoEnd guards against the same where the read returns before the write
-// that was told of the reset.
+// that fails with the reset.
 func TestResetBesideBlockedWriteIsNoEnd(t *testing.T) {
 	const tries = 300
 	ln := listen(t)
--- a/internal/forward/earlyanswer_test.go
+++ b/internal/forward/earlyanswer_test.go
@@ -33,8 +33,7 @@
 	}
 }
 
-// resetAtOnce resets a connection, so that the write of the request may be told before what was written
-// is read.
+// resetAtOnce resets a connection, so that the write of the request may fail before the response is read.
 func resetAtOnce(c net.Conn) {
 	_ = c.(*net.TCPConn).SetLinger(0)
 	_ = c.Close()
--- a/internal/forward/malformedhead_test.go
+++ b/internal/forward/malformedhead_test.go
@@ -218,8 +218,8 @@
 	}
 }
 
-// TestRejectionWithBrokenBodyIsOne guards against a request that is not sent to another upstream, since
-// something is wrong behind the whole head that says that it did not run.
+// TestRejectionWithBrokenBodyIsOne guards against a request that is not sent to another upstream since
+// the body of its rejection, whose head is complete, is broken.
 func TestRejectionWithBrokenBodyIsOne(t *testing.T) {
 	t.Parallel()
 	const head = "HTTP/1.1 503 x\r\nId: attempt-1\r\nNot-Run: 1\r\n"
