--- a/review/lab3/client.go
+++ b/review/lab3/client.go
@@ -69,6 +69,7 @@
 	pathOnce    = "/transfers/"
 	pathSafe    = "/records/"
 	pathStream  = "/reports/"
+	pathLong    = "/exports/"
 	// engineService is the service of model runners.
 	engineService = "logbook-model"
 )
@@ -83,13 +84,15 @@
 	}
 	stream := route("r-stream", pathStream, "stream", 1)
 	stream["backend"], stream["timeout_ms"], stream["latency_target_ms"], stream["gap_target_ms"], stream["sticky"] = engineService, 12000, 1000, 300, true
+	long := route("r-long", pathLong, "unsafe", 1)
+	long["timeout_ms"] = 12000
 	engine := map[string]any{
 		"slots": engineSlots, "kv_capacity": 510863, "kv_token_bytes": 35136, "link_mbps": 740000.0, "moves": true, "backups": true,
 		"stride": tokensPerEvent, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": "m"}},
 	}
 	return map[string]any{
 		"version": version,
-		"routes":  []any{route("r-once", pathOnce, "unsafe", 1), route("r-safe", pathSafe, "safe", 2), stream},
+		"routes":  []any{route("r-once", pathOnce, "unsafe", 1), route("r-safe", pathSafe, "safe", 2), long, stream},
 		"services": []any{
 			map[string]any{"name": serviceName, "health_path": "/health", "max_conns": 110, "protocol": "h1", "tls": false},
 			map[string]any{"name": engineService, "health_path": "/health", "max_conns": 370, "protocol": "h1", "tls": false, "engine": engine},
--- a/review/lab3/crashing.go
+++ b/review/lab3/crashing.go
@@ -16,11 +16,12 @@
 	thirdCrash     = 3
 	// backAfter is how long a crashed runner is away.
 	backAfter = 4 * time.Second
-	// retryInterval is the shortest time between two sendings of the crashing request, and crashingTime
-	// for how long its client goes on.
-	retryInterval = 300 * time.Millisecond
-	crashingTime  = 40 * time.Second
-	plainRunners  = 3
+	// firstPause is the time after an answer at which the client sends the crashing request again for the
+	// first plainRunners times, and laterPause the one from then on. crashingTime is for how long it goes on.
+	firstPause   = 2 * time.Second
+	laterPause   = 300 * time.Millisecond
+	crashingTime = 40 * time.Second
+	plainRunners = 2
 	// otherClients send sound requests all the while, each after otherPause.
 	otherClients = 4
 	otherPause   = 300 * time.Millisecond
@@ -97,7 +98,11 @@
 	crasher := newClient(o.rec, "crash-")
 	for n, end := 0, o.rec.now()+crashingTime; o.rec.now() < end; n++ {
 		x.retry(crasher, c.entries[n%len(c.entries)].ip)
-		time.Sleep(retryInterval)
+		pause := laterPause
+		if n < plainRunners {
+			pause = firstPause
+		}
+		time.Sleep(pause)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -34,6 +34,7 @@
 var cases = map[string]func(o options) (broken bool, err error){
 	"late-stream":   lateStream,
 	"moved-runners": movedRunners,
+	"many-clients":  manyClients,
 }
 
 func main() {
--- a/review/lab3/runner.go
+++ b/review/lab3/runner.go
@@ -28,6 +28,8 @@
 	address  string
 	controls []string
 	work     time.Duration
+	// crashAfter is how long the runner works on a request that crashes it.
+	crashAfter time.Duration
 	// slotCount is what the heartbeats state.
 	slotCount int
 	born      int64
@@ -44,6 +46,7 @@
 	f.StringVar(&r.address, "address", "", "address of the runner")
 	f.StringVar(&controls, "control", "", "addresses that serve control")
 	f.DurationVar(&r.work, "work", 300*time.Millisecond, "time of a request")
+	f.DurationVar(&r.crashAfter, "crash-after", 0, "time of a request that crashes the runner")
 	_ = f.Parse(args)
 	r.controls, r.slotCount = strings.Split(controls, ","), 6
 	go r.heartbeats()
@@ -84,6 +87,7 @@
 	}
 	r.say("run", attempt, req.RemoteAddr)
 	if bytes.Contains(body, []byte(crashWord)) {
+		time.Sleep(r.crashAfter)
 		r.say("crash", attempt, req.RemoteAddr)
 		os.Exit(139)
 	}
