--- a/review/lab3/client.go
+++ b/review/lab3/client.go
@@ -61,6 +61,16 @@
 	return a
 }
 
+// patience is for how long a client that honours Retry-After waits after this answer to a request with the
+// given deadline: a third of the time left at most, as the pages say, and the given pause at least.
+func (a answer) patience(pause, left time.Duration) time.Duration {
+	seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	if err != nil {
+		return pause
+	}
+	return max(pause, min(time.Duration(seconds*float64(time.Second)), left/3))
+}
+
 // Names of the configuration.
 const (
 	hostName    = "club.example"
--- a/review/lab3/crashing.go
+++ b/review/lab3/crashing.go
@@ -16,11 +16,13 @@
 	thirdCrash     = 3
 	// backAfter is how long a crashed runner is away.
 	backAfter = 4 * time.Second
-	// firstPause is the time after an answer at which the client sends the crashing request again for the
-	// first plainRunners times, and laterPause the one from then on. crashingTime is for how long it goes on.
-	firstPause   = 2 * time.Second
-	laterPause   = 300 * time.Millisecond
-	crashingTime = 40 * time.Second
+	// crashingPause is the time after an answer at which the client sends the crashing request again, if
+	// Retry-After names no longer one, and crashingTime for how long it goes on.
+	crashingPause = 2 * time.Second
+	crashingTime  = 40 * time.Second
+	// crashingDeadline is the deadline of the crashing request.
+	crashingDeadline = 6 * time.Second
+	// plainRunners is the number of runners of the service.
 	plainRunners = 2
 	// otherClients send sound requests all the while, each after otherPause.
 	otherClients = 4
@@ -97,12 +99,8 @@
 	}
 	crasher := newClient(o.rec, "crash-")
 	for n, end := 0, o.rec.now()+crashingTime; o.rec.now() < end; n++ {
-		x.retry(crasher, c.entries[n%len(c.entries)].ip)
-		pause := laterPause
-		if n < plainRunners {
-			pause = firstPause
-		}
-		time.Sleep(pause)
+		a := x.retry(crasher, c.entries[n%len(c.entries)].ip)
+		time.Sleep(a.patience(crashingPause, crashingDeadline))
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -139,9 +137,9 @@
 }
 
 // retry sends the crashing request: the same path, caller and body each time.
-func (x *crashes) retry(c *client, ip string) {
+func (x *crashes) retry(c *client, ip string) answer {
 	x.mu.Lock()
 	x.sentAt[fmt.Sprintf("%s%d", c.prefix, c.number.Load()+1)] = x.rec.now()
 	x.mu.Unlock()
-	c.send(http.MethodPost, ip, hostName, pathOnce+"117", "transfer 117 "+crashWord, 6*time.Second)
+	return c.send(http.MethodPost, ip, hostName, pathOnce+"117", "transfer 117 "+crashWord, crashingDeadline)
 }
