forward: log what a stopping entry expects of the requests that it passes on

The log of a stopping entry did not tell why a request was begun that could not end: whether its estimate was that of its upstream or of others, which factor was applied, or whether no estimate was made. It now writes "begun during a planned stop" and adds the same field to "grant returned". For that, ExpectedDuration says what its estimate was measured at.

No change of behaviour.

--- a/core/broker/duration.go
+++ b/core/broker/duration.go
@@ -5,18 +5,49 @@
 	"time"
 )
 
+// DurationBasis is what an estimated duration was measured at.
+type DurationBasis uint8
+
+const (
+	// NoBasis means that there is no estimate: nothing tells how long the response gets, or no
+	// upstream of the pool has been measured.
+	NoBasis DurationBasis = iota
+	// PoolBasis means that other upstreams of the pool were measured. They may be several times as
+	// fast.
+	PoolBasis
+	// UpstreamBasis means that the upstream itself was measured.
+	UpstreamBasis
+)
+
+// String returns the basis as log lines name it.
+func (b DurationBasis) String() string {
+	switch b {
+	case PoolBasis:
+		return "pool"
+	case UpstreamBasis:
+		return "upstream"
+	default:
+		return "none"
+	}
+}
+
+// DurationEstimate is an estimate of the time from the grant of a request to the end of its response.
+type DurationEstimate struct {
+	Duration time.Duration
+	Basis    DurationBasis
+}
+
 // ExpectedDuration estimates the time from the grant of a request to the end of a response of
 // OutputTokens at an upstream of its pool: at the fastest one if upstream is empty, at the slowest
-// if the speed of the upstream is not known yet. It returns false if nothing tells how long the
-// response gets, or no upstream of the pool has been measured.
-func (b *Broker) ExpectedDuration(o Offer, upstream string) (time.Duration, bool) {
+// that was measured if the upstream itself was not.
+func (b *Broker) ExpectedDuration(o Offer, upstream string) DurationEstimate {
 	p := b.pools[o.Pool]
 	if p == nil || p.engine != nil && o.OutputTokens == 0 {
-		return 0, false
+		return DurationEstimate{}
 	}
 	req := &request{Offer: o}
 	if u := p.upstreams[upstream]; u != nil && p.isMeasured(u) {
-		return p.duration(req, u), true
+		return DurationEstimate{Duration: p.duration(req, u), Basis: UpstreamBasis}
 	}
 	durations := []time.Duration{}
 	for _, u := range p.order {
@@ -26,11 +57,11 @@
 	}
 	switch {
 	case len(durations) == 0:
-		return 0, false
+		return DurationEstimate{}
 	case upstream == "":
-		return slices.Min(durations), true
+		return DurationEstimate{Duration: slices.Min(durations), Basis: PoolBasis}
 	}
-	return slices.Max(durations), true
+	return DurationEstimate{Duration: slices.Max(durations), Basis: PoolBasis}
 }
 
 // isMeasured reports whether the speed of an upstream is known: that of one that has just started
--- a/core/broker/duration_test.go
+++ b/core/broker/duration_test.go
@@ -16,20 +16,20 @@
 	b.SetEstimates([]Estimates{{ID: "fast", TokenTime: 0.001}, {ID: "slow", TokenTime: 0.01}, {ID: "gone", TokenTime: 0.0001}})
 	o := newOffer(1)
 	o.OutputTokens = 1000
-	atSlow, known := b.ExpectedDuration(o, "slow")
-	require.True(t, known)
-	require.GreaterOrEqual(t, atSlow, 10*time.Second)
-	require.Less(t, atSlow, 11*time.Second)
-	atFast, known := b.ExpectedDuration(o, "fast")
-	require.True(t, known)
-	require.GreaterOrEqual(t, atFast, time.Second)
-	require.Less(t, atFast, 2*time.Second)
-	anywhere, known := b.ExpectedDuration(o, "")
-	require.True(t, known)
-	require.Equal(t, atFast, anywhere, "an upstream that leaves takes no request")
-	atNew, known := b.ExpectedDuration(o, "new")
-	require.True(t, known)
-	require.Equal(t, atSlow, atNew)
+	atSlow := b.ExpectedDuration(o, "slow")
+	require.Equal(t, UpstreamBasis, atSlow.Basis)
+	require.GreaterOrEqual(t, atSlow.Duration, 10*time.Second)
+	require.Less(t, atSlow.Duration, 11*time.Second)
+	atFast := b.ExpectedDuration(o, "fast")
+	require.Equal(t, UpstreamBasis, atFast.Basis)
+	require.GreaterOrEqual(t, atFast.Duration, time.Second)
+	require.Less(t, atFast.Duration, 2*time.Second)
+	anywhere := b.ExpectedDuration(o, "")
+	require.Equal(t, PoolBasis, anywhere.Basis)
+	require.Equal(t, atFast.Duration, anywhere.Duration, "an upstream that leaves takes no request")
+	atNew := b.ExpectedDuration(o, "new")
+	require.Equal(t, PoolBasis, atNew.Basis)
+	require.Equal(t, atSlow.Duration, atNew.Duration)
 }
 
 // TestExpectedDurationIsUnknownWithoutBasis guards against an estimate for responses of which
@@ -37,16 +37,12 @@
 func TestExpectedDurationIsUnknownWithoutBasis(t *testing.T) {
 	b := newEngineBroker(1, 4)
 	o := newOffer(1)
-	_, known := b.ExpectedDuration(o, "")
-	require.False(t, known)
+	require.Equal(t, NoBasis, b.ExpectedDuration(o, "").Basis)
 	o.OutputTokens = 10
-	_, known = b.ExpectedDuration(o, "")
-	require.False(t, known, "no upstream has been measured")
-	_, known = b.ExpectedDuration(o, "u")
-	require.False(t, known, "no upstream has been measured")
+	require.Equal(t, NoBasis, b.ExpectedDuration(o, "").Basis, "no upstream has been measured")
+	require.Equal(t, NoBasis, b.ExpectedDuration(o, "u").Basis, "no upstream has been measured")
 	o.Pool = "other"
-	_, known = b.ExpectedDuration(o, "")
-	require.False(t, known)
+	require.Equal(t, NoBasis, b.ExpectedDuration(o, "").Basis)
 }
 
 // TestExpectedDurationOfUpstreamsThatHaveJustStarted guards against requests that a stopping entry
@@ -57,8 +53,8 @@
 	b.SetEstimates([]Estimates{{ID: "known", TokenTime: 0.03}})
 	o := newOffer(1)
 	o.OutputTokens = 200
-	atKnown, _ := b.ExpectedDuration(o, "known")
-	atNew, known := b.ExpectedDuration(o, "new")
-	require.True(t, known)
-	require.GreaterOrEqual(t, atNew, atKnown)
+	atKnown := b.ExpectedDuration(o, "known")
+	atNew := b.ExpectedDuration(o, "new")
+	require.Equal(t, PoolBasis, atNew.Basis)
+	require.GreaterOrEqual(t, atNew.Duration, atKnown.Duration)
 }
--- a/internal/brokerclient/client.go
+++ b/internal/brokerclient/client.go
@@ -326,7 +326,7 @@
 
 // ExpectedDuration estimates the time from the grant of a request to the end of its response by
 // what the brokers have learned of the upstreams.
-func (s *Service) ExpectedDuration(o broker.Offer, upstream string) (time.Duration, bool) {
+func (s *Service) ExpectedDuration(o broker.Offer, upstream string) broker.DurationEstimate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.local.ExpectedDuration(o, upstream)
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/api/fault"
+	"github.com/verbenastep/verbenastep/core/broker"
 	"github.com/verbenastep/verbenastep/core/routes"
 	"github.com/verbenastep/verbenastep/internal/settings"
 	"github.com/verbenastep/verbenastep/internal/wait"
@@ -122,6 +123,23 @@
 // isDraining reports whether a planned stop has begun.
 func (s *Service) isDraining() bool { return s.drain.Load() != nil }
 
+// expectedDuration estimates how long the request takes from its grant at an upstream, and the
+// factor that the estimate is multiplied by. While upstream is empty, since none is granted, the
+// request may still get the fastest.
+func (d *drain) expectedDuration(s *Service, q *request, upstream string) (e broker.DurationEstimate, factor float64) {
+	offer, factor := q.offer(s).Offer, 1.0
+	if upstream != "" {
+		factor = durationFactor
+	}
+	if q.meta.ExpectedOutputTokens == 0 {
+		offer.OutputTokens = q.meta.MaxTokens
+	}
+	if q.arrived.After(d.expired) {
+		offer.OutputTokens, factor = q.meta.MaxTokens, lateDurationFactor
+	}
+	return s.brokerClient.ExpectedDuration(offer, upstream), factor
+}
+
 // latestStart returns the latest time at which an upstream may begin the request so that it ends
 // before the entry aborts it: at any time if its deadline is earlier, and never if nothing tells
 // how long it takes, as with streams of plain services. While upstream is empty, since none is
@@ -133,21 +151,11 @@
 	if q.route.Kind == routes.Stream && q.engine == nil {
 		return d.began
 	}
-	offer, factor := q.offer(s).Offer, 1.0
-	if upstream != "" {
-		factor = durationFactor
-	}
-	if q.meta.ExpectedOutputTokens == 0 {
-		offer.OutputTokens = q.meta.MaxTokens
-	}
-	if q.arrived.After(d.expired) {
-		offer.OutputTokens, factor = q.meta.MaxTokens, lateDurationFactor
-	}
-	expected, known := s.brokerClient.ExpectedDuration(offer, upstream)
-	if !known {
+	expected, factor := d.expectedDuration(s, q, upstream)
+	if expected.Basis == broker.NoBasis {
 		return d.began
 	}
-	return d.end.Add(-time.Duration(factor*float64(expected)) - durationMargin)
+	return d.end.Add(-time.Duration(factor*float64(expected.Duration)) - durationMargin)
 }
 
 // refuseAtDrain returns the refusal of a request that a draining entry can't end in time, or nil.
@@ -185,11 +193,28 @@
 	if d == nil || !a.isOnly.Load() || !time.Now().After(d.latestStart(a.s, a.request, a.ticket.Upstream)) {
 		return false
 	}
-	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), a.s.drainFields(a.request, stageWaiting))...)
+	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), d.estimateFields(a), a.s.drainFields(a.request, stageWaiting))...)
 	a.returnGrant()
 	return true
 }
 
+// logBegin records what a draining entry expects of a request that it passes on to an upstream.
+func (a *upstreamAttempt) logBegin() {
+	d := a.s.drain.Load()
+	if d == nil {
+		return
+	}
+	a.s.log.Info("begun during a planned stop", a.logFields(zap.String("upstream", a.ticket.Upstream), d.estimateFields(a), a.s.drainFields(a.request, stageWaiting))...)
+}
+
+// estimateFields returns the field of a log line that says how long the attempt is expected to
+// take at its upstream, and what that is derived from.
+func (d *drain) estimateFields(a *upstreamAttempt) zap.Field {
+	e, factor := d.expectedDuration(a.s, a.request, a.ticket.Upstream)
+	return zap.Dict("estimate", zap.Duration("duration", e.Duration), zap.Stringer("basis", e.Basis), zap.Float64("factor", factor),
+		zap.Bool("late", a.arrived.After(d.expired)))
+}
+
 // drainFields returns the field of a log line that says where a request stands in a planned
 // stop: its stage, when it arrived after the begin of the stop, what is left until requests are
 // aborted, and its number on its connection. It is empty without a planned stop.
--- a/internal/forward/drainadmission_test.go
+++ b/internal/forward/drainadmission_test.go
@@ -57,8 +57,8 @@
 	return c.endlessBroker.Acquire(ctx, o)
 }
 
-func (c *paceBroker) ExpectedDuration(o broker.Offer, _ string) (time.Duration, bool) {
-	return time.Duration(o.OutputTokens) * drainTokenTime, true
+func (c *paceBroker) ExpectedDuration(o broker.Offer, _ string) broker.DurationEstimate {
+	return broker.DurationEstimate{Duration: time.Duration(o.OutputTokens) * drainTokenTime, Basis: broker.UpstreamBasis}
 }
 
 // caller is a caller that keeps one connection open.
--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -36,6 +36,7 @@
 		}
 		// The setup of a connection takes time in which a notice may arrive.
 		if !a.returnExcluded() && !a.returnOutdated() && !a.returnUnfinishable() {
+			a.logBegin()
 			return c, nil
 		}
 		_ = c.Close()
--- a/internal/forward/replacement_test.go
+++ b/internal/forward/replacement_test.go
@@ -34,8 +34,8 @@
 
 func (b *scriptedBroker) Share() limits.Part { return wholeShare() }
 
-func (b *scriptedBroker) ExpectedDuration(broker.Offer, string) (time.Duration, bool) {
-	return 0, true
+func (b *scriptedBroker) ExpectedDuration(broker.Offer, string) broker.DurationEstimate {
+	return broker.DurationEstimate{Basis: broker.UpstreamBasis}
 }
 
 func (b *scriptedBroker) ReportLimit(broker.RequestLimit, time.Time) {}
--- a/internal/forward/testentry_test.go
+++ b/internal/forward/testentry_test.go
@@ -252,8 +252,8 @@
 // wholeShare is that of the only entry, which has run for long.
 func wholeShare() limits.Part { return limits.Part{Fraction: 1, Earned: time.Hour, Processes: 1} }
 
-func (c *testBrokerClient) ExpectedDuration(broker.Offer, string) (time.Duration, bool) {
-	return 0, true
+func (c *testBrokerClient) ExpectedDuration(broker.Offer, string) broker.DurationEstimate {
+	return broker.DurationEstimate{Basis: broker.UpstreamBasis}
 }
 
 func (c *testBrokerClient) ReportLimit(broker.RequestLimit, time.Time) {}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -394,8 +394,8 @@
 	Share() limits.Part
 	// ExpectedDuration estimates the time from the grant of a request to the end of a
 	// response of its OutputTokens, at an upstream; at the fastest one of the pool if
-	// upstream is empty. It returns false if there is no estimate.
-	ExpectedDuration(o broker.Offer, upstream string) (time.Duration, bool)
+	// upstream is empty. Its basis tells whether that upstream was measured.
+	ExpectedDuration(o broker.Offer, upstream string) broker.DurationEstimate
 }
 
 // Egress opens an entry's connections to upstreams.
