forward: no late request begins at an upstream of unknown speed at a stop

Cause: for an upstream that was just added, ExpectedDuration returns the slowest measured duration of the others, and the check at a stop took that for a measurement. Upstreams of a pool differ by more than its factor of 2.

Fix: a late request is not begun where the upstream itself was not measured. Its grant is returned, which avoids the upstream, and another grant is waited for at most 50 ms: as long as the caller would wait after a refusal, and other entries can use what was returned. Earlier requests are judged as before.

TestDrainBeginsNothingLateAtUpstreamsOfUnknownSpeed failed before: its case "late, unmeasured" got 200 where 503 is wanted.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -128,6 +128,10 @@
 	// back before the caller had all events.
 	isReused     bool
 	isGrantEnded bool
+	// regrantEnd bounds the wait of a late request for another grant, after one that it could not
+	// use: its caller would wait as long before it asks another entry, which may use that one. It is
+	// zero before.
+	regrantEnd time.Time
 	// isCutInEvent is set if the stream broke off inside an event.
 	isCutInEvent bool
 	// err is why the attempt ended; nil if the response is complete.
@@ -253,6 +257,9 @@
 // acquire waits for the grant of an upstream.
 func (a *upstreamAttempt) acquire() error {
 	offeredAt := time.Now()
+	if a.isOnly.Load() && !a.regrantEnd.IsZero() && offeredAt.After(a.regrantEnd) {
+		return errCannotFinish
+	}
 	ctx, release := a.waitContext()
 	defer release()
 	ticket, err := a.s.brokerClient.Acquire(ctx, a.offer)
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -123,6 +123,10 @@
 // isDraining reports whether a planned stop has begun.
 func (s *Service) isDraining() bool { return s.drain.Load() != nil }
 
+// isLate reports whether a request arrived after the answers of the directory that named the entry
+// had expired. Its caller knows other entries.
+func (d *drain) isLate(q *request) bool { return q.arrived.After(d.expired) }
+
 // expectedDuration estimates how long the request takes from its grant at an upstream, and the
 // factor that the estimate is multiplied by. While upstream is empty, since none is granted, the
 // request may still get the fastest.
@@ -134,7 +138,7 @@
 	if q.meta.ExpectedOutputTokens == 0 {
 		offer.OutputTokens = q.meta.MaxTokens
 	}
-	if q.arrived.After(d.expired) {
+	if d.isLate(q) {
 		offer.OutputTokens, factor = q.meta.MaxTokens, lateDurationFactor
 	}
 	return s.brokerClient.ExpectedDuration(offer, upstream), factor
@@ -142,8 +146,10 @@
 
 // latestStart returns the latest time at which an upstream may begin the request so that it ends
 // before the entry aborts it: at any time if its deadline is earlier, and never if nothing tells
-// how long it takes, as with streams of plain services. While upstream is empty, since none is
-// granted, the request may still get the fastest.
+// how long it takes, as with streams of plain services. The duration at other upstreams tells
+// nothing of one that has not been measured: a late request, whose caller knows other entries, does
+// not begin there. While upstream is empty, since none is granted, the request may still get the
+// fastest.
 func (d *drain) latestStart(s *Service, q *request, upstream string) time.Time {
 	if !q.deadline.After(d.end) {
 		return q.deadline
@@ -152,7 +158,7 @@
 		return d.began
 	}
 	expected, factor := d.expectedDuration(s, q, upstream)
-	if expected.Basis == broker.NoBasis {
+	if expected.Basis == broker.NoBasis || upstream != "" && expected.Basis != broker.UpstreamBasis && d.isLate(q) {
 		return d.began
 	}
 	return d.end.Add(-time.Duration(factor*float64(expected.Duration)) - durationMargin)
@@ -168,8 +174,8 @@
 }
 
 // waitContext returns the context of a wait for a grant. If the entry drains, it ends with
-// errCannotFinish at the latest time at which the request may begin. A request that may have run
-// waits on: its caller can't be told to send it elsewhere.
+// errCannotFinish at the latest time at which the request may begin, or at regrantEnd. A request that
+// may have run waits on: its caller can't be told to send it elsewhere.
 func (a *upstreamAttempt) waitContext() (ctx context.Context, release func()) {
 	if !a.isOnly.Load() {
 		return a.ctx, func() {}
@@ -177,6 +183,9 @@
 	ctx, cancel := context.WithCancelCause(a.ctx)
 	unregister := context.AfterFunc(a.s.drainBegan, func() {
 		latest := a.s.drain.Load().latestStart(a.s, a.request, "")
+		if !a.regrantEnd.IsZero() && a.regrantEnd.Before(latest) {
+			latest = a.regrantEnd
+		}
 		timer := time.AfterFunc(time.Until(latest), func() { cancel(errCannotFinish) })
 		context.AfterFunc(ctx, func() { timer.Stop() })
 	})
@@ -195,6 +204,9 @@
 	}
 	a.s.log.Info("grant returned", a.logFields(zap.String("upstream", a.ticket.Upstream), d.estimateFields(a), a.s.drainFields(a.request, stageWaiting))...)
 	a.returnGrant()
+	if a.regrantEnd.IsZero() && d.isLate(a.request) {
+		a.regrantEnd = time.Now().Add(drainRetryDelay)
+	}
 	return true
 }
 
@@ -212,7 +224,7 @@
 func (d *drain) estimateFields(a *upstreamAttempt) zap.Field {
 	e, factor := d.expectedDuration(a.s, a.request, a.ticket.Upstream)
 	return zap.Dict("estimate", zap.Duration("duration", e.Duration), zap.Stringer("basis", e.Basis), zap.Float64("factor", factor),
-		zap.Bool("late", a.arrived.After(d.expired)))
+		zap.Bool("late", d.isLate(a.request)))
 }
 
 // drainFields returns the field of a log line that says where a request stands in a planned
--- a/internal/forward/drainadmission_test.go
+++ b/internal/forward/drainadmission_test.go
@@ -46,6 +46,8 @@
 type paceBroker struct {
 	endlessBroker
 	held chan struct{}
+	// isUnmeasured is set if the time per token is that of other upstreams.
+	isUnmeasured bool
 }
 
 func (c *paceBroker) Acquire(ctx context.Context, o port.BrokerOffer) (port.BrokerTicket, error) {
@@ -58,7 +60,11 @@
 }
 
 func (c *paceBroker) ExpectedDuration(o broker.Offer, _ string) broker.DurationEstimate {
-	return broker.DurationEstimate{Duration: time.Duration(o.OutputTokens) * drainTokenTime, Basis: broker.UpstreamBasis}
+	basis := broker.UpstreamBasis
+	if c.isUnmeasured {
+		basis = broker.PoolBasis
+	}
+	return broker.DurationEstimate{Duration: time.Duration(o.OutputTokens) * drainTokenTime, Basis: basis}
 }
 
 // caller is a caller that keeps one connection open.
@@ -392,3 +398,45 @@
 		require.Equal(t, http.StatusOK, answered[req.Header.Get("Id")], "ran and got no answer, %s", req.Header.Get("Id"))
 	}
 }
+
+// TestDrainBeginsNothingLateAtUpstreamsOfUnknownSpeed guards against streams that arrive after the
+// directory's last answer that named the entry has expired, are passed on to an upstream that was just
+// added and is slower than the others, and are cut off at the end of the grace period. A late stream
+// at an upstream that was measured is served, and so is an earlier one that may end in time.
+func TestDrainBeginsNothingLateAtUpstreamsOfUnknownSpeed(t *testing.T) {
+	t.Parallel()
+	for name, x := range map[string]struct{ isUnmeasured, isLate, isServed bool }{
+		"late, unmeasured":  {true, true, false},
+		"late, measured":    {false, true, true},
+		"early, unmeasured": {true, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, b, u, stop := newPacedEntry(t)
+			if !x.isLate {
+				r.service.set.Routing.AnswerTTLMS = pacedGrace.Seconds() * 1000
+			}
+			b.isUnmeasured = x.isUnmeasured
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				stop()
+			}()
+			require.Eventually(t, r.service.isDraining, stopTimeout, time.Millisecond)
+			time.Sleep(4 * directoryTTLs * 50 * time.Millisecond / 3)
+			c := r.connect(t)
+			sent := time.Now()
+			c.send("stream", 200)
+			resp, err := c.receive()
+			if x.isServed {
+				require.NoError(t, err, "cut off")
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+			} else {
+				requireRefusal(t, resp, err)
+				require.Less(t, time.Since(sent), time.Second, "another entry can serve it")
+				require.Zero(t, u.requests())
+			}
+			<-stopped
+		})
+	}
+}
