broker: the speed of a process is not that of its successor

Fix: times name the process that was observed. Those of a replaced one no longer count as measured, the first answer of the new one replaces them, and brokers and entries ignore estimates of a replaced process. The choice of an upstream still uses them: without them TestPaceColdEngines fails (trial).

TestExpectedDurationOfRestartedUpstreams and TestFirstAnswerOfRestartedUpstreamSetsItsSpeed fail without the change (basis "upstream"; 2.8 s where at least 10 s are right).

--- a/core/broker/broker.go
+++ b/core/broker/broker.go
@@ -545,6 +545,9 @@
 // Estimates holds what a broker has learned about an upstream.
 type Estimates struct {
 	ID string
+	// Born is the start time of the process that was observed, in Unix milliseconds; zero if it
+	// stated none.
+	Born int64
 	// TokenTime is the time per output token and CallTime the time of a service call at
 	// the upstream, in seconds; zero before the first observation.
 	TokenTime float64
@@ -560,19 +563,21 @@
 	out := map[string]Estimates{}
 	for _, p := range b.pools {
 		for _, u := range p.order {
-			out[u.ID] = Estimates{ID: u.ID, TokenTime: u.times.tokenTime, CallTime: u.times.callTime, FailureRate: u.health.failureRate, Window: u.window.slots}
+			out[u.ID] = Estimates{ID: u.ID, Born: u.times.born, TokenTime: u.times.tokenTime, CallTime: u.times.callTime, FailureRate: u.health.failureRate, Window: u.window.slots}
 		}
 	}
 	return out
 }
 
 // SetEstimates replaces what was learned about the listed upstreams by what another
-// broker learned. It ignores unknown upstreams.
+// broker learned. It ignores unknown upstreams, and times of processes that others have replaced.
 func (b *Broker) SetEstimates(list []Estimates) {
 	for _, l := range list {
 		for _, p := range b.pools {
 			if u := p.upstreams[l.ID]; u != nil {
-				u.times.tokenTime, u.times.callTime = l.TokenTime, l.CallTime
+				if !u.hasReplaced(l.Born) {
+					u.times.tokenTime, u.times.callTime, u.times.born = l.TokenTime, l.CallTime, l.Born
+				}
 				u.health.failureRate = l.FailureRate
 				p.restoreWindow(u, l.Window)
 			}
--- a/core/broker/duration.go
+++ b/core/broker/duration.go
@@ -64,9 +64,12 @@
 	return DurationEstimate{Duration: slices.Max(durations), Basis: PoolBasis}
 }
 
-// isMeasured reports whether the speed of an upstream is known: that of one that has just started
-// is not.
+// isMeasured reports whether the speed of an upstream's process is known: that of one that has just
+// started is not.
 func (p *pool) isMeasured(u *upstream) bool {
+	if u.hasReplaced(u.times.born) {
+		return false
+	}
 	if p.engine == nil {
 		return u.times.callTime > 0
 	}
--- a/core/broker/duration_test.go
+++ b/core/broker/duration_test.go
@@ -58,3 +58,43 @@
 	require.Equal(t, PoolBasis, atNew.Basis)
 	require.GreaterOrEqual(t, atNew.Duration, atKnown.Duration)
 }
+
+// TestExpectedDurationOfRestartedUpstreams guards against requests that a stopping entry begins and
+// must abort at an upstream that was started anew, since the speed of its last process is taken for
+// its own: by the broker that measured it, and by one that is told of the measurement.
+func TestExpectedDurationOfRestartedUpstreams(t *testing.T) {
+	upstreams := func(born int64) []Upstream {
+		return []Upstream{{ID: "u", Pool: "p", Address: "a", Slots: 4, Born: born}, {ID: "other", Pool: "p", Address: "b", Slots: 4, Born: 1}}
+	}
+	b := newEngineBroker(1, 4)
+	b.SetUpstreams(upstreams(1))
+	b.SetEstimates([]Estimates{{ID: "u", Born: 1, TokenTime: 0.001}, {ID: "other", Born: 1, TokenTime: 0.001}})
+	o := newOffer(1)
+	o.OutputTokens = 1000
+	require.Equal(t, UpstreamBasis, b.ExpectedDuration(o, "u").Basis)
+	b.SetUpstreams(upstreams(2))
+	require.Equal(t, PoolBasis, b.ExpectedDuration(o, "u").Basis)
+	b.SetEstimates([]Estimates{{ID: "u", Born: 1, TokenTime: 0.001}})
+	require.Equal(t, PoolBasis, b.ExpectedDuration(o, "u").Basis, "a measurement of the last process")
+	b.SetEstimates([]Estimates{{ID: "u", Born: 2, TokenTime: 0.01}})
+	measured := b.ExpectedDuration(o, "u")
+	require.Equal(t, UpstreamBasis, measured.Basis)
+	require.GreaterOrEqual(t, measured.Duration, 10*time.Second)
+}
+
+// TestFirstAnswerOfRestartedUpstreamSetsItsSpeed guards against an estimate that the last process of
+// a restarted upstream dominates, after the new one has answered.
+func TestFirstAnswerOfRestartedUpstreamSetsItsSpeed(t *testing.T) {
+	b := newEngineBroker(1, 4)
+	b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Address: "a", Slots: 4, Born: 1}})
+	b.SetEstimates([]Estimates{{ID: "u", Born: 1, TokenTime: 0.001}})
+	b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Address: "a", Slots: 4, Born: 2}})
+	o := newOffer(1)
+	b.Offer(0, o)
+	require.Len(t, b.Decide(0).Grants, 1)
+	b.End(time.Second, End{ID: o.ID, Outcome: Completed, OutputTokens: 100, TimeToFirstEvent: 10 * time.Millisecond, DecodeTime: time.Second})
+	o.OutputTokens = 1000
+	e := b.ExpectedDuration(o, "u")
+	require.Equal(t, UpstreamBasis, e.Basis)
+	require.GreaterOrEqual(t, e.Duration, 10*time.Second)
+}
--- a/core/broker/pool.go
+++ b/core/broker/pool.go
@@ -100,6 +100,7 @@
 			u.window.isNew = true
 		} else if u.Born > 0 && x.Born > u.Born {
 			u.window.isRestarted = true
+			u.times.born = max(u.times.born, u.Born)
 		}
 		u.Upstream = x
 		listed[x.ID] = true
--- a/core/broker/speed.go
+++ b/core/broker/speed.go
@@ -50,6 +50,9 @@
 // upstreamTimes holds the moving averages of one upstream, in seconds; zero before the
 // first observation.
 type upstreamTimes struct {
+	// born is the start time of the process that was observed last. The times of one that has been
+	// replaced are still the best guess to choose by.
+	born int64
 	tokenTime float64
 	callTime  float64
 	// holdTime is the time from a grant to its release; callTime, for an engine runTime, is
@@ -58,6 +61,19 @@
 	runTime  float64
 }
 
+// hasReplaced reports whether the upstream's process is known to be another one than that which
+// started at born.
+func (u *upstream) hasReplaced(born int64) bool { return born > 0 && born < u.Born }
+
+// beginTimes prepares for an observation of the process that started at born: it does not add to the
+// averages of another one.
+func (u *upstream) beginTimes(born int64) {
+	if u.hasReplaced(u.times.born) {
+		u.times.tokenTime, u.times.callTime = 0, 0
+	}
+	u.times.born = born
+}
+
 // movingAverage returns the moving average after an observation with the given weight;
 // zero means that there was none before.
 func movingAverage(old, observed, weight float64) float64 {
@@ -136,6 +152,9 @@
 	if e.Outcome != Completed {
 		return
 	}
+	if u.hasReplaced(req.bornAtGrant) {
+		return
+	}
 	hold := now - req.granted
 	if req.Running == "" {
 		// The time of a grant by another broker is not known.
@@ -152,6 +171,7 @@
 	}
 	if e.OutputTokens >= minOutputTokens && e.DecodeTime > 0 {
 		tokenTime := e.DecodeTime.Seconds() / float64(e.OutputTokens)
+		u.beginTimes(req.bornAtGrant)
 		u.times.tokenTime = movingAverage(u.times.tokenTime, tokenTime, upstreamWeight)
 		p.times.tokenTime = movingAverage(p.times.tokenTime, tokenTime, poolWeight)
 	}
--- a/core/broker/transit.go
+++ b/core/broker/transit.go
@@ -69,6 +69,7 @@
 	u := req.assigned
 	p.transits.learnCall(req.Region, u.Region, e.TimeToFirstEvent.Seconds())
 	observed := max(0, e.TimeToFirstEvent.Seconds()-p.transits.call(req.Region, u.Region))
+	u.beginTimes(req.bornAtGrant)
 	u.times.callTime = movingAverage(u.times.callTime, observed, upstreamWeight)
 	p.times.callTime = movingAverage(p.times.callTime, observed, poolWeight)
 	u.times.holdTime = movingAverage(u.times.holdTime, hold.Seconds(), upstreamWeight)
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -225,8 +225,12 @@
 	return broker.Pace{InitialSlots: r.Pace.InitialSlots, TimeFactor: r.Pace.TimeFactor}, true
 }
 
-// EncodeUpstream encodes an upstream and what was learned about it.
+// EncodeUpstream encodes an upstream and what was learned about it. Times of a process that another
+// one has replaced are left out.
 func EncodeUpstream(e port.RosterEntry, l broker.Estimates) *rpc.RosterEntry {
+	if l.Born > 0 && l.Born < e.Born {
+		l.TokenTime, l.CallTime = 0, 0
+	}
 	return &rpc.RosterEntry{
 		Id: e.ID, Pool: e.Pool, Address: e.Address, DataCentre: e.DataCentre, Slots: uint32(e.Slots), Born: e.Born, Leaving: e.Leaving, Gone: e.Gone,
 		Silent: e.Silent, ColdMs: milliseconds(e.Cold), AgeMs: milliseconds(e.Age),
@@ -244,7 +248,7 @@
 		},
 		Age: duration(e.AgeMs), Silent: e.Silent,
 	}
-	return entry, broker.Estimates{ID: e.Id, TokenTime: float64(e.TokenUs) / microsecondsPerSecond, CallTime: float64(e.CallUs) / microsecondsPerSecond, FailureRate: float64(e.Trouble) / permille, Window: int(e.PaceSlots)}
+	return entry, broker.Estimates{ID: e.Id, Born: e.Born, TokenTime: float64(e.TokenUs) / microsecondsPerSecond, CallTime: float64(e.CallUs) / microsecondsPerSecond, FailureRate: float64(e.Trouble) / permille, Window: int(e.PaceSlots)}
 }
 
 // EncodeQuotaLevels encodes the fractions of quotas that are left, by workspace.
