roster: log what a departure found

The log did not tell whether a departure met a process that the daemon knew, another process under its id, or none, nor whether it changed anything: a departure without effect left no line. It now writes "departure received".

No change of behaviour.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -127,7 +127,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.Heard = s.now()
+	held, known := s.core.Find(e.ID)
 	result := s.merge(e, "heartbeat")
+	if isDeparture(e) && !(known && isDeparture(held)) {
+		s.log.Info("departure received", zap.String("upstream", e.ID), zap.Int64("born", e.Born), zap.Bool("gone", e.Gone), zap.Bool("known", known), zap.Int64("held_born", held.Born),
+			zap.Bool("stale", result == roster.Stale))
+	}
 	if !isDeparture(e) {
 		if result != roster.Stale {
 			s.forward(e, result)
