--- a/core/broker/speed.go
+++ b/core/broker/speed.go
@@ -52,7 +52,7 @@
 type upstreamTimes struct {
 	// born is the start time of the process that was observed last. The times of one that has been
 	// replaced are still the best guess to choose by.
-	born int64
+	born      int64
 	tokenTime float64
 	callTime  float64
 	// holdTime is the time from a grant to its release; callTime, for an engine runTime, is
