roster: a departure also ends processes that no daemon has heard of

Cause: a farewell names an id and no process. For an id that is not known it changed nothing, for one with an earlier process it ended only that; the replies of the other daemons were counted as copies of it all the same. Heartbeats of the process that had left, delayed by a cut, were then taken for a new one.

Evidence: "departure received" with known=false and stale=true, and 1.7 s later "upstream changed" from a heartbeat of that id.

Fix: a farewell ends all processes of its id that started before it. The time is stored and forwarded, so that the acknowledgement stands for a record on enough disks; heartbeats of earlier processes are merged as of ones that have left, also with steps of the clock in between. Later processes are taken, and after 25 intervals any process, so that a clock that is ahead keeps none out. Departures that a daemon can't use no longer count as stored there.

TestAcknowledgedDepartureOfUnknownUpstreamIsKept failed before in its six cases.

--- a/core/roster/renewal.go
+++ b/core/roster/renewal.go
@@ -39,6 +39,10 @@
 			fixed = append(fixed, 0)
 		}
 	}
+	if e.EndedBefore > 0 {
+		// Daemons of earlier versions don't know the field.
+		fixed = binary.BigEndian.AppendUint64(fixed, uint64(e.EndedBefore))
+	}
 	_, _ = h.Write(fixed)
 	return h.Sum32()
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -6,8 +6,9 @@
 // Processes with the same id are ordered by their start time, heartbeats of one
 // process by their sequence number. The package does no I/O; times are durations
 // on the caller's monotonic clock. Invariants: the state of a process never
-// reverts to an earlier heartbeat; a process that has left is never restored; an
-// address belongs to the process that started last.
+// reverts to an earlier heartbeat; a process that has left is never restored, also
+// if its departure is the first that is heard of it; an address belongs to the process that
+// started last.
 package roster
 
 import (
@@ -28,6 +29,9 @@
 	// removeAfter is the number of such intervals after which the upstream is
 	// removed.
 	removeAfter = 25
+	// departureRepeatTime is how long after a departure another one of the same id is the same call,
+	// sent again for want of an acknowledgement.
+	departureRepeatTime = 2 * time.Second
 )
 
 // Entry is the state of one upstream as of its newest heartbeat. It is stored
@@ -52,10 +56,19 @@
 	Gone    bool
 	// Cold is the remaining warm-up time, during which the upstream is slow.
 	Cold time.Duration
-	// Heard is the arrival time of the heartbeat.
+	// EndedBefore ends the processes of the id that started earlier, in Unix milliseconds, also those
+	// that were never heard of; zero for none. A departure that states no start time sets it.
+	EndedBefore int64
+	// Heard is the arrival time of the heartbeat; after a departure, that of the departure.
 	Heard time.Duration
 }
 
+// IsUnknown reports whether the entry is the departure of a process that was never heard of.
+func (e Entry) IsUnknown() bool { return e.Gone && e.EndedBefore > 0 && e.Pool == "" }
+
+// IsDeparture reports whether the process takes no new requests or is gone.
+func (e Entry) IsDeparture() bool { return e.Leaving || e.Gone }
+
 // Roster is the set of upstreams. It is not safe for concurrent use.
 type Roster struct {
 	interval time.Duration
@@ -94,21 +107,27 @@
 	Changed
 )
 
-// Merge applies one heartbeat. An entry with Gone set and no start time ends the
-// current process with that id.
+// Merge applies one heartbeat, or a departure as Departure returns it.
 func (r *Roster) Merge(e Entry) MergeResult {
 	held, known := r.entries[e.ID]
-	if e.Gone && e.Born == 0 {
+	if e.namesNoProcess() && e.EndedBefore == 0 {
+		// A daemon of an earlier version forwards it.
 		if !known || held.Gone {
 			return Stale
 		}
 		e = tombstone(held, e.Heard)
 	}
-	if known && !isNewer(e, held) {
-		return Stale
+	if known && (e.namesNoProcess() || !isNewer(e, held)) {
+		return r.endEarlier(held, e)
+	}
+	if !r.isHeardLongAfter(e, held) {
+		e.EndedBefore = max(e.EndedBefore, held.EndedBefore)
+	}
+	if !e.Gone && e.Born < e.EndedBefore {
+		e = tombstone(e, max(held.Heard, e.Heard))
 	}
 	if r.isSuperseded(e) {
-		if !known {
+		if !known && !e.IsDeparture() {
 			return Stale
 		}
 		e = tombstone(e, e.Heard)
@@ -121,6 +140,43 @@
 	return Changed
 }
 
+// namesNoProcess reports whether the entry is a departure without a start time.
+func (e Entry) namesNoProcess() bool { return e.Gone && e.Born == 0 }
+
+// endEarlier applies what an entry says of processes that started earlier to the one that is held.
+func (r *Roster) endEarlier(held, e Entry) MergeResult {
+	if e.EndedBefore <= held.EndedBefore || r.isHeardLongAfter(held, e) {
+		return Stale
+	}
+	if held.Gone {
+		held.Heard = max(held.Heard, e.Heard)
+	} else if held.Born < e.EndedBefore {
+		held = tombstone(held, e.Heard)
+	}
+	held.EndedBefore = e.EndedBefore
+	r.entries[e.ID] = held
+	return Changed
+}
+
+// isHeardLongAfter reports whether a process was heard so long after the departure of others with its
+// id that no heartbeat of theirs is that late. It started after the departure, although its clock and
+// that of the daemon which received the departure may say otherwise.
+func (r *Roster) isHeardLongAfter(e, departed Entry) bool {
+	return !e.Gone && e.Born < departed.EndedBefore && e.Heard-departed.Heard > removeAfter*r.interval
+}
+
+// Departure returns the entry to merge for a departure that states no start time: it also ends the
+// process that the roster holds, whatever the clocks say. One that follows another within
+// departureRepeatTime repeats it.
+func (r *Roster) Departure(e Entry) Entry {
+	held := r.entries[e.ID]
+	if held.Gone && held.EndedBefore > 0 && e.EndedBefore-held.EndedBefore < departureRepeatTime.Milliseconds() {
+		return held
+	}
+	e.EndedBefore = max(e.EndedBefore, held.Born+1)
+	return e
+}
+
 // tombstone returns the final entry of a process.
 func tombstone(held Entry, now time.Duration) Entry {
 	held.Gone, held.Leaving, held.Heard = true, true, now
@@ -162,18 +218,15 @@
 	r.owners[e.Address] = e.ID
 }
 
-// Leave ends the process with an id at its own request. It returns the entry to
-// forward to other daemons, and false if the id is unknown.
-func (r *Roster) Leave(now time.Duration, id string) (Entry, bool) {
-	held, ok := r.entries[id]
-	if !ok {
-		return Entry{}, false
-	}
-	if !held.Gone {
-		held = tombstone(held, now)
-		r.entries[id] = held
+// CountUnknown returns the number of departures of processes that were never heard of.
+func (r *Roster) CountUnknown() int {
+	n := 0
+	for _, e := range r.entries {
+		if e.IsUnknown() {
+			n++
+		}
 	}
-	return held, true
+	return n
 }
 
 // Find returns the entry of an upstream, and false if the id is unknown.
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -15,6 +15,11 @@
 	return Entry{ID: id, Pool: "p", Address: "10.0.0.1:80", Slots: 2, Born: born, Sequence: seq}
 }
 
+// farewell returns a departure that names no process.
+func farewell(id string, endedBefore int64) Entry {
+	return Entry{ID: id, Gone: true, Leaving: true, EndedBefore: endedBefore}
+}
+
 func TestOutdatedHeartbeatIsIgnored(t *testing.T) {
 	r := New(interval)
 	leaving := heartbeat("a", 1, 5)
@@ -38,8 +43,7 @@
 func TestProcessThatLeftIsNotRestored(t *testing.T) {
 	r := New(interval)
 	r.Merge(heartbeat("a", 1, 1))
-	_, known := r.Leave(0, "a")
-	require.True(t, known)
+	require.Equal(t, Changed, r.Merge(r.Departure(farewell("a", 0))))
 	require.Equal(t, Stale, r.Merge(heartbeat("a", 1, 2)))
 	require.Equal(t, Stale, r.Merge(Entry{ID: "a", Gone: true}), "the same message again")
 	require.Equal(t, Changed, r.Merge(heartbeat("a", 2, 1)), "a new process may use the id")
@@ -157,3 +161,93 @@
 	require.Equal(t, Changed, r.Merge(e))
 	require.Len(t, r.owners, 1)
 }
+
+// TestDepartureOfProcessThatIsNotKnownIsKept guards against an upstream that gets requests after its
+// departure was acknowledged: no daemon had heard of its process, and its earlier heartbeats
+// arrive afterwards. A process that starts under the id later is not kept out.
+func TestDepartureOfProcessThatIsNotKnownIsKept(t *testing.T) {
+	for name, earlier := range map[string][]Entry{
+		"id not known":         nil,
+		"earlier process":      {heartbeat("a", 1, 9)},
+		"earlier one has left": {heartbeat("a", 1, 9), farewell("a", 2)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New(interval)
+			for _, e := range earlier {
+				r.Merge(e)
+			}
+			require.Equal(t, Changed, r.Merge(r.Departure(farewell("a", 10_000))))
+			for seq := range uint64(3) {
+				r.Merge(heartbeat("a", 5, seq+1))
+				e, known := r.Find("a")
+				require.True(t, known)
+				require.True(t, e.Gone, "after heartbeat %d", seq+1)
+			}
+			require.Equal(t, Changed, r.Merge(heartbeat("a", 10_001, 1)), "a process that started later")
+			e, _ := r.Find("a")
+			require.False(t, e.Leaving)
+		})
+	}
+}
+
+// TestProcessAfterDepartureIsNotKeptOutByClocks guards against an upstream that is started again
+// under its id and gets no requests, since the clock of the daemon that recorded the departure was ahead.
+func TestProcessAfterDepartureIsNotKeptOutByClocks(t *testing.T) {
+	r := New(interval)
+	r.Merge(r.Departure(farewell("a", 10_000)))
+	beat := func(seq uint64, at time.Duration) Entry {
+		e := heartbeat("a", 5, seq)
+		e.Heard = at
+		r.Merge(e)
+		e, _ = r.Find("a")
+		return e
+	}
+	require.False(t, beat(30, (removeAfter+1)*interval).Gone)
+	require.Equal(t, Stale, r.Merge(farewell("a", 10_000)), "forwarded once more")
+	require.False(t, beat(31, (removeAfter+2)*interval).Gone)
+}
+
+// TestDeparturesMergeInAnyOrder guards against control daemons that disagree on whether a process has
+// left, since they heard of departures and heartbeats in different orders.
+func TestDeparturesMergeInAnyOrder(t *testing.T) {
+	for seed := range uint64(500) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		all := []Entry{}
+		for born := int64(2); born <= 8; born += 2 {
+			for seq := uint64(1); seq <= 3; seq++ {
+				e := heartbeat("a", born, seq)
+				e.Leaving = seq == 3 && rng.IntN(2) == 0
+				all = append(all, e)
+			}
+		}
+		for range 1 + rng.IntN(3) {
+			all = append(all, farewell("a", 1+rng.Int64N(10)))
+		}
+		state := func(order []int) (born, ended int64, gone bool) {
+			r := New(interval)
+			for _, i := range order {
+				r.Merge(all[i])
+			}
+			e, _ := r.Find("a")
+			return e.Born, e.EndedBefore, e.Gone
+		}
+		born, ended, gone := state(rng.Perm(len(all)))
+		require.Equal(t, int64(8), born)
+		require.Equal(t, ended > 8, gone)
+		for range 5 {
+			b, e, g := state(append(rng.Perm(len(all)), rng.Perm(len(all))...))
+			require.Equal(t, []any{born, ended, gone}, []any{b, e, g}, "seed %d", seed)
+		}
+	}
+}
+
+// TestRepeatedDepartureIsTheSameOne guards against a departure that is never acknowledged, since each
+// call of the upstream begins anew on a slow disk.
+func TestRepeatedDepartureIsTheSameOne(t *testing.T) {
+	r := New(interval)
+	first := r.Departure(farewell("a", 10_000))
+	r.Merge(first)
+	require.Equal(t, first, r.Departure(farewell("a", 11_000)))
+	later := r.Departure(farewell("a", 20_000))
+	require.Equal(t, Changed, r.Merge(later), "another process may have left")
+}
--- a/core/roster/validate.go
+++ b/core/roster/validate.go
@@ -47,6 +47,8 @@
 	switch {
 	case e.Born < 0 || e.Born > maxNumber:
 		return &Error{Field: "start time", Reason: "is out of range"}
+	case e.EndedBefore < 0 || e.EndedBefore > maxNumber:
+		return &Error{Field: "end of earlier processes", Reason: "is out of range"}
 	case e.Sequence > maxNumber:
 		return &Error{Field: "sequence number", Reason: "is out of range"}
 	case e.Cold < 0 || e.Cold > maxCold:
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -31,7 +31,7 @@
 func Upstreams(list []port.RosterEntry, regions map[string]string) []broker.Upstream {
 	out := []broker.Upstream{}
 	for _, e := range list {
-		if e.Gone && e.Age > goneVersionAge {
+		if e.Gone && e.Age > goneVersionAge || e.IsUnknown() {
 			continue
 		}
 		out = append(out, broker.Upstream{
--- a/internal/roster/departures.go
+++ b/internal/roster/departures.go
@@ -23,12 +23,18 @@
 	memberPollInterval = 100 * time.Millisecond
 )
 
+// maxUnknownDepartures bounds the departures of processes that were never heard of, since a call
+// may name any id.
+const maxUnknownDepartures = 4096
+
 // departure identifies what an upstream said: that a process takes no new requests, or that it is
-// gone. The start time is zero if this daemon does not know the process.
+// gone. born is the start time of the process, endedBefore that before which processes have ended;
+// zero if they are not stated.
 type departure struct {
-	id   string
-	born int64
-	gone bool
+	id          string
+	born        int64
+	gone        bool
+	endedBefore int64
 }
 
 // copies tracks on which daemons' disks a departure is.
@@ -52,36 +58,39 @@
 	c.changed = make(chan struct{})
 }
 
-func isDeparture(e roster.Entry) bool { return e.Leaving || e.Gone }
-
 func departureOf(e roster.Entry) departure {
-	return departure{id: e.ID, born: e.Born, gone: e.Gone}
+	d := departure{id: e.ID, born: e.Born, gone: e.Gone}
+	if e.Gone {
+		d.endedBefore = e.EndedBefore
+	}
+	return d
+}
+
+// isIn reports whether an entry that is on a disk holds the departure.
+func (d departure) isIn(e roster.Entry) bool {
+	if e.ID != d.id || e.EndedBefore < d.endedBefore {
+		return false
+	}
+	return e.Born > d.born || e.Born == d.born && (e.Gone || e.Leaving && !d.gone)
 }
 
 // beginDeparture forwards the departure of a heartbeat that was merged with a result, whole unless
 // it is known to be on enough disks. It returns what awaitCopies waits for, or nil if there is
 // nothing to store: a later process has registered under the id. The caller holds s.mu.
 func (s *Service) beginDeparture(e roster.Entry, result roster.MergeResult) *copies {
-	held, known := s.core.Find(e.ID)
-	if known && !isDeparture(held) {
+	held, _ := s.core.Find(e.ID)
+	if !held.IsDeparture() {
 		return nil
 	}
-	if known {
-		e = held
-	}
-	d := departureOf(e)
+	e, d := held, departureOf(held)
 	c := s.departures[d]
 	if c == nil {
 		s.forgetDepartures()
 		c = &copies{departure: d, revision: s.revision, on: map[string]bool{}, changed: make(chan struct{})}
 		s.departures[d] = c
-		// A daemon that does not know the upstream has nothing on its disk.
-		if known && s.storedRevision >= c.revision || len(s.replicas.MemberAddresses()) <= 1 {
+		if s.storedRevision >= c.revision || len(s.replicas.MemberAddresses()) <= 1 {
 			c.add(s.set.Addresses.Peers)
 		}
-		if !known {
-			c.revision = never
-		}
 	}
 	if len(c.on) < s.replicas.CopiesToSurvive() {
 		result = roster.Changed
@@ -93,15 +102,12 @@
 	return c
 }
 
-// never is a revision that does not come about.
-const never = ^uint64(0)
-
-// forgetDepartures drops the departures of processes that the roster does not hold any more. The
-// caller holds s.mu.
+// forgetDepartures drops the departures that the roster does not hold any more, or that later ones
+// include. The caller holds s.mu.
 func (s *Service) forgetDepartures() {
 	maps.DeleteFunc(s.departures, func(d departure, c *copies) bool {
 		held, known := s.core.Find(d.id)
-		return c.waiting == 0 && (!known || held.Born != d.born)
+		return c.waiting == 0 && (!known || held.Born != d.born || d.gone && held.EndedBefore != d.endedBefore)
 	})
 }
 
@@ -141,16 +147,18 @@
 // queues those again for which a call still waits. The caller holds s.mu.
 func (s *Service) recordCopies(address string, p *peer, entries map[string]roster.Entry, stored bool) {
 	for _, e := range entries {
-		if !isDeparture(e) {
+		if !e.IsDeparture() {
 			continue
 		}
 		isAwaited := false
-		for _, gone := range []bool{false, e.Gone} {
-			c := s.departures[departure{id: e.ID, born: e.Born, gone: gone}]
-			if c != nil && stored {
+		for d, c := range s.departures {
+			if !d.isIn(e) {
+				continue
+			}
+			if stored {
 				c.add(address)
 			}
-			isAwaited = isAwaited || c != nil && c.waiting > 0
+			isAwaited = isAwaited || c.waiting > 0
 		}
 		if !stored && isAwaited {
 			p.queue(e, roster.Changed)
@@ -170,7 +178,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.core.All(s.now()) {
-		if isDeparture(e) {
+		if e.IsDeparture() {
 			s.forward(e, roster.Changed)
 		}
 	}
--- a/internal/roster/departures_test.go
+++ b/internal/roster/departures_test.go
@@ -170,6 +170,76 @@
 	}
 }
 
+// TestAcknowledgedDepartureOfUnknownUpstreamIsKept guards against an upstream that gets requests after
+// its departure was acknowledged: its heartbeats were delayed until after it, at any daemon, and also
+// where all control daemons are killed between and one of them loses its disk.
+func TestAcknowledgedDepartureOfUnknownUpstreamIsKept(t *testing.T) {
+	late := heartbeat("w", 3)
+	late.Born = time.Now().Add(-4 * time.Second).UnixMilli()
+	earlier := late
+	earlier.Born -= 60_000
+	for name, known := range map[string][]roster.Entry{"id not known": nil, "earlier process known": {earlier}} {
+		for lost := range 3 {
+			t.Run(fmt.Sprintf("%s, disk of %d lost", name, lost), func(t *testing.T) {
+				t.Parallel()
+				list := startThree(t)
+				for _, e := range known {
+					require.NoError(t, list[0].RecordHeartbeat(t.Context(), e))
+				}
+				requireAcknowledged(t, func() error { return list[0].Leave(t.Context(), "w") })
+				folders := disks(t, list)
+				folders[lost] = t.TempDir()
+				requireNotRestored(t, list, late)
+				addresses, err := freeport.Addresses(3)
+				require.NoError(t, err)
+				after := []*Service{}
+				for i, a := range addresses {
+					s, _ := startControlAt(t, folders[i], a, addresses)
+					after = append(after, s)
+				}
+				for _, s := range after {
+					requireLeaving(t, s, "w")
+				}
+				requireNotRestored(t, after, late)
+			})
+		}
+	}
+}
+
+// requireNotRestored sends a late heartbeat of a process that has left to all daemons and checks that
+// none of them takes it for one that runs.
+func requireNotRestored(t *testing.T, list []*Service, late roster.Entry) {
+	t.Helper()
+	for _, s := range list {
+		_ = s.RecordHeartbeat(t.Context(), late)
+	}
+	time.Sleep(4 * changeDelay)
+	for _, s := range list {
+		e, known := find(s, late.ID)
+		require.True(t, known)
+		require.True(t, e.Leaving, "daemon %s", s.set.Addresses.Peers)
+	}
+}
+
+func find(s *Service, id string) (roster.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Find(id)
+}
+
+// TestDeparturesOfUnknownUpstreamsAreBounded guards against a roster that grows with each call that
+// names another id. Upstreams that are known can still leave.
+func TestDeparturesOfUnknownUpstreamsAreBounded(t *testing.T) {
+	list := startThree(t)
+	list[0].mu.Lock()
+	for i := range maxUnknownDepartures {
+		list[0].core.Merge(roster.Entry{ID: fmt.Sprint(i), Gone: true, Leaving: true, EndedBefore: 1, Heard: list[0].now()})
+	}
+	list[0].mu.Unlock()
+	require.Equal(t, fault.Unavailable, fault.From(list[0].Leave(t.Context(), "w")).Kind)
+	requireAcknowledged(t, func() error { return list[0].Leave(t.Context(), "u") })
+}
+
 // TestConcurrentDeparturesAreAllAcknowledged guards against a call whose departure is forgotten while
 // it waits, since others begin meanwhile, and against departures that hold each other up.
 func TestConcurrentDeparturesAreAllAcknowledged(t *testing.T) {
--- a/internal/roster/forwarding.go
+++ b/internal/roster/forwarding.go
@@ -238,7 +238,7 @@
 func (s *Service) Spread(ctx context.Context, news *rpc.RosterNews) (*rpc.RosterAck, error) {
 	ack, revision, departs := s.mergeNews(news)
 	if departs {
-		ack.Unstored = !s.awaitStored(ctx, revision, spreadStoreTimeout)
+		ack.Unstored = !s.awaitStored(ctx, revision, spreadStoreTimeout) || ack.Unstored
 	}
 	return ack, nil
 }
@@ -249,13 +249,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	ack = &rpc.RosterAck{Incarnation: uint64(s.startedAt.UnixNano())}
 	for _, m := range news.Entries {
-		if e := decode(m, now); s.isUsable(e, "control daemon") {
-			s.merge(e, "control daemon")
-			departs = departs || isDeparture(e)
+		e := decode(m, now)
+		if !s.isUsable(e, "control daemon") {
+			ack.Unstored = ack.Unstored || e.IsDeparture()
+			continue
 		}
+		s.merge(e, "control daemon")
+		departs = departs || e.IsDeparture()
 	}
-	ack = &rpc.RosterAck{Incarnation: uint64(s.startedAt.UnixNano())}
 	for _, n := range news.Renewals {
 		if !s.core.Renew(decodeRenewal(n, now)) {
 			ack.Unknown = append(ack.Unknown, n.Id)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -18,6 +18,7 @@
 	"github.com/verbenastep/verbenastep/api/fault"
 	"github.com/verbenastep/verbenastep/api/rpc"
 	"github.com/verbenastep/verbenastep/core/roster"
+	"github.com/verbenastep/verbenastep/internal/clock"
 	"github.com/verbenastep/verbenastep/internal/kernel"
 	"github.com/verbenastep/verbenastep/internal/port"
 	"github.com/verbenastep/verbenastep/internal/settings"
@@ -38,9 +39,11 @@
 	link      port.Link
 	replicas  replicas
 	startedAt time.Time
-	ctx       context.Context
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+	// bootTime is when the machine booted, by its clock as the service was created.
+	bootTime time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 
 	mu      sync.Mutex
 	core    *roster.Roster
@@ -62,7 +65,7 @@
 func New(set *settings.Settings, log *zap.Logger) *Service {
 	interval := settings.Milliseconds(set.Routing.HeartbeatMS)
 	return &Service{
-		set: set, log: log.Named("roster"), startedAt: time.Now(), core: roster.New(interval),
+		set: set, log: log.Named("roster"), startedAt: time.Now(), bootTime: time.Now().Add(-clock.SinceBoot()), core: roster.New(interval),
 		changed: make(chan struct{}), peers: map[string]*peer{}, store: &store{folder: set.DataFolder},
 		stored: make(chan struct{}), urgent: make(chan struct{}, 1), departures: map[departure]*copies{},
 	}
@@ -114,37 +117,49 @@
 	if _, leader := s.replicas.Leadership(); leader.Address == "" {
 		return fault.New(fault.Unavailable, "send the heartbeat to another control daemon", "this daemon has lost the log's leader")
 	}
-	c := s.recordHeartbeat(e)
-	if c == nil {
-		return nil
+	c, err := s.recordHeartbeat(e)
+	if err != nil || c == nil {
+		return err
 	}
 	return s.awaitCopies(ctx, c)
 }
 
+// Leave records that the upstream with an id has left: every process that was started under the id
+// until now, also if its heartbeats have not arrived yet. It returns like RecordHeartbeat, and a
+// fault.Unavailable error if too many upstreams that this daemon does not know have left.
+func (s *Service) Leave(ctx context.Context, id string) error {
+	return s.RecordHeartbeat(ctx, roster.Entry{ID: id, Gone: true, Leaving: true, EndedBefore: s.wallTime().UnixMilli()})
+}
+
+// wallTime returns the time of day. Steps of the machine's clock since the service was created don't
+// change it.
+func (s *Service) wallTime() time.Time { return s.bootTime.Add(clock.SinceBoot()) }
+
 // recordHeartbeat merges and forwards a heartbeat. It returns the copies of the departure that has
 // to be stored before the heartbeat is acknowledged, or nil if there is none.
-func (s *Service) recordHeartbeat(e roster.Entry) *copies {
+func (s *Service) recordHeartbeat(e roster.Entry) (*copies, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.Heard = s.now()
 	held, known := s.core.Find(e.ID)
+	if e.Gone {
+		if !known && s.core.CountUnknown() >= maxUnknownDepartures {
+			return nil, fault.New(fault.Unavailable, "send the departure again later", "%d upstreams have left that this daemon does not know", maxUnknownDepartures)
+		}
+		e = s.core.Departure(e)
+	}
 	result := s.merge(e, "heartbeat")
-	if isDeparture(e) && !(known && isDeparture(held)) {
+	if e.IsDeparture() && !held.IsDeparture() {
 		s.log.Info("departure received", zap.String("upstream", e.ID), zap.Int64("born", e.Born), zap.Bool("gone", e.Gone), zap.Bool("known", known), zap.Int64("held_born", held.Born),
-			zap.Bool("stale", result == roster.Stale))
+			zap.Int64("ended_before", e.EndedBefore), zap.Bool("stale", result == roster.Stale))
 	}
-	if !isDeparture(e) {
+	if !e.IsDeparture() {
 		if result != roster.Stale {
 			s.forward(e, result)
 		}
-		return nil
+		return nil, nil
 	}
-	return s.beginDeparture(e, result)
-}
-
-// Leave records that the upstream with an id has left.
-func (s *Service) Leave(ctx context.Context, id string) error {
-	return s.RecordHeartbeat(ctx, roster.Entry{ID: id, Gone: true, Leaving: true})
+	return s.beginDeparture(e, result), nil
 }
 
 // merge merges an entry and notifies watchers of a change. The caller holds s.mu.
--- a/internal/roster/wire.go
+++ b/internal/roster/wire.go
@@ -13,6 +13,7 @@
 	return &rpc.RosterEntry{
 		Id: e.ID, Pool: e.Pool, Address: e.Address, DataCentre: e.DataCentre, Slots: uint32(e.Slots), Born: e.Born, Sequence: e.Sequence,
 		Leaving: e.Leaving, Gone: e.Gone, ColdMs: uint32(e.Cold.Milliseconds()), AgeMs: age(e.Heard, now), SoftwareVersion: e.SoftwareVersion,
+		EndedBefore: e.EndedBefore,
 	}
 }
 
@@ -21,7 +22,7 @@
 	return roster.Entry{
 		ID: e.Id, Pool: e.Pool, Address: e.Address, DataCentre: e.DataCentre, Slots: int(e.Slots), Born: e.Born, Sequence: e.Sequence,
 		Leaving: e.Leaving, Gone: e.Gone, Cold: time.Duration(e.ColdMs) * time.Millisecond, Heard: heard(e.AgeMs, now),
-		SoftwareVersion: e.SoftwareVersion,
+		SoftwareVersion: e.SoftwareVersion, EndedBefore: e.EndedBefore,
 	}
 }
 
