--- a/core/broker/suspect.go
+++ b/core/broker/suspect.go
@@ -105,6 +105,12 @@
 	return b.suspects.Quarantined(now)
 }
 
+// SuspectCount returns the number of contents that are suspected or in quarantine.
+func (b *Broker) SuspectCount(now time.Duration) int { return b.suspects.Len(now) }
+
+// UnclearLossCount returns the number of lost connections that may have been crashes.
+func (b *Broker) UnclearLossCount() int { return len(b.unclearLosses) }
+
 // ForgetSuspicions removes the contents that are suspected but not in quarantine. An entry
 // calls it when it loses its broker, which may have seen answers that clear them.
 func (b *Broker) ForgetSuspicions() { b.suspects.ForgetSuspicions() }
--- a/core/suspects/suspects.go
+++ b/core/suspects/suspects.go
@@ -283,6 +283,17 @@
 	return out
 }
 
+// Len returns the number of suspected contents.
+func (t *Tracker[ID]) Len(now time.Duration) int {
+	n := 0
+	for c := range t.suspects {
+		if t.find(now, c) != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // ForgetSuspicions removes the contents that are suspected but not in quarantine.
 func (t *Tracker[ID]) ForgetSuspicions() {
 	maps.DeleteFunc(t.suspects, func(_ uint64, s *suspect[ID]) bool { return !s.IsQuarantined() })
