broker: crashes count on after a change of the leader

Cause: one or two crashes were known to the leader's broker alone. It told the others of quarantines only, its successor began anew, and entries forgot the rest on purpose.

Evidence: at each of three changes of the leader the log has suspected=1, passed_on=0, and each leader counts to 2.

Fix: brokers and entries tell each other of each crash, by the attempt that it ended, and of each answer that clears a content, and unite what they know. A crash counts once however many tell of it, and one from before a clearing does not return. The next broker of a daemon takes over its tracker and the unclear losses; an entry tells the next broker all, and what it settles later.

TestTrackersLearnFromEachOther checked that suspicions are forgotten, which was the fault; it now checks that they are told. Tests that called QuarantinedContents count the same contents by SuspectedContents.

--- a/core/broker/crash_test.go
+++ b/core/broker/crash_test.go
@@ -307,6 +307,11 @@
 	}
 }
 
+// quarantined returns the contents that a broker has in quarantine.
+func quarantined(b *Broker, now time.Duration) []suspects.Suspect {
+	return slices.DeleteFunc(b.SuspectedContents(now), func(s suspects.Suspect) bool { return !s.IsQuarantined() })
+}
+
 // A content that was cleared by one broker must not stay in quarantine at the others.
 func TestClearedContentLeavesQuarantineEverywhere(t *testing.T) {
 	const part = 999
@@ -314,13 +319,13 @@
 	b.SetUpstreams([]Upstream{{ID: "u", Pool: "p", Slots: 4}})
 	b.LearnSuspects(0, []suspects.Suspect{{Content: part, Crashes: crashesToQuarantine, Together: []uint64{part}, RefusedUntil: time.Second}})
 	other.LearnSuspects(0, b.TakeSuspectChanges(0))
-	require.Len(t, other.QuarantinedContents(0), 1)
+	require.Len(t, quarantined(other, 0), 1)
 	now := time.Second + suspects.QuarantineDuration(crashesToQuarantine)
 	id := ID{Entry: "e", Number: 1}
 	b.Offer(now, Offer{ID: id, Pool: "p", SharedParts: []uint64{part}, LatencyTarget: now + time.Minute, LatestUseful: now + time.Minute, Deadline: now + time.Minute})
 	require.Len(t, b.Decide(now).Grants, 1)
 	b.End(now, End{ID: id, Outcome: Completed})
-	require.Empty(t, b.QuarantinedContents(now))
+	require.Empty(t, quarantined(b, now))
 	other.LearnSuspects(now, b.TakeSuspectChanges(now))
-	require.Empty(t, other.QuarantinedContents(now))
+	require.Empty(t, quarantined(other, now))
 }
--- a/core/broker/suspect.go
+++ b/core/broker/suspect.go
@@ -1,6 +1,9 @@
 package broker
 
 import (
+	"encoding/binary"
+	"hash/fnv"
+	"io"
 	"time"
 
 	"github.com/verbenastep/verbenastep/core/suspects"
@@ -39,7 +42,7 @@
 	b.suspects.EndTrial(now, req.ID, contents)
 	switch {
 	case e.Outcome == Completed:
-		b.suspects.Clear(contents)
+		b.suspects.Clear(now, contents)
 		b.clearUnclearLosses(contents)
 		return
 	case e.Outcome != ConnectionLost && e.Outcome != UnclearLoss:
@@ -50,7 +53,7 @@
 	case e.AnswerBegun:
 		return
 	}
-	run := suspects.Run{Granted: req.granted, Lost: now}
+	run := suspects.Run{Attempt: req.ID.attempt(), Granted: req.granted, Lost: now}
 	if e.Outcome == UnclearLoss {
 		b.keepUnclearLoss(unclearLoss{
 			Run: run, id: req.ID, upstream: req.assigned.ID, born: req.bornAtGrant, address: req.assigned.Address, contents: contents,
@@ -100,9 +103,24 @@
 	return stage == suspects.Clear || now >= u.lastTrialEnd && (stage != suspects.LastTrial || now >= u.trialEnd)
 }
 
-// QuarantinedContents returns the contents in quarantine, in no particular order.
-func (b *Broker) QuarantinedContents(now time.Duration) []suspects.Suspect {
-	return b.suspects.Quarantined(now)
+// attempt returns a hash of the ID by which all brokers know the attempt.
+func (id ID) attempt() uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, id.Entry) // Write of a hash never fails
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, id.Number))
+	return h.Sum64()
+}
+
+// SuspectedContents returns the contents that are suspected or in quarantine, as
+// suspects.Tracker.All does.
+func (b *Broker) SuspectedContents(now time.Duration) []suspects.Suspect {
+	return b.suspects.All(now)
+}
+
+// InheritSuspicions takes over what a broker that this one replaces knows of crashes. The other one
+// must not be used any more.
+func (b *Broker) InheritSuspicions(from *Broker) {
+	b.suspects, b.unclearLosses = from.suspects, from.unclearLosses
 }
 
 // SuspectCount returns the number of contents that are suspected or in quarantine.
@@ -111,17 +129,14 @@
 // UnclearLossCount returns the number of lost connections that may have been crashes.
 func (b *Broker) UnclearLossCount() int { return len(b.unclearLosses) }
 
-// ForgetSuspicions removes the contents that are suspected but not in quarantine. An entry
-// calls it when it loses its broker, which may have seen answers that clear them.
-func (b *Broker) ForgetSuspicions() { b.suspects.ForgetSuspicions() }
-
-// TakeSuspectChanges returns the contents that have come into quarantine, changed there or
-// left it since the last call.
+// TakeSuspectChanges returns the contents that were suspected, changed or cleared since the last
+// call.
 func (b *Broker) TakeSuspectChanges(now time.Duration) []suspects.Suspect {
 	return b.suspects.TakeChanges(now)
 }
 
-// LearnSuspects adds what another broker knows of suspected contents.
+// LearnSuspects unites what another broker knows of crashes and of answers that clear contents with
+// what this one does.
 func (b *Broker) LearnSuspects(now time.Duration, list []suspects.Suspect) {
 	b.suspects.Learn(now, list)
 }
--- a/core/broker/unclearloss_test.go
+++ b/core/broker/unclearloss_test.go
@@ -76,7 +76,7 @@
 	b.SetUpstreams(list)
 	b.SettleLosses(now, list)
 	require.True(t, loseUnclear(t, b, now, 1000), "a restart long after is no crash")
-	require.Empty(t, b.QuarantinedContents(now))
+	require.Empty(t, quarantined(b, now))
 	require.Zero(t, b.Estimates()["u"].FailureRate)
 }
 
@@ -95,7 +95,7 @@
 	require.Len(t, b.Decide(now).Grants, 1)
 	b.End(now, End{ID: o.ID, Outcome: Completed, TimeToFirstEvent: time.Millisecond})
 	b.SettleLosses(now, process("u", 100, time.Millisecond))
-	require.Empty(t, b.QuarantinedContents(now))
+	require.Empty(t, quarantined(b, now))
 }
 
 // TestHeartbeatOnItsWayAtTheCrashClearsNothing guards against a crash that is dropped because a
--- a/core/sched/dispatcher.go
+++ b/core/sched/dispatcher.go
@@ -290,7 +290,7 @@
 	d.prefixes.EndTrial(now, r.offer.ID, r.offer.Blocks)
 	switch {
 	case rel.Outcome == Completed:
-		d.prefixes.Clear(r.offer.Blocks)
+		d.prefixes.Clear(now, r.offer.Blocks)
 	case rel.Outcome == ConnectionLost && rel.OutputTokens == 0:
 		d.prefixes.HoldAgainst(now, suspects.Run{Granted: r.grantedAt, Lost: now}, r.offer.Blocks)
 	}
--- a/core/suspects/suspects.go
+++ b/core/suspects/suspects.go
@@ -13,11 +13,13 @@
 //   - At quarantineThreshold crashes without an answer in between, requests that have all
 //     contents which were present at each of these crashes are refused.
 //
+// Trackers tell each other each crash that they counted and each clearing, so that those which
+// hold the same contents come to the same counts in whatever order they hear of them.
+//
 // The package does no I/O: times are durations on the caller's monotonic clock.
 package suspects
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -37,7 +39,8 @@
 	suspectTTL = 2 * time.Minute
 	// quarantineMemory is how long a content that was in quarantine stays suspected.
 	quarantineMemory = 24 * time.Hour
-	// maxCountedRuns bounds the runs that are kept of a suspect.
+	// maxCountedRuns bounds the runs that are kept of a suspect, and so its count of crashes. With
+	// as many the quarantine has reached maxQuarantine.
 	maxCountedRuns = 8
 	// maxSuspects bounds the suspects; no further content is suspected beyond it.
 	maxSuspects = 10_000
@@ -58,6 +61,12 @@
 	Content uint64
 	// Crashes is the number of crashes held against the content; zero if it is cleared.
 	Crashes int
+	// Runs are the runs that the crashes ended, in the order in which they became known; empty from
+	// a tracker of an earlier version.
+	Runs []Run
+	// ClearedAt is when an answer last cleared the content of earlier crashes, if IsCleared is set.
+	IsCleared bool
+	ClearedAt time.Duration
 	// Together lists the contents that were present at each of these crashes.
 	Together []uint64
 	// RefusedUntil is until when requests with these contents are refused.
@@ -83,18 +92,24 @@
 // Run is the time for which an upstream had a request, from the grant to the loss of its
 // connection.
 type Run struct {
+	// Attempt identifies the run to all trackers; zero if nothing does.
+	Attempt uint64
 	Granted time.Duration
 	Lost    time.Duration
 }
 
+// countsWith reports whether the crash that ended a run counts beside that of another: it is not the
+// same one, and the upstreams were not lost together.
+func (r Run) countsWith(other Run) bool {
+	return !(r.Attempt != 0 && r.Attempt == other.Attempt) && !r.overlaps(other)
+}
+
 // overlaps reports whether the upstream of a run may have been lost together with that of another.
 func (r Run) overlaps(other Run) bool { return r.Granted < other.Lost && other.Granted < r.Lost }
 
 // suspect is a content under which upstreams crashed, with no complete answer since.
 type suspect[ID comparable] struct {
 	Suspect
-	// counted holds the runs whose crashes were counted, the latest maxCountedRuns.
-	counted   []Run
 	expiresAt time.Duration
 	// trial is the request that runs until trialEnd while others with the content wait.
 	trial    ID
@@ -117,13 +132,16 @@
 // concurrent use.
 type Tracker[ID comparable] struct {
 	suspects map[uint64]*suspect[ID]
+	// clearings holds when contents were cleared: what others tell later of earlier crashes does not
+	// count.
+	clearings map[uint64]clearing
 	// changed holds the contents that TakeChanges returns.
 	changed map[uint64]bool
 }
 
 // New returns a tracker without suspects.
 func New[ID comparable]() *Tracker[ID] {
-	return &Tracker[ID]{suspects: map[uint64]*suspect[ID]{}, changed: map[uint64]bool{}}
+	return &Tracker[ID]{suspects: map[uint64]*suspect[ID]{}, clearings: map[uint64]clearing{}, changed: map[uint64]bool{}}
 }
 
 // find returns a suspected content, or nil.
@@ -148,54 +166,39 @@
 		}
 		if s == nil {
 			s = &suspect[ID]{Suspect: Suspect{Content: c, Together: contents}}
+			s.count(run)
 			t.suspects[c] = s
-		} else if slices.ContainsFunc(s.counted, run.overlaps) {
+		} else if !s.count(run) {
 			continue
 		}
-		s.Crashes++
-		s.counted = append(s.counted[max(0, len(s.counted)-maxCountedRuns+1):], run)
 		s.expiresAt, s.trialEnd = now+suspectTTL, max(s.trialEnd, run.Lost)
 		if s.Crashes > 1 {
 			s.trialEnd = max(s.trialEnd, run.Lost+crashSpread)
 		}
-		s.Together = slices.DeleteFunc(slices.Clone(s.Together), func(other uint64) bool { return !slices.Contains(contents, other) })
+		s.narrow(contents)
 		if s.IsQuarantined() {
 			s.refuse(now)
-			t.changed[c] = true
 		}
+		t.changed[c] = true
 		out = append(out, s.Suspect)
 	}
 	return out
 }
 
-func (t *Tracker[ID]) removeExpired(now time.Duration) {
-	if len(t.suspects) >= maxSuspects {
-		maps.DeleteFunc(t.suspects, func(_ uint64, s *suspect[ID]) bool { return s.expiresAt < now })
+// count counts the crash that ended a run, unless it is known or its upstream was lost together with
+// that of another one. It reports whether it did.
+func (s *suspect[ID]) count(run Run) bool {
+	if slices.ContainsFunc(s.Runs, func(other Run) bool { return !run.countsWith(other) }) {
+		return false
 	}
+	s.Runs = append(s.Runs[max(0, len(s.Runs)-maxCountedRuns+1):len(s.Runs):len(s.Runs)], run)
+	s.Crashes = len(s.Runs)
+	return true
 }
 
-// Clear removes contents from suspicion. What was suspected together with them is at fault
-// without them.
-func (t *Tracker[ID]) Clear(contents []uint64) {
-	for _, c := range contents {
-		s := t.suspects[c]
-		if s == nil {
-			continue
-		}
-		delete(t.suspects, c)
-		if s.IsQuarantined() {
-			t.changed[c] = true
-		}
-		for _, other := range t.suspects {
-			if !slices.Contains(other.Together, c) {
-				continue
-			}
-			other.Together = slices.DeleteFunc(slices.Clone(other.Together), func(x uint64) bool { return x == c })
-			if other.IsQuarantined() {
-				t.changed[other.Content] = true
-			}
-		}
-	}
+// narrow limits what was present at each crash to what was present at a further one.
+func (s *suspect[ID]) narrow(contents []uint64) {
+	s.Together = slices.DeleteFunc(slices.Clone(s.Together), func(other uint64) bool { return !slices.Contains(contents, other) })
 }
 
 // RefusedFor returns how long requests with these contents are still refused; zero if they
@@ -271,65 +274,3 @@
 		}
 	}
 }
-
-// Quarantined returns the contents in quarantine, in no particular order.
-func (t *Tracker[ID]) Quarantined(now time.Duration) []Suspect {
-	out := []Suspect{}
-	for c := range t.suspects {
-		if s := t.find(now, c); s != nil && s.IsQuarantined() {
-			out = append(out, s.Suspect)
-		}
-	}
-	return out
-}
-
-// Len returns the number of suspected contents.
-func (t *Tracker[ID]) Len(now time.Duration) int {
-	n := 0
-	for c := range t.suspects {
-		if t.find(now, c) != nil {
-			n++
-		}
-	}
-	return n
-}
-
-// ForgetSuspicions removes the contents that are suspected but not in quarantine.
-func (t *Tracker[ID]) ForgetSuspicions() {
-	maps.DeleteFunc(t.suspects, func(_ uint64, s *suspect[ID]) bool { return !s.IsQuarantined() })
-}
-
-// TakeChanges returns the contents that have come into quarantine, changed there or left it
-// since the last call.
-func (t *Tracker[ID]) TakeChanges(now time.Duration) []Suspect {
-	out := []Suspect{}
-	for c := range t.changed {
-		change := Suspect{Content: c}
-		if s := t.find(now, c); s != nil {
-			change = s.Suspect
-		}
-		out = append(out, change)
-	}
-	clear(t.changed)
-	return out
-}
-
-// Learn adds what another tracker knows of suspected contents. The higher count of crashes
-// holds; a count of zero clears a content.
-func (t *Tracker[ID]) Learn(now time.Duration, list []Suspect) {
-	for _, x := range list {
-		if x.Crashes == 0 {
-			t.Clear([]uint64{x.Content})
-			continue
-		}
-		if s := t.find(now, x.Content); s != nil && (s.Crashes > x.Crashes || s.Crashes == x.Crashes && s.RefusedUntil >= x.RefusedUntil) {
-			continue
-		}
-		s := &suspect[ID]{Suspect: x, counted: []Run{{Granted: math.MinInt64, Lost: now}}, expiresAt: now + suspectTTL}
-		if s.IsQuarantined() {
-			s.expiresAt = max(now, s.RefusedUntil) + quarantineMemory
-			t.changed[x.Content] = true
-		}
-		t.suspects[x.Content] = s
-	}
-}
--- a/core/suspects/suspects_test.go
+++ b/core/suspects/suspects_test.go
@@ -1,6 +1,7 @@
 package suspects
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -43,7 +44,7 @@
 	require.True(t, refused(x, now, 1, 2))
 	require.False(t, refused(x, now, 1, 3))
 	require.False(t, refused(x, now, 2, 3))
-	x.Clear([]uint64{1, 3})
+	x.Clear(now, []uint64{1, 3})
 	require.False(t, refused(x, now, 1, 3))
 	require.True(t, refused(x, now, 2, 3))
 }
@@ -51,7 +52,7 @@
 func TestAnswerClearsContents(t *testing.T) {
 	x := New[int]()
 	now := crash(x, 0, quarantineThreshold-1, 1)
-	x.Clear([]uint64{1})
+	x.Clear(now, []uint64{1})
 	now = crash(x, now, quarantineThreshold-1, 1)
 	require.False(t, refused(x, now, 1))
 }
@@ -101,14 +102,16 @@
 	require.Empty(t, x.TakeChanges(now))
 	y.Learn(now, []Suspect{{Content: 1, Crashes: 1}})
 	require.True(t, refused(y, now, 1), "the higher count holds")
-	x.Clear([]uint64{1})
+	x.Clear(now, []uint64{1})
 	y.Learn(now, x.TakeChanges(now))
 	require.False(t, refused(y, now, 1))
 	crash(y, now, 1, 4)
-	y.ForgetSuspicions()
-	stage, mayRun := y.Stage(now+time.Second, 7, []uint64{4})
-	require.True(t, mayRun)
-	require.Equal(t, Clear, stage)
+	x.Learn(now+time.Second, y.TakeChanges(now+time.Second))
+	for _, tracker := range []*Tracker[int]{x, y} {
+		stage, mayRun := tracker.Stage(now+time.Second, 7, []uint64{4})
+		require.True(t, mayRun)
+		require.Equal(t, FirstTrial, stage, "suspicions short of a quarantine are told too")
+	}
 }
 
 // Crashes that become known late, and in another order, count as those that are known at once.
@@ -119,3 +122,92 @@
 	}
 	require.True(t, refused(x, 4*time.Second, 1))
 }
+
+// event is a crash that a tracker learns of by itself.
+func event(n int) Run {
+	at := time.Duration(n) * time.Second
+	return Run{Attempt: uint64(n), Granted: at, Lost: at + 100*time.Millisecond}
+}
+
+// TestCrashesAreUnitedInAnyOrder guards against a content that goes on to crash upstreams, since each
+// broker has counted some of its crashes and none all, and against a crash that counts twice since
+// several tell of it.
+func TestCrashesAreUnitedInAnyOrder(t *testing.T) {
+	const now = 10 * time.Second
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		total := 1 + rng.IntN(5)
+		trackers := []*Tracker[int]{New[int](), New[int](), New[int](), New[int]()}
+		for n := 1; n <= total; n++ {
+			for _, i := range rng.Perm(len(trackers))[:1+rng.IntN(2)] {
+				// A later report, and another clock.
+				r := event(n)
+				r.Lost += time.Duration(rng.IntN(50)) * time.Millisecond
+				trackers[i].HoldAgainst(now, r, []uint64{1, uint64(2 + n)})
+			}
+		}
+		told := New[int]()
+		for _, i := range append(rng.Perm(len(trackers)), rng.Perm(len(trackers))...) {
+			told.Learn(now, trackers[i].All(now))
+			trackers[i].Learn(now, told.All(now))
+		}
+		for _, x := range append(trackers, told) {
+			require.Equal(t, total, x.find(now, 1).Crashes, "seed %d", seed)
+			require.Equal(t, total >= quarantineThreshold, refused(x, now, 1), "seed %d", seed)
+			if total > 1 {
+				require.Equal(t, []uint64{1}, x.find(now, 1).Together)
+			}
+		}
+	}
+}
+
+// TestClearedCrashesDoNotReturn guards against a sound content that comes into quarantine, since a
+// tracker that has not heard of an answer tells of the crashes before it. Crashes after it count.
+func TestClearedCrashesDoNotReturn(t *testing.T) {
+	now := 10 * time.Second
+	cleared, away, other := New[int](), New[int](), New[int]()
+	for n := 1; n <= 2; n++ {
+		cleared.HoldAgainst(now, event(n), []uint64{1})
+	}
+	away.Learn(now, cleared.All(now))
+	// Times shift on their way.
+	late := event(2)
+	late.Lost += 20 * time.Second
+	away.HoldAgainst(now, event(3), []uint64{1})
+	cleared.TakeChanges(now)
+	cleared.Clear(now, []uint64{1})
+	other.Learn(now, cleared.TakeChanges(now))
+	for _, x := range []*Tracker[int]{cleared, other} {
+		x.Learn(now, away.All(now))
+		require.Nil(t, x.find(now, 1))
+	}
+	cleared.Learn(now, []Suspect{{Content: 1, Crashes: 1, Runs: []Run{late}, Together: []uint64{1}}})
+	require.Nil(t, cleared.find(now, 1), "the clearing knows the attempt")
+	now += 10 * time.Second
+	away.HoldAgainst(now, event(15), []uint64{1})
+	require.True(t, refused(away, now, 1))
+	for _, x := range []*Tracker[int]{cleared, other} {
+		x.Learn(now, away.All(now))
+		require.Equal(t, 1, x.find(now, 1).Crashes)
+	}
+	away.Learn(now, cleared.All(now))
+	require.Equal(t, 1, away.find(now, 1).Crashes, "it hears of the answer")
+	require.False(t, refused(away, now, 1))
+}
+
+// TestSuspicionsEndAlthoughTheyAreTold guards against suspicions that trackers tell each other without
+// end.
+func TestSuspicionsEndAlthoughTheyAreTold(t *testing.T) {
+	x, y := New[int](), New[int]()
+	now := crash(x, time.Second, 2, 1)
+	crashed := now
+	for ; now < crashed+suspectTTL; now += 10 * time.Second {
+		y.Learn(now, x.All(now))
+		x.Learn(now, y.All(now))
+		require.Equal(t, 1, y.Len(now))
+	}
+	now += time.Second
+	require.Empty(t, append(x.All(now), y.All(now)...))
+	y.Learn(now, []Suspect{{Content: 1, Crashes: 1, Runs: []Run{{Granted: crashed - 1, Lost: crashed}}, Together: []uint64{1}}})
+	require.Empty(t, y.All(now))
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -330,17 +330,17 @@
 	}
 }
 
-// replaceCore replaces the core by one that knows only the suspects, limits and streams; refresh
-// fills it. The caller holds the lock.
+// replaceCore replaces the core by one that knows only what crashed upstreams, limits and streams;
+// refresh fills it. The caller holds the lock.
 func (s *Service) replaceCore() {
-	quarantined, limits, streams := s.core.QuarantinedContents(s.now()), s.core.Limits(), s.core.Streams(s.now())
-	suspected, unclear := s.core.SuspectCount(s.now()), s.core.UnclearLossCount()
+	last := s.core
+	limits, streams := last.Limits(), last.Streams(s.now())
 	s.core = newCore(s.set)
 	s.core.ResetQuotas(s.now())
 	s.overload = overloadReport{}
-	s.core.LearnSuspects(s.now(), quarantined)
-	if suspected+unclear > 0 {
-		s.log.Info("suspicions passed on", zap.Int("suspected", suspected), zap.Int("passed_on", s.core.SuspectCount(s.now())), zap.Int("unclear_losses", unclear))
+	s.core.InheritSuspicions(last)
+	if suspected, unclear := s.core.SuspectCount(s.now()), s.core.UnclearLossCount(); suspected+unclear > 0 {
+		s.log.Info("suspicions passed on", zap.Int("suspected", suspected), zap.Int("unclear_losses", unclear))
 	}
 	for _, l := range limits {
 		s.core.LearnLimit(s.now(), l)
--- a/internal/broker/interim.go
+++ b/internal/broker/interim.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/verbenastep/verbenastep/api/rpc"
+	"github.com/verbenastep/verbenastep/internal/brokerwire"
 )
 
 // interimDelay is how long a control daemon knows no leader before it grants to its entries
@@ -117,6 +118,7 @@
 func (s *Service) applyInterim(entry string, x *session, ask *rpc.BrokerAsk) {
 	if !x.complete && !ask.Complete {
 		s.learnLimits(ask.Limits)
+		s.core.LearnSuspects(s.now(), brokerwire.DecodeSuspects(s.now(), ask.Suspects))
 		return
 	}
 	if !x.complete {
--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -278,7 +278,7 @@
 func (s *Service) forward(entry string, x *session, ask *rpc.BrokerAsk) {
 	s.refuseShed(x, ask)
 	x.complete = x.complete || ask.Complete
-	if !x.complete || len(ask.Offers)+len(ask.Ends)+len(ask.Cancels)+len(ask.Quotas)+len(ask.Limits)+len(ask.Rollouts) == 0 && !ask.Complete {
+	if !x.complete || len(ask.Offers)+len(ask.Ends)+len(ask.Cancels)+len(ask.Quotas)+len(ask.Limits)+len(ask.Rollouts)+len(ask.Suspects) == 0 && !ask.Complete {
 		return
 	}
 	if len(s.relay.asks) >= maxRelayedAsks {
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -35,7 +35,7 @@
 	outdatedSince time.Time
 	// hasLevels is true if the entry got all quota levels.
 	hasLevels bool
-	// hasSuspects is true if the entry got all contents in quarantine.
+	// hasSuspects is true if the entry got all suspected contents.
 	hasSuspects bool
 	// rollouts holds the rollouts that the entry knows, by pool.
 	rollouts map[string]*rpc.KnownRollout
@@ -188,6 +188,7 @@
 func (s *Service) remember(ask *rpc.BrokerAsk) {
 	s.learnLimits(ask.Limits)
 	s.core.LearnStreams(s.now(), brokerwire.DecodeStreams(s.now(), ask.Streams))
+	s.core.LearnSuspects(s.now(), brokerwire.DecodeSuspects(s.now(), ask.Suspects))
 }
 
 // apply passes an entry's message to the broker. The caller holds the lock.
--- a/internal/broker/suspects.go
+++ b/internal/broker/suspects.go
@@ -2,9 +2,9 @@
 
 import "github.com/verbenastep/verbenastep/internal/brokerwire"
 
-// sendSuspects tells the entries which contents are in quarantine: they refuse requests with
-// them while no broker grants, and pass them on to the next broker. An entry gets all of them
-// once, then the changes. The caller holds the lock.
+// sendSuspects tells the entries which contents crashed upstreams and which were cleared of it: they
+// refuse requests in quarantine while no broker grants, and pass all on to the next broker, which
+// goes on counting. An entry gets all of them once, then the changes. The caller holds the lock.
 func (s *Service) sendSuspects() {
 	now := s.now()
 	changes := s.core.TakeSuspectChanges(now)
@@ -12,7 +12,7 @@
 		list := changes
 		if !x.hasSuspects {
 			x.hasSuspects = true
-			list = s.core.QuarantinedContents(now)
+			list = s.core.SuspectedContents(now)
 		}
 		if len(list) > 0 {
 			r := s.reply(x)
--- a/internal/broker/suspects_test.go
+++ b/internal/broker/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -77,3 +78,59 @@
 	})
 	e.eventually(func() bool { return e.refused[1] == string(broker.Quarantined) && e.granted[2] }, "only the part is refused")
 }
+
+// crashOnce offers a request with the crashing part, whose upstream crashes.
+func (e *fakeEntry) crashOnce(id uint64) {
+	e.t.Helper()
+	e.send(&rpc.BrokerAsk{Offers: []*rpc.WorkOffer{crashingOffer(id)}})
+	e.eventually(func() bool { return e.granted[id] }, "a grant")
+	// The crash counts if the request was granted after the one before.
+	time.Sleep(2 * time.Millisecond)
+	e.send(&rpc.BrokerAsk{Ends: []*rpc.WorkEnd{{Id: id, Outcome: uint32(broker.ConnectionLost)}}})
+}
+
+// TestCrashesCountOverChangesOfTheLeader guards against a request that crashes upstreams without end,
+// since the leader changes before the third crash and the next one begins to count anew. Each
+// leader sees one crash.
+func TestCrashesCountOverChangesOfTheLeader(t *testing.T) {
+	_, addresses, election := startControls(t, 3)
+	election.elect(addresses[0])
+	e := connect(t, addresses[2], &rpc.BrokerAsk{Entry: "e", Relayable: true})
+	e.eventually(func() bool { return e.last.Leads }, "a broker")
+	e.send(&rpc.BrokerAsk{Complete: true})
+	for i := range uint64(3) {
+		if i > 0 {
+			election.elect(addresses[i%2])
+			e.eventually(func() bool { return e.losses == int(i) && e.last.Leads }, "the next leader")
+			e.send(&rpc.BrokerAsk{Complete: true})
+		}
+		e.crashOnce(i + 1)
+		e.eventually(func() bool { return e.suspects[crashingPart] == uint32(i+1) }, "the crash is known here")
+	}
+	e.send(&rpc.BrokerAsk{Offers: []*rpc.WorkOffer{crashingOffer(9)}})
+	e.eventually(func() bool { return e.refused[9] == string(broker.Quarantined) }, "a refusal")
+}
+
+// TestLeaderLearnsCrashesFromEntries guards against the same where the new leader knew nothing of the
+// last one, and each entry of other crashes.
+func TestLeaderLearnsCrashesFromEntries(t *testing.T) {
+	_, addresses, election := startControls(t, 1)
+	election.elect(addresses[0])
+	entries := []*fakeEntry{}
+	for i, name := range []string{"a", "b"} {
+		e := connect(t, addresses[0], &rpc.BrokerAsk{Entry: name, Relayable: true})
+		e.eventually(func() bool { return e.last.Leads }, "a broker")
+		ago := uint64((time.Duration(10-i) * time.Second).Microseconds())
+		e.send(&rpc.BrokerAsk{Complete: true, Suspects: []*rpc.ContentSuspect{{
+			Content: crashingPart, Crashes: 1, Together: []uint64{crashingPart}, Runs: []*rpc.CrashedRun{{Attempt: uint64(i + 1), GrantedUs: ago + 100, LostUs: ago}},
+		}}})
+		entries = append(entries, e)
+	}
+	for _, e := range entries {
+		e.eventually(func() bool { return e.suspects[crashingPart] == 2 }, "both crashes are known to all")
+	}
+	entries[0].crashOnce(1)
+	entries[1].eventually(func() bool { return entries[1].suspects[crashingPart] == 3 }, "the third crash")
+	entries[1].send(&rpc.BrokerAsk{Offers: []*rpc.WorkOffer{crashingOffer(2)}})
+	entries[1].eventually(func() bool { return entries[1].refused[2] == string(broker.Quarantined) }, "a refusal")
+}
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -229,9 +229,6 @@
 			s.local.ResetQuotas(now)
 		}
 	}
-	if wasAttached {
-		s.local.ForgetSuspicions()
-	}
 	for _, a := range s.waiting {
 		s.local.Offer(now, a.offer)
 	}
@@ -530,7 +527,7 @@
 		s.pending.Quotas = s.quotaReport(term)
 	}
 	s.pending.Streams = brokerwire.EncodeStreams(now, s.local.Streams(now))
-	s.pending.Suspects = brokerwire.EncodeSuspects(now, s.local.QuarantinedContents(now))
+	s.pending.Suspects = brokerwire.EncodeSuspects(now, s.local.SuspectedContents(now))
 	s.pending.Limits = brokerwire.EncodeLimits(now, s.local.Limits())
 	s.reportRollouts()
 	for _, a := range s.running {
@@ -599,11 +596,24 @@
 	}
 	upstreams := withoutHeartbeatTimes(brokerwire.Upstreams(list, s.set.Routing.DataCentres))
 	s.local.SetUpstreams(upstreams)
-	s.local.SettleLosses(s.now(), upstreams)
+	s.settleLosses(upstreams)
 	s.local.SetEstimates(learned)
 	s.localStale, s.localUpdated = false, s.now()
 }
 
+// settleLosses settles the unclear losses of this entry, and tells the broker of those that were
+// crashes: it may not be the one that was told of the losses. The caller holds the lock.
+func (s *Service) settleLosses(upstreams []broker.Upstream) {
+	now := s.now()
+	// The broker knows the others: it told the entry, or was told with the ends of requests.
+	s.local.TakeSuspectChanges(now)
+	s.local.SettleLosses(now, upstreams)
+	if changes := s.local.TakeSuspectChanges(now); s.attached && len(changes) > 0 {
+		s.pending.Suspects = append(s.pending.Suspects, brokerwire.EncodeSuspects(now, changes)...)
+		wait.Notify(s.wakeSession)
+	}
+}
+
 // withoutHeartbeatTimes removes the ages of the last heartbeats: an entry gets changes only, so that
 // they are as old as the last change and would show a process that has ended as running.
 func withoutHeartbeatTimes(list []broker.Upstream) []broker.Upstream {
--- a/internal/brokerwire/codec.go
+++ b/internal/brokerwire/codec.go
@@ -91,24 +91,48 @@
 	return out
 }
 
-// EncodeSuspects encodes contents in quarantine, relative to the given time.
+// EncodeSuspects encodes suspected and cleared contents, relative to the given time.
 func EncodeSuspects(now time.Duration, list []suspects.Suspect) []*rpc.ContentSuspect {
 	out := make([]*rpc.ContentSuspect, 0, len(list))
 	for _, x := range list {
-		out = append(out, &rpc.ContentSuspect{Content: x.Content, Crashes: uint32(x.Crashes), Together: x.Together, RefusedMs: milliseconds(x.RefusedUntil - now)})
+		m := &rpc.ContentSuspect{Content: x.Content, Crashes: uint32(x.Crashes), Together: x.Together, RefusedMs: milliseconds(x.RefusedUntil - now)}
+		for _, r := range x.Runs {
+			m.Runs = append(m.Runs, &rpc.CrashedRun{Attempt: r.Attempt, GrantedUs: microseconds(now - r.Granted), LostUs: microseconds(now - r.Lost)})
+		}
+		if x.IsCleared {
+			m.ClearedUs = max(1, microseconds(now-x.ClearedAt))
+		}
+		out = append(out, m)
 	}
 	return out
 }
 
-// DecodeSuspects decodes contents in quarantine that were received at the given time.
+// DecodeSuspects decodes suspected and cleared contents that were received at the given time.
 func DecodeSuspects(now time.Duration, list []*rpc.ContentSuspect) []suspects.Suspect {
 	out := make([]suspects.Suspect, 0, len(list))
 	for _, x := range list {
-		out = append(out, suspects.Suspect{Content: x.Content, Crashes: int(x.Crashes), Together: x.Together, RefusedUntil: now + duration(x.RefusedMs)})
+		s := suspects.Suspect{Content: x.Content, Crashes: int(x.Crashes), Together: x.Together, RefusedUntil: now + duration(x.RefusedMs)}
+		for _, r := range x.Runs {
+			s.Runs = append(s.Runs, suspects.Run{Attempt: r.Attempt, Granted: now - ago(r.GrantedUs), Lost: now - ago(r.LostUs)})
+		}
+		if x.ClearedUs > 0 {
+			s.IsCleared, s.ClearedAt = true, now-ago(x.ClearedUs)
+		}
+		out = append(out, s)
 	}
 	return out
 }
 
+// microseconds encodes a time that has passed, and ago decodes it.
+func microseconds(d time.Duration) uint64 { return uint64(max(0, d.Microseconds())) }
+
+// maxAgo bounds a time that has passed, as no daemon remembers more.
+const maxAgo = 30 * 24 * time.Hour
+
+func ago(us uint64) time.Duration {
+	return time.Duration(min(us, uint64(maxAgo.Microseconds()))) * time.Microsecond
+}
+
 // EncodeLimit encodes what an upstream said of the requests that it takes, relative to the
 // given time.
 func EncodeLimit(now time.Duration, l broker.RequestLimit) *rpc.UpstreamLimit {
