--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -124,7 +124,7 @@
 		e.EndedBefore = max(e.EndedBefore, held.EndedBefore)
 	}
 	if !e.Gone && e.Born < e.EndedBefore {
-		e = tombstone(e, max(held.Heard, e.Heard))
+		return Stale
 	}
 	if r.isSuperseded(e) {
 		if !known && !e.IsDeparture() {
