suspects: answers count against crashes that are settled later

- A crash that became known after an answer that followed it suspected the content again.
- A clearing of some of the crashes ended a quarantine that the others keep up.
- Each report of a suspicion short of a quarantine counted as a change, so that the leader told all entries of it once more.

TestClearedCrashesDoNotReturn and TestQuarantineOutlivesClearingOfEarlierCrashes failed before; the third has no test.

--- a/core/suspects/exchange.go
+++ b/core/suspects/exchange.go
@@ -73,7 +73,10 @@
 	}
 	t.changed[content] = true
 	if len(left) > 0 {
-		s.Runs, s.Crashes, s.RefusedUntil = left, len(left), 0
+		s.Runs, s.Crashes = left, len(left)
+		if !s.IsQuarantined() {
+			s.RefusedUntil = 0
+		}
 		return
 	}
 	delete(t.suspects, content)
@@ -227,7 +230,7 @@
 		// Neither tracker has refused requests for so many crashes.
 		refusedUntil = max(refusedUntil, s.lastCrash()+QuarantineDuration(s.Crashes))
 	}
-	isLonger := refusedUntil > s.RefusedUntil+maxRefusalSkew
+	isLonger := s.IsQuarantined() && refusedUntil > s.RefusedUntil+maxRefusalSkew
 	if isLonger || s.Crashes != before {
 		s.RefusedUntil = max(s.RefusedUntil, refusedUntil)
 	}
--- a/core/suspects/suspects.go
+++ b/core/suspects/suspects.go
@@ -161,7 +161,7 @@
 	out := []Suspect{}
 	for _, c := range contents {
 		s := t.find(now, c)
-		if s == nil && len(t.suspects) >= maxSuspects {
+		if s == nil && len(t.suspects) >= maxSuspects || run.Lost < t.clearings[c].at {
 			continue
 		}
 		if s == nil {
--- a/core/suspects/suspects_test.go
+++ b/core/suspects/suspects_test.go
@@ -183,6 +183,8 @@
 	}
 	cleared.Learn(now, []Suspect{{Content: 1, Crashes: 1, Runs: []Run{late}, Together: []uint64{1}}})
 	require.Nil(t, cleared.find(now, 1), "the clearing knows the attempt")
+	cleared.HoldAgainst(now, event(4), []uint64{1})
+	require.Nil(t, cleared.find(now, 1), "a crash before the answer that is settled after it")
 	now += 10 * time.Second
 	away.HoldAgainst(now, event(15), []uint64{1})
 	require.True(t, refused(away, now, 1))
@@ -195,6 +197,20 @@
 	require.False(t, refused(away, now, 1))
 }
 
+// TestQuarantineOutlivesClearingOfEarlierCrashes guards against a request in quarantine that is let
+// through, since an answer becomes known that came before the crashes that count.
+func TestQuarantineOutlivesClearingOfEarlierCrashes(t *testing.T) {
+	x, now := New[int](), 10*time.Second
+	for n := 1; n <= quarantineThreshold+1; n++ {
+		x.HoldAgainst(now, event(n), []uint64{1})
+	}
+	x.Learn(now, []Suspect{{Content: 1, IsCleared: true, ClearedAt: event(1).Lost}})
+	require.Equal(t, quarantineThreshold, x.find(now, 1).Crashes)
+	require.True(t, refused(x, now, 1))
+	x.Learn(now, []Suspect{{Content: 1, IsCleared: true, ClearedAt: event(2).Lost}})
+	require.False(t, refused(x, now, 1))
+}
+
 // TestSuspicionsEndAlthoughTheyAreTold guards against suspicions that trackers tell each other without
 // end.
 func TestSuspicionsEndAlthoughTheyAreTold(t *testing.T) {
