--- a/core/roster/renewal_test.go
+++ b/core/roster/renewal_test.go
@@ -47,7 +47,7 @@
 	}
 	r := New(interval)
 	r.Merge(heartbeat("a", 1, 1))
-	r.Merge(r.Departure(farewell("a", 0)))
+	r.Merge(r.Departure(departing("a", 0)))
 	require.False(t, r.Renew(heartbeat("a", 1, 2).Renewal()), "it has left")
 }
 
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -15,8 +15,8 @@
 	return Entry{ID: id, Pool: "p", Address: "10.0.0.1:80", Slots: 2, Born: born, Sequence: seq}
 }
 
-// farewell returns a departure that names no process.
-func farewell(id string, endedBefore int64) Entry {
+// departure returns a departure that names no process.
+func departing(id string, endedBefore int64) Entry {
 	return Entry{ID: id, Gone: true, Leaving: true, EndedBefore: endedBefore}
 }
 
@@ -43,7 +43,7 @@
 func TestProcessThatLeftIsNotRestored(t *testing.T) {
 	r := New(interval)
 	r.Merge(heartbeat("a", 1, 1))
-	require.Equal(t, Changed, r.Merge(r.Departure(farewell("a", 0))))
+	require.Equal(t, Changed, r.Merge(r.Departure(departing("a", 0))))
 	require.Equal(t, Stale, r.Merge(heartbeat("a", 1, 2)))
 	require.Equal(t, Stale, r.Merge(Entry{ID: "a", Gone: true}), "the same message again")
 	require.Equal(t, Changed, r.Merge(heartbeat("a", 2, 1)), "a new process may use the id")
@@ -169,14 +169,14 @@
 	for name, earlier := range map[string][]Entry{
 		"id not known":         nil,
 		"earlier process":      {heartbeat("a", 1, 9)},
-		"earlier one has left": {heartbeat("a", 1, 9), farewell("a", 2)},
+		"earlier one has left": {heartbeat("a", 1, 9), departing("a", 2)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := New(interval)
 			for _, e := range earlier {
 				r.Merge(e)
 			}
-			require.Equal(t, Changed, r.Merge(r.Departure(farewell("a", 10_000))))
+			require.Equal(t, Changed, r.Merge(r.Departure(departing("a", 10_000))))
 			for seq := range uint64(3) {
 				r.Merge(heartbeat("a", 5, seq+1))
 				e, known := r.Find("a")
@@ -194,7 +194,7 @@
 // under its id and gets no requests, since the clock of the daemon that recorded the departure was ahead.
 func TestProcessAfterDepartureIsNotKeptOutByClocks(t *testing.T) {
 	r := New(interval)
-	r.Merge(r.Departure(farewell("a", 10_000)))
+	r.Merge(r.Departure(departing("a", 10_000)))
 	beat := func(seq uint64, at time.Duration) Entry {
 		e := heartbeat("a", 5, seq)
 		e.Heard = at
@@ -206,7 +206,7 @@
 		require.True(t, beat(uint64(n), n*interval).Gone, "it may be the heartbeat of a process that has left")
 	}
 	require.False(t, beat(30, (removeAfter+1)*interval).Gone)
-	require.Equal(t, Stale, r.Merge(farewell("a", 10_000)), "forwarded once more")
+	require.Equal(t, Stale, r.Merge(departing("a", 10_000)), "forwarded once more")
 	require.False(t, beat(31, (removeAfter+2)*interval).Gone)
 }
 
@@ -224,7 +224,7 @@
 			}
 		}
 		for range 1 + rng.IntN(3) {
-			all = append(all, farewell("a", 1+rng.Int64N(10)))
+			all = append(all, departing("a", 1+rng.Int64N(10)))
 		}
 		state := func(order []int) (born, ended int64, gone bool) {
 			r := New(interval)
@@ -251,9 +251,9 @@
 // call of the upstream begins anew on a slow disk.
 func TestRepeatedDepartureIsTheSameOne(t *testing.T) {
 	r := New(interval)
-	first := r.Departure(farewell("a", 10_000))
+	first := r.Departure(departing("a", 10_000))
 	r.Merge(first)
-	require.Equal(t, first, r.Departure(farewell("a", 11_000)))
-	later := r.Departure(farewell("a", 20_000))
+	require.Equal(t, first, r.Departure(departing("a", 11_000)))
+	later := r.Departure(departing("a", 20_000))
 	require.Equal(t, Changed, r.Merge(later), "another process may have left")
 }
