--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -181,10 +181,12 @@
 		return a.ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(a.ctx)
+	// The function may still run when the attempt has gone on.
+	regrantEnd := a.regrantEnd
 	unregister := context.AfterFunc(a.s.drainBegan, func() {
 		latest := a.s.drain.Load().latestStart(a.s, a.request, "")
-		if !a.regrantEnd.IsZero() && a.regrantEnd.Before(latest) {
-			latest = a.regrantEnd
+		if !regrantEnd.IsZero() && regrantEnd.Before(latest) {
+			latest = regrantEnd
 		}
 		timer := time.AfterFunc(time.Until(latest), func() { cancel(errCannotFinish) })
 		context.AfterFunc(ctx, func() { timer.Stop() })
