roster: the test of a departure at an empty daemon counts its disk too

It read the disks of the two other daemons right after the acknowledgement and wanted the departure on both. Since a departure of an unknown upstream is stored by the daemon that takes it, its disk is one of the two of three that the acknowledgement stands for, and the third may follow.

--- a/internal/roster/departures_test.go
+++ b/internal/roster/departures_test.go
@@ -155,19 +155,36 @@
 }
 
 // TestDepartureAtDaemonThatDoesNotKnowTheUpstream guards against an acknowledgement by a daemon with
-// an empty roster that tells nobody.
+// an empty roster that tells nobody: it is on enough disks, and the others, which know the upstream,
+// end it.
 func TestDepartureAtDaemonThatDoesNotKnowTheUpstream(t *testing.T) {
 	list := startThree(t)
 	list[0].mu.Lock()
 	list[0].core = roster.New(time.Second)
 	list[0].mu.Unlock()
 	requireAcknowledged(t, func() error { return list[0].Leave(t.Context(), "u") })
-	for _, folder := range disks(t, list[1:]) {
+	copies := 0
+	for _, folder := range disks(t, list) {
 		stored, err := (&store{folder: folder}).load()
 		require.NoError(t, err)
 		require.Len(t, stored, 1)
-		require.True(t, stored[0].Gone)
+		require.Equal(t, "u", stored[0].ID)
+		if stored[0].Gone {
+			copies++
+		}
+	}
+	require.GreaterOrEqual(t, copies, list[0].replicas.CopiesToSurvive())
+	for _, s := range list {
+		requireLeaving(t, s, "u")
 	}
+	require.Eventually(t, func() bool {
+		for _, folder := range disks(t, list) {
+			if stored, err := (&store{folder: folder}).load(); err != nil || len(stored) != 1 || !stored[0].Gone {
+				return false
+			}
+		}
+		return true
+	}, convergeTimeout, 50*time.Millisecond, "all disks have it in the end")
 }
 
 // TestAcknowledgedDepartureOfUnknownUpstreamIsKept guards against an upstream that gets requests after
