--- a/core/broker/duration.go
+++ b/core/broker/duration.go
@@ -9,7 +9,7 @@
 type DurationBasis uint8
 
 const (
-	// NoBasis means that there is no estimate: nothing tells how long the response gets, or no
+	// NoBasis means that there is no estimate: the length of the response is unknown, or no
 	// upstream of the pool has been measured.
 	NoBasis DurationBasis = iota
 	// PoolBasis means that other upstreams of the pool were measured. They may be several times as
--- a/core/broker/duration_test.go
+++ b/core/broker/duration_test.go
@@ -61,7 +61,7 @@
 
 // TestExpectedDurationOfRestartedUpstreams guards against requests that a stopping entry begins and
 // must abort at an upstream that was started anew, since the speed of its last process is taken for
-// its own: by the broker that measured it, and by one that is told of the measurement.
+// its own: by the broker that measured it, and by one that receives the measurement.
 func TestExpectedDurationOfRestartedUpstreams(t *testing.T) {
 	upstreams := func(born int64) []Upstream {
 		return []Upstream{{ID: "u", Pool: "p", Address: "a", Slots: 4, Born: born}, {ID: "other", Pool: "p", Address: "b", Slots: 4, Born: 1}}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -7,7 +7,7 @@
 // process by their sequence number. The package does no I/O; times are durations
 // on the caller's monotonic clock. Invariants: the state of a process never
 // reverts to an earlier heartbeat; a process that has left is never restored, also
-// if its departure is the first that is heard of it; an address belongs to the process that
+// if its heartbeats arrive only after its departure; an address belongs to the process that
 // started last.
 package roster
 
@@ -57,13 +57,13 @@
 	// Cold is the remaining warm-up time, during which the upstream is slow.
 	Cold time.Duration
 	// EndedBefore ends the processes of the id that started earlier, in Unix milliseconds, also those
-	// that were never heard of; zero for none. A departure that states no start time sets it.
+	// whose heartbeats have not arrived; zero for none. A departure that states no start time sets it.
 	EndedBefore int64
 	// Heard is the arrival time of the heartbeat; after a departure, that of the departure.
 	Heard time.Duration
 }
 
-// IsUnknown reports whether the entry is the departure of a process that was never heard of.
+// IsUnknown reports whether the entry is the departure of an id without heartbeats.
 func (e Entry) IsUnknown() bool { return e.Gone && e.EndedBefore > 0 && e.Pool == "" }
 
 // IsDeparture reports whether the process takes no new requests or is gone.
@@ -158,7 +158,7 @@
 	return Changed
 }
 
-// isHeardLongAfter reports whether a process was heard so long after the departure of others with its
+// isHeardLongAfter reports whether a heartbeat arrived so long after the departure of others with its
 // id that no heartbeat of theirs is that late. It started after the departure, although its clock and
 // that of the daemon which received the departure may say otherwise.
 func (r *Roster) isHeardLongAfter(e, departed Entry) bool {
@@ -218,7 +218,7 @@
 	r.owners[e.Address] = e.ID
 }
 
-// CountUnknown returns the number of departures of processes that were never heard of.
+// CountUnknown returns the number of departures of ids without heartbeats.
 func (r *Roster) CountUnknown() int {
 	n := 0
 	for _, e := range r.entries {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -163,8 +163,8 @@
 }
 
 // TestDepartureOfProcessThatIsNotKnownIsKept guards against an upstream that gets requests after its
-// departure was acknowledged: no daemon had heard of its process, and its earlier heartbeats
-// arrive afterwards. A process that starts under the id later is not kept out.
+// departure was acknowledged: its heartbeats
+// arrive only afterwards. A process that starts under the id later is not kept out.
 func TestDepartureOfProcessThatIsNotKnownIsKept(t *testing.T) {
 	for name, earlier := range map[string][]Entry{
 		"id not known":         nil,
@@ -211,7 +211,7 @@
 }
 
 // TestDeparturesMergeInAnyOrder guards against control daemons that disagree on whether a process has
-// left, since they heard of departures and heartbeats in different orders.
+// left, since departures and heartbeats reached them in different orders.
 func TestDeparturesMergeInAnyOrder(t *testing.T) {
 	for seed := range uint64(500) {
 		rng := rand.New(rand.NewPCG(seed, 2))
--- a/core/suspects/exchange.go
+++ b/core/suspects/exchange.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// maxTold bounds the contents that TakeChanges returns, and those short of a quarantine that All
+	// maxReported bounds the contents that TakeChanges returns, and those short of a quarantine that All
 	// returns.
-	maxTold = 1000
+	maxReported = 1000
 	// maxRefusalSkew is how much longer a refusal has to be elsewhere to be taken over.
 	maxRefusalSkew = time.Second
 	// unknownGrant stands for the time of a grant that another tracker did not state.
@@ -129,7 +129,7 @@
 		}
 		return cmp.Compare(b.lastCrash(), a.lastCrash())
 	})
-	return out[:min(len(out), quarantined+maxTold)]
+	return out[:min(len(out), quarantined+maxReported)]
 }
 
 func (t *Tracker[ID]) describeClearing(x *Suspect) {
@@ -151,7 +151,7 @@
 func (t *Tracker[ID]) TakeChanges(now time.Duration) []Suspect {
 	out := []Suspect{}
 	for c := range t.changed {
-		if len(out) == maxTold {
+		if len(out) == maxReported {
 			break
 		}
 		delete(t.changed, c)
--- a/core/suspects/suspects.go
+++ b/core/suspects/suspects.go
@@ -13,8 +13,8 @@
 //   - At quarantineThreshold crashes without an answer in between, requests that have all
 //     contents which were present at each of these crashes are refused.
 //
-// Trackers tell each other each crash that they counted and each clearing, so that those which
-// hold the same contents come to the same counts in whatever order they hear of them.
+// Trackers exchange each crash that they counted and each clearing, and merge them to the same counts
+// in whatever order they arrive.
 //
 // The package does no I/O: times are durations on the caller's monotonic clock.
 package suspects
@@ -132,7 +132,7 @@
 // concurrent use.
 type Tracker[ID comparable] struct {
 	suspects map[uint64]*suspect[ID]
-	// clearings holds when contents were cleared: what others tell later of earlier crashes does not
+	// clearings holds when contents were cleared: reports of earlier crashes that arrive later do not
 	// count.
 	clearings map[uint64]clearing
 	// changed holds the contents that TakeChanges returns.
--- a/core/suspects/suspects_test.go
+++ b/core/suspects/suspects_test.go
@@ -110,7 +110,7 @@
 	for _, tracker := range []*Tracker[int]{x, y} {
 		stage, mayRun := tracker.Stage(now+time.Second, 7, []uint64{4})
 		require.True(t, mayRun)
-		require.Equal(t, FirstTrial, stage, "suspicions short of a quarantine are told too")
+		require.Equal(t, FirstTrial, stage, "suspicions short of a quarantine are exchanged too")
 	}
 }
 
@@ -131,7 +131,7 @@
 
 // TestCrashesAreUnitedInAnyOrder guards against a content that goes on to crash upstreams, since each
 // broker has counted some of its crashes and none all, and against a crash that counts twice since
-// several tell of it.
+// several report it.
 func TestCrashesAreUnitedInAnyOrder(t *testing.T) {
 	const now = 10 * time.Second
 	for seed := range uint64(300) {
@@ -146,12 +146,12 @@
 				trackers[i].HoldAgainst(now, r, []uint64{1, uint64(2 + n)})
 			}
 		}
-		told := New[int]()
+		merged := New[int]()
 		for _, i := range append(rng.Perm(len(trackers)), rng.Perm(len(trackers))...) {
-			told.Learn(now, trackers[i].All(now))
-			trackers[i].Learn(now, told.All(now))
+			merged.Learn(now, trackers[i].All(now))
+			trackers[i].Learn(now, merged.All(now))
 		}
-		for _, x := range append(trackers, told) {
+		for _, x := range append(trackers, merged) {
 			require.Equal(t, total, x.find(now, 1).Crashes, "seed %d", seed)
 			require.Equal(t, total >= quarantineThreshold, refused(x, now, 1), "seed %d", seed)
 			if total > 1 {
@@ -162,7 +162,7 @@
 }
 
 // TestClearedCrashesDoNotReturn guards against a sound content that comes into quarantine, since a
-// tracker that has not heard of an answer tells of the crashes before it. Crashes after it count.
+// tracker that does not know of an answer reports the crashes before it. Crashes after it count.
 func TestClearedCrashesDoNotReturn(t *testing.T) {
 	now := 10 * time.Second
 	cleared, away, other := New[int](), New[int](), New[int]()
@@ -211,9 +211,9 @@
 	require.False(t, refused(x, now, 1))
 }
 
-// TestSuspicionsEndAlthoughTheyAreTold guards against suspicions that trackers tell each other without
+// TestExchangedSuspicionsExpire guards against suspicions that trackers renew for each other without
 // end.
-func TestSuspicionsEndAlthoughTheyAreTold(t *testing.T) {
+func TestExchangedSuspicionsExpire(t *testing.T) {
 	x, y := New[int](), New[int]()
 	now := crash(x, time.Second, 2, 1)
 	crashed := now
--- a/internal/broker/suspects.go
+++ b/internal/broker/suspects.go
@@ -2,7 +2,7 @@
 
 import "github.com/verbenastep/verbenastep/internal/brokerwire"
 
-// sendSuspects tells the entries which contents crashed upstreams and which were cleared of it: they
+// sendSuspects sends the entries which contents crashed upstreams and which were cleared of it: they
 // refuse requests in quarantine while no broker grants, and pass all on to the next broker, which
 // goes on counting. An entry gets all of them once, then the changes. The caller holds the lock.
 func (s *Service) sendSuspects() {
--- a/internal/brokerclient/session.go
+++ b/internal/brokerclient/session.go
@@ -601,11 +601,11 @@
 	s.localStale, s.localUpdated = false, s.now()
 }
 
-// settleLosses settles the unclear losses of this entry, and tells the broker of those that were
-// crashes: it may not be the one that was told of the losses. The caller holds the lock.
+// settleLosses settles the unclear losses of this entry, and reports those that were crashes to the
+// broker, which may not be the one that got the ends of the requests. The caller holds the lock.
 func (s *Service) settleLosses(upstreams []broker.Upstream) {
 	now := s.now()
-	// The broker knows the others: it told the entry, or was told with the ends of requests.
+	// The broker knows the others: it sent them, or got the ends of their requests.
 	s.local.TakeSuspectChanges(now)
 	s.local.SettleLosses(now, upstreams)
 	if changes := s.local.TakeSuspectChanges(now); s.attached && len(changes) > 0 {
--- a/internal/brokerclient/suspects_test.go
+++ b/internal/brokerclient/suspects_test.go
@@ -70,9 +70,9 @@
 	s.end(a, broker.End{Outcome: outcome})
 }
 
-// TestEntryTellsNextBrokerOfCrashes guards against a request that crashes upstreams without end while
+// TestEntryReportsCrashesToNextBroker guards against a request that crashes upstreams without end while
 // brokers change: the entry forgets what the last one counted, and what it saw itself without one.
-func TestEntryTellsNextBrokerOfCrashes(t *testing.T) {
+func TestEntryReportsCrashesToNextBroker(t *testing.T) {
 	s := newDetachedEntry()
 	s.local.SetUpstreams([]broker.Upstream{{ID: "u", Pool: "p", Slots: 4}})
 	counted := []*rpc.ContentSuspect{{Content: crashingPart, Crashes: 1, Together: []uint64{crashingPart}, Runs: []*rpc.CrashedRun{{Attempt: 1, GrantedUs: 9_000_000, LostUs: 8_000_000}}}}
@@ -87,7 +87,7 @@
 }
 
 // TestEntryReportsLossesThatAreSettledLate guards against a crash that counts nowhere: the leader that
-// was told of the lost connection ends before the upstream's next process registers.
+// got the end of the request ends before the upstream's next process registers.
 func TestEntryReportsLossesThatAreSettledLate(t *testing.T) {
 	s := newDetachedEntry()
 	s.started = time.Now().Add(-time.Minute)
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -146,8 +146,8 @@
 
 // latestStart returns the latest time at which an upstream may begin the request so that it ends
 // before the entry aborts it: at any time if its deadline is earlier, and never if nothing tells
-// how long it takes, as with streams of plain services. The duration at other upstreams tells
-// nothing of one that has not been measured: a late request, whose caller knows other entries, does
+// how long it takes, as with streams of plain services. The duration at other upstreams says
+// nothing about one that has not been measured: a late request, whose caller knows other entries, does
 // not begin there. While upstream is empty, since none is granted, the request may still get the
 // fastest.
 func (d *drain) latestStart(s *Service, q *request, upstream string) time.Time {
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -394,7 +394,7 @@
 	Share() limits.Part
 	// ExpectedDuration estimates the time from the grant of a request to the end of a
 	// response of its OutputTokens, at an upstream; at the fastest one of the pool if
-	// upstream is empty. Its basis tells whether that upstream was measured.
+	// upstream is empty. Its basis says whether that upstream was measured.
 	ExpectedDuration(o broker.Offer, upstream string) broker.DurationEstimate
 }
 
--- a/internal/roster/departures.go
+++ b/internal/roster/departures.go
@@ -23,8 +23,8 @@
 	memberPollInterval = 100 * time.Millisecond
 )
 
-// maxUnknownDepartures bounds the departures of processes that were never heard of, since a call
-// may name any id.
+// maxUnknownDepartures bounds the departures of ids without heartbeats, since a call may name
+// any id.
 const maxUnknownDepartures = 4096
 
 // departure identifies what an upstream said: that a process takes no new requests, or that it is
--- a/internal/roster/departures_test.go
+++ b/internal/roster/departures_test.go
@@ -155,7 +155,7 @@
 }
 
 // TestDepartureAtDaemonThatDoesNotKnowTheUpstream guards against an acknowledgement by a daemon with
-// an empty roster that tells nobody: it is on enough disks, and the others, which know the upstream,
+// an empty roster that does not forward it: it is on enough disks, and the others, which know the upstream,
 // end it.
 func TestDepartureAtDaemonThatDoesNotKnowTheUpstream(t *testing.T) {
 	list := startThree(t)
