broker: followers report crashes to a leader that they reach

Entries report what they know, but one that was away then does not.

A dump of the three brokers shows two crashes at the leader and three at both followers.

Fix: a follower sends all that it knows with the first message after the leader has confirmed the relay, as it does with streams; the leader unites it.

--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -67,6 +67,8 @@
 	asks    []*rpc.BrokerAsk
 	lost    []string
 	streams []broker.StreamOrigin
+	// hasSuspects is true once the leader got all suspected contents.
+	hasSuspects bool
 	// shedding holds the ranks of pools that the leader sheds.
 	shedding map[poolRank]shedding
 	// commitments holds the requests that the leader expects in spite of shedding.
@@ -193,6 +195,10 @@
 	defer s.mu.Unlock()
 	ask := &rpc.RelayAsk{Asks: s.relay.asks, Lost: s.relay.lost, Streams: s.takeStreams(&s.relay.streams, s.relay.notify)}
 	s.relay.asks, s.relay.lost = nil, nil
+	if s.relay.up && !s.relay.hasSuspects {
+		s.relay.hasSuspects = true
+		ask.Suspects = brokerwire.EncodeSuspects(s.now(), s.core.SuspectedContents(s.now()))
+	}
 	return ask
 }
 
@@ -213,6 +219,8 @@
 		s.relay.leader, s.relay.unsupportedBy = address, ""
 		s.levelsSentAt, s.sentLevels = time.Time{}, map[string]float64{}
 		s.log.Info("relaying to the leader", zap.String("leader", address), zap.Int("entries", len(s.sessions)))
+		s.relay.hasSuspects = false
+		s.relay.notify()
 		s.reportStreams()
 		s.replyToListeners()
 	}
--- a/internal/broker/relayed.go
+++ b/internal/broker/relayed.go
@@ -159,6 +159,7 @@
 	}
 	s.sendRoster(y.own)
 	s.core.LearnStreams(s.now(), brokerwire.DecodeStreams(s.now(), r.Streams))
+	s.core.LearnSuspects(s.now(), brokerwire.DecodeSuspects(s.now(), r.Suspects))
 	for _, entry := range r.Lost {
 		if x := y.entries[entry]; x != nil {
 			delete(y.entries, entry)
