roster: a departure ends a process that started in its millisecond

Cause: a departure ends the processes that started before it, and start times have milliseconds. Evidence: born and ended_before are equal in the log.

Fix: the millisecond of the departure belongs to it. A process that starts later under the id can't have started then.

TestDepartureRightAfterTheStartIsKept failed before at its first departure.

--- a/internal/roster/departures_test.go
+++ b/internal/roster/departures_test.go
@@ -223,6 +223,21 @@
 	}
 }
 
+// TestDepartureRightAfterTheStartIsKept guards against an upstream that gets requests after its departure
+// was acknowledged, since it started in the millisecond of the departure.
+func TestDepartureRightAfterTheStartIsKept(t *testing.T) {
+	list := startThree(t)
+	for n := range 50 {
+		late := heartbeat(fmt.Sprintf("w-%d", n), 1)
+		late.Born = list[0].wallTime().UnixMilli()
+		requireAcknowledged(t, func() error { return list[0].Leave(t.Context(), late.ID) })
+		require.NoError(t, list[0].RecordHeartbeat(t.Context(), late))
+		e, known := find(list[0], late.ID)
+		require.True(t, known)
+		require.True(t, e.Gone, "departure %d", n)
+	}
+}
+
 // requireNotRestored sends a late heartbeat of a process that has left to all daemons and checks that
 // none of them takes it for one that runs.
 func requireNotRestored(t *testing.T, list []*Service, late roster.Entry) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -128,7 +128,8 @@
 // until now, also if its heartbeats have not arrived yet. It returns like RecordHeartbeat, and a
 // fault.Unavailable error if too many upstreams that this daemon does not know have left.
 func (s *Service) Leave(ctx context.Context, id string) error {
-	return s.RecordHeartbeat(ctx, roster.Entry{ID: id, Gone: true, Leaving: true, EndedBefore: s.wallTime().UnixMilli()})
+	// A process may have started in this millisecond.
+	return s.RecordHeartbeat(ctx, roster.Entry{ID: id, Gone: true, Leaving: true, EndedBefore: s.wallTime().UnixMilli() + 1})
 }
 
 // wallTime returns the time of day. Steps of the machine's clock since the service was created don't
