--- a/core/broker/suspect.go
+++ b/core/broker/suspect.go
@@ -135,8 +135,7 @@
 	return b.suspects.TakeChanges(now)
 }
 
-// LearnSuspects unites what another broker knows of crashes and of answers that clear contents with
-// what this one does.
+// LearnSuspects merges what another broker knows of crashes and of answers that clear contents.
 func (b *Broker) LearnSuspects(now time.Duration, list []suspects.Suspect) {
 	b.suspects.Learn(now, list)
 }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -15,7 +15,7 @@
 	return Entry{ID: id, Pool: "p", Address: "10.0.0.1:80", Slots: 2, Born: born, Sequence: seq}
 }
 
-// departure returns a departure that names no process.
+// departing returns a departure that names no process.
 func departing(id string, endedBefore int64) Entry {
 	return Entry{ID: id, Gone: true, Leaving: true, EndedBefore: endedBefore}
 }
@@ -163,8 +163,7 @@
 }
 
 // TestDepartureOfProcessThatIsNotKnownIsKept guards against an upstream that gets requests after its
-// departure was acknowledged: its heartbeats
-// arrive only afterwards. A process that starts under the id later is not kept out.
+// departure was acknowledged: its heartbeats arrive only afterwards. A process that starts under the id later is not kept out.
 func TestDepartureOfProcessThatIsNotKnownIsKept(t *testing.T) {
 	for name, earlier := range map[string][]Entry{
 		"id not known":         nil,
--- a/core/suspects/exchange.go
+++ b/core/suspects/exchange.go
@@ -12,7 +12,8 @@
 	// maxReported bounds the contents that TakeChanges returns, and those short of a quarantine that All
 	// returns.
 	maxReported = 1000
-	// maxRefusalSkew is how much longer a refusal has to be elsewhere to be taken over.
+	// maxRefusalSkew is how much later the end of a refusal has to be at another tracker to be taken
+	// over: times shift by the delay of a message.
 	maxRefusalSkew = time.Second
 	// unknownGrant stands for the time of a grant that another tracker did not state.
 	unknownGrant = 24 * time.Hour
@@ -21,7 +22,7 @@
 // clearing is what is remembered of a content that was cleared.
 type clearing struct {
 	at time.Duration
-	// attempts are the runs that were known to crash upstreams before.
+	// attempts identifies the runs that were known to have crashed upstreams before.
 	attempts  []uint64
 	expiresAt time.Duration
 }
@@ -36,13 +37,13 @@
 func (t *Tracker[ID]) Clear(now time.Duration, contents []uint64) {
 	for _, c := range contents {
 		if t.suspects[c] != nil {
-			t.clear(now, c, now)
+			t.clearUntil(now, c, now)
 		}
 	}
 }
 
-// clear clears a content of the crashes until a time.
-func (t *Tracker[ID]) clear(now time.Duration, content uint64, at time.Duration) {
+// clearUntil clears a content of the crashes until a time.
+func (t *Tracker[ID]) clearUntil(now time.Duration, content uint64, at time.Duration) {
 	t.removeExpired(now)
 	s := t.suspects[content]
 	c, isKnown := t.clearings[content]
@@ -132,6 +133,7 @@
 	return out[:min(len(out), quarantined+maxReported)]
 }
 
+// describeClearing sets when an answer cleared the content.
 func (t *Tracker[ID]) describeClearing(x *Suspect) {
 	c, ok := t.clearings[x.Content]
 	x.IsCleared, x.ClearedAt = ok, c.at
@@ -165,19 +167,19 @@
 	return out
 }
 
-// Learn unites what another tracker knows of contents with what this one does: crashes that are not
-// known are counted, but for those of which an answer has cleared the content.
+// Learn merges what another tracker knows of contents: crashes that are not known yet are counted,
+// but for those of which an answer has cleared the content.
 func (t *Tracker[ID]) Learn(now time.Duration, list []Suspect) {
 	for _, x := range list {
 		switch {
 		case x.IsCleared:
-			t.clear(now, x.Content, min(now, x.ClearedAt))
+			t.clearUntil(now, x.Content, min(now, x.ClearedAt))
 		case x.Crashes == 0:
 			// A tracker of an earlier version does not say when.
-			t.clear(now, x.Content, now)
+			t.clearUntil(now, x.Content, now)
 		}
 		if x.Crashes > 0 {
-			t.unite(now, x)
+			t.merge(now, x)
 		}
 	}
 }
@@ -191,8 +193,8 @@
 	return slices.Repeat([]Run{{Granted: now - unknownGrant, Lost: now}}, min(s.Crashes, maxCountedRuns))
 }
 
-// unite adds the crashes that another tracker holds against a content.
-func (t *Tracker[ID]) unite(now time.Duration, x Suspect) {
+// merge adds the crashes that another tracker holds against a content.
+func (t *Tracker[ID]) merge(now time.Duration, x Suspect) {
 	x.Runs = slices.Clone(x.runs(now))
 	if c, ok := t.clearings[x.Content]; ok {
 		x.Runs = slices.DeleteFunc(x.Runs, c.covers)
@@ -237,6 +239,7 @@
 	return isLonger || s.Crashes != before || len(s.Together) != together
 }
 
+// updateExpiry sets when the suspect is forgotten.
 func (s *suspect[ID]) updateExpiry(now time.Duration) {
 	s.expiresAt = max(s.expiresAt, s.lastCrash()+suspectTTL)
 	if s.IsQuarantined() {
--- a/core/suspects/suspects_test.go
+++ b/core/suspects/suspects_test.go
@@ -129,10 +129,10 @@
 	return Run{Attempt: uint64(n), Granted: at, Lost: at + 100*time.Millisecond}
 }
 
-// TestCrashesAreUnitedInAnyOrder guards against a content that goes on to crash upstreams, since each
+// TestCrashesMergeInAnyOrder guards against a content that goes on to crash upstreams, since each
 // broker has counted some of its crashes and none all, and against a crash that counts twice since
 // several report it.
-func TestCrashesAreUnitedInAnyOrder(t *testing.T) {
+func TestCrashesMergeInAnyOrder(t *testing.T) {
 	const now = 10 * time.Second
 	for seed := range uint64(300) {
 		rng := rand.New(rand.NewPCG(seed, 3))
