--- a/internal/broker/relay.go
+++ b/internal/broker/relay.go
@@ -219,8 +219,8 @@
 		s.relay.leader, s.relay.unsupportedBy = address, ""
 		s.levelsSentAt, s.sentLevels = time.Time{}, map[string]float64{}
 		s.log.Info("relaying to the leader", zap.String("leader", address), zap.Int("entries", len(s.sessions)))
+		// They go with the next message: one of their own would delay the offers of the entries.
 		s.relay.hasSuspects = false
-		s.relay.notify()
 		s.reportStreams()
 		s.replyToListeners()
 	}
